--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,32 @@
+// Package deps pins the libraries of the project.
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/cockroachdb/datadriven"
+	_ "github.com/gofiber/fiber/v2"
+	_ "github.com/gofiber/fiber/v2/middleware/adaptor"
+	_ "github.com/google/uuid"
+	_ "github.com/jessevdk/go-flags"
+	_ "github.com/pkg/errors"
+	_ "github.com/prometheus/client_golang/prometheus"
+	_ "github.com/prometheus/client_golang/prometheus/collectors"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/prometheus/client_golang/prometheus/testutil"
+	_ "github.com/samber/do/v2"
+	_ "github.com/samber/lo"
+	_ "github.com/sirupsen/logrus"
+	_ "github.com/sirupsen/logrus/hooks/test"
+	_ "github.com/twitchtv/twirp"
+	_ "github.com/valyala/fasthttp"
+	_ "github.com/valyala/fasthttp/fasthttputil"
+	_ "google.golang.org/protobuf/encoding/protodelim"
+	_ "google.golang.org/protobuf/proto"
+	_ "google.golang.org/protobuf/types/known/durationpb"
+	_ "gopkg.in/ini.v1"
+	_ "pgregory.net/rapid"
+	_ "github.com/cespare/xxhash/v2"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
+	_ "go.uber.org/goleak"
+)
--- /dev/null
+++ b/internal/tick/loop.go
@@ -0,0 +1,151 @@
+// Package tick runs a role's decisions: a world of tables, and systems that
+// run over the tables in a fixed order at each tick. A world does no I/O and
+// reads no clock, so that a test can drop, delay, double or reorder any input.
+package tick
+
+import (
+	"context"
+	"time"
+)
+
+// MaxBatch is the largest number of inputs that one tick takes in. It bounds
+// the time between two ticks while inputs arrive faster than they are handled.
+const MaxBatch = 256
+
+// World is the state of a role and the rules that change it. I is the type of
+// its inputs (events), O the type of its outputs (commands).
+type World[I, O any] interface {
+	// Step takes in the inputs in their order, runs every system once and
+	// returns the commands. The world is stepped again when an input comes
+	// or at next, whichever is first; a zero next waits for an input.
+	Step(now time.Time, inputs []I) (outputs []O, next time.Time)
+}
+
+// Loop steps one world in a single goroutine. An input wakes it at once, so a
+// tick adds no latency.
+type Loop[I, O any] struct {
+	world   World[I, O]
+	execute func(O)
+	inputs  chan I
+	done    chan struct{}
+	now     func() time.Time
+}
+
+// NewLoop returns a loop for the world. It calls execute for each command from
+// the loop's goroutine; execute must not block. queue is the number of inputs
+// held before Send blocks.
+func NewLoop[I, O any](world World[I, O], queue int, execute func(O)) *Loop[I, O] {
+	return &Loop[I, O]{
+		world:   world,
+		execute: execute,
+		inputs:  make(chan I, queue),
+		done:    make(chan struct{}),
+		now:     time.Now,
+	}
+}
+
+// Send hands an input to the world. It blocks while the queue is full and
+// reports false once the loop has ended.
+func (l *Loop[I, O]) Send(input I) bool {
+	select {
+	case <-l.done:
+		return false
+	default:
+	}
+	select {
+	case l.inputs <- input:
+		return true
+	case <-l.done:
+		return false
+	}
+}
+
+// Done is closed when the loop has ended.
+func (l *Loop[I, O]) Done() <-chan struct{} { return l.done }
+
+// Run steps the world until the context ends.
+func (l *Loop[I, O]) Run(ctx context.Context) error {
+	defer close(l.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	batch := make([]I, 0, MaxBatch)
+	for {
+		batch = batch[:0]
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case input := <-l.inputs:
+			batch = l.drain(append(batch, input))
+		case <-timer.C:
+		}
+		now := l.now()
+		outputs, next := l.world.Step(now, batch)
+		for _, output := range outputs {
+			l.execute(output)
+		}
+		timer.Stop()
+		if !next.IsZero() {
+			timer.Reset(max(0, next.Sub(now)))
+		}
+	}
+}
+
+// drain adds the inputs that already wait, up to MaxBatch.
+func (l *Loop[I, O]) drain(batch []I) []I {
+	for len(batch) < MaxBatch {
+		select {
+		case input := <-l.inputs:
+			batch = append(batch, input)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// System is one rule that runs over a world's tables at each tick.
+type System[W any] struct {
+	Name string
+	Run  func(world W, now time.Time)
+}
+
+// Table holds the entities of one kind by their key. The zero value is not
+// usable; NewTable makes one.
+type Table[K comparable, V any] struct {
+	rows map[K]*V
+}
+
+// NewTable returns an empty table.
+func NewTable[K comparable, V any]() *Table[K, V] {
+	return &Table[K, V]{rows: make(map[K]*V)}
+}
+
+// Get returns the row of a key, or nil.
+func (t *Table[K, V]) Get(key K) *V { return t.rows[key] }
+
+// Put stores a row, in place of one with the same key.
+func (t *Table[K, V]) Put(key K, row *V) { t.rows[key] = row }
+
+// Ensure returns the row of a key and makes it with create when there is none.
+func (t *Table[K, V]) Ensure(key K, create func() *V) *V {
+	row, ok := t.rows[key]
+	if !ok {
+		row = create()
+		t.rows[key] = row
+	}
+	return row
+}
+
+// Delete removes the row of a key.
+func (t *Table[K, V]) Delete(key K) { delete(t.rows, key) }
+
+// Len is the number of rows.
+func (t *Table[K, V]) Len() int { return len(t.rows) }
+
+// Each calls visit for every row, in no particular order. visit may delete the
+// row that it is given.
+func (t *Table[K, V]) Each(visit func(key K, row *V)) {
+	for key, row := range t.rows {
+		visit(key, row)
+	}
+}
