--- a/internal/deps/deps.go
+++ b/internal/deps/deps.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/cespare/xxhash/v2"
 	_ "github.com/cockroachdb/datadriven"
 	_ "github.com/gofiber/fiber/v2"
 	_ "github.com/gofiber/fiber/v2/middleware/adaptor"
@@ -20,13 +21,12 @@
 	_ "github.com/twitchtv/twirp"
 	_ "github.com/valyala/fasthttp"
 	_ "github.com/valyala/fasthttp/fasthttputil"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/time/rate"
 	_ "google.golang.org/protobuf/encoding/protodelim"
 	_ "google.golang.org/protobuf/proto"
 	_ "google.golang.org/protobuf/types/known/durationpb"
 	_ "gopkg.in/ini.v1"
 	_ "pgregory.net/rapid"
-	_ "github.com/cespare/xxhash/v2"
-	_ "golang.org/x/sync/errgroup"
-	_ "golang.org/x/time/rate"
-	_ "go.uber.org/goleak"
 )
