Bind INI files to structs and list every mistake at once

Cause: each daemon needs a file that is checked at start, and an operator who mends one mistake per start loses minutes during an incident.

Ruled out: the struct mapping of gopkg.in/ini.v1 stops at the first mistake, ignores unknown keys, lets the last of two equal keys win in silence and lets a section inherit keys from its parent section; so only its parser is used.

Known limit: a line that isn't INI at all is reported alone, because the parser stops there.

--- /dev/null
+++ b/internal/inifile/read.go
@@ -0,0 +1,170 @@
+package inifile
+
+import (
+	"os"
+	"reflect"
+	"strings"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// loadOptions make repeated keys visible, so that they can be reported instead
+// of the last one winning in silence, and keep values as they are written.
+var loadOptions = ini.LoadOptions{
+	AllowShadows:               true,
+	AllowDuplicateShadowValues: true,
+	PreserveEmptyShadowValues:  true,
+	KeyValueDelimiters:         "=",
+	IgnoreContinuation:         true,
+	SpaceBeforeInlineComment:   true,
+}
+
+// Read binds the file at path to the struct that target points to. It returns
+// an *Error with all mistakes of the file, also when it can't be read.
+func Read(path string, target any) error {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return &Error{File: path, Mistakes: []Mistake{{Problem: err.Error()}}}
+	}
+	return Parse(path, data, target)
+}
+
+// Parse binds the text of a file to the struct that target points to. name
+// stands for the file in errors. It returns an *Error with all mistakes.
+func Parse(name string, data []byte, target any) error {
+	file, err := ini.LoadSources(loadOptions, data)
+	if err != nil {
+		return &Error{File: name, Mistakes: []Mistake{{Problem: errors.Wrap(err, "syntax").Error()}}}
+	}
+	b := binder{file: file, sections: sectionsOf(target)}
+	b.bind()
+	// Rules over several keys are only checked on values that are valid by
+	// themselves, otherwise one mistake would be reported twice.
+	if validator, ok := target.(Validator); ok && len(b.mistakes) == 0 {
+		b.mistakes = validator.Validate()
+	}
+	if len(b.mistakes) > 0 {
+		return &Error{File: name, Mistakes: b.mistakes}
+	}
+	return nil
+}
+
+// binder carries one call of Parse.
+type binder struct {
+	file     *ini.File
+	sections []section
+	mistakes []Mistake
+}
+
+func (b *binder) add(section, key, problem string) {
+	b.mistakes = append(b.mistakes, Mistake{Section: section, Key: key, Problem: problem})
+}
+
+func (b *binder) bind() {
+	b.rejectUnknownSections()
+	for _, s := range b.sections {
+		if s.repeated {
+			b.bindRepeated(s)
+			continue
+		}
+		b.bindKeys(s.name, s.value)
+	}
+}
+
+// rejectUnknownSections reports sections that no field stands for, and keys
+// before the first section.
+func (b *binder) rejectUnknownSections() {
+	for _, found := range b.file.Sections() {
+		if found.Name() == ini.DefaultSection {
+			for _, name := range found.KeyStrings() {
+				b.add("", "", "key "+name+" stands before the first section")
+			}
+			continue
+		}
+		if !b.known(found.Name()) {
+			b.add(found.Name(), "", "unknown section")
+		}
+	}
+}
+
+func (b *binder) known(name string) bool {
+	for _, s := range b.sections {
+		if s.repeated && strings.HasPrefix(name, s.name+".") || !s.repeated && s.name == name {
+			return true
+		}
+	}
+	return false
+}
+
+// bindRepeated appends one struct for each section of the name, in the order
+// of the file.
+func (b *binder) bindRepeated(s section) {
+	for _, found := range b.file.Sections() {
+		name, ok := strings.CutPrefix(found.Name(), s.name+".")
+		if !ok {
+			continue
+		}
+		element := reflect.New(s.value.Type().Elem()).Elem()
+		setSectionName(element, name)
+		b.bindKeys(found.Name(), element)
+		s.value.Set(reflect.Append(s.value, element))
+	}
+}
+
+// bindKeys binds one section, which the file may lack.
+func (b *binder) bindKeys(sectionName string, structure reflect.Value) {
+	found, err := b.file.GetSection(sectionName)
+	if err != nil {
+		found = ini.Empty().Section(sectionName)
+	}
+	keys := keysOf(structure)
+	b.rejectUnknownKeys(sectionName, found, keys)
+	for _, k := range keys {
+		b.bindKey(sectionName, found, k)
+	}
+}
+
+func (b *binder) rejectUnknownKeys(sectionName string, found *ini.Section, keys []key) {
+	known := make(map[string]bool, len(keys))
+	for _, k := range keys {
+		known[k.name] = true
+	}
+	for _, name := range found.KeyStrings() {
+		if !known[name] {
+			b.add(sectionName, name, "unknown key")
+		}
+	}
+}
+
+func (b *binder) bindKey(sectionName string, found *ini.Section, k key) {
+	// HasKey and GetKey of the library also look into parent sections, which
+	// would let [account] supply values to [account.a].
+	text, times := ownValue(found, k.name)
+	if times > 1 {
+		b.add(sectionName, k.name, "set more than once")
+	}
+	if text == "" && k.required {
+		b.add(sectionName, k.name, "required")
+		return
+	}
+	if text == "" {
+		text = k.fallback
+	}
+	if text == "" {
+		return
+	}
+	if err := k.set(text); err != nil {
+		b.add(sectionName, k.name, err.Error())
+	}
+}
+
+// ownValue returns the value of a key and how many times the section sets it.
+func ownValue(found *ini.Section, name string) (text string, times int) {
+	for _, k := range found.Keys() {
+		if k.Name() == name {
+			return k.Value(), len(k.ValueWithShadows())
+		}
+	}
+	return "", 0
+}
