Begin the fair shares: clocks, homes and estimates

The pure core that an agent asks which client account comes next, with the cumulative reports that join the agents of a service.

--- /dev/null
+++ b/internal/fairshare/types.go
@@ -0,0 +1,76 @@
+package fairshare
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+// Units counts service in the cost units of a service's policy.
+type Units float64
+
+// Config is the part of a service's policy that the package needs.
+type Config struct {
+	Share          settings.SharePolicy
+	Window         Units         // repayment window, in cost units per weight; 0 is no window
+	ReportInterval time.Duration // between two reports of an agent
+}
+
+// ConfigOf takes the package's settings from a service's policy.
+func ConfigOf(policy settings.ServicePolicy) Config {
+	return Config{
+		Share:          policy.Share,
+		Window:         Units(policy.RepaymentWindow),
+		ReportInterval: policy.ReportInterval,
+	}
+}
+
+// Charge is what one agent reports of one account. Total and InFlight replace
+// what the agent reported before, so that a report lost or doubled does no harm.
+type Charge struct {
+	Account  fleet.Account
+	Total    Units // given since the agent's incarnation began
+	InFlight Units // still expected from the requests that run now
+	Waiting  bool  // the agent holds offers of the account
+
+	// Known is the fleet total that the agent believes in. It is set only
+	// while the account's home has not yet answered with a total, so that a
+	// new home can go on where the old one ended. 0 is unknown.
+	Known Units
+}
+
+// Report is what an agent sends to one home.
+type Report struct {
+	Agent       fleet.Address
+	Incarnation uint64
+	Sequence    uint64 // grows with each report of the incarnation, to whichever home
+	VirtualTime Units  // of the service, as the agent knows it
+	Charges     []Charge
+}
+
+// Total is what a home answers for one account.
+type Total struct {
+	Account fleet.Account
+	Total   Units // given by the fleet and in flight, after lifts and forgiven debts
+	Agents  int   // n(a): agents that serve the account or hold its offers
+}
+
+// Reply answers a report. It names only accounts of the report; one that is
+// left out has no total yet, because its home is being refilled.
+type Reply struct {
+	Totals      []Total
+	VirtualTime Units // of the service; 0 is unknown
+}
+
+// HomeID tells one process that serves as home from the next at its address.
+type HomeID struct {
+	Address     fleet.Address
+	Incarnation uint64
+}
+
+// Hint is what a request says about its own cost, in cost units.
+type Hint struct {
+	Prompt Units // known before the run: prompt tokens times their cost
+	Output Units // the most that the answer may cost; 0 is unknown
+}
