Add the stand-in engine

Cause: the routers and agents need backend servers to run against, which tell whether a request ran twice and whether an answer is whole.

--- /dev/null
+++ b/internal/engine/ledger.go
@@ -0,0 +1,86 @@
+package engine
+
+import (
+	"sync"
+	"time"
+)
+
+// RunState tells how a run ended.
+type RunState string
+
+// The states of a run.
+const (
+	RunRunning   RunState = "running"
+	RunComplete  RunState = "complete"
+	RunCancelled RunState = "cancelled"
+	RunCrashed   RunState = "crashed"
+)
+
+// Run is one line of the ledger: one run of one request. Times are Unix
+// nanoseconds; 0 stands for not yet.
+type Run struct {
+	ID           string   `json:"id"`
+	State        RunState `json:"state"`
+	BeganNS      int64    `json:"began_ns"`
+	FirstNS      int64    `json:"first_ns,omitempty"` // first token
+	EndedNS      int64    `json:"ended_ns,omitempty"`
+	PromptTokens int      `json:"prompt_tokens,omitempty"`
+	CachedTokens int      `json:"cached_tokens,omitempty"`
+	Tokens       int      `json:"tokens,omitempty"` // generated so far
+}
+
+// ledger holds every run since the engine was made, a simulated crash or not.
+type ledger struct {
+	mu   sync.Mutex
+	runs []*Run
+	byID map[string]int // number of runs
+}
+
+func newLedger() *ledger { return &ledger{byID: make(map[string]int)} }
+
+// begin opens a run and returns it with the number of runs of its id so far.
+func (l *ledger) begin(id string, now time.Time) (*Run, int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	run := &Run{ID: id, State: RunRunning, BeganNS: now.UnixNano()}
+	l.runs = append(l.runs, run)
+	l.byID[id]++
+	return run, l.byID[id]
+}
+
+// update changes a run under the ledger's lock.
+func (l *ledger) update(change func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	change()
+}
+
+// end closes a run that is still open.
+func (l *ledger) end(run *Run, state RunState, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if run.State == RunRunning {
+		run.State = state
+		run.EndedNS = now.UnixNano()
+	}
+}
+
+// snapshot copies the runs that began at or after since.
+func (l *ledger) snapshot(since time.Time) []Run {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var runs []Run
+	for _, run := range l.runs {
+		if run.BeganNS >= since.UnixNano() || run.State == RunRunning {
+			runs = append(runs, *run)
+		}
+	}
+	return runs
+}
+
+// count is the number of runs of an id.
+func (l *ledger) count(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.byID[id]
+}
