Add the settings tree: inheritance, registry, text form, view

Cause: routers and agents need the values in force for each client account and service, and operators need to see where a value comes from.

Ruled out: resolving at each request (a walk and a parse per call) and resolving the whole tree at each edit (one step per account although an edit touches few).

Change: an immutable tree of paths with a registry of keys; a node takes its parent's policy and overrides it. A view follows edits by working out only the touched subtrees. Mistakes are listed all at once with path, key, value and what is allowed. An API key is found by a seeded place and one whole comparison, so the time tells nothing of a prefix.

Conclusion: NewView(ParseINI(text)) can be used by routers and agents.

--- /dev/null
+++ b/internal/settings/value.go
@@ -0,0 +1,165 @@
+package settings
+
+import (
+	"encoding/hex"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// errNotAllowed tells that a value is outside of what its key allows.
+var errNotAllowed = errors.New("value not allowed")
+
+// byteUnits are the suffixes of TypeBytes, the longest factor first.
+var byteUnits = []struct {
+	suffix string
+	factor int64
+}{
+	{"GiB", 1 << 30},
+	{"MiB", 1 << 20},
+	{"KiB", 1 << 10},
+}
+
+// Check returns an error when text is not a value that the key allows.
+func (k Key) Check(text string) error {
+	switch k.Type {
+	case TypeChoice:
+		if !slices.Contains(k.Choices, text) {
+			return errNotAllowed
+		}
+		return nil
+	case TypeBoolean:
+		_, err := parseBoolean(text)
+		return err
+	case TypeHashes:
+		_, err := ParseKeyHashes(text)
+		return err
+	default:
+		return k.checkRange(text)
+	}
+}
+
+func (k Key) checkRange(text string) error {
+	number, err := k.parseNumber(text)
+	if err != nil {
+		return err
+	}
+	// The negated form also refuses NaN, which compares false to all.
+	if !(number >= k.Min && number <= k.Max) {
+		return errNotAllowed
+	}
+	return nil
+}
+
+// parseNumber reads a numeric value; durations are in seconds.
+func (k Key) parseNumber(text string) (float64, error) {
+	switch k.Type {
+	case TypeDuration:
+		duration, err := time.ParseDuration(text)
+		return duration.Seconds(), err
+	case TypeBytes:
+		count, err := parseBytes(text)
+		return float64(count), err
+	case TypeInteger:
+		count, err := strconv.ParseInt(text, 10, 64)
+		return float64(count), err
+	default:
+		return strconv.ParseFloat(text, 64)
+	}
+}
+
+// store reads text into the field that target points to. The field is left as
+// it is when the text cannot be read.
+func store(text string, target any) error {
+	switch field := target.(type) {
+	case *float64:
+		return assign(field, text, func(s string) (float64, error) { return strconv.ParseFloat(s, 64) })
+	case *int:
+		return assign(field, text, strconv.Atoi)
+	case *int64:
+		return assign(field, text, parseBytes)
+	case *bool:
+		return assign(field, text, parseBoolean)
+	case *time.Duration:
+		return assign(field, text, time.ParseDuration)
+	case *ServiceKind:
+		*field = ServiceKind(text)
+	case *SharePolicy:
+		*field = SharePolicy(text)
+	default:
+		return errors.Errorf("no reader for a field of type %T", target)
+	}
+	return nil
+}
+
+func assign[V any](field *V, text string, parse func(string) (V, error)) error {
+	value, err := parse(text)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	*field = value
+	return nil
+}
+
+func parseBoolean(text string) (bool, error) {
+	switch text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	}
+	return false, errNotAllowed
+}
+
+func parseBytes(text string) (int64, error) {
+	factor := int64(1)
+	for _, unit := range byteUnits {
+		if strings.HasSuffix(text, unit.suffix) {
+			text = strings.TrimSpace(strings.TrimSuffix(text, unit.suffix))
+			factor = unit.factor
+			break
+		}
+	}
+	count, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	if count > math.MaxInt64/factor || count < math.MinInt64/factor {
+		return 0, errNotAllowed
+	}
+	return count * factor, nil
+}
+
+// ParseKeyHashes reads a list of API key hashes.
+func ParseKeyHashes(text string) ([]KeyHash, error) {
+	var hashes []KeyHash
+	for _, part := range strings.Split(text, ",") {
+		raw, err := hex.DecodeString(strings.TrimSpace(part))
+		if err != nil || len(raw) != len(KeyHash{}) {
+			return nil, errNotAllowed
+		}
+		hashes = append(hashes, KeyHash(raw))
+	}
+	return hashes, nil
+}
+
+// FormatKeyHashes writes a list of API key hashes as ParseKeyHashes reads it.
+func FormatKeyHashes(hashes []KeyHash) string {
+	texts := make([]string, len(hashes))
+	for i, hash := range hashes {
+		texts[i] = hex.EncodeToString(hash[:])
+	}
+	return strings.Join(texts, ",")
+}
+
+func formatNumber(number float64) string {
+	return strconv.FormatFloat(number, 'f', -1, 64)
+}
+
+func formatSeconds(seconds float64) string {
+	return time.Duration(seconds * float64(time.Second)).String()
+}
