Add the process kit and the control messages between nodes

Cause: all daemons need the same flags, signals, readiness and control port, and a connection that has gone silent must not cost a peer for good.

Ruled out: watching for silence by call time-outs alone (a slow peer would lose its connection as well); a ping on every connection for ever (hundreds of idle peers would pay for it, so idle connections are closed after 3 s).

Change: package daemon (flags, check and print of the configuration, exit status 2 with all mistakes, log, signals, readiness, wiring of a node) and package control (twirp server and client pool over unencrypted HTTP/2 with pings, shared token, time-outs per method, errors with step and peer, bytes by class whose sum is what the connections carried).

Failure tests seen failing: without pings TestSilentConnectionIsReplaced ends after its 30 s with "the silent connection was never replaced"; with the shared connection in place of a new one TestFreshAgentAvoidsSilentConnection gets a lost connection instead of the node's answer.

--- /dev/null
+++ b/internal/control/control_test.go
@@ -0,0 +1,259 @@
+package control
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// patience ends a test whose event never comes. It decides nothing else.
+const patience = 30 * time.Second
+
+type peer struct{ rpc.Peer }
+
+func (peer) Status(context.Context, *rpc.StatusRequest) (*rpc.StatusReply, error) {
+	return &rpc.StatusReply{Vm: strings.Repeat("v", 1000)}, nil
+}
+
+type readiness struct{ reason atomic.Value }
+
+func (r *readiness) NotReady() string { return r.reason.Load().(string) }
+
+// node is a server on a free loopback port.
+type node struct {
+	address   fleet.Address
+	metrics   *Metrics
+	readiness *readiness
+}
+
+func startNode(t *testing.T) node {
+	t.Helper()
+	registry := prometheus.NewRegistry()
+	n := node{metrics: NewMetrics(registry), readiness: &readiness{}}
+	n.readiness.reason.Store("starting")
+	server := NewServer(ServerConfig{
+		Address: "127.0.0.1:0", Token: "secret", Metrics: n.metrics, Gatherer: registry, Readiness: n.readiness,
+	})
+	server.Register(rpc.NewPeerServer(peer{}))
+	if err := server.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	n.address = fleet.Address(server.listener.Addr().String())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- server.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-ended; err != nil {
+			t.Errorf("server: %v", err)
+		}
+	})
+	return n
+}
+
+func status(pool *Pool, address fleet.Address) error {
+	_, err := pool.Peer(address).Status(context.Background(), &rpc.StatusRequest{})
+	return err
+}
+
+func TestTokenIsRequired(t *testing.T) {
+	n := startNode(t)
+	pool := NewPool("other", NewMetrics(prometheus.NewRegistry()))
+	defer pool.Close()
+	err := status(pool, n.address)
+	var twirpError twirp.Error
+	if !errors.As(err, &twirpError) || twirpError.Code() != twirp.Unauthenticated {
+		t.Errorf("error %v, want unauthenticated", err)
+	}
+	var stepError *fleet.StepError
+	if !errors.As(err, &stepError) || stepError.Peer != n.address || stepError.Step != fleet.StepSend {
+		t.Errorf("error %v lacks step or peer", err)
+	}
+}
+
+// TestClassesAddUp checks that the two ends agree on the bytes of a message
+// and that all classes together are what the connections carried.
+func TestClassesAddUp(t *testing.T) {
+	n := startNode(t)
+	client := NewMetrics(prometheus.NewRegistry())
+	pool := NewPool("secret", client)
+	defer pool.Close()
+	for range 3 {
+		if err := status(pool, n.address); err != nil {
+			t.Fatal(err)
+		}
+	}
+	const wantAnswers = 3 * 1003 // 1000 bytes of text with tag and length
+	if got := client.bytes(ClassOther, directionIn); got != wantAnswers {
+		t.Errorf("client received %d bytes of answers, want %d", got, wantAnswers)
+	}
+	if got := n.metrics.bytes(ClassOther, directionOut); got != wantAnswers {
+		t.Errorf("server sent %d bytes of answers, want %d", got, wantAnswers)
+	}
+	framing := client.bytes(ClassFraming, directionIn)
+	if framing == 0 || framing+wantAnswers != client.connections[directionIn].Load() {
+		t.Errorf("%d bytes of framing do not fill up %d at the connection",
+			framing, client.connections[directionIn].Load())
+	}
+}
+
+func TestHealthAndMetrics(t *testing.T) {
+	n := startNode(t)
+	get := func(path string) (int, string) {
+		response, err := http.Get("http://" + string(n.address) + path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		body, _ := io.ReadAll(response.Body)
+		return response.StatusCode, string(body)
+	}
+	if code, _ := get("/healthz"); code != http.StatusOK {
+		t.Errorf("healthz %d", code)
+	}
+	if code, body := get("/readyz"); code != http.StatusServiceUnavailable || !strings.Contains(body, "starting") {
+		t.Errorf("readyz %d %s before the node is ready", code, body)
+	}
+	n.readiness.reason.Store("")
+	if code, _ := get("/readyz"); code != http.StatusOK {
+		t.Errorf("readyz %d when ready", code)
+	}
+	if _, body := get("/metrics"); !strings.Contains(body, `bluebell_control_bytes_total{class="scrape",direction="out"}`) {
+		t.Errorf("no byte counts in %s", body)
+	}
+}
+
+// relay forwards connections to a target until silence is called. From then on
+// it keeps the old connections open and carries nothing on them.
+type relay struct {
+	listener net.Listener
+	target   fleet.Address
+	accepted chan struct{}
+
+	mu  sync.Mutex
+	old []*atomic.Bool // set for connections that have gone silent
+}
+
+func startRelay(t *testing.T, target fleet.Address) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target, accepted: make(chan struct{}, 100)}
+	go r.run()
+	t.Cleanup(func() { listener.Close() })
+	return r
+}
+
+func (r *relay) run() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", string(r.target))
+		if err != nil {
+			near.Close()
+			continue
+		}
+		silent := new(atomic.Bool)
+		r.mu.Lock()
+		r.old = append(r.old, silent)
+		r.mu.Unlock()
+		r.accepted <- struct{}{}
+		go forward(near, far, silent)
+		go forward(far, near, silent)
+	}
+}
+
+func forward(from, to net.Conn, silent *atomic.Bool) {
+	defer from.Close()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if silent.Load() {
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if err != nil {
+			to.Close()
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, silent := range r.old {
+		silent.Store(true)
+	}
+}
+
+// Symptom: calls to one peer time out for good, while the peer is well.
+// Sequence: a call opens a connection; something on the way forgets it and
+// drops what it carries; further calls go out on the same connection.
+// Cause: nothing closes a TCP connection on which no answer comes.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	n := startNode(t)
+	r := startRelay(t, n.address)
+	pool := NewPool("secret", NewMetrics(prometheus.NewRegistry()))
+	defer pool.Close()
+	address := fleet.Address(r.listener.Addr().String())
+	if err := status(pool, address); err != nil {
+		t.Fatal(err)
+	}
+	<-r.accepted
+	r.silence()
+	deadline := time.Now().Add(patience)
+	for status(pool, address) != nil {
+		if time.Now().After(deadline) {
+			t.Fatal("the silent connection was never replaced")
+		}
+	}
+	select {
+	case <-r.accepted:
+	default:
+		t.Error("a call succeeded without a new connection")
+	}
+}
+
+// Symptom: a fence waits for a silent connection to be found, although another
+// connection would work at once.
+// Sequence: as above, but the call needs an answer now.
+// Cause: calls to one peer share its connection.
+func TestFreshAgentAvoidsSilentConnection(t *testing.T) {
+	n := startNode(t)
+	r := startRelay(t, n.address)
+	pool := NewPool("secret", NewMetrics(prometheus.NewRegistry()))
+	defer pool.Close()
+	address := fleet.Address(r.listener.Addr().String())
+	if err := status(pool, address); err != nil {
+		t.Fatal(err)
+	}
+	r.silence()
+	_, err := pool.FreshAgent(address).Fence(context.Background(), &rpc.FenceRequest{})
+	var twirpError twirp.Error
+	if !errors.As(err, &twirpError) || twirpError.Code() != twirp.BadRoute {
+		t.Errorf("error %v, want the node's answer that it is no agent", err)
+	}
+}
--- /dev/null
+++ b/internal/control/pool.go
@@ -0,0 +1,153 @@
+package control
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection.
+	dialTimeout = 700 * time.Millisecond
+	// pingAfter is the silence after which a connection is probed. Something
+	// between two nodes may forget a connection that was open: then nothing
+	// sent on it arrives and nothing tells so, while new connections work. A
+	// ping that stays unanswered for pingTimeout shows it. The connection is
+	// closed and the next call opens a new one, at most 1 s after the loss.
+	pingAfter   = 500 * time.Millisecond
+	pingTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections without calls, so that hundreds of peers
+	// that have nothing to say to each other cost neither pings nor memory.
+	idleTimeout = 3 * time.Second
+)
+
+// Pool calls the services of a node's peers. All calls to one peer share a
+// connection. A call is never repeated by the pool.
+type Pool struct {
+	token     token
+	metrics   *Metrics
+	transport *http.Transport
+	fresh     *http.Transport
+}
+
+// NewPool returns a pool without connections. secret is the token that all
+// nodes of the fleet share.
+func NewPool(secret string, metrics *Metrics) *Pool {
+	p := &Pool{token: newToken(secret), metrics: metrics}
+	p.transport = p.newTransport()
+	p.fresh = p.newTransport()
+	p.fresh.DisableKeepAlives = true
+	return p
+}
+
+// Agent returns a client of the agent at a control address. Clients are cheap
+// and may be kept or thrown away.
+func (p *Pool) Agent(address fleet.Address) rpc.Agent {
+	return rpc.NewAgentProtobufClient(baseURL(address), p.client(p.transport), interceptor(address))
+}
+
+// FreshAgent returns a client that opens a new connection for each call. It is
+// for calls that must not wait until a silent connection has been found.
+func (p *Pool) FreshAgent(address fleet.Address) rpc.Agent {
+	return rpc.NewAgentProtobufClient(baseURL(address), p.client(p.fresh), interceptor(address))
+}
+
+// Router returns a client of the router at a control address.
+func (p *Pool) Router(address fleet.Address) rpc.Router {
+	return rpc.NewRouterProtobufClient(baseURL(address), p.client(p.transport), interceptor(address))
+}
+
+// Peer returns a client of the node at a control address, whatever its role.
+func (p *Pool) Peer(address fleet.Address) rpc.Peer {
+	return rpc.NewPeerProtobufClient(baseURL(address), p.client(p.transport), interceptor(address))
+}
+
+// Close closes the connections that carry no call.
+func (p *Pool) Close() {
+	p.transport.CloseIdleConnections()
+	p.fresh.CloseIdleConnections()
+}
+
+func baseURL(address fleet.Address) string { return "http://" + string(address) }
+
+func (p *Pool) client(transport *http.Transport) *http.Client {
+	return &http.Client{Transport: countingTransport{pool: p, next: transport}}
+}
+
+func (p *Pool) newTransport() *http.Transport {
+	var protocols http.Protocols
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Transport{
+		DialContext:     p.dial,
+		Protocols:       &protocols,
+		IdleConnTimeout: idleTimeout,
+		HTTP2: &http.HTTP2Config{
+			SendPingTimeout:  pingAfter,
+			PingTimeout:      pingTimeout,
+			WriteByteTimeout: pingTimeout,
+		},
+	}
+}
+
+func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{Conn: conn, metrics: p.metrics}, nil
+}
+
+// countingTransport adds the token to each request and counts the bodies.
+type countingTransport struct {
+	pool *Pool
+	next *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t countingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	class := classOfPath(request.URL.Path)
+	signed := request.Clone(request.Context())
+	t.pool.token.sign(signed.Header)
+	t.pool.metrics.addBody(class, directionOut, int(signed.ContentLength))
+	response, err := t.next.RoundTrip(signed)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = countingBody{ReadCloser: response.Body, metrics: t.pool.metrics, class: class}
+	return response, nil
+}
+
+// stepKey is the context key of WithStep.
+type stepKey struct{}
+
+// WithStep returns a context whose calls report their errors at the step,
+// instead of the step that is usual for the method.
+func WithStep(ctx context.Context, step fleet.Step) context.Context {
+	return context.WithValue(ctx, stepKey{}, step)
+}
+
+// interceptor bounds the time of each call and gives its error the step and
+// the peer. errors.As still finds the twirp.Error inside.
+func interceptor(peer fleet.Address) twirp.ClientOption {
+	return twirp.WithClientInterceptors(func(next twirp.Method) twirp.Method {
+		return func(ctx context.Context, request any) (any, error) {
+			name, _ := twirp.MethodName(ctx)
+			method := methodNamed(name)
+			bounded, cancel := context.WithTimeout(ctx, method.timeout)
+			defer cancel()
+			response, err := next(bounded, request)
+			step, ok := ctx.Value(stepKey{}).(fleet.Step)
+			if !ok {
+				step = method.step
+			}
+			return response, fleet.Wrap(err, step, peer)
+		}
+	})
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+const (
+	twirpPrefix = "/twirp/"
+	// maxBodyBytes bounds a control message. The largest ones carry chunks of
+	// the settings tree.
+	maxBodyBytes = 8 << 20
+	// headerTimeout bounds the wait for a request's header, so that a slow
+	// sender can't hold connections open for nothing.
+	headerTimeout = 2 * time.Second
+	// serverIdleTimeout is longer than the clients' idleTimeout: the side that
+	// calls closes first, and no call meets a connection that has just gone.
+	serverIdleTimeout = 3 * idleTimeout
+	// shutdownTimeout bounds the wait for calls in progress at the end.
+	shutdownTimeout = time.Second
+)
+
+// Readiness tells whether a node should get work.
+type Readiness interface {
+	// NotReady returns why the node isn't ready, or "" when it is.
+	NotReady() string
+}
+
+// ServerConfig is what a Server needs.
+type ServerConfig struct {
+	Address   fleet.Address
+	Token     string // shared by all nodes of the fleet
+	Metrics   *Metrics
+	Gatherer  prometheus.Gatherer // for /metrics
+	Readiness Readiness           // for /readyz
+}
+
+// Server serves a node's control port.
+type Server struct {
+	config   ServerConfig
+	token    token
+	mux      *http.ServeMux
+	listener net.Listener
+}
+
+// NewServer returns a server that serves metrics and health only, until
+// services are registered.
+func NewServer(config ServerConfig) *Server {
+	s := &Server{config: config, token: newToken(config.Token), mux: http.NewServeMux()}
+	s.mux.Handle("GET /metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{}))
+	s.mux.HandleFunc("GET /healthz", s.serveHealth)
+	s.mux.HandleFunc("GET /readyz", s.serveReady)
+	return s
+}
+
+// Register adds a twirp service. It must not be called after Run.
+func (s *Server) Register(service rpc.TwirpServer) {
+	s.mux.Handle(service.PathPrefix(), s.requireToken(service))
+}
+
+// Listen opens the control port. Run calls it if nobody has.
+func (s *Server) Listen() error {
+	if s.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", string(s.config.Address))
+	if err != nil {
+		return errors.Wrap(err, "control port")
+	}
+	s.listener = countingListener{Listener: listener, metrics: s.config.Metrics}
+	return nil
+}
+
+// Run serves until the context ends, then lets calls in progress end.
+func (s *Server) Run(ctx context.Context) error {
+	if err := s.Listen(); err != nil {
+		return err
+	}
+	server := &http.Server{
+		Handler:           s.countBodies(s.mux),
+		Protocols:         serverProtocols(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       serverIdleTimeout,
+	}
+	failed := make(chan error, 1)
+	go func() { failed <- server.Serve(s.listener) }()
+	select {
+	case err := <-failed:
+		return errors.Wrap(err, "control port")
+	case <-ctx.Done():
+	}
+	shutdown, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(shutdown); err != nil {
+		return errors.Wrap(server.Close(), "control port")
+	}
+	return nil
+}
+
+// serverProtocols are HTTP/2 for the nodes and HTTP/1 for scrapers and people.
+func serverProtocols() *http.Protocols {
+	var protocols http.Protocols
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &protocols
+}
+
+// countBodies counts the bodies of all calls by class and bounds them.
+func (s *Server) countBodies(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		class := classOfPath(r.URL.Path)
+		bounded := http.MaxBytesReader(w, r.Body, maxBodyBytes)
+		r.Body = countingBody{ReadCloser: bounded, metrics: s.config.Metrics, class: class}
+		next.ServeHTTP(countingWriter{ResponseWriter: w, metrics: s.config.Metrics, class: class}, r)
+	})
+}
+
+// requireToken refuses calls without the fleet's token: whoever reaches the
+// port could otherwise drain servers and take settings with key hashes.
+func (s *Server) requireToken(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !s.token.accepts(r.Header) {
+			_ = twirp.WriteError(w, twirp.NewError(twirp.Unauthenticated, "the control token is missing or wrong"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "ok\n")
+}
+
+func (s *Server) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if reason := s.config.Readiness.NotReady(); reason != "" {
+		http.Error(w, fmt.Sprintf("not ready: %s", reason), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
--- /dev/null
+++ b/internal/daemon/config.go
@@ -0,0 +1,55 @@
+package daemon
+
+import (
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Common holds the sections that all fleet nodes share. Configurations of
+// nodes embed it.
+type Common struct {
+	Node     NodeSection     `section:"node" doc:"This process and the VM that it runs on."`
+	Platform PlatformSection `section:"platform" doc:"The platform's object API."`
+	Control  ControlSection  `section:"control" doc:"Control messages between the nodes."`
+	Peers    PeersSection    `section:"peers" doc:"Nodes to ask when the platform is down at the start."`
+	Log      LogSection      `section:"log" doc:"Log records on standard error."`
+}
+
+// NodeSection tells a node who and where it is.
+type NodeSection struct {
+	VM      string        `key:"vm" required:"true" doc:"Name of the VM in the platform's list."`
+	Zone    fleet.Zone    `key:"zone" required:"true" doc:"Availability zone."`
+	Region  string        `key:"region" required:"true" doc:"Region of the availability zone."`
+	Control fleet.Address `key:"control" required:"true" doc:"Control port: IP number and port that other nodes reach."`
+	Data    fleet.Address `key:"data" required:"true" doc:"Data port: IP number and port."`
+}
+
+// PlatformSection tells where the platform is.
+type PlatformSection struct {
+	Address fleet.Address `key:"address" required:"true" doc:"IP number and port of the object API."`
+}
+
+// ControlSection holds what all nodes of a fleet share.
+type ControlSection struct {
+	Token string `key:"token" required:"true" doc:"Secret that all nodes of the fleet share."`
+}
+
+// PeersSection names some nodes for a start while the platform is down.
+type PeersSection struct {
+	Control []fleet.Address `key:"control" doc:"Control addresses, separated by commas."`
+}
+
+// LogSection tells what is logged and how.
+type LogSection struct {
+	Level  string `key:"level" default:"info" oneof:"debug|info|warning|error" doc:"Least level that is written."`
+	Format string `key:"format" default:"json" oneof:"json|text" doc:"Form of a record."`
+}
+
+// CommonConfig returns the common sections. It makes every configuration that
+// embeds Common a NodeConfig.
+func (c *Common) CommonConfig() *Common { return c }
+
+// NodeConfig is a configuration of a fleet node: a pointer to a struct that
+// embeds Common and is bound by package inifile.
+type NodeConfig interface {
+	CommonConfig() *Common
+}
--- /dev/null
+++ b/internal/daemon/flags.go
@@ -0,0 +1,89 @@
+package daemon
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/inifile"
+)
+
+// Exit statuses of all daemons.
+const (
+	ExitDone      = 0
+	ExitFailed    = 1
+	ExitBadConfig = 2 // wrong flags or a wrong configuration
+)
+
+// Flags are the command line flags of all daemons.
+type Flags struct {
+	Config      string `long:"config" value-name:"FILE" description:"Read the configuration from this INI file."`
+	CheckConfig bool   `long:"check-config" description:"Check the configuration and exit: status 0 when it is valid, else 2."`
+	PrintConfig bool   `long:"print-config" description:"Print the configuration, documented, and exit; without --config the defaults."`
+	Version     bool   `long:"version" description:"Print the version and exit."`
+}
+
+// Verdict tells what a process does after its flags have been handled.
+type Verdict struct {
+	Exit   bool // end now with Status
+	Status int
+}
+
+// ParseFlags handles the command line and reads the configuration file into
+// config, which package inifile binds. Mistakes go to stderr, all of them.
+func ParseFlags(name string, args []string, config any, stdout, stderr io.Writer) Verdict {
+	var options Flags
+	parser := flags.NewNamedParser(name, flags.HelpFlag|flags.PassDoubleDash)
+	if _, err := parser.AddGroup("Options", "", &options); err != nil {
+		panic(err) // a mistake in the tags of Flags
+	}
+	rest, err := parser.ParseArgs(args)
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		fmt.Fprintln(stdout, err)
+		return Verdict{Exit: true, Status: ExitDone}
+	}
+	if err == nil && len(rest) > 0 {
+		err = errors.Errorf("unexpected argument %q", rest[0])
+	}
+	if err != nil {
+		fmt.Fprintf(stderr, "%s: %v\n", name, err)
+		return Verdict{Exit: true, Status: ExitBadConfig}
+	}
+	return options.follow(name, config, stdout, stderr)
+}
+
+func (o Flags) follow(name string, config any, stdout, stderr io.Writer) Verdict {
+	if o.Version {
+		fmt.Fprintf(stdout, "%s %s\n", name, Version())
+		return Verdict{Exit: true, Status: ExitDone}
+	}
+	if o.Config == "" {
+		return o.withoutFile(name, config, stdout, stderr)
+	}
+	if err := inifile.Read(o.Config, config); err != nil {
+		fmt.Fprintln(stderr, err)
+		return Verdict{Exit: true, Status: ExitBadConfig}
+	}
+	if o.PrintConfig {
+		return printed(inifile.Write(stdout, config))
+	}
+	return Verdict{Exit: o.CheckConfig, Status: ExitDone}
+}
+
+func (o Flags) withoutFile(name string, config any, stdout, stderr io.Writer) Verdict {
+	if o.PrintConfig {
+		return printed(inifile.WriteDefault(stdout, config))
+	}
+	fmt.Fprintf(stderr, "%s: --config is required\n", name)
+	return Verdict{Exit: true, Status: ExitBadConfig}
+}
+
+func printed(err error) Verdict {
+	if err != nil {
+		return Verdict{Exit: true, Status: ExitFailed}
+	}
+	return Verdict{Exit: true, Status: ExitDone}
+}
--- /dev/null
+++ b/internal/daemon/main.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/pkg/errors"
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/event"
+)
+
+// Wire provides the parts of a role to the injector, among them a Service. The
+// injector already holds the configuration by its type.
+type Wire func(injector do.Injector)
+
+// Main is the whole main function of a fleet node. It returns the exit status.
+func Main[C NodeConfig](name string, config C, wire Wire) int {
+	verdict := ParseFlags(name, os.Args[1:], config, os.Stdout, os.Stderr)
+	if verdict.Exit {
+		return verdict.Status
+	}
+	common := config.CommonConfig()
+	logger := NewLogger(common.Log, os.Stderr).WithField("node", common.Node.Control)
+	injector := NewInjector(common, logger)
+	RegisterProcessMetrics(injector)
+	do.ProvideValue(injector, config)
+	wire(injector)
+	node, err := NewNode(injector)
+	if err != nil {
+		event.RunFailed.Log(logger, logrus.Fields{"error": err.Error()})
+		return ExitFailed
+	}
+	return RunToExit(name, node, logger)
+}
+
+// RunToExit runs a service until SIGTERM or SIGINT and returns the exit status.
+func RunToExit(name string, service Service, logger logrus.FieldLogger) int {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	event.Started.Log(logger, logrus.Fields{"program": name, "version": Version()})
+	err := Run(context.Background(), service, signals, logger)
+	if err != nil && !errors.Is(err, ErrForced) {
+		event.RunFailed.Log(logger, logrus.Fields{"error": err.Error()})
+	}
+	if err != nil {
+		return ExitFailed
+	}
+	event.Stopped.Log(logger, nil)
+	return ExitDone
+}
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"context"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/event"
+)
+
+// ErrForced tells that a second signal ended the process before its work in
+// progress was done.
+var ErrForced = errors.New("stopped at once by a second signal")
+
+// Service is what a daemon does.
+type Service interface {
+	// Run works until the context ends. It returns nil when it ended because
+	// of the context.
+	Run(ctx context.Context) error
+	// Drain takes no new work from now on, lets the work in progress end, and
+	// returns when none is left or the context ends. Run goes on meanwhile.
+	Drain(ctx context.Context) error
+}
+
+// Run runs the service until it fails or a signal comes. The first signal
+// drains the service and stops it; the second ends it at once.
+func Run(ctx context.Context, service Service, signals <-chan os.Signal, logger logrus.FieldLogger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- service.Run(ctx) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return <-ended
+	case received := <-signals:
+		event.Draining.Log(logger, logrus.Fields{"signal": received.String()})
+	}
+	if err := drain(ctx, service, signals, ended, logger); err != nil {
+		return err
+	}
+	cancel()
+	select {
+	case err := <-ended:
+		return err
+	case <-signals:
+		return forced(logger)
+	}
+}
+
+// drain waits until the service has drained, has failed, or is told again.
+func drain(ctx context.Context, service Service, signals <-chan os.Signal, ended chan error, logger logrus.FieldLogger) error {
+	drained := make(chan error, 1)
+	go func() { drained <- service.Drain(ctx) }()
+	select {
+	case err := <-drained:
+		if err != nil {
+			event.DrainFailed.Log(logger, logrus.Fields{"error": err.Error()})
+		}
+		return err
+	case err := <-ended:
+		// A service that has ended can't finish its work any more.
+		return errors.Wrap(err, "ended while draining")
+	case <-signals:
+		return forced(logger)
+	}
+}
+
+func forced(logger logrus.FieldLogger) error {
+	event.StopForced.Log(logger, nil)
+	return ErrForced
+}
