--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -58,12 +58,13 @@
 	return text.String()
 }
 
-// tokens returns the length of the answer.
+// tokens returns the length of the answer. A length that is fixed by x_tokens
+// leaves max_tokens a mere hint to the system, which may be wrong.
 func (r completionRequest) tokens(id string, median int) int {
-	tokens := r.Tokens
-	if tokens <= 0 {
-		tokens = drawTokens(id, median)
+	if r.Tokens > 0 {
+		return r.Tokens
 	}
+	tokens := drawTokens(id, median)
 	if r.MaxTokens > 0 {
 		tokens = min(tokens, r.MaxTokens)
 	}
