Add the agent's core and data path

Cause: a backend server's capacity needs one owner that admits requests, grants slots, charges accounts and holds answers.

Change: the world of the agent (tables, systems), the data path over fasthttp, runs at model engines with resume by offset after silence, plain calls that are never repeated, the twirp service, health checks, metrics, events. There is no command yet: it waits for settings and membership.

Ruled out: the HTTP server's write timeout for stalled routers; it covers a whole answer, so each write has its own instead.

--- /dev/null
+++ b/internal/agent/fleet.go
@@ -0,0 +1,28 @@
+package agent
+
+import (
+	"github.com/bluebellchute/bluebellchute/internal/membership"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+// Fleet is what the agent needs of the shared knowledge of the fleet: the
+// settings in force, the list of nodes, and the verdicts.
+type Fleet interface {
+	// Settings returns the revision in force, or nil before the first.
+	Settings() settings.View
+	// Members returns the nodes of the fleet.
+	Members() membership.View
+	// Verdicts returns the unexpired verdicts.
+	Verdicts() []*rpc.Verdict
+	// AddVerdict makes a verdict known to the fleet.
+	AddVerdict(verdict *rpc.Verdict)
+	// Changed returns a channel that is closed at the next change.
+	Changed() <-chan struct{}
+	// Envelope returns this node's envelope for a control message.
+	Envelope() *rpc.Envelope
+	// Heard takes in the envelope of another node.
+	Heard(envelope *rpc.Envelope)
+	// SetLeaving tells whether this node takes new work.
+	SetLeaving(leaving bool)
+}
--- /dev/null
+++ b/internal/agent/manager.go
@@ -0,0 +1,213 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+	"github.com/bluebellchute/bluebellchute/internal/tick"
+)
+
+// inputQueue is the number of inputs that wait for the world before a shell
+// blocks.
+const inputQueue = 4096
+
+// defaultHeartbeat is used until the settings arrive.
+const defaultHeartbeat = 400 * time.Millisecond
+
+// Readiness takes the state that /readyz shows.
+type Readiness interface {
+	SetReady()
+	SetNotReady(reason string)
+}
+
+// Options are what a Manager needs from outside.
+type Options struct {
+	Config      *Config
+	Incarnation uint64
+	Fleet       Fleet
+	Clients     clients
+	Readiness   Readiness
+	Registerer  prometheus.Registerer
+	Logger      logrus.FieldLogger
+}
+
+// Manager runs an agent: its world and the shells around it.
+type Manager struct {
+	options  Options
+	loop     *tick.Loop[Input, Command]
+	calls    *calls
+	answers  *answers
+	executor *executor
+	runner   *runner
+	backend  *backend
+	data     *dataServer
+	control  *controlServer
+	peers    *peerCaller
+	metrics  *metrics
+	policy   atomic.Pointer[settings.ServicePolicy]
+	stopCall context.CancelFunc
+}
+
+// NewManager returns an agent that has not begun to work.
+func NewManager(options Options) *Manager {
+	config := options.Config
+	m := &Manager{
+		options: options,
+		calls:   newCalls(),
+		answers: newAnswers(),
+		backend: newBackend(config.Backend.Address),
+		metrics: newMetrics(options.Registerer),
+	}
+	world := NewWorld(Identity{
+		Control:     config.Node.Control,
+		Service:     config.Backend.Service,
+		Incarnation: options.Incarnation,
+	}, config.Limits.limits(), time.Now())
+	m.executor = newExecutor(m.calls, m.answers, options.Logger, m.metrics)
+	m.loop = tick.NewLoop[Input, Command](measured{world: world, metrics: m.metrics}, inputQueue, m.executor.execute)
+	m.runner = newRunner(m.backend, m.loop, m.servicePolicy)
+	m.data = newDataServer(m.loop, m.calls, m.answers, m.heartbeat, config.Limits.RequestBytes)
+	m.control = &controlServer{world: m.loop, calls: m.calls, fleet: options.Fleet}
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stopCall = cancel
+	m.peers = newPeerCaller(ctx, options.Clients, options.Fleet, m.loop, config.Backend.Service)
+	m.executor.runner = m.runner
+	m.executor.peers = m.peers
+	m.executor.leaving = options.Fleet.SetLeaving
+	return m
+}
+
+// Control returns the twirp service of the agent.
+func (m *Manager) Control() rpc.Agent { return m.control }
+
+// Run works until the context ends. It implements daemon.Service.
+func (m *Manager) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", string(m.options.Config.Node.Data))
+	if err != nil {
+		return errors.Wrap(err, "data port")
+	}
+	watch := &health{backend: m.backend, world: m.loop, changed: m.backendChanged}
+	group, groupCtx := errgroup.WithContext(ctx)
+	group.Go(func() error { return ignoreEnd(m.loop.Run(groupCtx)) })
+	group.Go(func() error { return watch.run(groupCtx) })
+	group.Go(func() error { return m.follow(groupCtx) })
+	group.Go(func() error { return m.data.serve(listener) })
+	group.Go(func() error {
+		<-groupCtx.Done()
+		m.stopCall()
+		return errors.Wrap(listener.Close(), "data port")
+	})
+	err = group.Wait()
+	m.runner.stop()
+	m.peers.wait()
+	return err
+}
+
+// Drain takes no new work and returns when every answer has been fetched, or
+// the context ends. It implements daemon.Service.
+func (m *Manager) Drain(ctx context.Context) error {
+	m.loop.Send(Stopping{})
+	select {
+	case <-m.executor.idle:
+		return nil
+	case <-m.loop.Done():
+		return errStopped
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+}
+
+// follow brings changes of the settings, the members and the verdicts to the
+// world.
+func (m *Manager) follow(ctx context.Context) error {
+	for {
+		changed := m.options.Fleet.Changed()
+		m.applyFleet()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *Manager) applyFleet() {
+	if view := m.options.Fleet.Settings(); view != nil {
+		m.applySettings(view)
+	}
+	m.loop.Send(Members{View: m.options.Fleet.Members()})
+	if verdicts := m.options.Fleet.Verdicts(); len(verdicts) > 0 {
+		m.loop.Send(Verdicts{Verdicts: verdicts})
+	}
+}
+
+func (m *Manager) applySettings(view settings.View) {
+	service := m.options.Config.Backend.Service
+	policy, ok := view.Service(service)
+	if !ok {
+		event.NoSettings.Log(m.options.Logger, logrus.Fields{"service": service, "revision": view.Revision()})
+		return
+	}
+	m.policy.Store(&policy)
+	m.loop.Send(Settings{View: view})
+}
+
+// servicePolicy is the policy in force, for runs.
+func (m *Manager) servicePolicy() settings.ServicePolicy {
+	if policy := m.policy.Load(); policy != nil {
+		return *policy
+	}
+	return settings.ServicePolicy{}
+}
+
+func (m *Manager) heartbeat() time.Duration {
+	if interval := m.servicePolicy().HeartbeatInterval; interval > 0 {
+		return interval
+	}
+	return defaultHeartbeat
+}
+
+// backendChanged shows the backend server's health in /readyz.
+func (m *Manager) backendChanged(up bool) {
+	address := logrus.Fields{"peer": m.backend.address}
+	if up {
+		event.BackendUp.Log(m.options.Logger, address)
+		m.options.Readiness.SetReady()
+		return
+	}
+	event.BackendDown.Log(m.options.Logger, address)
+	m.options.Readiness.SetNotReady("the backend server does not answer")
+}
+
+// ignoreEnd drops the error of a context that ended.
+func ignoreEnd(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// measured observes the world as it is stepped.
+type measured struct {
+	world   *World
+	metrics *metrics
+}
+
+// Step implements tick.World.
+func (m measured) Step(now time.Time, inputs []Input) ([]Command, time.Time) {
+	began := time.Now()
+	commands, next := m.world.Step(now, inputs)
+	m.metrics.stepTime.Observe(time.Since(began).Seconds())
+	m.metrics.observe(m.world)
+	return commands, next
+}
--- /dev/null
+++ b/internal/agent/runner_model.go
@@ -0,0 +1,95 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// errStreamLost tells that the model engine knows nothing of a run that it
+// took: it has been started again since.
+var errStreamLost = errors.New("the model engine has lost the stream")
+
+// runModel runs a request at a model engine and reads its stream to the end.
+//
+// The connection to the engine may go silent for good while the engine is
+// well. It would be noticed as a run that never ends. So a connection without
+// a byte for some time is given up, and the stream is resumed by its offset on
+// a new one, which does no harm when the engine was merely slow. The wait
+// doubles while resumed connections are silent too.
+func (r *run) runModel(ctx context.Context) error {
+	silence := minEngineSilence
+	err := r.attempt(ctx, silence, r.fillFirst)
+	for err != nil && r.resumable(ctx, err) {
+		before := r.answer.size()
+		if timedOut(err) {
+			silence = min(2*silence, maxEngineSilence)
+		}
+		err = r.attempt(ctx, silence, r.fillNext)
+		if r.answer.size() > before {
+			silence = minEngineSilence
+		}
+	}
+	if err != nil && ctx.Err() != nil {
+		_ = r.backend.cancelStream(r.id)
+	}
+	return err
+}
+
+// resumable tells whether the run may go on after an error.
+func (r *run) resumable(ctx context.Context, err error) bool {
+	var crashed crashError
+	switch {
+	case ctx.Err() != nil, isDialError(err), errors.As(err, &crashed), errors.Is(err, errTooLarge):
+		return false
+	}
+	return true
+}
+
+// attempt makes one exchange and takes its body.
+func (r *run) attempt(ctx context.Context, silence time.Duration, fill func(*fasthttp.Request) bool) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	resumed := fill(request)
+	finish, err := r.exchange(ctx, request, response, silence)
+	if err != nil {
+		return r.resumeFailed(resumed, err)
+	}
+	defer finish()
+	defer func() { _ = response.CloseBodyStream() }()
+	if resumed && response.StatusCode() == fasthttp.StatusNotFound {
+		return crashError{errStreamLost}
+	}
+	r.answer.setHead(headOf(response))
+	return r.copyBody(response)
+}
+
+// resumeFailed turns a refused connection of a resumed run into a crash: the
+// engine took the run before and takes no connection now.
+func (r *run) resumeFailed(resumed bool, err error) error {
+	if resumed && isDialError(err) {
+		return crashError{err}
+	}
+	return err
+}
+
+func (r *run) fillFirst(request *fasthttp.Request) bool {
+	r.backend.fillRequest(request, r.id, r.request)
+	return false
+}
+
+func (r *run) fillNext(request *fasthttp.Request) bool {
+	r.backend.fillResume(request, r.id, r.answer.size())
+	return true
+}
+
+// timedOut tells whether a connection was given up for its silence.
+func timedOut(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- /dev/null
+++ b/internal/agent/take_news.go
@@ -0,0 +1,45 @@
+package agent
+
+import (
+	"github.com/bluebellchute/bluebellchute/internal/fairshare"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// takeLoad takes the backend server's report of its slots. A report that lags
+// too far is ignored. A server that reports no slots keeps the last number.
+func (w *World) takeLoad(in Load) {
+	if in.Age > MaxLoadAge || in.Slots <= 0 {
+		return
+	}
+	w.reportedSlots = in.Slots
+}
+
+// takeHealth takes the result of a health check. While the server is down
+// nothing is granted, and grants that are out are refused as BACKEND_DOWN.
+func (w *World) takeHealth(in Health) { w.backendUp = in.Up }
+
+// takeSettings applies a new revision.
+func (w *World) takeSettings(in Settings) {
+	policy, ok := in.View.Service(w.self.Service)
+	if !ok {
+		return
+	}
+	w.view = in.View
+	w.policy = policy
+	w.clocks.ApplyConfig(fairshare.ConfigOf(policy))
+	w.home.ApplyConfig(fairshare.ConfigOf(policy))
+	w.accounts.Each(func(name fleet.Account, _ *account) { w.weigh(name) })
+}
+
+// takeMembers applies a new state of the fleet.
+func (w *World) takeMembers(in Members) {
+	w.members = in.View
+	w.applyHomes()
+	leaving := false
+	for _, node := range in.View.Nodes {
+		if node.Control == w.self.Control {
+			leaving = node.State == fleet.VMLeaving
+		}
+	}
+	w.setLeaving(&w.listLeaving, leaving)
+}
