--- /dev/null
+++ b/internal/spread/document.go
@@ -0,0 +1,35 @@
+package spread
+
+import (
+	"context"
+
+	"github.com/bluebellchute/bluebellchute/internal/platform"
+)
+
+// Document is one replicated document. Its content is opaque to this package.
+// Implementations are safe for concurrent use.
+type Document interface {
+	// Revision is the revision in force. It never falls.
+	Revision() uint64
+	// Delta encodes what a node at revision since lacks, or everything when
+	// since is 0 or too old. It is empty when since is not behind.
+	Delta(since uint64) []byte
+	// Apply takes in a delta and reports whether Revision rose. A delta that
+	// is not ahead changes nothing and is no error. ErrGap tells that the delta
+	// starts above Revision; the caller then asks for one that fits.
+	Apply(delta []byte) (bool, error)
+}
+
+// Replica is a document whose revisions are accepted on the platform.
+type Replica interface {
+	Document
+	// WatchPrefix is the prefix of the keys that change with each accepted
+	// revision.
+	WatchPrefix() string
+	// Load reads the accepted revision and takes it when it is higher than
+	// the one in force; an older one, from a stale read, changes nothing. It
+	// returns the platform's version from which a watch sees later changes.
+	Load(ctx context.Context, api platform.API) (platform.Version, error)
+	// Take takes in the changes that a watch returned.
+	Take(ctx context.Context, api platform.API, changes []platform.Change) error
+}
