--- a/internal/load/nodes.go
+++ b/internal/load/nodes.go
@@ -21,6 +21,10 @@
 	labelClass         = "class"
 )
 
+// scrapeClass is the class of the readings of metrics and health, which are
+// not messages between the system's own processes.
+const scrapeClass = "scrape"
+
 // sample is one reading of a node's metrics.
 type sample struct {
 	bytesByClass map[string]float64
@@ -39,8 +43,10 @@
 	if err != nil {
 		return sample{}, err
 	}
+	bytesByClass := byLabel(families[metricControlBytes], labelClass)
+	delete(bytesByClass, scrapeClass)
 	return sample{
-		bytesByClass: byLabel(families[metricControlBytes], labelClass),
+		bytesByClass: bytesByClass,
 		cpuSeconds:   first(families[metricCPU]),
 		memory:       first(families[metricMemory]),
 	}, nil
