Charge grants from their issue and keep owed service between grant and run

Cause: several slots that became free in one step all went to the account with the smallest clock, because nothing was charged until the dispatch; and between a grant and its dispatch the account looked idle, so its return forgave what the fleet owed it.

Change: a grant is charged as a request under an id of its own, which the dispatch takes over (fairshare.Clocks.Move); an account with outstanding grants counts as waiting. A router whose offers were dropped here is asked for all of them. Admitted requests that can't begin because the backend server went down go back to their routers.

--- a/internal/agent/ended.go
+++ b/internal/agent/ended.go
@@ -66,7 +66,9 @@
 func (t *endedTable) expire(now time.Time) {
 	for t.first < len(t.order) {
 		oldest := t.order[t.first]
-		if len(t.states) <= t.limit && now.Sub(oldest.at) < t.life {
+		age := now.Sub(oldest.at)
+		surplus := len(t.states) > t.limit && age >= MinEndedLife
+		if age < t.life && !surplus {
 			break
 		}
 		t.forget(oldest.id, now)
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -12,9 +12,8 @@
 	MaxOffersPerRouter = 4096
 	// MaxVerdicts bounds the table of suspect and convicted requests.
 	MaxVerdicts = 4096
-	// MaxHomeRows bounds the cumulative charges that a home keeps, over all
-	// reporting agents and accounts.
-	MaxHomeRows = 200_000
+	// MaxHeldSuspects bounds the admitted suspects that wait for another one.
+	MaxHeldSuspects = 16
 	// MaxClockSkew is the largest difference that is allowed for between the
 	// clocks of two nodes when the time in a request id is judged.
 	MaxClockSkew = 2 * time.Second
@@ -36,7 +35,7 @@
 	MaxAsked = 2
 	// MinAskInterval and MaxAskInterval bound the time between two rounds of
 	// asking; the interval doubles while nothing waits anywhere.
-	MinAskInterval = 100 * time.Millisecond
+	MinAskInterval = 200 * time.Millisecond
 	// MaxAskInterval is the interval in a fleet without waiting work.
 	MaxAskInterval = 3 * time.Second
 	// MaxGrantsPerMessage bounds one Grant message.
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -145,6 +145,9 @@
 	if id.Version() != 7 {
 		return fleet.RequestID{}, errors.Errorf("request id %s is not a UUIDv7", id)
 	}
+	if run.Router == "" || run.Account == "" {
+		return id, errors.New("run request lacks the router or the account")
+	}
 	return id, nil
 }
 
--- a/internal/agent/system_drain.go
+++ b/internal/agent/system_drain.go
@@ -30,7 +30,7 @@
 		return
 	}
 	w.emit(Note{Event: event.AgentLeaving})
-	w.grants.Each(func(number uint64, _ *grant) { w.grants.Delete(number) })
+	w.grants.Each(func(number uint64, _ *grant) { w.endGrant(number) })
 	w.routers.Each(func(_ fleet.Address, row *router) { w.dropOffers(row) })
 }
 
--- a/internal/agent/system_expire.go
+++ b/internal/agent/system_expire.go
@@ -12,6 +12,9 @@
 func (w *World) expire(now time.Time) {
 	w.expireGrants(now)
 	w.expireQueued(now)
+	if !w.heldRoom() {
+		w.expireAnswers(now)
+	}
 	if now.Before(w.nextSweep) {
 		return
 	}
@@ -33,10 +36,10 @@
 		if now.Before(g.lapsesAt) {
 			return
 		}
-		w.grants.Delete(number)
+		w.endGrant(number)
 		if row := w.routers.Get(g.router); row != nil && row.heardAt.Before(g.sentAt) {
 			w.emit(Note{Event: event.RouterSilent, Peer: row.address})
-			w.dropOffers(row)
+			w.forgetOffers(row)
 		}
 	})
 }
--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -2,10 +2,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
@@ -118,6 +120,9 @@
 		lapsesAt:    now.Add(lease + GrantMargin),
 	}
 	w.grants.Put(g.number, g)
+	if w.policy.Share != settings.ShareRouterLocal {
+		w.chargeGrant(g, chosen.cost)
+	}
 	chosen.router.lastGrant = g.number
 	message := &rpc.Grant{Number: g.number, LeaseMs: uint32(lease.Milliseconds())}
 	if w.policy.Share != settings.ShareRouterLocal {
@@ -143,19 +148,47 @@
 	if w.policy.Share != settings.ShareRouterLocal && g.account != in.Account {
 		return false
 	}
-	w.grants.Delete(in.Grant)
 	w.turnaround.add(now.Sub(g.sentAt))
 	return true
 }
 
-// decline ends a lease that its router will not use.
-func (w *World) decline(number uint64) { w.grants.Delete(number) }
+// chargeGrant charges the estimate of the request that will come on a grant.
+func (w *World) chargeGrant(g *grant, cost uint64) {
+	w.clocks.Begin(grantID(g.number), g.account, fairshare.Hint{Prompt: fairshare.Units(cost)})
+	w.account(g.account).granted++
+	g.charged = true
+}
+
+// grantID is the id under which the clocks know a grant. It is no UUIDv7, so
+// it can't be the id of a request.
+func grantID(number uint64) fleet.RequestID {
+	var id fleet.RequestID
+	binary.BigEndian.PutUint64(id[8:], number)
+	return id
+}
+
+// endGrant ends a lease and takes back its charge, unless a request has taken
+// the charge over before.
+func (w *World) endGrant(number uint64) {
+	g := w.grants.Get(number)
+	if g == nil {
+		return
+	}
+	w.grants.Delete(number)
+	if !g.charged {
+		return
+	}
+	w.clocks.Abandon(grantID(number))
+	row := w.accounts.Get(g.account)
+	row.granted--
+	w.noteWaits(row)
+}
 
 // dropGrants withdraws all leases of a router.
 func (w *World) dropGrants(address fleet.Address) {
 	w.grants.Each(func(number uint64, g *grant) {
 		if g.router == address {
-			w.grants.Delete(number)
+			w.endGrant(number)
 		}
 	})
 }
@@ -167,15 +200,15 @@
 	row := w.routers.Get(in.Router)
 	if in.Failed {
 		for _, number := range in.Numbers {
-			w.grants.Delete(number)
+			w.endGrant(number)
 		}
 		if row != nil {
-			w.dropOffers(row)
+			w.forgetOffers(row)
 		}
 		return
 	}
 	for _, number := range in.Declined {
-		w.decline(number)
+		w.endGrant(number)
 	}
 	row = w.noteRouter(now, in.Router, in.Incarnation)
 	if row == nil || w.leaving() {
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -64,6 +64,7 @@
 	offers      map[fleet.Account]*offer
 	lastGrant   uint64 // number of the last grant; the smaller is served first
 	heardAt     time.Time
+	resend      bool // its offers were dropped here, so it must repeat them
 }
 
 // offer is the work of one account that waits at one router.
@@ -82,6 +83,7 @@
 	account     fleet.Account // empty when the router chooses
 	router      fleet.Address
 	incarnation uint64
+	charged     bool // its estimate counts in the account's clock
 	sentAt      time.Time
 	lapsesAt    time.Time
 }
@@ -91,7 +93,12 @@
 	name    fleet.Account
 	offers  map[fleet.Address]*offer // by router
 	running int                      // queued and running requests
+	granted int                      // outstanding grants
 }
 
 // idle tells that the row may be dropped.
-func (a *account) idle() bool { return a.running == 0 && len(a.offers) == 0 }
+func (a *account) idle() bool { return a.running == 0 && !a.waits() }
+
+// waits tells whether work of the account waits at a router, be it offered or
+// about to come on a grant.
+func (a *account) waits() bool { return a.granted > 0 || len(a.offers) > 0 }
--- a/internal/agent/take_dispatch.go
+++ b/internal/agent/take_dispatch.go
@@ -12,6 +12,7 @@
 	retryNoSlot      = 100 * time.Millisecond
 	retryBackendDown = time.Second
 	retryTableFull   = MinEndedLife
+	retrySuspect     = time.Second
 )
 
 // takeDispatch admits or refuses a request. A refusal is final for this
@@ -19,6 +20,9 @@
 func (w *World) takeDispatch(now time.Time, in Dispatch) {
 	w.noteRouter(now, in.Router, in.RouterIncarnation)
 	granted := w.consumeGrant(now, in)
+	if granted {
+		defer w.endGrant(in.Grant)
+	}
 	if reason := w.forbids(now, in); reason != rpc.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
 		w.refuse(in, reason, retryAfter(reason))
 		return
@@ -31,6 +35,10 @@
 		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_GRANT_LAPSED, 0)
 		return
 	}
+	if granted && w.isSuspect(in) && w.heldSuspects() >= MaxHeldSuspects {
+		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retrySuspect)
+		return
+	}
 	if !w.mayAdmit(in, granted) {
 		w.noteWaiting(now, in, in.Waiting+1)
 		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retryNoSlot)
@@ -112,7 +120,10 @@
 	}
 	w.requests.Put(r.id, r)
 	w.queue = append(w.queue, r)
-	w.clocks.Begin(r.id, r.account, fairshare.Hint{Prompt: fairshare.Units(in.EstimatedCost)})
+	if !w.clocks.Move(grantID(in.Grant), r.id) {
+		w.clocks.Begin(r.id, r.account, fairshare.Hint{Prompt: fairshare.Units(in.EstimatedCost)})
+	}
 	w.account(r.account).running++
+	w.endGrant(in.Grant)
 	w.reply(in.Ticket, Admitted{FreeSlots: uint32(w.free())})
 }
--- a/internal/agent/take_news.go
+++ b/internal/agent/take_news.go
@@ -1,6 +1,9 @@
 package agent
 
 import (
+	"slices"
+	"time"
+
 	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
@@ -15,8 +18,18 @@
 }
 
 // takeHealth takes the result of a health check. While the server is down
-// nothing is granted, and grants that are out are refused as BACKEND_DOWN.
-func (w *World) takeHealth(in Health) { w.backendUp = in.Up }
+// nothing is granted or admitted, and what was admitted and has not begun goes
+// back to its routers, who may have other agents for it.
+func (w *World) takeHealth(now time.Time, in Health) {
+	w.backendUp = in.Up
+	if in.Up {
+		return
+	}
+	w.grants.Each(func(number uint64, _ *grant) { w.endGrant(number) })
+	for _, row := range slices.Clone(w.queue) {
+		w.endWithoutRun(now, row, reasonNotSent)
+	}
+}
 
 // takeSettings applies a new revision.
 func (w *World) takeSettings(in Settings) {
@@ -29,6 +42,7 @@
 	w.clocks.ApplyConfig(fairshare.ConfigOf(policy))
 	w.home.ApplyConfig(fairshare.ConfigOf(policy))
 	w.accounts.Each(func(name fleet.Account, _ *account) { w.weigh(name) })
+	w.applyHomes()
 }
 
 // takeMembers applies a new state of the fleet.
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -15,7 +15,7 @@
 		if w.routers.Len() >= MaxRouters {
 			return nil
 		}
-		row = &router{address: address, incarnation: incarnation, offers: make(map[fleet.Account]*offer)}
+		row = &router{address: address, incarnation: incarnation, offers: make(map[fleet.Account]*offer), resend: true}
 		w.routers.Put(address, row)
 	}
 	if incarnation < row.incarnation {
@@ -26,6 +26,7 @@
 		w.dropGrants(address)
 		row.incarnation = incarnation
 		row.sequence = 0
+		row.resend = true
 	}
 	row.heardAt = now
 	return row
@@ -34,11 +35,10 @@
 // takeOffered notes what waits at a router.
 func (w *World) takeOffered(now time.Time, in Offered) {
 	for _, number := range in.Declined {
-		w.decline(number)
+		w.endGrant(number)
 	}
-	known := w.routers.Get(in.Router) != nil
 	row := w.noteRouter(now, in.Router, in.Incarnation)
-	defer w.replyOffered(in.Ticket, row != nil && !known && !in.Full)
+	defer w.replyOffered(in.Ticket, row != nil && row.resend && !in.Full)
 	if row == nil || in.Sequence <= row.sequence || w.leaving() {
 		return
 	}
@@ -46,6 +46,7 @@
 	w.noteRecent(row.address)
 	if in.Full {
 		w.dropOffers(row)
+		row.resend = false
 	}
 	for _, item := range in.Offers {
 		w.setOffer(now, row, item)
@@ -71,8 +72,9 @@
 		}
 		current = &offer{account: item.Account, router: row}
 		row.offers[item.Account] = current
-		w.account(item.Account).offers[row.address] = current
-		w.clocks.Offered(item.Account, true)
+		holder := w.account(item.Account)
+		holder.offers[row.address] = current
+		w.noteWaits(holder)
 	}
 	current.count = item.Count
 	current.deadline = item.OldestDeadline
@@ -94,6 +96,13 @@
 	})
 }
 
+// forgetOffers drops the offers of a router that does not answer. The router
+// does not know, so it is asked for all of them when it is heard again.
+func (w *World) forgetOffers(row *router) {
+	w.dropOffers(row)
+	row.resend = true
+}
+
 // dropOffers withdraws everything that a router offers.
 func (w *World) dropOffers(row *router) {
 	for _, current := range row.offers {
@@ -108,9 +117,14 @@
 		return
 	}
 	delete(row.offers, o.router.address)
-	if len(row.offers) == 0 {
-		w.clocks.Offered(o.account, false)
-	}
+	w.noteWaits(row)
+}
+
+// noteWaits tells the clocks whether an account has waiting work. Between a
+// grant and the dispatch on it the work still counts as waiting: if the account
+// looked idle then, its return would forgive what the fleet owes it.
+func (w *World) noteWaits(row *account) {
+	w.clocks.Offered(row.name, row.waits())
 	w.dropIdleAccount(row)
 }
 
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -150,7 +150,7 @@
 	case Load:
 		w.takeLoad(in)
 	case Health:
-		w.takeHealth(in)
+		w.takeHealth(now, in)
 	case Settings:
 		w.takeSettings(in)
 	case Members:
