Add the router: decisions, data path, callers' interface

Callers need one place that takes their requests, holds them until a backend server has a slot, and returns whole answers.

Requests wait in queues by earliest deadline; they are sent on an agent's grant or on the belief that it has a free slot; broken answers are resumed by id and offset on a new connection, unclear ones fenced before they go elsewhere.

--- /dev/null
+++ b/internal/router/system_claim.go
@@ -0,0 +1,215 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/membership"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// guardsPerKey is the number of agents that remember a caller's key.
+const guardsPerKey = 2
+
+// claim is the claiming of a caller's key at its guards.
+//
+// A caller that loses its connection sends its request again with the same
+// key, maybe to another router. Without the claim both would run. The guards
+// are asked one after the other, always in the same order: if two routers
+// asked both guards at once, each could get one of them, and each would then
+// wait for the other.
+type claim struct {
+	guards  []fleet.Node
+	next    int // guard that is being asked
+	round   uint32
+	granted []fleet.Address // guards at which this request holds the key
+	heldBy  fleet.RequestID
+	running fleet.Address // data address of the agent that runs the holder
+	held    bool
+	differs bool
+	pollAt  time.Time
+}
+
+// beginClaim asks the first guard of the request's key.
+func (w *World) beginClaim(e *entry) {
+	e.state = stateClaiming
+	w.asking[e] = struct{}{}
+	round := uint32(1)
+	var granted []fleet.Address
+	if e.claim != nil {
+		round = e.claim.round + 1
+		granted = e.claim.granted
+	}
+	e.claim = &claim{guards: w.guards(e.request), round: round, granted: granted}
+	w.askGuard(e)
+}
+
+// guards returns the agents that remember the request's key: the first in the
+// key's order, and the next one of another zone if there is one.
+func (w *World) guards(request *Request) []fleet.Node {
+	key := "key/" + string(request.Account) + "/" + request.Key
+	ranked := membership.Rank(key, membership.Live(w.members.Agents(request.Service)))
+	if len(ranked) <= guardsPerKey {
+		return ranked
+	}
+	second := slices.IndexFunc(ranked, func(node fleet.Node) bool { return node.Zone != ranked[0].Zone })
+	if second < 0 {
+		second = 1
+	}
+	return []fleet.Node{ranked[0], ranked[second]}
+}
+
+func (w *World) askGuard(e *entry) {
+	claim := e.claim
+	if claim.next >= len(claim.guards) {
+		w.decideClaim(e)
+		return
+	}
+	w.emit(SendClaim{Request: e.request, Round: claim.round, Guard: claim.guards[claim.next].Control})
+}
+
+// takeClaim takes in a guard's answer and asks the next one.
+func (w *World) takeClaim(event ClaimReplied) {
+	e := w.requests.Get(event.Request)
+	if e == nil || e.claim == nil || e.state != stateClaiming || event.Round != e.claim.round {
+		return
+	}
+	claim := e.claim
+	if claim.next >= len(claim.guards) || claim.guards[claim.next].Control != event.Guard {
+		return
+	}
+	claim.next++
+	if event.Reply != nil {
+		claim.note(e.request, event)
+	}
+	if claim.held || claim.differs {
+		w.decideClaim(e)
+		return
+	}
+	w.askGuard(e)
+}
+
+// note takes in what a guard says.
+func (c *claim) note(request *Request, event ClaimReplied) {
+	reply := event.Reply
+	switch {
+	case reply.BodyDiffers:
+		c.differs = true
+	case reply.Result == rpc.ClaimResult_CLAIM_RESULT_GRANTED:
+		c.grantedBy(event.Guard)
+	case reply.Result == rpc.ClaimResult_CLAIM_RESULT_HELD:
+		holder, err := uuid.FromBytes(reply.HolderRequestId)
+		if err != nil {
+			return
+		}
+		if holder == request.ID {
+			c.grantedBy(event.Guard)
+			return
+		}
+		c.held = true
+		c.heldBy = holder
+		c.running = fleet.Address(reply.RunningAt)
+	}
+}
+
+func (c *claim) grantedBy(guard fleet.Address) {
+	if !slices.Contains(c.granted, guard) {
+		c.granted = append(c.granted, guard)
+	}
+}
+
+// decideClaim goes on once the guards have answered.
+func (w *World) decideClaim(e *entry) {
+	claim := e.claim
+	switch {
+	case claim.differs:
+		result := notRun(statusUnprocessable, CodeKeyReused, "the idempotency key was used with another body", 0)
+		result.RetryAfter = 0
+		w.finish(e, result)
+	case claim.held && claim.running != "":
+		w.join(e)
+	case claim.held:
+		// The holder still waits for a slot: look again soon.
+		claim.pollAt = w.now.Add(claimPoll)
+	case len(claim.granted) > 0:
+		delete(w.asking, e)
+		w.enqueue(e)
+	default:
+		w.finish(e, notRun(statusServiceUnavailable, CodeKeyUnknown,
+			"this try was not run; whether an earlier one with the same key ran is not known", claimRetryAfter))
+	}
+}
+
+// claimRetryAfter is when to come back after the guards could not tell.
+const claimRetryAfter = 5 * time.Second
+
+// join fetches the answer that an earlier request with the same key gets.
+func (w *World) join(e *entry) {
+	delete(w.asking, e)
+	w.releaseKey(e)
+	e.request.Answer.Restart(e.claim.heldBy)
+	e.brokenAt = time.Time{}
+	e.attempt = &attempt{data: e.claim.running, joined: true, agent: w.agentByData(e)}
+	w.resume(e)
+}
+
+func (w *World) agentByData(e *entry) *agentRow {
+	for _, row := range e.queue.service.agents {
+		if row.node.Data == e.claim.running {
+			return row
+		}
+	}
+	return nil
+}
+
+// claimAgain claims the key anew after the request that held it was not run.
+func (w *World) claimAgain(e *entry) {
+	if !e.request.Answer.Restart(e.request.ID) {
+		w.finish(e, unknown(statusBadGateway, CodeAnswerLost, "the answer broke off"))
+		return
+	}
+	delete(w.flying, e)
+	e.attempt = nil
+	e.state = stateClaiming
+	w.asking[e] = struct{}{}
+	e.claim.pollAt = w.now.Add(claimPoll)
+}
+
+// runClaims looks again at keys whose holder waited.
+func (w *World) runClaims(now time.Time) {
+	for e := range w.asking {
+		if !e.claim.pollAt.IsZero() && !now.Before(e.claim.pollAt) {
+			w.beginClaim(e)
+		}
+	}
+}
+
+// tellGuards tells the key's guards where the request runs, so that another
+// try of the caller can fetch the answer there.
+func (w *World) tellGuards(e *entry) {
+	if e.claim == nil || e.attempt.joined {
+		return
+	}
+	for _, guard := range e.claim.granted {
+		w.emit(SendClaim{Request: e.request, Guard: guard, Running: e.attempt.data})
+	}
+}
+
+// endClaim frees the key of a request that was not run. The key of one that
+// ran, or may have run, stays taken.
+func (w *World) endClaim(e *entry, outcome fleet.Outcome) {
+	if e.claim == nil || outcome != fleet.OutcomeNotRun {
+		return
+	}
+	w.releaseKey(e)
+}
+
+func (w *World) releaseKey(e *entry) {
+	for _, guard := range e.claim.granted {
+		w.emit(SendClaim{Request: e.request, Guard: guard, Release: true})
+	}
+	e.claim.granted = nil
+}
--- /dev/null
+++ b/internal/router/system_offer.go
@@ -0,0 +1,281 @@
+package router
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// offerState is what an agent has been told of the work that waits here.
+//
+// An offer states what waits; it does not say what changed. A lost or doubled
+// offer therefore does no harm: the next one puts it right, and the agent lets
+// offers lapse that are not repeated.
+type offerState struct {
+	sent      map[fleet.Account]sentOffer
+	pending   map[fleet.Account]struct{} // to be told
+	acks      [][]byte
+	declined  []uint64
+	dueAt     time.Time // when to send; zero when there is nothing to tell
+	refreshAt time.Time
+	sequence  uint64
+	inFlight  bool
+	full      bool // the next offer lists everything
+	subset    bool // the agent is among those offered to
+}
+
+// sentOffer is the last state that an agent was told of one account.
+type sentOffer struct{ bucket int }
+
+// unknownBucket makes a queue be compared with what each agent was told.
+const unknownBucket = -1
+
+// markOffers notes that a queue's count may have changed. What the agents are
+// told of it is settled once per tick, so that a request that comes and goes
+// within a tick costs no message.
+func (w *World) markOffers(queue *accountQueue) { w.touched[queue] = struct{}{} }
+
+// compareOffers finds the agents that must be told of a queue: its count has
+// become empty, positive, doubled or halved. Other changes are not told.
+func (w *World) compareOffers(queue *accountQueue) {
+	bucket := countBucket(queue.len())
+	if bucket == queue.bucket {
+		return
+	}
+	queue.bucket = bucket
+	for _, row := range queue.service.agents {
+		sent, told := row.offer.sent[queue.account]
+		if (told && sent.bucket != bucket) || (!told && row.offer.subset && bucket > 0) {
+			w.pend(row, queue.account)
+		}
+	}
+}
+
+// pend notes that an agent is to be told of an account.
+func (w *World) pend(row *agentRow, account fleet.Account) {
+	if row.offer.pending == nil {
+		row.offer.pending = make(map[fleet.Account]struct{})
+	}
+	row.offer.pending[account] = struct{}{}
+	w.due(row, offerCoalesce)
+}
+
+// due sees to it that an offer goes out within delay.
+func (w *World) due(row *agentRow, delay time.Duration) {
+	row.offer.dueAt = earlier(row.offer.dueAt, w.now.Add(delay))
+	w.offered[row] = struct{}{}
+}
+
+// offerAll begins the offering of a service anew after its agents changed.
+func (w *World) offerAll(service *serviceRow) {
+	for index, row := range service.agents {
+		inSubset := index < service.width
+		if inSubset && !row.offer.subset {
+			w.joinSubset(row)
+		}
+		row.offer.subset = inSubset
+	}
+}
+
+// joinSubset offers everything that waits to one more agent.
+func (w *World) joinSubset(row *agentRow) {
+	row.offer.subset = true
+	for account, queue := range row.service.queues {
+		if queue.len() > 0 {
+			w.pend(row, account)
+		}
+	}
+}
+
+// resendOffers tells an agent everything again that has forgotten it.
+func (w *World) resendOffers(row *agentRow) {
+	row.offer.sent = nil
+	row.offer.full = true
+	row.offer.inFlight = false
+	if row.offer.subset {
+		w.joinSubset(row)
+	}
+}
+
+// runOffers widens the subsets of services whose requests wait long, and sends
+// the offers that are due.
+func (w *World) runOffers(now time.Time) {
+	for queue := range w.touched {
+		w.compareOffers(queue)
+	}
+	clear(w.touched)
+	w.services.Each(func(_ fleet.Service, service *serviceRow) { w.widen(service) })
+	for row := range w.offered {
+		if !row.offer.refreshAt.IsZero() && !now.Before(row.offer.refreshAt) {
+			w.refresh(row)
+		}
+		if row.offer.inFlight || row.offer.dueAt.IsZero() || now.Before(row.offer.dueAt) {
+			continue
+		}
+		w.sendOffer(row)
+	}
+}
+
+// widen sets how many agents a service's work is offered to: the first few
+// when requests begin to wait, twice as many each WidenInterval. Offers to all
+// at once would cost every router a message to every agent at each burst.
+func (w *World) widen(service *serviceRow) {
+	if service.waiting == 0 {
+		if service.width > 0 {
+			service.width = 0
+			w.offerAll(service)
+		}
+		return
+	}
+	switch {
+	case service.width == 0:
+		service.width = max(1, service.policy.OfferSubset)
+	case service.width < len(service.agents) && !w.now.Before(service.widenAt):
+		service.width *= 2
+	default:
+		return
+	}
+	service.widenAt = w.now.Add(max(service.policy.WidenInterval, offerCoalesce))
+	w.offerAll(service)
+}
+
+// refresh repeats what an agent was told, before it lets it lapse.
+func (w *World) refresh(row *agentRow) {
+	row.offer.refreshAt = time.Time{}
+	for account := range row.offer.sent {
+		w.pend(row, account)
+	}
+}
+
+// sendOffer tells an agent all that is pending, in one message.
+func (w *World) sendOffer(row *agentRow) {
+	state := &row.offer
+	message := &rpc.OfferRequest{
+		Full:         state.full,
+		Acknowledged: state.acks,
+		Declined:     state.declined,
+	}
+	for account := range state.pending {
+		if row.takesWork() {
+			message.Offers = append(message.Offers, w.accountOffer(row, account))
+		}
+	}
+	state.pending = nil
+	state.acks = nil
+	state.declined = nil
+	state.full = false
+	state.dueAt = time.Time{}
+	state.sequence++
+	state.inFlight = true
+	message.Sequence = state.sequence
+	if len(state.sent) > 0 {
+		state.refreshAt = w.now.Add(offerRefresh)
+	}
+	w.emit(SendOffer{Agent: row.node.Control, Message: message})
+}
+
+// accountOffer states what waits of an account and notes that the agent is
+// told.
+func (w *World) accountOffer(row *agentRow, account fleet.Account) *rpc.AccountOffer {
+	offer := &rpc.AccountOffer{Account: string(account)}
+	queue := row.service.queues[account]
+	if queue == nil || queue.len() == 0 {
+		delete(row.offer.sent, account)
+		return offer
+	}
+	w.noteTold(row, account, queue.len())
+	first := queue.first().request
+	offer.Count = uint32(queue.len())
+	offer.OldestDeadlineMs = first.Deadline.UnixMilli()
+	offer.EstimatedCost = uint64(row.service.clocks.estimate(account, first.Cost))
+	return offer
+}
+
+// noteTold notes what an agent knows of an account, from an offer, a reply or
+// a dispatch that it refused.
+func (w *World) noteTold(row *agentRow, account fleet.Account, count int) {
+	if row.offer.sent == nil {
+		row.offer.sent = make(map[fleet.Account]sentOffer)
+	}
+	if count > 0 {
+		row.offer.sent[account] = sentOffer{bucket: countBucket(count)}
+	} else {
+		delete(row.offer.sent, account)
+	}
+	if queue := row.service.queues[account]; queue != nil {
+		queue.bucket = unknownBucket
+		w.markOffers(queue)
+	}
+	if row.offer.refreshAt.IsZero() && len(row.offer.sent) > 0 {
+		row.offer.refreshAt = w.now.Add(offerRefresh)
+	}
+	w.offered[row] = struct{}{}
+}
+
+// takeOfferReply learns from the reply whether the agent has free slots. A
+// failed offer is told again: the agent may or may not have got it.
+func (w *World) takeOfferReply(event OfferReplied) {
+	row := w.agents.Get(event.Agent)
+	if row == nil || event.Sequence != row.offer.sequence {
+		return
+	}
+	row.offer.inFlight = false
+	if event.Failed {
+		w.retell(row)
+		return
+	}
+	w.hear(row, int(event.FreeSlots))
+	if event.Resend {
+		w.resendOffers(row)
+	}
+}
+
+// retell repeats to an agent, after a pause, what a lost offer said.
+func (w *World) retell(row *agentRow) {
+	for account := range row.offer.sent {
+		w.pend(row, account)
+	}
+	row.offer.dueAt = time.Time{}
+	if len(row.offer.sent) > 0 {
+		w.due(row, resumePause)
+	}
+}
+
+// hear takes in an agent's word on its free slots.
+func (w *World) hear(row *agentRow, free int) {
+	row.heard = free
+	row.heardAt = w.now
+}
+
+// acknowledge tells an agent that an answer has been handed out, so that it
+// can forget it. Answers to requests with a key are kept for its retention,
+// because another try of the same caller may ask for them.
+func (w *World) acknowledge(e *entry) {
+	row := e.attempt.agent
+	if row == nil || e.attempt.joined || e.request.Key != "" {
+		return
+	}
+	if len(row.offer.acks) >= maxPendingAcks {
+		return
+	}
+	id := e.request.ID
+	row.offer.acks = append(row.offer.acks, id[:])
+	w.due(row, ackDelay)
+}
+
+// nextOffer is when the next offer or refresh is due.
+func (w *World) nextOffer() time.Time {
+	var next time.Time
+	for row := range w.offered {
+		state := &row.offer
+		next = earlier(next, state.refreshAt)
+		if !state.inFlight {
+			next = earlier(next, state.dueAt)
+		}
+		if state.refreshAt.IsZero() && state.dueAt.IsZero() {
+			delete(w.offered, row)
+		}
+	}
+	return next
+}
