--- /dev/null
+++ b/cmd/internal/wiring/router.go
@@ -0,0 +1,35 @@
+package wiring
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/control"
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/router"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// Router provides the parts of a router. The injector holds its
+// *router.Config.
+func Router(injector do.Injector) {
+	do.Provide(injector, newRouter)
+}
+
+func newRouter(injector do.Injector) (daemon.Service, error) {
+	config := do.MustInvoke[*router.Config](injector)
+	manager := router.NewManager(router.Options{
+		Self:        config.Node.Self(fleet.RoleRouter, ""),
+		Incarnation: uint64(do.MustInvoke[daemon.Incarnation](injector)),
+		Callers:     config.Callers,
+		Fleet:       do.MustInvoke[Fleet](injector),
+		Agents:      do.MustInvoke[*control.Pool](injector),
+		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
+		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
+		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
+	})
+	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server()))
+	return manager, nil
+}
--- a/internal/daemon/config.go
+++ b/internal/daemon/config.go
@@ -53,3 +53,17 @@
 type NodeConfig interface {
 	CommonConfig() *Common
 }
+
+// Self returns the node as the others know it. service is empty for a router.
+func (s NodeSection) Self(role fleet.Role, service fleet.Service) fleet.Node {
+	return fleet.Node{
+		VM:      s.VM,
+		Role:    role,
+		Control: s.Control,
+		Data:    s.Data,
+		Zone:    s.Zone,
+		Region:  s.Region,
+		Service: service,
+		State:   fleet.VMLive,
+	}
+}
