--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,6 +51,8 @@
 	Region  string
 	Service Service // agents only
 	State   VMState
+	// Incarnation is the start time of the process in Unix nanoseconds.
+	Incarnation uint64
 }
 
 // Outcome is what a caller may rely on about its request.
--- /dev/null
+++ b/internal/membership/directory.go
@@ -0,0 +1,96 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/platform"
+	"github.com/bluebellchute/bluebellchute/internal/tick"
+)
+
+// maxTombstones is the number of deleted records that a directory remembers.
+const maxTombstones = 512
+
+// Directory is a replica of the nodes' objects on the platform. It is complete
+// up to its revision, which is the platform's version of the last change of
+// any record or of the last list. It is safe for concurrent use.
+type Directory struct {
+	mu       sync.Mutex
+	records  *tick.Table[fleet.Address, Record]
+	revision platform.Version
+	// forgotten is the version up to which deletions may be missing. A peer
+	// from before it must be told which nodes there are.
+	forgotten platform.Version
+}
+
+// NewDirectory returns an empty directory at revision 0.
+func NewDirectory() *Directory {
+	return &Directory{records: tick.NewTable[fleet.Address, Record]()}
+}
+
+// Revision is the platform's version of the last known change.
+func (d *Directory) Revision() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return uint64(d.revision)
+}
+
+// Records returns the records that are not deleted, ordered by address, and
+// the revision at which they are complete.
+func (d *Directory) Records() ([]Record, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.matching(func(record *Record) bool { return !record.Deleted }), uint64(d.revision)
+}
+
+// matching returns the records that keep selects, ordered by address.
+func (d *Directory) matching(keep func(record *Record) bool) []Record {
+	var records []Record
+	d.records.Each(func(_ fleet.Address, record *Record) {
+		if keep(record) {
+			records = append(records, *record)
+		}
+	})
+	slices.SortFunc(records, func(a, b Record) int { return cmp.Compare(a.Control, b.Control) })
+	return records
+}
+
+// put takes in a record unless a newer one of the node is known. Changes reach
+// a node over several ways and in any order; the version decides.
+func (d *Directory) put(record Record) {
+	known := d.records.Get(record.Control)
+	if known != nil && known.Version >= record.Version {
+		return
+	}
+	d.records.Put(record.Control, &record)
+}
+
+// deleteAbsent marks the records as deleted that exist tells not to exist at
+// the version.
+func (d *Directory) deleteAbsent(exists func(control fleet.Address) bool, at platform.Version) {
+	d.records.Each(func(control fleet.Address, record *Record) {
+		if record.Deleted || exists(control) {
+			return
+		}
+		*record = Record{Node: fleet.Node{Control: control}, Version: at, Deleted: true}
+	})
+}
+
+// advance raises the revision to the newest record and drops the oldest
+// deletions beyond the bound.
+func (d *Directory) advance() {
+	d.records.Each(func(_ fleet.Address, record *Record) {
+		d.revision = max(d.revision, record.Version)
+	})
+	deleted := d.matching(func(record *Record) bool { return record.Deleted })
+	if len(deleted) <= maxTombstones {
+		return
+	}
+	slices.SortFunc(deleted, func(a, b Record) int { return cmp.Compare(a.Version, b.Version) })
+	for _, record := range deleted[:len(deleted)-maxTombstones] {
+		d.forgotten = max(d.forgotten, record.Version)
+		d.records.Delete(record.Control)
+	}
+}
--- /dev/null
+++ b/internal/membership/subset.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// OfferSubset returns the agents to which a router offers waiting work: size
+// of the given agents, those of the router's zone first, in a stable order of
+// the router's own. A larger size adds to a smaller one and replaces nothing.
+func OfferSubset(router fleet.Address, zone fleet.Zone, agents []fleet.Node, size int) []fleet.Node {
+	ranked := Rank("offer/"+string(router), agents)
+	near, far := splitByZone(ranked, zone)
+	return firstOf(append(near, far...), size)
+}
+
+// Homes returns the agents that add up the charges of a service.
+func Homes(service fleet.Service, agents []fleet.Node, count int) []fleet.Node {
+	return firstOf(Rank("home/"+string(service), agents), count)
+}
+
+// HomeOf returns the one of the service's homes that adds up the charges of an
+// account, or false when there are no homes.
+func HomeOf(service fleet.Service, account fleet.Account, homes []fleet.Node) (fleet.Node, bool) {
+	ranked := Rank("home/"+string(service)+"/"+string(account), homes)
+	return lo.First(ranked)
+}
+
+// guardCount is the number of guards of an idempotency key.
+const guardCount = 2
+
+// Guards returns the agents that guard a caller's idempotency key: the first
+// by rank, and the next one of another zone where there is one, so that the
+// loss of a zone does not take both.
+func Guards(account fleet.Account, key string, agents []fleet.Node) []fleet.Node {
+	ranked := Rank("key/"+string(account)+"/"+key, agents)
+	if len(ranked) <= 1 {
+		return ranked
+	}
+	first, others := ranked[0], ranked[1:]
+	near, far := splitByZone(others, first.Zone)
+	return firstOf(append([]fleet.Node{first}, append(far, near...)...), guardCount)
+}
+
+// Watchers returns the nodes of a zone that hold watches on the platform.
+func Watchers(zone fleet.Zone, nodes []fleet.Node, count int) []fleet.Node {
+	inZone, _ := splitByZone(nodes, zone)
+	return firstOf(Rank("watch/"+string(zone), inZone), count)
+}
+
+// Keepers returns the nodes that carry the platform's list of VMs over to the
+// nodes' records. Their number does not depend on the size of the fleet.
+func Keepers(nodes []fleet.Node, count int) []fleet.Node {
+	return firstOf(Rank("keeper", nodes), count)
+}
+
+// Contains tells whether a node with the control address is among the nodes.
+func Contains(nodes []fleet.Node, control fleet.Address) bool {
+	return lo.ContainsBy(nodes, func(node fleet.Node) bool { return node.Control == control })
+}
+
+// splitByZone returns the nodes of the zone and the others, each in order.
+func splitByZone(nodes []fleet.Node, zone fleet.Zone) (inZone, others []fleet.Node) {
+	return lo.FilterReject(nodes, func(node fleet.Node, _ int) bool { return node.Zone == zone })
+}
+
+func firstOf(nodes []fleet.Node, count int) []fleet.Node {
+	return nodes[:min(max(0, count), len(nodes))]
+}
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -12,6 +12,9 @@
 type View struct {
 	Version uint64 // grows with each change of the list
 	Nodes   []fleet.Node
+	// Suspects are nodes that lately failed several calls of this node in a
+	// row. Suspicion ends by itself and removes no node.
+	Suspects map[fleet.Address]bool
 }
 
 // Agents returns the agents of a service, the leaving ones too.
@@ -34,3 +37,17 @@
 		return node.State == fleet.VMLive
 	})
 }
+
+// Usable returns the live nodes that are not suspected. When all live ones are
+// suspected it returns them all: a node that is itself cut off suspects
+// everyone, and must find its peers again once the link heals.
+func (v View) Usable(nodes []fleet.Node) []fleet.Node {
+	live := Live(nodes)
+	usable := lo.Filter(live, func(node fleet.Node, _ int) bool {
+		return !v.Suspects[node.Control]
+	})
+	if len(usable) == 0 {
+		return live
+	}
+	return usable
+}
--- a/internal/spread/document.go
+++ b/internal/spread/document.go
@@ -15,8 +15,9 @@
 	// since is 0 or too old. It is empty when since is not behind.
 	Delta(since uint64) []byte
 	// Apply takes in a delta and reports whether Revision rose. A delta that
-	// is not ahead changes nothing and is no error. ErrGap tells that the delta
-	// starts above Revision; the caller then asks for one that fits.
+	// is not ahead, or that starts above Revision, changes nothing and is no
+	// error: the sender's envelope then still shows a higher revision, and the
+	// node pulls a delta that fits.
 	Apply(delta []byte) (bool, error)
 }
 
