Look ahead a horizon in place of whole costs, and keep agents from choosing alike

Cause: an account whose long request began was charged at once for service that it got over the next forty seconds, so accounts were held apart by the largest costs; and between two reports all agents chose the same account.

Change: a running request counts with what its slot gives within one and a half report intervals, measured from the agent's own slots. The whole change of the agent's own service is multiplied by n(a), not only begun requests. A dither of up to half a request, which differs from agent to agent, spreads the choices. Homes answer with clocks in place of totals, so that a change of weight moves no clock, and keep running sums, so that a report costs its own accounts only.

--- a/internal/agent/system_tally.go
+++ b/internal/agent/system_tally.go
@@ -63,6 +63,7 @@
 	w.tally.round++
 	w.tally.next = now.Add(w.policy.ReportInterval + w.jitter())
 	w.chargeElapsed(now)
+	w.clocks.Advance(now)
 	w.home.Forget(now)
 	for _, home := range w.tally.homes {
 		report := w.clocks.Charges(home.Control, func(name fleet.Account) bool {
@@ -124,7 +125,7 @@
 	for _, total := range in.Reply.Totals {
 		reply.Totals = append(reply.Totals, fairshare.Total{
 			Account: fleet.Account(total.Account),
-			Total:   fairshare.Units(total.Total),
+			Clock:   fairshare.Units(total.Total),
 			Agents:  int(total.Agents),
 		})
 	}
@@ -136,7 +137,7 @@
 	for _, total := range reply.Totals {
 		message.Totals = append(message.Totals, &rpc.AccountTotal{
 			Account: string(total.Account),
-			Total:   uint64(total.Total),
+			Total:   uint64(max(0, total.Clock)),
 			Agents:  uint32(total.Agents),
 		})
 	}
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/membership"
@@ -85,6 +87,7 @@
 		lastFree:  SetFreeSlots{FreeSlots: math.MaxUint32},
 	}
 	w.clocks = fairshare.NewClocks(fairshare.ConfigOf(w.policy))
+	w.clocks.SetSeed(self.Incarnation ^ xxhash.Sum64String(string(self.Control)))
 	w.home = fairshare.NewHome(fairshare.ConfigOf(w.policy), w.weight)
 	w.systems = []tick.System[*World]{
 		{Name: "expire", Run: (*World).expire},
--- a/internal/fairshare/doc.go
+++ b/internal/fairshare/doc.go
@@ -7,14 +7,19 @@
 // Estimator guesses what a request will cost before its end.
 //
 // The clock of an account is the service that the fleet has given it, divided
-// by its weight:
+// by its weight. An agent serves the account with the smallest one:
 //
-//	clock(a) = (total(a) + n(a) * own(a)) / weight(a)
+//	clock(a) = heard(a) + n(a) * (own(a) + dither(a)) / weight(a)
 //
-// total(a) is the fleet's total at the agent's last report, own(a) what the
-// agent itself has begun for a since that report, and n(a) the number of agents
-// that serve a. The factor n(a) stands for what the other agents do in the
-// meantime: they see the same clocks and so do much the same.
+// heard(a) is the clock that a's home answered to the agent's last report.
+// own(a) is what the agent itself has given to a since that report, and what
+// its running requests are expected to take within the horizon. n(a) is the
+// number of agents that serve a: it stands for what the others do meanwhile.
+// They heard the same clocks and so choose much the same. dither(a) differs
+// from agent to agent, so that an account that lacks the service of five
+// requests is given five by the fleet, and not one by each agent.
+//
+// docs/FAIRSHARE.md tells how these were chosen, with the figures.
 //
 // The package does no I/O, reads no clock and draws no random numbers. Its
 // types are not safe for concurrent use.
--- a/internal/fairshare/reports.go
+++ b/internal/fairshare/reports.go
@@ -11,10 +11,14 @@
 // replies are outstanding. A reply to an older one is of no use any more.
 const maxUnanswered = 16
 
+// usualAccounts is the number of answers over which the usual n(a) is averaged.
+const usualAccounts = 16
+
 // reportState is what the account's home is known to have.
 type reportState struct {
 	home         HomeID
 	acknowledged bool
+	sequence     uint64 // of the report that was answered last
 	charge       Charge
 }
 
@@ -23,7 +27,6 @@
 	account *account
 	charge  Charge
 	own     Units
-	begun   Units
 }
 
 // sentReport is a report whose reply is outstanding.
@@ -61,7 +64,7 @@
 		}
 		charge := c.charge(a, home)
 		report.Charges = append(report.Charges, charge)
-		sent.charges = append(sent.charges, sentCharge{account: a, charge: charge, own: a.own(), begun: a.begun})
+		sent.charges = append(sent.charges, sentCharge{account: a, charge: charge, own: a.own()})
 	}
 	slices.SortFunc(report.Charges, func(a, b Charge) int { return cmp.Compare(a.Account, b.Account) })
 	c.reports.remember(sent)
@@ -95,7 +98,7 @@
 func (c *Clocks) charge(a *account, home fleet.Address) Charge {
 	charge := Charge{Account: a.name, Total: a.charged, InFlight: a.inFlight, Waiting: a.waiting}
 	if a.known && !c.settledAt(a, home) {
-		charge.Known = c.clock(a) * Units(a.weight)
+		charge.Known = c.clock(a)
 	}
 	return charge
 }
@@ -119,26 +122,27 @@
 	if met && known != home.Incarnation {
 		return
 	}
+	c.learnVirtual(home.Address, reply)
 	totals := make(map[fleet.Account]Total, len(reply.Totals))
 	for _, total := range reply.Totals {
 		totals[total.Account] = total
 	}
 	for _, entry := range sent.charges {
 		if total, ok := totals[entry.account.name]; ok {
-			entry.account.learn(home, entry, total)
+			c.learn(home, sequence, entry, total)
 		}
 	}
-	c.learnVirtual(home.Address, reply)
 }
 
-func (a *account) learn(home HomeID, entry sentCharge, total Total) {
+func (c *Clocks) learn(home HomeID, sequence uint64, entry sentCharge, total Total) {
+	a := entry.account
 	entry.charge.Known = 0
-	a.reported = reportState{home: home, acknowledged: true, charge: entry.charge}
-	a.total = total.Total
-	a.agents = float64(max(1, total.Agents))
+	a.reported = reportState{home: home, acknowledged: true, sequence: sequence, charge: entry.charge}
+	a.heard = total.Clock
 	a.ownAt = entry.own
-	a.begunAt = entry.begun
+	a.agents = float64(max(1, total.Agents))
 	a.known = true
+	c.usual += (a.agents - c.usual) / usualAccounts
 }
 
 // learnVirtual keeps the mean of the homes' virtual times.
--- a/internal/fairshare/types.go
+++ b/internal/fairshare/types.go
@@ -7,7 +7,8 @@
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-// Units counts service in the cost units of a service's policy.
+// Units counts service in the cost units of a service's policy. A clock is
+// counted in units per weight.
 type Units float64
 
 // Config is the part of a service's policy that the package needs.
@@ -31,12 +32,12 @@
 type Charge struct {
 	Account  fleet.Account
 	Total    Units // given since the agent's incarnation began
-	InFlight Units // still expected from the requests that run now
+	InFlight Units // expected soon from the requests that run now
 	Waiting  bool  // the agent holds offers of the account
 
-	// Known is the fleet total that the agent believes in. It is set only
-	// while the account's home has not yet answered with a total, so that a
-	// new home can go on where the old one ended. 0 is unknown.
+	// Known is the clock that the agent believes in. It is set only while the
+	// account's home has not yet answered with a clock, so that a new home
+	// can go on where the old one ended. 0 is unknown.
 	Known Units
 }
 
@@ -52,12 +53,12 @@
 // Total is what a home answers for one account.
 type Total struct {
 	Account fleet.Account
-	Total   Units // given by the fleet and in flight, after lifts and forgiven debts
+	Clock   Units // of the account in the fleet, with what is in flight
 	Agents  int   // n(a): agents that serve the account or hold its offers
 }
 
 // Reply answers a report. It names only accounts of the report; one that is
-// left out has no total yet, because its home is being refilled.
+// left out has no clock yet, because its home is being refilled.
 type Reply struct {
 	Totals      []Total
 	VirtualTime Units // of the service; 0 is unknown
