--- a/internal/agent/input.go
+++ b/internal/agent/input.go
@@ -33,6 +33,7 @@
 	Fingerprint       Fingerprint
 	Suspect           bool
 	Waiting           uint32 // further requests of the account at the router
+	Attempt           uint32 // grows with each dispatch of the id to this agent
 }
 
 // Resume asks for the answer of a request on a new connection.
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -129,7 +129,7 @@
 // observe sets the gauges that describe the world.
 func (m *metrics) observe(w *World) {
 	m.tableRows.WithLabelValues("requests").Set(float64(w.requests.Len()))
-	m.tableRows.WithLabelValues("ended").Set(float64(len(w.ended.states)))
+	m.tableRows.WithLabelValues("ended").Set(float64(w.ended.len()))
 	m.tableRows.WithLabelValues("routers").Set(float64(w.routers.Len()))
 	m.tableRows.WithLabelValues("accounts").Set(float64(w.accounts.Len()))
 	m.tableRows.WithLabelValues("grants").Set(float64(w.grants.Len()))
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -165,6 +165,7 @@
 		Fingerprint:       Fingerprint(run.Fingerprint),
 		Suspect:           run.Suspect,
 		Waiting:           run.Waiting,
+		Attempt:           run.Attempt,
 	}
 }
 
--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -135,16 +135,14 @@
 	return message
 }
 
-// consumeGrant ends the lease that a dispatch comes on. It reports false when
-// there is none: it has lapsed, was withdrawn, or was used before.
+// consumeGrant finds the lease that a dispatch comes on. It reports false when
+// there is none: it was taken back after it lapsed, was withdrawn, or was used
+// before. Until it is taken back its slot is kept, also past its time.
 func (w *World) consumeGrant(now time.Time, in Dispatch) bool {
 	g := w.grants.Get(in.Grant)
 	if g == nil || g.router != in.Router || g.incarnation != in.RouterIncarnation {
 		return false
 	}
-	if !now.Before(g.lapsesAt) {
-		return false
-	}
 	if w.policy.Share != settings.ShareRouterLocal && g.account != in.Account {
 		return false
 	}
--- a/internal/agent/take_dispatch.go
+++ b/internal/agent/take_dispatch.go
@@ -24,24 +24,24 @@
 		defer w.endGrant(in.Grant)
 	}
 	if reason := w.forbids(now, in); reason != rpc.RefusalReason_REFUSAL_REASON_UNSPECIFIED {
-		w.refuse(in, reason, retryAfter(reason))
+		w.refuse(now, in, reason, retryAfter(reason))
 		return
 	}
 	if w.ended.full(now) {
-		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retryTableFull)
+		w.refuse(now, in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retryTableFull)
 		return
 	}
 	if in.Grant != 0 && !granted {
-		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_GRANT_LAPSED, 0)
+		w.refuse(now, in, rpc.RefusalReason_REFUSAL_REASON_GRANT_LAPSED, 0)
 		return
 	}
 	if granted && w.isSuspect(in) && w.heldSuspects() >= MaxHeldSuspects {
-		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retrySuspect)
+		w.refuse(now, in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retrySuspect)
 		return
 	}
 	if !w.mayAdmit(in, granted) {
 		w.noteWaiting(now, in, in.Waiting+1)
-		w.refuse(in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retryNoSlot)
+		w.refuse(now, in, rpc.RefusalReason_REFUSAL_REASON_NO_SLOT, retryNoSlot)
 		return
 	}
 	w.noteWaiting(now, in, in.Waiting)
@@ -58,10 +58,9 @@
 		return rpc.RefusalReason_REFUSAL_REASON_DUPLICATE
 	}
 	switch w.ended.get(in.ID) {
-	case rpc.RequestState_REQUEST_STATE_UNSPECIFIED:
-	case rpc.RequestState_REQUEST_STATE_FENCED:
+	case fateFenced:
 		return rpc.RefusalReason_REFUSAL_REASON_FENCED
-	default:
+	case fateRan:
 		return rpc.RefusalReason_REFUSAL_REASON_DUPLICATE
 	}
 	switch {
@@ -88,16 +87,15 @@
 
 // mayAdmit tells whether the request may take a slot now.
 //
-// A dispatch without a grant may come with an id that is older than what this
-// agent remembers: the agent has restarted, or has forgotten ended requests.
-// Then the dispatch may be a delayed copy of one that ran. It is not run, but
-// noted as an offer; the grant that follows has a number that no copy from
-// before can carry.
+// A dispatch without a grant may be a delayed copy of one that was refused, or
+// of one that ran before this agent's start or has been forgotten since. It is
+// not run, but noted as an offer; the grant that follows has a number that no
+// copy from before can carry.
 func (w *World) mayAdmit(in Dispatch, granted bool) bool {
 	if granted {
 		return true
 	}
-	if !w.ended.covers(in.ID) {
+	if !w.ended.isNew(in.ID, in.Attempt) {
 		return false
 	}
 	if w.isSuspect(in) && w.suspectInFlight() {
--- a/internal/agent/take_request.go
+++ b/internal/agent/take_request.go
@@ -10,15 +10,13 @@
 
 // Reasons that routers pass on in errors to callers and operators.
 const (
-	reasonNeverRun   = "the request has not run here and never will"
-	reasonForgotten  = "the agent started after the request was made"
-	reasonGone       = "the answer is no longer held"
-	reasonFenced     = "fenced before its run"
-	reasonCancelled  = "cancelled"
-	reasonDeadline   = "deadline passed"
-	reasonTableFull  = "too many requests ended within seconds to fence another"
-	reasonNotSent    = "the backend server did not take it"
-	reasonUnretained = "nobody fetched the answer in time"
+	reasonNeverRun  = "the request has not run here and never will"
+	reasonForgotten = "the agent started after the request was made"
+	reasonGone      = "the answer is no longer held"
+	reasonFenced    = "fenced before its run"
+	reasonCancelled = "cancelled"
+	reasonDeadline  = "deadline passed"
+	reasonNotSent   = "the backend server did not take it"
 )
 
 // takeResume answers a router that opens a new connection for an answer. An id
@@ -55,16 +53,14 @@
 // remembered as fenced. FORGOTTEN is the answer where nothing can be promised:
 // the id may have been here before the horizon of the table.
 func (w *World) fence(now time.Time, id fleet.RequestID) rpc.RequestState {
-	if state := w.ended.get(id); state != rpc.RequestState_REQUEST_STATE_UNSPECIFIED {
-		return state
+	known := w.ended.get(id)
+	if known > fateRefused {
+		return known.wireState()
 	}
-	if w.ended.full(now) {
+	if !w.ended.covers(id) || known == fateUnknown && w.ended.full(now) {
 		return rpc.RequestState_REQUEST_STATE_FORGOTTEN
 	}
-	if !w.ended.covers(id) {
-		return rpc.RequestState_REQUEST_STATE_FORGOTTEN
-	}
-	w.ended.put(id, rpc.RequestState_REQUEST_STATE_FENCED, now)
+	w.ended.put(now, id, fateFenced)
 	return rpc.RequestState_REQUEST_STATE_FENCED
 }
 
@@ -184,10 +180,10 @@
 	w.heldBytes -= int64(row.bytes)
 	w.held = slices.DeleteFunc(w.held, func(r *request) bool { return r == row })
 	w.requests.Delete(row.id)
-	state := row.wireState()
-	if state != rpc.RequestState_REQUEST_STATE_FENCED {
-		state = rpc.RequestState_REQUEST_STATE_FAILED
+	if row.state == stateFenced {
+		w.ended.put(now, row.id, fateFenced)
+	} else {
+		w.ended.put(now, row.id, fateRan)
 	}
-	w.ended.put(row.id, state, now)
 	w.emit(ForgetAnswer{ID: row.id})
 }
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -230,7 +230,12 @@
 	return next
 }
 
-// refused tells a dispatch that it did not and will not run here.
-func (w *World) refuse(in Dispatch, reason rpc.RefusalReason, after time.Duration) {
+// refuse tells a dispatch that it did not and will not run here. A dispatch
+// without a grant is remembered, so that a copy of it does not run either; one
+// on a grant has used up the number.
+func (w *World) refuse(now time.Time, in Dispatch, reason rpc.RefusalReason, after time.Duration) {
+	if in.Grant == 0 && reason != rpc.RefusalReason_REFUSAL_REASON_DUPLICATE {
+		w.ended.refuse(now, in.ID, in.Attempt)
+	}
 	w.reply(in.Ticket, Refused{Reason: reason, RetryAfter: after})
 }
