Decide lifts and the virtual time by waiting work; make lost homes and silent calls cheap

Causes, each found as a row of the model that stood out: - An account whose queue is empty still had requests running, so it counted as active: it was not lifted when it came back, and pulled the virtual time down.

n(a) counts agents that serve the account or hold its offers.

--- a/internal/agent/system_tally.go
+++ b/internal/agent/system_tally.go
@@ -57,13 +57,16 @@
 // a report interval. A report that is lost is made good by the next. Intervals
 // differ a little, so that the agents' reports do not come all at once.
 func (w *World) reportCharges(now time.Time) {
-	if w.policy.Share != settings.ShareFleet || len(w.tally.homes) == 0 || now.Before(w.tally.next) {
+	if w.policy.ReportInterval <= 0 || now.Before(w.tally.next) {
 		return
 	}
 	w.tally.round++
 	w.tally.next = now.Add(w.policy.ReportInterval + w.jitter())
 	w.chargeElapsed(now)
 	w.clocks.Advance(now)
+	if w.policy.Share != settings.ShareFleet || len(w.tally.homes) == 0 {
+		return
+	}
 	w.home.Forget(now)
 	for _, home := range w.tally.homes {
 		report := w.clocks.Charges(home.Control, func(name fleet.Account) bool {
--- a/internal/fairshare/clocks.go
+++ b/internal/fairshare/clocks.go
@@ -5,9 +5,10 @@
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-// idleReports is the number of reports after which an account without work at
-// this agent counts as idle: what was heard of it before is then out of date.
-const idleReports = 8
+// recentIntervals is the number of report intervals for which an account whose
+// offers have gone still counts as waiting. The offers of an account with a
+// short queue come and go with each grant, which is no idleness.
+const recentIntervals = 1
 
 // account is the state of one client account at one agent.
 type account struct {
@@ -22,16 +23,13 @@
 	ownAt    Units   // own() in the report that heard answers
 	agents   float64 // n(a)
 	known    bool    // heard comes from a home
-	quietAt  uint64  // last report before the account's work here ended
+	quietAt  int64   // interval in which the last offers went
 	reported reportState
 }
 
 // own is the service that this agent has given and soon will give.
 func (a *account) own() Units { return a.charged + a.inFlight }
 
-// active tells whether the account has work here.
-func (a *account) active() bool { return a.waiting || a.running > 0 }
-
 // Clocks holds the accounts of one service at one agent. With the policy
 // router-local a router holds one instead, for the service it gives out.
 type Clocks struct {
@@ -41,6 +39,7 @@
 	accounts  map[fleet.Account]*account
 	runs      map[fleet.RequestID]*run
 	pace      pace
+	interval  int64 // counts the calls of Advance
 	reports   reports
 	virtual   Units   // the fleet's virtual time as last heard
 	floor     Units   // virtual time by own choices: it never falls
@@ -78,14 +77,23 @@
 	a.weight = weight
 }
 
-// Offered notes whether the agent holds offers of an account.
+// Offered notes whether the agent holds offers of an account. An account that
+// returns from idleness is lifted to the virtual time, so that nothing is
+// banked while it is idle; running requests are no reason to bank either.
 func (c *Clocks) Offered(name fleet.Account, waiting bool) {
 	a := c.ensure(name)
-	if waiting {
-		c.wake(a)
+	if waiting && !c.recent(a) {
+		a.heard += max(0, c.now()-c.clock(a))
+	}
+	if a.waiting && !waiting {
+		a.quietAt = c.interval
 	}
 	a.waiting = waiting
-	c.rest(a)
+}
+
+// recent tells whether the account waits or did so a short time ago.
+func (c *Clocks) recent(a *account) bool {
+	return a.waiting || c.interval-a.quietAt <= recentIntervals
 }
 
 // Clock returns the account's clock: its service per weight.
@@ -116,7 +124,7 @@
 func (c *Clocks) ensure(name fleet.Account) *account {
 	a, ok := c.accounts[name]
 	if !ok {
-		a = &account{name: name, weight: 1, agents: c.usual, heard: c.now()}
+		a = &account{name: name, weight: 1, agents: c.usual, heard: c.now(), quietAt: c.interval - recentIntervals - 1}
 		c.accounts[name] = a
 	}
 	return a
@@ -133,23 +141,3 @@
 
 // now is the virtual time as far as this agent can tell.
 func (c *Clocks) now() Units { return max(c.floor, c.virtual) }
-
-// wake lifts an account that returns from idleness to the virtual time, so
-// that nothing is banked while an account is idle.
-func (c *Clocks) wake(a *account) {
-	if a.active() {
-		return
-	}
-	idle := c.reports.sequence-a.quietAt >= idleReports
-	if c.config.Share == settings.ShareFleet && a.known && !idle {
-		return // its home tells whether it has work elsewhere
-	}
-	a.heard += max(0, c.now()-c.clock(a))
-}
-
-// rest notes when an account's work here came to its end.
-func (c *Clocks) rest(a *account) {
-	if !a.active() {
-		a.quietAt = c.reports.sequence
-	}
-}
--- a/internal/fairshare/home.go
+++ b/internal/fairshare/home.go
@@ -23,10 +23,11 @@
 	lastID    uint32
 	nextSweep time.Time
 
-	clocks  Units // sum of the active accounts' clocks times their weights
-	weights Units // sum of the active accounts' weights
-	reported,
-	virtual Units
+	clocks   Units // sum of the waiting accounts' clocks times their weights
+	weights  Units // sum of the waiting accounts' weights
+	waiting  int   // accounts in these sums
+	reported Units // virtual time that an agent reported last
+	virtual  Units
 }
 
 // NewHome returns a home without reports. weight gives an account's share.
@@ -67,7 +68,7 @@
 func (h *Home) merge(now time.Time, sender *reporter, sequence uint64, charge Charge) {
 	r := h.ensure(now, charge.Account)
 	h.leave(r)
-	r.refill(now, charge.Known)
+	r.refill(now, sender, charge.Known)
 	idle := r.holders == 0
 	r.take(sender, sequence, charge)
 	if idle && r.holders > 0 {
@@ -90,6 +91,7 @@
 	if r.counts() {
 		h.clocks -= r.clock() * r.weight
 		h.weights -= r.weight
+		h.waiting--
 	}
 }
 
@@ -98,10 +100,11 @@
 	if r.counts() {
 		h.clocks += r.clock() * r.weight
 		h.weights += r.weight
+		h.waiting++
 	}
 }
 
-// advance moves the virtual time: the mean clock of the active accounts by
+// advance moves the virtual time: the mean clock of the waiting accounts by
 // their weights. It takes the agents' word where that is ahead, because they
 // hear the other homes of the service too.
 func (h *Home) advance() {
@@ -111,18 +114,30 @@
 	h.virtual = max(h.virtual, h.reported)
 }
 
-// hold moves an active account's clock into the window around the virtual
+// hold moves a waiting account's clock into the window around the virtual
 // time. What the account has got too much or too little beyond it is forgiven.
+// Without it an account whose total has jumped, as after a partition, would be
+// shut out until the others had caught up with the whole jump.
 func (h *Home) hold(r *row) {
 	if h.config.Window <= 0 || !r.counts() {
 		return
 	}
 	h.leave(r)
+	window := h.window()
 	clock := r.clock()
-	r.shift += min(max(clock, h.virtual-h.config.Window), h.virtual+h.config.Window) - clock
+	r.shift += min(max(clock, h.virtual-window), h.virtual+window) - clock
 	h.join(r)
 }
 
+// window is the repayment window as a difference of clocks. It is set for an
+// account of the mean weight, so that it doesn't depend on the weights' scale.
+func (h *Home) window() Units {
+	if h.waiting == 0 {
+		return h.config.Window
+	}
+	return h.config.Window * Units(h.waiting) / h.weights
+}
+
 func (h *Home) reply(report Report) Reply {
 	reply := Reply{VirtualTime: h.virtual, Totals: make([]Total, 0, len(report.Charges))}
 	for _, charge := range report.Charges {
--- a/internal/fairshare/model_test.go
+++ b/internal/fairshare/model_test.go
@@ -22,6 +22,8 @@
 	modelMean   = 600.0 // mean cost of a request in tokens
 	modelSigma  = 1.0   // of the cost's logarithm
 	modelMost   = 8192.0
+	modelVisit  = 5.0             // mean seconds for which accounts come and stay away
+	modelOutage = 3 * time.Second // until agents report to the home that replaces a lost one
 
 	// idealShare is one queue that knows all costs and charges them whole
 	// when a request begins, as the textbook's fair queueing does.
@@ -91,9 +93,10 @@
 }
 
 type modelHome struct {
-	id   HomeID
-	home *Home
-	host int
+	id      HomeID
+	home    *Home
+	host    int
+	readyAt time.Duration // until then reports to it are lost
 }
 
 type model struct {
@@ -107,6 +110,7 @@
 	reaches [][]bool
 	service []float64
 	oracle  []float64 // the ideal's clocks
+	lifted  []float64 // of the live ideal's clocks
 	backlog []bool
 	nextID  int
 	made    uint64
@@ -130,6 +134,7 @@
 	}
 	m.service = make([]float64, s.accounts)
 	m.oracle = make([]float64, s.accounts)
+	m.lifted = make([]float64, s.accounts)
 	for range max(1, s.routers) {
 		m.routers = append(m.routers, NewClocks(m.config()))
 	}
@@ -224,7 +229,7 @@
 	}
 	for i, home := range m.homes {
 		gone := m.servers[home.host].address != home.id.Address || !m.servers[home.host].up
-		if m.s.loseHome && m.now == (m.s.duration/2).Truncate(modelStep) {
+		if m.s.loseHome && i == 0 && m.now == (m.s.duration/2).Truncate(modelStep) {
 			gone = true
 		}
 		if gone {
@@ -234,7 +239,7 @@
 					break
 				}
 			}
-			m.homes[i].home = m.newHome(m.homes[i].host).home
+			m.homes[i].readyAt = m.now + modelOutage
 		}
 	}
 }
@@ -245,12 +250,33 @@
 		return
 	}
 	for a := 1; a < m.s.accounts; a++ {
-		if m.rng.Float64() < modelStep.Seconds()/2 {
+		if m.rng.Float64() < modelStep.Seconds()/modelVisit {
 			m.backlog[a] = !m.backlog[a]
+			m.lift(a)
 		}
 	}
 }
 
+// lift puts the ideal's clocks of an account that returns from idleness at the
+// mean of the others.
+func (m *model) lift(account int) {
+	if !m.backlog[account] {
+		return
+	}
+	lifted := func(clocks []float64) float64 {
+		sum, count := 0.0, 0.0
+		for a, clock := range clocks {
+			if m.backlog[a] && a != account {
+				sum += clock
+				count++
+			}
+		}
+		return max(0, sum/count-clocks[account])
+	}
+	m.oracle[account] += lifted(m.oracle)
+	m.lifted[account] += lifted(m.expected())
+}
+
 func (m *model) serve(index int, server *modelServer) {
 	for i, r := range server.slots {
 		m.offered += server.speed * modelStep.Seconds()
@@ -300,6 +326,7 @@
 			if m.apart(router, index) {
 				continue
 			}
+			m.offer(m.routers[router], router)
 			account := m.choose(m.routers[router], index, func(a int) bool {
 				return !m.s.pinned || a%len(m.routers) == router
 			})
@@ -312,11 +339,18 @@
 	return m.choose(clocks, index, func(int) bool { return true }), clocks
 }
 
+// offer notes what waits at a router.
+func (m *model) offer(clocks *Clocks, router int) {
+	for a, name := range m.names {
+		clocks.Offered(name, m.backlog[a] && (!m.s.pinned || a%len(m.routers) == router))
+	}
+}
+
 func (m *model) choose(clocks *Clocks, server int, admit func(int) bool) int {
 	var candidates []fleet.Account
 	for _, a := range m.rng.Perm(m.s.accounts) {
 		can := m.reachable(a, server) && admit(a)
-		if m.s.share != idealShare && m.s.share != liveShare {
+		if m.s.share == settings.ShareFleet || m.s.share == settings.ShareAgentLocal {
 			clocks.Offered(m.names[a], can)
 		}
 		if can {
@@ -347,6 +381,9 @@
 // expected is what each account will have been given at the live horizon.
 func (m *model) expected() []float64 {
 	expected := slices.Clone(m.service)
+	for a := range expected {
+		expected[a] += m.lifted[a]
+	}
 	for _, server := range m.servers {
 		for _, r := range server.slots {
 			if r != nil {
@@ -358,6 +395,11 @@
 }
 
 func (m *model) report() {
+	if m.now%m.s.interval == 0 {
+		for _, router := range m.routers {
+			router.Advance(modelStart.Add(m.now))
+		}
+	}
 	for i, server := range m.servers {
 		if !server.up || m.now < server.reportAt {
 			continue
@@ -372,7 +414,7 @@
 				return slices.Index(m.names, name)%len(m.homes) == h
 			})
 			report.Agent, report.Incarnation = server.address, uint64(1)
-			if m.apart(i, home.host) || m.rng.Float64() < m.s.lossy {
+			if m.apart(i, home.host) || m.now < home.readyAt || m.rng.Float64() < m.s.lossy {
 				continue
 			}
 			reply := home.home.Take(modelStart.Add(m.now), report)
--- a/internal/fairshare/pace.go
+++ b/internal/fairshare/pace.go
@@ -33,15 +33,20 @@
 	p.begins += (pending - p.begins) / paceRequests
 }
 
-// measure notes the service given since the last measurement.
-func (p *pace) measure(now time.Time, running int) {
-	elapsed := now.Sub(p.at).Seconds()
-	if !p.at.IsZero() && elapsed > 0 {
+// measure notes the service given since the last measurement and returns the
+// seconds since then.
+func (p *pace) measure(now time.Time, running int) float64 {
+	elapsed := 0.0
+	if !p.at.IsZero() {
+		elapsed = max(0, now.Sub(p.at).Seconds())
+	}
+	if elapsed > 0 {
 		p.units = p.units*paceMemory + float64(p.given)
 		p.slots = p.slots*paceMemory + elapsed*float64(running)
 	}
 	p.at = now
 	p.given = 0
+	return elapsed
 }
 
 // unitsIn is the service that a slot gives within a duration, or infinity
@@ -56,8 +61,14 @@
 // Advance measures the pace of this agent's slots. Call it once in a report
 // interval, before the reports. Without it whole estimates are charged.
 func (c *Clocks) Advance(now time.Time) {
-	c.pace.measure(now, len(c.runs))
+	c.interval++
+	elapsed := c.pace.measure(now, len(c.runs))
 	for _, r := range c.runs {
+		if r.seconds == 0 {
+			r.seconds = elapsed / 2 // it began at some time since then
+		} else {
+			r.seconds += elapsed
+		}
 		c.pend(r)
 	}
 }
--- a/internal/fairshare/reporter.go
+++ b/internal/fairshare/reporter.go
@@ -95,7 +95,7 @@
 func (h *Home) sweep(now time.Time) {
 	h.nextSweep = now.Add(h.config.ReportInterval)
 	h.reassess(now)
-	h.clocks, h.weights = 0, 0
+	h.clocks, h.weights, h.waiting = 0, 0, 0
 	for name, r := range h.rows {
 		r.reweigh(Units(h.weight(name)))
 		r.endRefill(now)
--- a/internal/fairshare/reports.go
+++ b/internal/fairshare/reports.go
@@ -81,7 +81,7 @@
 // changed tells whether the home lacks something of the account. An account
 // with work here is always reported, because its total moves elsewhere too.
 func (c *Clocks) changed(a *account, home fleet.Address) bool {
-	if a.active() {
+	if c.recent(a) || a.running > 0 {
 		return true
 	}
 	if a.charged == 0 && !a.reported.acknowledged {
@@ -96,7 +96,7 @@
 }
 
 func (c *Clocks) charge(a *account, home fleet.Address) Charge {
-	charge := Charge{Account: a.name, Total: a.charged, InFlight: a.inFlight, Waiting: a.waiting}
+	charge := Charge{Account: a.name, Total: a.charged, InFlight: a.inFlight, Waiting: c.recent(a)}
 	if a.known && !c.settledAt(a, home) {
 		charge.Known = c.clock(a)
 	}
--- a/internal/fairshare/row.go
+++ b/internal/fairshare/row.go
@@ -28,14 +28,15 @@
 	entries  []entry // ordered by the reporter's id
 	given    Units   // sum over all agents that ever reported
 	inFlight Units   // sum over the live agents
-	agents   int     // live agents that have work of the account
+	agents   int     // live agents that serve the account or hold its offers
+	offers   int     // live agents that hold its offers
 	holders  int     // the same, with those silent for a short time
 	shift    Units   // of the clock: lifts less forgiven debts
 
 	// A row is refilled when agents still know a clock that an earlier home
 	// had answered: its own sum lacks what agents had given that are gone.
 	refilling bool
-	known     Units // largest clock that an agent believed in
+	known     map[*reporter]Units // what each agent believes
 	readyAt   time.Time
 }
 
@@ -43,7 +44,7 @@
 func (r *row) clock() Units { return (r.given+r.inFlight)/r.weight + r.shift }
 
 // counts tells whether the row takes part in the virtual time.
-func (r *row) counts() bool { return r.agents > 0 && !r.refilling }
+func (r *row) counts() bool { return r.offers > 0 && !r.refilling }
 
 // take replaces what an incarnation of an agent has reported, unless it is
 // older than what is held.
@@ -78,57 +79,65 @@
 }
 
 // add counts an entry's work.
-func (r *row) add(e *entry) {
-	if !e.busy() {
+func (r *row) add(e *entry) { r.count(e, 1) }
+
+// remove is the reverse of add.
+func (r *row) remove(e *entry) { r.count(e, -1) }
+
+func (r *row) count(e *entry, sign int) {
+	if e.reporter.state == reporterGone {
 		return
 	}
-	if e.reporter.state == reporterLive {
-		r.agents++
-		r.inFlight += e.inFlight
+	if e.waiting {
+		r.holders += sign
 	}
-	if e.reporter.state != reporterGone {
-		r.holders++
-	}
-}
-
-// remove is the reverse of add.
-func (r *row) remove(e *entry) {
-	if !e.busy() {
+	if e.reporter.state == reporterSilent {
 		return
 	}
-	if e.reporter.state == reporterLive {
-		r.agents--
-		r.inFlight -= e.inFlight
+	r.inFlight += Units(sign) * e.inFlight
+	if e.waiting {
+		r.offers += sign
 	}
-	if e.reporter.state != reporterGone {
-		r.holders--
+	if e.busy() {
+		r.agents += sign
 	}
 }
 
 // recount adds all entries anew, after the state of an agent has changed. It
 // also clears rounding errors.
 func (r *row) recount() {
-	r.agents, r.holders, r.inFlight = 0, 0, 0
+	r.agents, r.offers, r.holders, r.inFlight = 0, 0, 0, 0
 	for i := range r.entries {
 		r.add(&r.entries[i])
 	}
 }
 
 // refill notes a clock that an agent believes in, while the row is young.
-func (r *row) refill(now time.Time, known Units) {
-	if now.Before(r.readyAt) && known > 0 {
-		r.known = max(r.known, known)
-		r.refilling = true
+func (r *row) refill(now time.Time, sender *reporter, known Units) {
+	if known <= 0 || !now.Before(r.readyAt) {
+		return
 	}
+	if r.known == nil {
+		r.known = make(map[*reporter]Units)
+	}
+	r.known[sender] = known
+	r.refilling = true
 }
 
-// endRefill puts the clock where the agents believed it to be.
+// endRefill puts the clock where the agents believe it to be. Each of them
+// guesses what the others gave since the old home's last answer; the guesses
+// err both ways, so that their mean is much nearer than any of them.
 func (r *row) endRefill(now time.Time) {
 	if !r.refilling || now.Before(r.readyAt) {
 		return
 	}
-	r.shift += r.known - r.clock()
+	var sum Units
+	for _, known := range r.known {
+		sum += known
+	}
+	r.shift += sum/Units(len(r.known)) - r.clock()
 	r.refilling = false
+	r.known = nil
 }
 
 // reweigh changes the weight. The clock stays where it was.
--- a/internal/fairshare/run.go
+++ b/internal/fairshare/run.go
@@ -1,14 +1,19 @@
 package fairshare
 
-import "github.com/bluebellchute/bluebellchute/internal/fleet"
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
 
 // run is one request in progress.
 type run struct {
 	account  *account
 	hint     Hint
 	charged  Units
-	estimate Units // never below charged
-	pending  Units // counted in the account's inFlight
+	estimate Units   // never below charged
+	pending  Units   // counted in the account's inFlight
+	seconds  float64 // since it began, as of the last measurement
 }
 
 // Begin charges what a request that begins to run is expected to take and
@@ -19,7 +24,6 @@
 		return known.estimate
 	}
 	a := c.ensure(name)
-	c.wake(a)
 	r := &run{account: a, hint: hint, estimate: max(c.estimator.Estimate(name, hint), 1)}
 	c.runs[id] = r
 	a.running++
@@ -76,17 +80,28 @@
 	if a.running == 0 {
 		a.inFlight = 0 // leaves no rounding error behind
 	}
-	c.rest(a)
 }
 
 // pend counts what a request is expected to take within the horizon. A cost
 // beyond the horizon is left out: it would be charged long before the service
 // is given, and a wrong estimate of it would count in full.
 func (c *Clocks) pend(r *run) {
-	pending := min(r.estimate-r.charged, c.horizon())
+	silent := c.silent(r)
+	rest := max(r.estimate, silent*overrunFactor) - r.charged - silent
+	pending := silent + min(rest, c.horizon())
 	r.account.inFlight += pending - r.pending
 	r.pending = pending
 }
 
+// silent is what a request that is charged only at its end is taken to have
+// cost up to now. Without it a long call would count as little as a short one
+// while it runs, and all at once when it ends.
+func (c *Clocks) silent(r *run) Units {
+	if r.charged > 0 || r.seconds == 0 {
+		return 0
+	}
+	return c.pace.unitsIn(time.Duration(r.seconds * float64(time.Second)))
+}
+
 // Running is the number of requests in progress.
 func (c *Clocks) Running() int { return len(c.runs) }
--- a/internal/fairshare/tables_test.go
+++ b/internal/fairshare/tables_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"os"
 	"slices"
 	"strings"
@@ -108,5 +110,92 @@
 		}
 	}
 	tables = append(tables, interval)
+	return append(tables, faultTables()...)
+}
+
+// faultTables are the tables of what goes wrong.
+func faultTables() []table {
+	row := func(name string, change func(*scenario)) scenario {
+		return with(func(s *scenario) {
+			s.name, s.reach = name, 6
+			change(s)
+		})
+	}
+	cut := func(window Units, pinned bool) func(*scenario) {
+		return func(s *scenario) {
+			s.cutAt, s.cutFor, s.window, s.pinned = 40*time.Second, 10*time.Second, window, pinned
+		}
+	}
+	tables := []table{
+		{name: "homes", rows: []scenario{
+			row("1 home", func(s *scenario) { s.homes = 1 }),
+			row("2 homes", func(s *scenario) { s.homes = 2 }),
+			row("4 homes", func(s *scenario) { s.homes = 4 }),
+			row("4 homes, reports lost 10%", func(s *scenario) { s.homes, s.lossy = 4, 0.1 }),
+			row("1 home, lost", func(s *scenario) { s.loseHome = true }),
+			row("4 homes, one lost", func(s *scenario) { s.homes, s.loseHome = 4, true }),
+		}},
+		{name: "replaced", rows: []scenario{
+			row("none", func(*scenario) {}),
+			row("a fifth", func(s *scenario) { s.replaced = 4 }),
+			row("a fifth, reach 20", func(s *scenario) { s.replaced, s.reach = 4, 0 }),
+			row("a fifth, reach 3", func(s *scenario) { s.replaced, s.reach = 4, 3 }),
+			row("10 -> 2 -> 10", func(s *scenario) {
+				s.servers, s.reach = 10, 0
+				s.scale = func(at time.Duration) int {
+					if at >= 40*time.Second && at < 70*time.Second {
+						return 2
+					}
+					return 10
+				}
+			}),
+		}},
+		{name: "servers", rows: []scenario{
+			row("two of 20 ten times slower", func(s *scenario) { s.slow = 2 }),
+			row("the same, reach 20", func(s *scenario) { s.slow, s.reach = 2, 0 }),
+			row("the same, reach 3", func(s *scenario) { s.slow, s.reach = 2, 3 }),
+			row("half ten times slower", func(s *scenario) { s.slow, s.reach = 10, 0 }),
+		}},
+		{name: "hints", rows: []scenario{
+			row("none", func(*scenario) {}),
+			row("exact", func(s *scenario) { s.hint = exactHint }),
+			row("ten times too high", func(s *scenario) { s.hint = scaledHint(10, 10) }),
+			row("ten times too low", func(s *scenario) { s.hint = scaledHint(0.1, 0.1) }),
+			row("half high, half low", func(s *scenario) { s.hint = scaledHint(10, 0.1) }),
+			row("at random", func(s *scenario) { s.hint = randomHint }),
+			row("charged at the end, none", func(s *scenario) { s.plain = true }),
+			row("charged at the end, random", func(s *scenario) { s.plain, s.hint = true, randomHint }),
+		}},
+		{name: "flood", rows: []scenario{
+			row("one floods", func(s *scenario) { s.flood = true }),
+			row("one floods, agent-local", func(s *scenario) { s.flood, s.share = true, settings.ShareAgentLocal }),
+			row("one floods, router-local", func(s *scenario) { s.flood, s.share = true, settings.ShareRouterLocal }),
+		}},
+	}
+	for _, pinned := range []bool{false, true} {
+		partition := table{name: fmt.Sprintf("partition, accounts on one router: %v", pinned)}
+		for _, window := range []Units{0, 1000, 2500, 5000, 10000, 20000} {
+			partition.rows = append(partition.rows, row(fmt.Sprintf("window %.0f", window), cut(window, pinned)))
+		}
+		tables = append(tables, partition)
+	}
 	return tables
 }
+
+func exactHint(_ *rand.Rand, _ int, cost float64) float64 { return cost }
+
+// scaledHint is wrong by one factor for the even accounts and another for the
+// odd ones.
+func scaledHint(even, odd float64) func(*rand.Rand, int, float64) float64 {
+	return func(_ *rand.Rand, account int, cost float64) float64 {
+		if account%2 == 0 {
+			return cost * even
+		}
+		return cost * odd
+	}
+}
+
+// randomHint is wrong by up to ten either way from request to request.
+func randomHint(rng *rand.Rand, _ int, cost float64) float64 {
+	return cost * math.Pow(10, 2*rng.Float64()-1)
+}
--- a/internal/fairshare/types.go
+++ b/internal/fairshare/types.go
@@ -14,7 +14,7 @@
 // Config is the part of a service's policy that the package needs.
 type Config struct {
 	Share          settings.SharePolicy
-	Window         Units         // repayment window, in cost units per weight; 0 is no window
+	Window         Units         // repayment window of an account of mean weight; 0 is no window
 	ReportInterval time.Duration // between two reports of an agent
 }
 
--- a/internal/settings/policy.go
+++ b/internal/settings/policy.go
@@ -58,7 +58,7 @@
 	MaxRequestBytes   int64
 	MaxAnswerBytes    int64
 	AnswerRetention   time.Duration // how long an agent keeps an answer that nobody acknowledges
-	RepaymentWindow   float64       // cost units per weight around the fleet's virtual time
+	RepaymentWindow   float64       // cost units of an account of the mean weight around the fleet's virtual time
 	ReportInterval    time.Duration // between an agent's tally reports
 	Homes             int           // home agents per service
 	OfferSubset       int           // agents that a router offers to at first
