Make the view test notice an API key that stays after its removal

Change: the test starts from a tree with four accounts and a key each. With the removal disabled it now fails; with it the test passes.

--- a/internal/settings/tree_test.go
+++ b/internal/settings/tree_test.go
@@ -151,7 +151,14 @@
 // the same as one resolved from the whole tree.
 func TestViewFollowsEdits(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		tree := drawTree(t)
+		tree, _, err := drawTree(t).Apply(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for place, account := range []Path{"acme/labs/alice", "acme/labs/bob", "acme/shop/carol", "umbra/x/dan"} {
+			tree.ensureParents(account)
+			tree.nodes[account] = newNode([]Setting{{KeyAPIKey, hashText(place + 1)}})
+		}
 		view := newView(tree)
 		for range rapid.IntRange(1, 8).Draw(t, "edits") {
 			changes := []Change{drawChange(t), drawChange(t)}
