--- a/internal/settings/main_test.go
+++ b/internal/settings/main_test.go
@@ -9,8 +9,10 @@
 // TestMain fixes the seed of the drawn tests, so that each run gives the same
 // verdict.
 func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true", "rapid.shrinktime": "5s"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
 	}
 	flag.Parse()
 	os.Exit(m.Run())
