--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"strconv"
 	"strings"
@@ -29,6 +30,8 @@
 const (
 	headerRequestID = "X-Request-Id"
 	streamsPath     = "/v1/streams/"
+	healthPath      = "/healthz"
+	loadPath        = "/load"
 )
 
 // backend reaches the backend server beside this agent.
@@ -106,6 +109,28 @@
 	request.Header.Set(headerRequestID, id.String())
 }
 
+// healthy makes one health check.
+func (b *backend) healthy() bool { return b.get(healthPath, nil) == nil }
+
+// get reads one of the backend server's own pages; into may be nil.
+func (b *backend) get(path string, into any) error {
+	request := fasthttp.AcquireRequest()
+	defer fasthttp.ReleaseRequest(request)
+	response := fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + string(b.address) + path)
+	if err := b.probes.DoTimeout(request, response, healthTimeout); err != nil {
+		return fleet.Wrap(err, fleet.StepRun, b.address)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return fleet.Errorf(fleet.StepRun, b.address, "%s: status %d", path, response.StatusCode())
+	}
+	if into == nil {
+		return nil
+	}
+	return fleet.Wrap(json.Unmarshal(response.Body(), into), fleet.StepRun, b.address)
+}
+
 // cancelStream tells a model engine that nobody wants the answer.
 func (b *backend) cancelStream(id fleet.RequestID) error {
 	request := fasthttp.AcquireRequest()
--- /dev/null
+++ b/internal/agent/faults_test.go
@@ -0,0 +1,262 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/engine"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+// relay passes connections on to a target. The first one that carries an
+// answer goes silent for good after some bytes of it, without being closed.
+type relay struct {
+	listener net.Listener
+	target   string
+	budget   int // bytes of answers until the silence
+	silenced chan struct{}
+	once     sync.Once
+}
+
+func startRelay(t *testing.T, target string, budget int) *relay {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: listener, target: target, budget: budget, silenced: make(chan struct{})}
+	go r.serve()
+	t.Cleanup(func() { listener.Close() })
+	return r
+}
+
+func (r *relay) serve() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", r.target)
+		if err != nil {
+			near.Close()
+			continue
+		}
+		go func() {
+			_, _ = io.Copy(far, near)
+			far.Close()
+		}()
+		go r.answer(near, far)
+	}
+}
+
+// answer copies what the target sends. A connection with a long answer is the
+// one that goes silent.
+func (r *relay) answer(near, far net.Conn) {
+	buffer := make([]byte, 256)
+	for sent := 0; ; {
+		n, err := far.Read(buffer)
+		if err != nil {
+			near.Close()
+			return
+		}
+		sent += n
+		if sent > r.budget && r.silence() {
+			_, _ = io.Copy(io.Discard, far)
+			return
+		}
+		if _, err := near.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// silence reports true once.
+func (r *relay) silence() bool {
+	first := false
+	r.once.Do(func() {
+		first = true
+		close(r.silenced)
+	})
+	return first
+}
+
+// Symptom: a streamed answer stops in the middle and never ends, while the
+// model engine is well.
+// Sequence: something between agent and engine forgets the open connection.
+// Cause: a connection that carries nothing looks like a slow run.
+func TestSilentEngineConnectionIsReplaced(t *testing.T) {
+	var between *relay
+	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: time.Millisecond}, func(address string) string {
+		between = startRelay(t, address, 2000)
+		return string(between.listener.Addr().String())
+	})
+	id := newID()
+	var got received
+	got.read(t, id, a.post(t, PathRun, runRequest(id, "/v1/chat/completions", `{"stream":true,"x_tokens":100}`)), 0)
+	<-between.silenced
+	a.wantWhole(t, id, &got)
+}
+
+// wantWhole checks that what was received is what the engine made, in one run.
+func (a *testAgent) wantWhole(t *testing.T, id fleet.RequestID, got *received) {
+	t.Helper()
+	response, err := http.Get("http://" + a.engine.Address() + streamsPath + id.String() + "?offset=0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	made, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.end == nil || !bytes.Equal(got.body, made) {
+		t.Errorf("end %v, failed %v, %d bytes of %d", got.end, got.failed, len(got.body), len(made))
+	}
+	if runs := a.engine.Runs(id.String()); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+// Symptom: a caller's answer has a gap or a repeat after its router changed
+// the connection, or the run is started again.
+// Sequence: the router reads a part, drops the connection and resumes by
+// offset on a new one.
+// Cause: the answer would be tied to the connection that it was asked on.
+func TestAnswerIsResumedOnANewConnection(t *testing.T) {
+	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: time.Millisecond}, nil)
+	id := newID()
+	var got received
+	got.read(t, id, a.post(t, PathRun, runRequest(id, "/v1/completions", `{"stream":true,"x_tokens":200}`)), 1000)
+	for got.end == nil && got.failed == nil {
+		got.read(t, id, a.post(t, PathResume, &rpc.ResumeRequest{
+			RequestId: id[:], Offset: uint64(len(got.body)), HeadReceived: true,
+		}), len(got.body)+5000)
+	}
+	a.wantWhole(t, id, &got)
+}
+
+// Symptom: a caller gets a cut answer with a clean end, or the request is told
+// to be not run.
+// Sequence: the backend server goes down in the middle of an answer.
+// Cause: the end of the connection is taken for the end of the answer.
+func TestEngineCrashIsAFailure(t *testing.T) {
+	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: time.Millisecond, PermitCrash: true, Downtime: time.Hour}, nil)
+	id := newID()
+	var got received
+	got.read(t, id, a.post(t, PathRun, runRequest(id, "/v1/completions", `{"stream":true,"x_tokens":100000}`)), 1000)
+	_, _ = http.Post("http://"+a.engine.Address()+"/v1/completions", "application/json", strings.NewReader(`{"x_crash":true}`))
+	got.read(t, id, a.post(t, PathResume, &rpc.ResumeRequest{RequestId: id[:], Offset: uint64(len(got.body)), HeadReceived: true}), 0)
+	if got.failed.GetState() != rpc.RequestState_REQUEST_STATE_FAILED || !got.failed.GetCrashed() {
+		t.Errorf("failed %v, end %v", got.failed, got.end)
+	}
+}
+
+// sink takes the inputs of a part under test.
+type sink struct {
+	inputs chan Input
+	done   chan struct{}
+}
+
+func (s *sink) Send(input Input) bool {
+	s.inputs <- input
+	return true
+}
+
+func (s *sink) Done() <-chan struct{} { return s.done }
+
+// Symptom: a non-idempotent call runs twice.
+// Sequence: the connection breaks after the call was sent; the server lives, or
+// is down.
+// Cause: the HTTP client, or the agent, sends the call again.
+func TestPlainCallIsSentOnce(t *testing.T) {
+	for _, down := range []bool{false, true} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer listener.Close()
+		calls := make(chan int, 10)
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				request := make([]byte, 1024)
+				n, _ := conn.Read(request)
+				if bytes.HasPrefix(request, []byte("GET "+healthPath)) {
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					continue
+				}
+				calls <- n
+				if down {
+					listener.Close()
+				}
+				conn.Close()
+			}
+		}()
+		world := &sink{inputs: make(chan Input, 10)}
+		policy := testPolicy(settings.KindPlain)
+		runs := newRunner(newBackend(fleet.Address(listener.Addr().String())), world, func() settings.ServicePolicy { return policy })
+		id := newID()
+		runs.start(id, runRequest(id, "/laps", "{}"), newAnswer(), time.Now().Add(time.Minute))
+		want := RunFailed
+		if down {
+			want = RunCrashed
+		}
+		if end := (<-world.inputs).(RunEnded); end.End != want {
+			t.Errorf("down %v: end %+v, want %v", down, end, want)
+		}
+		sent := 0
+		runs.stop()
+		for len(calls) > 0 {
+			if <-calls > 0 {
+				sent++
+			}
+		}
+		if sent != 1 {
+			t.Errorf("down %v: the call was sent %d times", down, sent)
+		}
+	}
+}
+
+// Symptom: callers lose answers when an agent is replaced.
+// Sequence: SIGTERM while a request runs.
+// Cause: the process ends before the answer was fetched.
+func TestDrainWaitsForAnswers(t *testing.T) {
+	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: time.Millisecond}, nil)
+	id := newID()
+	stream := a.post(t, PathRun, runRequest(id, "/v1/completions", `{"stream":true,"x_tokens":300}`))
+	drained := make(chan error, 1)
+	go func() { drained <- a.manager.Drain(context.Background()) }()
+	var got received
+	got.read(t, id, stream, 0)
+	select {
+	case <-drained:
+		t.Fatal("the agent ended with an answer that nobody acknowledged")
+	default:
+	}
+	if _, err := a.manager.Control().Offer(context.Background(), &rpc.OfferRequest{
+		Envelope: &rpc.Envelope{Sender: "127.0.0.1:2", Incarnation: 1}, Sequence: 1, Acknowledged: [][]byte{id[:]},
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-drained; err != nil || got.end == nil {
+		t.Errorf("drain: %v, end %v", err, got.end)
+	}
+	next := newID()
+	var refused received
+	refused.read(t, next, a.post(t, PathRun, runRequest(next, "/v1/completions", `{}`)), 0)
+	if refused.refused.GetReason() != rpc.RefusalReason_REFUSAL_REASON_LEAVING {
+		t.Errorf("after the drain: %v", refused.refused)
+	}
+}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -32,6 +32,7 @@
 	commands    []Command // of the last step
 	tickets     Ticket
 	ids         int
+	offers      uint64                   // sequence of the last offer that granted made
 	running     map[fleet.RequestID]bool // started and not ended
 	starts      map[fleet.RequestID]int  // over all incarnations
 	observe     func(Command)
--- a/internal/agent/health.go
+++ b/internal/agent/health.go
@@ -2,12 +2,7 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
-
-	"github.com/valyala/fasthttp"
-
-	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
 // Times of the health checks.
@@ -47,14 +42,14 @@
 
 // check makes one health check and now and then takes a load report.
 func (h *health) check() {
-	err := h.get("/healthz", nil)
+	err := h.backend.get(healthPath, nil)
 	h.judge(err)
 	h.round++
 	if !h.up || h.round%loadEvery != 1 {
 		return
 	}
 	var report loadReport
-	if err := h.get("/load", &report); err == nil {
+	if err := h.backend.get(loadPath, &report); err == nil {
 		h.world.Send(Load{
 			Slots:   report.Slots,
 			Running: report.Running,
@@ -93,22 +88,3 @@
 	Waiting int   `json:"waiting"`
 	AgeMs   int64 `json:"age_ms"`
 }
-
-// get reads one of the backend server's own pages; into may be nil.
-func (h *health) get(path string, into any) error {
-	request := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(request)
-	response := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + string(h.backend.address) + path)
-	if err := h.backend.probes.DoTimeout(request, response, healthTimeout); err != nil {
-		return fleet.Wrap(err, fleet.StepRun, h.backend.address)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return fleet.Errorf(fleet.StepRun, h.backend.address, "%s: status %d", path, response.StatusCode())
-	}
-	if into == nil {
-		return nil
-	}
-	return fleet.Wrap(json.Unmarshal(response.Body(), into), fleet.StepRun, h.backend.address)
-}
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -191,19 +191,13 @@
 // crashError tells that the backend server went down during a run.
 type crashError struct{ error }
 
-// crashOr marks an error as a crash if the backend server takes no connection
-// now. A crashed server refuses connections until it has been started again;
-// an error of one connection only does not look like that.
+// crashOr marks an error as a crash if the backend server does not answer a
+// health check now. An error of one connection only does not look like that.
 func (r *run) crashOr(ctx context.Context, err error) error {
-	if isDialError(err) || ctx.Err() != nil {
+	if isDialError(err) || ctx.Err() != nil || r.backend.healthy() {
 		return err
 	}
-	conn, dialed := r.backend.dial(ctx, 0)
-	if dialed != nil {
-		return crashError{err}
-	}
-	_ = conn.Close()
-	return err
+	return crashError{err}
 }
 
 // exchange sends one request on a connection of its own and returns the head
--- a/internal/agent/runner_model.go
+++ b/internal/agent/runner_model.go
@@ -13,6 +13,10 @@
 // took: it has been started again since.
 var errStreamLost = errors.New("the model engine has lost the stream")
 
+// maxBroken is the number of connections that may break one after the other
+// without a byte of the answer, while the engine passes health checks.
+const maxBroken = 3
+
 // runModel runs a request at a model engine and reads its stream to the end.
 //
 // The connection to the engine may go silent for good while the engine is
@@ -21,21 +25,34 @@
 // a new one, which does no harm when the engine was merely slow. The wait
 // doubles while resumed connections are silent too.
 func (r *run) runModel(ctx context.Context) error {
-	silence := minEngineSilence
-	err := r.attempt(ctx, silence, r.fillFirst)
-	for err != nil && r.resumable(ctx, err) {
-		before := r.answer.size()
+	err := r.attempt(ctx, minEngineSilence, r.fillFirst)
+	err = r.resume(ctx, err)
+	if err != nil && ctx.Err() != nil {
+		_ = r.backend.cancelStream(r.id)
+	}
+	return err
+}
+
+// resume goes on after the error of a first attempt until the answer is whole
+// or there is no use in going on.
+func (r *run) resume(ctx context.Context, err error) error {
+	silence, broken := minEngineSilence, 0
+	for err != nil && broken < maxBroken {
 		if timedOut(err) {
 			silence = min(2*silence, maxEngineSilence)
+		} else {
+			broken++
+			err = r.crashOr(ctx, err)
+		}
+		if !r.resumable(ctx, err) {
+			break
 		}
+		before := r.answer.size()
 		err = r.attempt(ctx, silence, r.fillNext)
 		if r.answer.size() > before {
-			silence = minEngineSilence
+			silence, broken = minEngineSilence, 0
 		}
 	}
-	if err != nil && ctx.Err() != nil {
-		_ = r.backend.cancelStream(r.id)
-	}
 	return err
 }
 
--- a/internal/agent/system_expire.go
+++ b/internal/agent/system_expire.go
@@ -37,7 +37,7 @@
 			return
 		}
 		w.endGrant(number)
-		if row := w.routers.Get(g.router); row != nil && row.heardAt.Before(g.sentAt) {
+		if row := w.routers.Get(g.router); row != nil && !row.heardAt.After(g.sentAt) {
 			w.emit(Note{Event: event.RouterSilent, Peer: row.address})
 			w.forgetOffers(row)
 		}
