Test that a replica passes over edits that it knows

Tried again, gaps passed over fail TestReplicaRefusesBrokenNews only, and known edits not passed over failed no test.

Change: a case with a delta that overlaps; it fails without the code.

--- a/internal/settings/replica_test.go
+++ b/internal/settings/replica_test.go
@@ -135,4 +135,9 @@
 	if rose, err := node.Apply([]byte(`{"edits":[{"revision":5,"changes":[]}]}`)); rose || err != nil {
 		t.Errorf("gap: rose %v, error %v", rose, err)
 	}
+	// Edits that are known already are passed over, the later ones are taken.
+	overlap := `{"edits":[{"revision":3,"changes":[]},{"revision":4,"changes":[{"op":"set","path":"acme","key":"weight","after":"2"}]}]}`
+	if rose, err := node.Apply([]byte(overlap)); !rose || err != nil || node.Revision() != 4 {
+		t.Errorf("overlap: rose %v to %d, error %v", rose, node.Revision(), err)
+	}
 }
