--- a/internal/settings/operators_test.go
+++ b/internal/settings/operators_test.go
@@ -146,8 +146,14 @@
 	}
 }
 
+// fataler is what testing.T and rapid.T have in common here.
+type fataler interface {
+	Fatal(args ...any)
+	Fatalf(format string, args ...any)
+}
+
 // requireTruth checks the history and what the operators were told.
-func requireTruth(t *rapid.T, shared *sharedPlatform, results []Result) {
+func requireTruth(t fataler, shared *sharedPlatform, results []Result) {
 	records, err := shared.history()
 	if err != nil {
 		t.Fatal(err)
@@ -175,7 +181,7 @@
 	}
 }
 
-func requireTrueResult(t *rapid.T, shared *sharedPlatform, records []Record, result Result) {
+func requireTrueResult(t fataler, shared *sharedPlatform, records []Record, result Result) {
 	times := count(records, result.ID)
 	switch result.Outcome {
 	case OutcomeAccepted:
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -20,6 +20,7 @@
 	faultNoEffect  fault = "no effect"  // the caller does not hear, and there is no effect
 	faultLate      fault = "late"       // the caller gives up, the write reaches the platform later
 	faultStale     fault = "stale"      // the read gives an earlier state
+	faultSlow      fault = "slow"       // the call's time limit ends before it has an effect
 )
 
 // gatedPlatform lets a test decide about each call of one operator.
@@ -77,6 +78,8 @@
 			return platform.Object{}, platform.ErrNotFound
 		}
 		return old, nil
+	case faultSlow:
+		return platform.Object{}, context.DeadlineExceeded
 	default:
 		return platform.Object{}, platform.ErrUnavailable
 	}
@@ -95,6 +98,8 @@
 		return 0, context.DeadlineExceeded
 	case faultNoEffect:
 		return 0, platform.ErrOutcomeUnknown
+	case faultSlow:
+		return 0, context.DeadlineExceeded
 	default:
 		return 0, platform.ErrUnavailable
 	}
