Spread settings, the list of nodes and verdicts between the nodes

Cause: an accepted edit has to reach every node within seconds, also when the platform goes down a moment later, and no node may go back.

Ruled out: a watch by every node (calls grow with the fleet); a tree of relays (its root needs looking after); whole trees on the wire; acting on the platform's word alone after a cold restart (it may be stale); a join deadline that runs on while the node is paused (it then acted on nothing).

Change: World decides as tables and systems; Manager translates. Watchers by rendezvous in each zone, push to four peers with deltas, an exchange a second with a random peer, pull from whoever claims a higher revision, one at a time per document. A node joins once it is level with the peers that answered. Two keepers read the list of VMs and write it into the nodes' records. Each node keeps its own record. Verdicts merge as a set.

Limit: a node that restarts while the platform is stale and no peer answers within three seconds goes on with what the platform gave it.

--- a/internal/membership/directory.go
+++ b/internal/membership/directory.go
@@ -45,6 +45,17 @@
 	return d.matching(func(record *Record) bool { return !record.Deleted }), uint64(d.revision)
 }
 
+// Record returns the record of a node unless it is deleted or unknown.
+func (d *Directory) Record(control fleet.Address) (Record, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	record := d.records.Get(control)
+	if record == nil || record.Deleted {
+		return Record{}, false
+	}
+	return *record, true
+}
+
 // matching returns the records that keep selects, ordered by address.
 func (d *Directory) matching(keep func(record *Record) bool) []Record {
 	var records []Record
--- /dev/null
+++ b/internal/spread/event.go
@@ -0,0 +1,85 @@
+package spread
+
+import (
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/platform"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// DocumentID names one of the replicated documents.
+type DocumentID int
+
+// The replicated documents.
+const (
+	DocumentSettings DocumentID = iota
+	DocumentMembers
+	documentCount
+)
+
+// String returns the name for logs and metrics.
+func (d DocumentID) String() string {
+	return [documentCount]string{"settings", "members"}[d]
+}
+
+// Event is an input of World.
+type Event interface{ isEvent() }
+
+// Heard brings the envelope of any control message of a peer.
+type Heard struct{ Envelope *rpc.Envelope }
+
+// SyncArrived brings a peer's request; the reply is to carry the token.
+type SyncArrived struct {
+	Token   uint64
+	Request *rpc.SyncRequest
+}
+
+// SyncEnded brings the reply to a request of this node, or its error.
+type SyncEnded struct {
+	To    fleet.Address
+	Reply *rpc.SyncReply
+	Err   error
+}
+
+// LoadEnded tells that a document was read from the platform, or the error.
+type LoadEnded struct {
+	Document DocumentID
+	Version  platform.Version
+	Err      error
+}
+
+// WatchEnded tells that a watch returned and that its changes, if any, have
+// been taken in, or the error.
+type WatchEnded struct {
+	Document DocumentID
+	Version  platform.Version
+	Err      error
+}
+
+// VMsRead brings a reading of the platform's list of VMs, or its error.
+type VMsRead struct {
+	VMs []platform.VM
+	Err error
+}
+
+// RegisterEnded tells how the writing of this node's own record ended.
+type RegisterEnded struct {
+	Leaving bool // as written
+	Version platform.Version
+	Err     error
+}
+
+// LeavingSet tells whether this node takes no new work.
+type LeavingSet struct{ Leaving bool }
+
+// VerdictReached brings a verdict that this node reached.
+type VerdictReached struct{ Verdict *rpc.Verdict }
+
+func (Heard) isEvent()          {}
+func (SyncArrived) isEvent()    {}
+func (SyncEnded) isEvent()      {}
+func (LoadEnded) isEvent()      {}
+func (WatchEnded) isEvent()     {}
+func (VMsRead) isEvent()        {}
+func (RegisterEnded) isEvent()  {}
+func (LeavingSet) isEvent()     {}
+func (VerdictReached) isEvent() {}
--- /dev/null
+++ b/internal/spread/simulation_test.go
@@ -0,0 +1,384 @@
+package spread
+
+import (
+	"container/heap"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/membership"
+	"github.com/bluebellchute/bluebellchute/internal/platform"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// errLost is what a caller gets whose message or reply was lost.
+var errLost = errors.New("lost")
+
+// item is something that happens at one time of a simulation.
+type item struct {
+	at    time.Time
+	order int
+	run   func()
+	to    *simNode // whose pause holds it back
+}
+
+type items []*item
+
+func (q items) Len() int { return len(q) }
+func (q items) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q items) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *items) Push(x any)   { *q = append(*q, x.(*item)) }
+func (q *items) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// fate is what happens to one message.
+type fate struct {
+	delay time.Duration
+	twice time.Duration // delay of a second copy; 0 for none
+	lost  bool
+}
+
+// simulation runs worlds against one platform over a network of its own time.
+type simulation struct {
+	now      time.Time
+	order    int
+	queue    items
+	store    *platform.Store
+	api      platform.API // the store, or an old state of it
+	before   platform.API // the state before the last edit
+	nodes    []*simNode
+	random   *rand.Rand
+	fate     func(from, to *simNode) fate
+	slow     time.Duration // added to each platform call
+	loseNext int           // replies to be lost after their request took effect
+	fell     string        // the first node that went back
+
+	head        []byte // accepted settings
+	headVersion platform.Version
+}
+
+// simNode is one node of a simulation.
+type simNode struct {
+	self     fleet.Node
+	world    *World
+	replica  *fakeReplica
+	half     int // of a partition
+	paused   bool
+	joined   bool
+	reached  uint64 // highest revision in force, over restarts too
+	waking   time.Time
+	deltas   int // deltas of the settings that it sent
+	sessions uint64
+}
+
+const (
+	// The platform answers before the peers do, so that a node that trusts it
+	// alone is found out.
+	platformDelay = time.Millisecond
+	messageDelay  = 2 * time.Millisecond
+	watchPoll     = 5 * time.Millisecond
+	callTimeout   = 1500 * time.Millisecond
+)
+
+func newSimulation(seed uint64, count int) *simulation {
+	s := &simulation{now: time.Unix(1_000_000, 0), random: rand.New(rand.NewPCG(seed, 1))}
+	s.fate = func(_, _ *simNode) fate { return fate{delay: messageDelay} }
+	// A held watch is polled here, which must not use up the rate of reads.
+	s.store = platform.NewStore(platform.StoreOptions{
+		NodesMakeVMs: true, History: 32, ReadsPerSecond: 1 << 30, Now: func() time.Time { return s.now },
+	})
+	s.api = s.store
+	for i := range count {
+		node := &simNode{self: fleet.Node{
+			VM:      fmt.Sprintf("vm-%d", i),
+			Control: fleet.Address(fmt.Sprintf("10.0.0.%d:1", i)),
+			Zone:    fleet.Zone(fmt.Sprintf("zone-%d", i%3)),
+		}}
+		s.nodes = append(s.nodes, node)
+	}
+	for _, node := range s.nodes {
+		s.start(node)
+	}
+	return s
+}
+
+// start starts a node with empty state.
+func (s *simulation) start(node *simNode) {
+	node.sessions++
+	node.self.Incarnation = uint64(s.now.UnixNano()) + node.sessions
+	node.joined = false
+	node.waking = time.Time{}
+	node.replica = &fakeReplica{}
+	directory := membership.NewDirectory()
+	node.world = NewWorld(Config{
+		Self:  node.self,
+		Seeds: []fleet.Address{s.nodes[0].self.Control, s.nodes[1].self.Control, s.nodes[2].self.Control},
+		Seed:  s.random.Uint64(),
+		// Most nodes must not watch, so that news has to come from peers.
+		WatchersPerZone: 1,
+	}, Parts{
+		Stamp:     NewStamp(node.self, node.replica, directory),
+		Tracker:   membership.NewTracker(directory),
+		Directory: directory,
+		Settings:  node.replica,
+	})
+	s.step(node)
+}
+
+func (s *simulation) schedule(delay time.Duration, entry *item) {
+	s.order++
+	entry.order = s.order
+	entry.at = s.now.Add(delay)
+	heap.Push(&s.queue, entry)
+}
+
+// step steps a world and carries out its commands.
+func (s *simulation) step(node *simNode, events ...Event) {
+	commands, next := node.world.Step(s.now, events)
+	s.check(node)
+	for _, command := range commands {
+		s.execute(node, command)
+	}
+	if next.IsZero() || next.Equal(node.waking) {
+		return
+	}
+	node.waking = next
+	session := node.sessions
+	s.schedule(max(0, next.Sub(s.now)), &item{to: node, run: func() {
+		if node.sessions == session && node.waking.Equal(next) {
+			node.waking = time.Time{}
+			s.step(node)
+		}
+	}})
+}
+
+// check notes a node whose settings in force went back.
+func (s *simulation) check(node *simNode) {
+	if !node.joined {
+		return
+	}
+	if revision := node.replica.Revision(); revision < node.reached {
+		s.fell = fmt.Sprintf("%s fell from %d to %d", node.self.Control, node.reached, revision)
+	}
+	node.reached = max(node.reached, node.replica.Revision())
+}
+
+// deliver hands an event to the node unless it has restarted since.
+func (s *simulation) deliver(node *simNode, session uint64, event Event) {
+	if node.sessions == session {
+		s.step(node, event)
+	}
+}
+
+func (s *simulation) execute(node *simNode, command Command) {
+	session := node.sessions
+	ctx := context.Background()
+	switch command := command.(type) {
+	case Sync:
+		s.send(node, command)
+	case Joined:
+		node.joined = true
+		s.check(node)
+	case Load:
+		s.platformCall(node, func() {
+			version, err := node.world.documents[command.Document].replica.Load(ctx, s.api)
+			s.deliver(node, session, LoadEnded{Document: command.Document, Version: version, Err: err})
+		})
+	case Watch:
+		s.watch(node, session, command, s.now.Add(node.world.config.WatchWait))
+	case ReadVMs:
+		s.platformCall(node, func() {
+			vms, err := s.api.VMs(ctx)
+			s.deliver(node, session, VMsRead{VMs: vms, Err: err})
+		})
+	case Register:
+		s.platformCall(node, func() {
+			version, err := membership.Register(ctx, s.api, command.Record)
+			if s.loseReply() {
+				err = platform.ErrOutcomeUnknown
+			}
+			s.deliver(node, session, RegisterEnded{Leaving: command.Record.Leaving(), Version: version, Err: err})
+		})
+	case WriteRecord:
+		s.platformCall(node, func() { _ = command.Write.Apply(ctx, s.api) })
+	}
+}
+
+// loseReply tells whether the reply in hand is lost.
+func (s *simulation) loseReply() bool {
+	if s.loseNext == 0 {
+		return false
+	}
+	s.loseNext--
+	return true
+}
+
+func (s *simulation) platformCall(node *simNode, run func()) {
+	s.schedule(platformDelay+s.slow, &item{to: node, run: run})
+}
+
+// watch holds a watch until there is something to tell.
+func (s *simulation) watch(node *simNode, session uint64, command Watch, until time.Time) {
+	s.schedule(watchPoll+s.slow, &item{to: node, run: func() {
+		if node.sessions != session {
+			return
+		}
+		replica := node.world.documents[command.Document].replica
+		changes, upTo, err := s.api.Watch(context.Background(), replica.WatchPrefix(), command.From, 0)
+		if err == nil && len(changes) == 0 && s.now.Before(until) {
+			s.watch(node, session, command, until)
+			return
+		}
+		if len(changes) > 0 && s.loseReply() {
+			err = platform.ErrUnavailable
+		}
+		if err == nil {
+			err = replica.Take(context.Background(), s.api, changes)
+		}
+		s.deliver(node, session, WatchEnded{Document: command.Document, Version: upTo, Err: err})
+	}})
+}
+
+// send carries a request to a peer and the reply back. The sender hears of a
+// loss after its time-out.
+func (s *simulation) send(from *simNode, command Sync) {
+	session := from.sessions
+	if len(command.Request.GetSettings()) > 0 {
+		from.deltas++
+	}
+	to, _ := lo.Find(s.nodes, func(node *simNode) bool { return node.self.Control == command.To })
+	ended := false
+	end := func(event SyncEnded) {
+		if !ended {
+			ended = true
+			s.deliver(from, session, event)
+		}
+	}
+	s.schedule(callTimeout, &item{to: from, run: func() { end(SyncEnded{To: command.To, Err: errLost}) }})
+	s.carry(from, to, func() {
+		reply := s.ask(to, command.Request)
+		if s.loseReply() {
+			return
+		}
+		s.carry(to, from, func() { end(SyncEnded{To: command.To, Reply: reply}) })
+	})
+}
+
+// carry takes a message over the network.
+func (s *simulation) carry(from, to *simNode, arrive func()) {
+	fate := s.fate(from, to)
+	if fate.lost || from.half != to.half {
+		return
+	}
+	s.schedule(fate.delay, &item{to: to, run: arrive})
+	if fate.twice > 0 {
+		s.schedule(fate.twice, &item{to: to, run: arrive})
+	}
+}
+
+// ask hands a request to a world and returns its reply.
+func (s *simulation) ask(to *simNode, request *rpc.SyncRequest) *rpc.SyncReply {
+	commands, _ := to.world.Step(s.now, []Event{SyncArrived{Request: request}})
+	s.check(to)
+	var reply *rpc.SyncReply
+	for _, command := range commands {
+		if answer, ok := command.(Reply); ok {
+			reply = answer.Reply
+			continue
+		}
+		s.execute(to, command)
+	}
+	s.step(to)
+	return reply
+}
+
+// run lets the time pass until done says so and reports whether it did.
+func (s *simulation) run(limit time.Duration, done func() bool) bool {
+	end := s.now.Add(limit)
+	for !done() {
+		if len(s.queue) == 0 || s.queue[0].at.After(end) {
+			s.now = end
+			return done()
+		}
+		next := heap.Pop(&s.queue).(*item)
+		s.now = next.at
+		if next.to != nil && next.to.paused {
+			// A paused node finds its messages when it goes on.
+			s.schedule(watchPoll, next)
+			continue
+		}
+		next.run()
+	}
+	return true
+}
+
+// sleep lets the time pass.
+func (s *simulation) sleep(duration time.Duration) { s.run(duration, func() bool { return false }) }
+
+// edit has the platform accept the next revision, unless it is down.
+func (s *simulation) edit() {
+	s.before = s.freeze()
+	next := append(slices.Clone(s.head), byte('a'+len(s.head)%26))
+	version, err := s.store.Put(context.Background(), headKey, next, s.headVersion)
+	if err == nil {
+		s.head, s.headVersion = next, version
+	}
+}
+
+// accepted is the last accepted revision.
+func (s *simulation) accepted() uint64 { return uint64(len(s.head)) }
+
+// level tells whether the nodes have exactly what was accepted in force, and
+// know all nodes.
+func (s *simulation) level(nodes ...*simNode) bool {
+	return lo.EveryBy(nodes, func(node *simNode) bool {
+		return node.joined && slices.Equal(node.replica.content, s.head) &&
+			len(node.world.view.Nodes) == len(s.nodes)
+	})
+}
+
+// oldReplica answers reads from the state at one time, as a replica of the
+// platform that lags. Writes go through.
+type oldReplica struct {
+	platform.API
+	objects []platform.Object
+	at      platform.Version
+}
+
+// freeze returns the platform as it is now for later stale reads.
+func (s *simulation) freeze() platform.API {
+	objects, at, _ := s.store.List(context.Background(), "")
+	return oldReplica{API: s.store, objects: objects, at: at}
+}
+
+func (r oldReplica) List(_ context.Context, prefix string) ([]platform.Object, platform.Version, error) {
+	return lo.Filter(r.objects, func(object platform.Object, _ int) bool {
+		return strings.HasPrefix(object.Key, prefix)
+	}), r.at, nil
+}
+
+func (r oldReplica) Watch(_ context.Context, _ string, from platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
+	return nil, from, nil
+}
+
+// describe tells where the nodes stand.
+func (s *simulation) describe() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "accepted %d;", s.accepted())
+	for _, node := range s.nodes {
+		fmt.Fprintf(&text, " %s:%d/%d", node.self.Control, node.replica.Revision(), len(node.world.view.Nodes))
+	}
+	return text.String()
+}
--- /dev/null
+++ b/internal/spread/stamp.go
@@ -0,0 +1,68 @@
+package spread
+
+import (
+	"sync"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// Stamp makes this node's envelopes. It is safe for concurrent use, so that
+// every control message can be stamped without asking the world.
+type Stamp struct {
+	self      fleet.Node
+	documents [documentCount]Document
+
+	mu             sync.Mutex
+	leaving        bool
+	leavingChanges uint32
+	digest         uint64
+}
+
+// NewStamp returns the stamp of a node with its documents.
+func NewStamp(self fleet.Node, settings, members Document) *Stamp {
+	return &Stamp{self: self, documents: [documentCount]Document{settings, members}}
+}
+
+// Envelope returns an envelope for one message.
+func (s *Stamp) Envelope() *rpc.Envelope {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &rpc.Envelope{
+		Sender:           string(s.self.Control),
+		Incarnation:      s.self.Incarnation,
+		SettingsRevision: s.documents[DocumentSettings].Revision(),
+		MembersVersion:   s.documents[DocumentMembers].Revision(),
+		VerdictsDigest:   s.digest,
+		Leaving:          s.leaving,
+		LeavingChanges:   s.leavingChanges,
+	}
+}
+
+// SetLeaving notes whether the node takes no new work and reports a change.
+func (s *Stamp) SetLeaving(leaving bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.leaving == leaving {
+		return false
+	}
+	s.leaving = leaving
+	s.leavingChanges++
+	return true
+}
+
+// setDigest notes the digest of the verdicts.
+func (s *Stamp) setDigest(digest uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.digest = digest
+}
+
+// level tells whether an envelope has the same revisions and verdicts as this
+// node, so that it is no news.
+func (s *Stamp) level(envelope *rpc.Envelope) bool {
+	own := s.Envelope()
+	return envelope.GetSettingsRevision() == own.GetSettingsRevision() &&
+		envelope.GetMembersVersion() == own.GetMembersVersion() &&
+		envelope.GetVerdictsDigest() == own.GetVerdictsDigest()
+}
--- /dev/null
+++ b/internal/spread/verdicts.go
@@ -0,0 +1,123 @@
+package spread
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/tick"
+)
+
+const (
+	// maxVerdicts bounds the table. The ones that expire first give way.
+	maxVerdicts = 4096
+	// maxVerdictsSent bounds the verdicts in one message.
+	maxVerdictsSent = 512
+)
+
+// verdictTable is the set of unexpired verdicts by fingerprint. Two sets merge
+// to the same one in any order: of each verdict the most crashes and the latest
+// expiry stay.
+type verdictTable struct {
+	rows    *tick.Table[string, rpc.Verdict]
+	digest  uint64 // the same at two nodes with the same set
+	changed bool   // since the last look
+	news    bool   // since the last push
+	expires int64  // earliest expiry, Unix milliseconds; 0 for none
+}
+
+func newVerdictTable() *verdictTable {
+	return &verdictTable{rows: tick.NewTable[string, rpc.Verdict]()}
+}
+
+// merge takes in verdicts that have not expired.
+func (v *verdictTable) merge(verdicts []*rpc.Verdict, now time.Time) {
+	for _, verdict := range verdicts {
+		if verdict.GetExpiresMs() > now.UnixMilli() {
+			v.mergeOne(verdict)
+		}
+	}
+	if v.changed {
+		v.settle(now)
+	}
+}
+
+func (v *verdictTable) mergeOne(verdict *rpc.Verdict) {
+	key := string(verdict.GetFingerprint())
+	known := v.rows.Get(key)
+	merged := &rpc.Verdict{
+		Fingerprint: verdict.GetFingerprint(),
+		Crashes:     max(known.GetCrashes(), verdict.GetCrashes()),
+		ExpiresMs:   max(known.GetExpiresMs(), verdict.GetExpiresMs()),
+	}
+	if merged.Crashes == known.GetCrashes() && merged.ExpiresMs == known.GetExpiresMs() {
+		return
+	}
+	v.rows.Put(key, merged)
+	v.changed = true
+	v.news = true
+}
+
+// settle drops what has expired or is beyond the bound and works out the
+// digest again.
+func (v *verdictTable) settle(now time.Time) {
+	v.rows.Each(func(key string, verdict *rpc.Verdict) {
+		if verdict.GetExpiresMs() <= now.UnixMilli() {
+			v.rows.Delete(key)
+			v.changed = true
+		}
+	})
+	all := v.list(v.rows.Len())
+	for len(all) > maxVerdicts {
+		v.rows.Delete(string(all[len(all)-1].GetFingerprint()))
+		all = all[:len(all)-1]
+	}
+	v.digest = 0
+	v.expires = 0
+	for _, verdict := range all {
+		v.digest ^= digestOf(verdict)
+		v.expires = verdict.GetExpiresMs()
+	}
+}
+
+// list returns up to count verdicts, those that expire last first.
+func (v *verdictTable) list(count int) []*rpc.Verdict {
+	all := make([]*rpc.Verdict, 0, v.rows.Len())
+	v.rows.Each(func(_ string, verdict *rpc.Verdict) { all = append(all, verdict) })
+	slices.SortFunc(all, func(a, b *rpc.Verdict) int {
+		return cmp.Or(cmp.Compare(b.GetExpiresMs(), a.GetExpiresMs()), slices.Compare(a.GetFingerprint(), b.GetFingerprint()))
+	})
+	return all[:min(count, len(all))]
+}
+
+func digestOf(verdict *rpc.Verdict) uint64 {
+	encoded := slices.Clone(verdict.GetFingerprint())
+	encoded = binary.BigEndian.AppendUint32(encoded, verdict.GetCrashes())
+	encoded = binary.BigEndian.AppendUint64(encoded, uint64(verdict.GetExpiresMs()))
+	return xxhash.Sum64(encoded)
+}
+
+// spreadVerdicts lets verdicts expire, and pushes new ones as news.
+func (w *World) spreadVerdicts(now time.Time) {
+	if w.verdicts.expires > 0 {
+		if now.UnixMilli() >= w.verdicts.expires {
+			w.verdicts.settle(now)
+		}
+		w.wake(time.UnixMilli(w.verdicts.expires))
+	}
+	if w.verdicts.changed {
+		w.verdicts.changed = false
+		w.emit(VerdictsChanged{Verdicts: w.verdicts.list(w.verdicts.rows.Len()), Digest: w.verdicts.digest})
+	}
+	if !w.verdicts.news {
+		return
+	}
+	w.verdicts.news = false
+	for _, peer := range w.circle.pick(w.random, w.config.FanOut, w.idle) {
+		w.sync(peer, ReasonPush, true)
+	}
+}
