Watch the settings from the version of a list, reuse compressors

Cause: Replica.Load returned the version of the head object. When the settings stay as they are while nodes come and go, a platform with a bounded history no longer has that version: each watch would be refused and each repeat of Load would give the same version again.

Change: Load lists the head, since a list gives the version of now, at the cost of one call as before. TestLoadGivesAVersionToWatchFrom failed with the head's version ("watch version too old").

Ruled out: a Get and a watch from 0, which is refused as well.

--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -113,10 +113,15 @@
 }
 
 func (g *gatedPlatform) List(ctx context.Context, prefix string) ([]platform.Object, platform.Version, error) {
-	if g.decide(false, prefix) != faultNone {
+	switch g.decide(false, prefix) {
+	case faultNone:
+		return g.API.List(ctx, prefix)
+	case faultStale:
+		object, err := g.Get(ctx, prefix)
+		return []platform.Object{object}, object.Version, err
+	default:
 		return nil, 0, platform.ErrUnavailable
 	}
-	return g.API.List(ctx, prefix)
 }
 
 // quickRetry repeats a few times and never waits, so that tests judge nothing
--- a/internal/settings/record.go
+++ b/internal/settings/record.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -31,11 +32,16 @@
 // must not take all memory of a node.
 const maxDecodedBytes = 64 * platform.MaxObjectBytes
 
+// compressors keeps writers for reuse, since each one takes most of a megabyte.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(nil) }}
+
 // encode writes an object of the settings: compressed JSON. Equal values give
 // equal bytes.
 func encode(value any) ([]byte, error) {
 	var buffer bytes.Buffer
-	compressor := gzip.NewWriter(&buffer)
+	compressor := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(compressor)
+	compressor.Reset(&buffer)
 	if err := json.NewEncoder(compressor).Encode(value); err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/settings/replica_platform.go
+++ b/internal/settings/replica_platform.go
@@ -21,22 +21,25 @@
 func (r *Replica) WatchPrefix() string { return HeadKey }
 
 // Load implements spread.Replica. It costs one read when the head still has the
-// edits that are missing here, and one more for each chunk otherwise.
+// edits that are missing here, and one more for the head and each chunk
+// otherwise.
+//
+// The head is listed, not got: the head's own version may lie so far back that
+// a watch from there is refused, while the version of a list is that of now.
 func (r *Replica) Load(ctx context.Context, api platform.API) (platform.Version, error) {
-	reader := loadReader(api)
-	head, version, err := reader.ReadHead(ctx, 0)
+	objects, at, err := api.List(ctx, HeadKey)
 	if err != nil {
 		return 0, fleet.Wrap(err, fleet.StepWatch, "")
 	}
-	if r.takeHead(head) {
-		return version, nil
-	}
-	snapshot, err := reader.Read(ctx, version)
-	if err != nil {
-		return 0, fleet.Wrap(err, fleet.StepWatch, "")
+	for _, object := range objects {
+		if object.Key != HeadKey {
+			continue
+		}
+		if err := r.takeObject(ctx, api, object); err != nil {
+			return 0, err
+		}
 	}
-	r.takeTree(snapshot.Tree)
-	return snapshot.Version, nil
+	return at, nil
 }
 
 // Take implements spread.Replica. A watch returns the head itself, so that no
@@ -46,23 +49,33 @@
 		if change.Object.Key != HeadKey || change.Deleted {
 			continue
 		}
-		head := &Head{}
-		if err := decode(change.Object.Data, head); err != nil {
-			return fleet.Wrap(err, fleet.StepWatch, "")
-		}
-		if err := head.check(); err != nil {
-			return fleet.Wrap(err, fleet.StepWatch, "")
-		}
-		if r.takeHead(head) {
-			continue
-		}
-		if _, err := r.Load(ctx, api); err != nil {
+		if err := r.takeObject(ctx, api, change.Object); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
+// takeObject takes in a head object, and reads the tree when that is needed.
+func (r *Replica) takeObject(ctx context.Context, api platform.API, object platform.Object) error {
+	head := &Head{}
+	if err := decode(object.Data, head); err != nil {
+		return fleet.Wrap(err, fleet.StepWatch, "")
+	}
+	if err := head.check(); err != nil {
+		return fleet.Wrap(err, fleet.StepWatch, "")
+	}
+	if r.takeHead(head) {
+		return nil
+	}
+	snapshot, err := loadReader(api).Read(ctx, object.Version)
+	if err != nil {
+		return fleet.Wrap(err, fleet.StepWatch, "")
+	}
+	r.takeTree(snapshot.Tree)
+	return nil
+}
+
 // takeHead takes the edits from a head. It reports false when the whole tree
 // has to be read: the head no longer has all edits that are missing here, or an
 // edit holds an operation that only a newer version of the program knows.
--- a/internal/settings/replica_test.go
+++ b/internal/settings/replica_test.go
@@ -141,3 +141,29 @@
 		t.Errorf("overlap: rose %v to %d, error %v", rose, node.Revision(), err)
 	}
 }
+
+// TestLoadGivesAVersionToWatchFrom
+//
+// Symptom: a node reads the whole head again and again and never hears of an
+// edit by its watch. Sequence of events: the settings stay as they are while
+// other objects change often. Cause: a watch from the version of the head,
+// which the platform no longer has.
+func TestLoadGivesAVersionToWatchFrom(t *testing.T) {
+	store := platform.NewStore(platform.StoreOptions{History: 2})
+	if result := Bootstrap(t.Context(), store, []byte("[acme]"), "first"); result.Outcome != OutcomeAccepted {
+		t.Fatalf("%+v", result)
+	}
+	for _, key := range []string{"a", "b", "c"} {
+		if _, err := store.Put(t.Context(), key, nil, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	node := NewReplica()
+	version, err := node.Load(t.Context(), store)
+	if err != nil || node.Revision() != 1 {
+		t.Fatalf("revision %d: %v", node.Revision(), err)
+	}
+	if _, _, err := store.Watch(t.Context(), node.WatchPrefix(), version, 0); err != nil {
+		t.Fatal(err)
+	}
+}
