--- a/internal/agent/property_test.go
+++ b/internal/agent/property_test.go
@@ -244,7 +244,7 @@
 	if free := m.world.free(); free != m.world.slots() {
 		t.Fatalf("%d of %d slots are free after all work has ended", free, m.world.slots())
 	}
-	if left := m.world.requests.Len() + m.world.accounts.Len() + m.world.grants.Len() + len(m.world.held); left != 0 {
+	if left := m.world.offers + m.world.requests.Len() + m.world.accounts.Len() + m.world.grants.Len() + len(m.world.held); left != 0 {
 		t.Fatalf("%d rows are left after all work has ended", left)
 	}
 }
--- a/internal/agent/system_admit.go
+++ b/internal/agent/system_admit.go
@@ -66,6 +66,9 @@
 // without a grant. It matters only within a step: between steps, a free slot
 // means that no offers wait.
 func (w *World) offersComeFirst(in Dispatch) bool {
+	if w.offers == 0 {
+		return false
+	}
 	name, ok := w.pickAccount()
 	return ok && name != in.Account && w.clocks.Clock(name) < w.clocks.Clock(in.Account)
 }
--- a/internal/agent/system_ask.go
+++ b/internal/agent/system_ask.go
@@ -28,7 +28,7 @@
 // routers that believe this agent full. The interval doubles while nothing
 // waits anywhere, so that an idle fleet is quiet.
 func (w *World) askRouters(now time.Time) {
-	if w.free() == 0 || w.anyOffer() {
+	if w.free() == 0 || w.offers > 0 {
 		w.asking.interval = MinAskInterval
 		w.asking.next = now.Add(MinAskInterval)
 		return
@@ -43,14 +43,6 @@
 	w.asking.interval = min(2*w.asking.interval, MaxAskInterval)
 }
 
-func (w *World) anyOffer() bool {
-	found := false
-	w.accounts.Each(func(_ fleet.Account, row *account) {
-		found = found || len(row.offers) > 0
-	})
-	return found
-}
-
 // routersToAsk are one router that offered lately and the next in turn.
 func (w *World) routersToAsk() []fleet.Address {
 	routers := membership.Live(w.members.Routers())
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -71,6 +71,7 @@
 			return
 		}
 		current = &offer{account: item.Account, router: row}
+		w.offers++
 		row.offers[item.Account] = current
 		holder := w.account(item.Account)
 		holder.offers[row.address] = current
@@ -112,6 +113,7 @@
 
 func (w *World) dropOffer(o *offer) {
 	delete(o.router.offers, o.account)
+	w.offers--
 	row := w.accounts.Get(o.account)
 	if row == nil {
 		return
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -40,6 +40,7 @@
 	grants   *tick.Table[uint64, grant]
 	clocks   *fairshare.Clocks
 
+	offers      int        // offers of all routers
 	queue       []*request // admitted, in the order of admission
 	running     int        // requests at the backend server
 	suspectsRun int        // suspects at the backend server
