--- a/cmd/standin-platform/main.go
+++ b/cmd/standin-platform/main.go
@@ -14,6 +14,7 @@
 	"github.com/jessevdk/go-flags"
 
 	"github.com/bluebellchute/bluebellchute/internal/platform"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
 // shutdownTimeout is the time for which calls in progress are waited for.
@@ -29,6 +30,7 @@
 	History         int           `long:"history" default:"4096" description:"changes kept for watches"`
 	VMLag           time.Duration `long:"vm-lag" default:"2s" description:"time until a change shows in the list of VMs"`
 	NodesMakeVMs    bool          `long:"nodes-make-vms" description:"list the VM of each written node object as live"`
+	SeedSettings    string        `long:"seed-settings" description:"INI file of the settings tree to begin with"`
 }
 
 func main() {
@@ -52,13 +54,17 @@
 	if err != nil {
 		return err
 	}
-	server := platform.NewServer(platform.NewStore(platform.StoreOptions{
+	store := platform.NewStore(platform.StoreOptions{
 		History:         options.History,
 		WritesPerSecond: options.WritesPerSecond,
 		ReadsPerSecond:  options.ReadsPerSecond,
 		VMLag:           options.VMLag,
 		NodesMakeVMs:    options.NodesMakeVMs,
-	}))
+	})
+	if err := seed(ctx, store, options.SeedSettings); err != nil {
+		return err
+	}
+	server := platform.NewServer(store)
 	ended := make(chan error, 1)
 	go func() { ended <- server.Serve(listener) }()
 	fmt.Println("listening on", listener.Addr())
@@ -71,3 +77,16 @@
 	defer cancel()
 	return server.Shutdown(limited)
 }
+
+// seed puts the settings tree of a file into the store; an empty name leaves
+// the store empty.
+func seed(ctx context.Context, store *platform.Store, file string) error {
+	if file == "" {
+		return nil
+	}
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	return settings.Bootstrap(ctx, store, text, "standin-platform").Err
+}
--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -135,6 +135,6 @@
 report_ended() {
   local name
   for name in "${!pids[@]}"; do
-    kill -0 "${pids[$name]}" 2>/dev/null || echo "$name has ended: $(tail -n 2 "$dir/$name.log")" >&2
-  done
+    kill -0 "${pids[$name]}" 2>/dev/null || echo "$name has ended: $(tail -n 1 "$dir/$name.log" | cut -c 1-300)"
+  done | head -n 3 >&2
 }
