--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -38,6 +38,8 @@
 func (fakeFleet) Changed() <-chan struct{}        { return make(chan struct{}) }
 func (fakeFleet) Envelope() *rpc.Envelope         { return &rpc.Envelope{} }
 func (fakeFleet) Heard(*rpc.Envelope)             {}
+func (fakeFleet) CallFailed(fleet.Address)        {}
+func (fakeFleet) PlatformLeaving() bool           { return false }
 func (fakeFleet) SetLeaving(bool)                 {}
 func (fakeFleet) Agent(fleet.Address) rpc.Agent   { return nil }
 func (fakeFleet) Router(fleet.Address) rpc.Router { return nil }
--- a/internal/agent/fleet.go
+++ b/internal/agent/fleet.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/membership"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
@@ -23,6 +24,11 @@
 	Envelope() *rpc.Envelope
 	// Heard takes in the envelope of another node.
 	Heard(envelope *rpc.Envelope)
+	// CallFailed counts a control call to a peer that got no answer.
+	CallFailed(peer fleet.Address)
+	// PlatformLeaving tells whether the platform's list says that this VM is
+	// leaving.
+	PlatformLeaving() bool
 	// SetLeaving tells whether this node takes new work.
 	SetLeaving(leaving bool)
 }
--- a/internal/agent/input.go
+++ b/internal/agent/input.go
@@ -190,7 +190,8 @@
 
 // Members is a new state of the fleet.
 type Members struct {
-	View membership.View
+	View    membership.View
+	Leaving bool // by the platform's list, this agent's VM is
 }
 
 // Verdicts are suspect and convicted requests learned from peers.
--- a/internal/agent/manager.go
+++ b/internal/agent/manager.go
@@ -127,41 +127,6 @@
 	}
 }
 
-// follow brings changes of the settings, the members and the verdicts to the
-// world.
-func (m *Manager) follow(ctx context.Context) error {
-	for {
-		changed := m.options.Fleet.Changed()
-		m.applyFleet()
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-changed:
-		}
-	}
-}
-
-func (m *Manager) applyFleet() {
-	if view := m.options.Fleet.Settings(); view != nil {
-		m.applySettings(view)
-	}
-	m.loop.Send(Members{View: m.options.Fleet.Members()})
-	if verdicts := m.options.Fleet.Verdicts(); len(verdicts) > 0 {
-		m.loop.Send(Verdicts{Verdicts: verdicts})
-	}
-}
-
-func (m *Manager) applySettings(view settings.View) {
-	service := m.options.Config.Backend.Service
-	policy, ok := view.Service(service)
-	if !ok {
-		event.NoSettings.Log(m.options.Logger, logrus.Fields{"service": service, "revision": view.Revision()})
-		return
-	}
-	m.policy.Store(&policy)
-	m.loop.Send(Settings{View: view})
-}
-
 // servicePolicy is the policy in force, for runs.
 func (m *Manager) servicePolicy() settings.ServicePolicy {
 	if policy := m.policy.Load(); policy != nil {
--- a/internal/agent/matrix_test.go
+++ b/internal/agent/matrix_test.go
@@ -448,9 +448,7 @@
 	}},
 	// The platform's list says that the VM leaves.
 	{fleet.StepSend, leaving, func(t *testing.T, h *harness) {
-		members := testMembers()
-		members.Nodes[0].State = fleet.VMLeaving
-		h.step(Members{View: members})
+		h.step(Members{View: testMembers(), Leaving: true})
 		wantRefused(t, h.send(h.dispatch(h.id(), routerA)), isLeaving)
 	}},
 }
--- a/internal/agent/shell_peers.go
+++ b/internal/agent/shell_peers.go
@@ -60,6 +60,7 @@
 		Failed:  err != nil,
 	}
 	if err != nil {
+		p.fleet.CallFailed(command.Router)
 		return answered
 	}
 	p.fleet.Heard(reply.Envelope)
@@ -77,7 +78,9 @@
 			FreeSlots: command.FreeSlots,
 		})
 		answered := FreeAnswered{Router: command.Router, Failed: err != nil}
-		if err == nil {
+		if err != nil {
+			p.fleet.CallFailed(command.Router)
+		} else {
 			p.fleet.Heard(reply.Envelope)
 			answered.Incarnation = reply.Envelope.GetIncarnation()
 			answered.Offers = accountOffers(reply.Offers)
@@ -96,7 +99,9 @@
 			Charges:     command.Charges,
 		})
 		answered := ReportAnswered{Home: command.Home, Sequence: command.Sequence}
-		if err == nil {
+		if err != nil {
+			p.fleet.CallFailed(command.Home)
+		} else {
 			p.fleet.Heard(reply.Envelope)
 			answered.Incarnation = reply.Envelope.GetIncarnation()
 			answered.Reply = reply
--- a/internal/agent/system_ask.go
+++ b/internal/agent/system_ask.go
@@ -8,7 +8,6 @@
 	"github.com/samber/lo"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
-	"github.com/bluebellchute/bluebellchute/internal/membership"
 )
 
 // asking is the state of an idle agent's questions to routers.
@@ -45,7 +44,7 @@
 
 // routersToAsk are one router that offered lately and the next in turn.
 func (w *World) routersToAsk() []fleet.Address {
-	routers := membership.Live(w.members.Routers())
+	routers := w.members.Usable(w.members.Routers())
 	if len(routers) == 0 {
 		return nil
 	}
--- a/internal/agent/system_tally.go
+++ b/internal/agent/system_tally.go
@@ -30,7 +30,7 @@
 
 // applyHomes chooses the homes anew after a change of the fleet.
 func (w *World) applyHomes() {
-	ranked := membership.Rank(homeKeyPrefix+string(w.self.Service), membership.Live(w.members.Agents(w.self.Service)))
+	ranked := membership.Rank(homeKeyPrefix+string(w.self.Service), w.members.Usable(w.members.Agents(w.self.Service)))
 	homes := lo.Subset(ranked, 0, uint(max(1, w.policy.Homes)))
 	for _, old := range w.tally.homes {
 		gone := !slices.ContainsFunc(homes, func(n fleet.Node) bool { return n.Control == old.Control })
--- a/internal/agent/take_news.go
+++ b/internal/agent/take_news.go
@@ -31,11 +31,13 @@
 	}
 }
 
-// takeSettings applies a new revision.
+// takeSettings applies a new revision. A service that is not in the settings,
+// or no longer, has no slots.
 func (w *World) takeSettings(in Settings) {
 	policy, ok := in.View.Service(w.self.Service)
+	w.served = ok
 	if !ok {
-		return
+		return // what runs and what is held goes on by the last policy
 	}
 	w.view = in.View
 	w.policy = policy
@@ -49,11 +51,5 @@
 func (w *World) takeMembers(in Members) {
 	w.members = in.View
 	w.applyHomes()
-	leaving := false
-	for _, node := range in.View.Nodes {
-		if node.Control == w.self.Control {
-			leaving = node.State == fleet.VMLeaving
-		}
-	}
-	w.setLeaving(&w.listLeaving, leaving)
+	w.setLeaving(&w.listLeaving, in.Leaving)
 }
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -30,6 +30,7 @@
 	limits Limits
 
 	policy  settings.ServicePolicy
+	served  bool // the settings in force have the service
 	view    settings.View
 	members membership.View
 
@@ -173,6 +174,9 @@
 // slots is the capacity of the backend server: what the settings say, else
 // what the server reported last.
 func (w *World) slots() int {
+	if !w.served {
+		return 0
+	}
 	if w.policy.Slots > 0 {
 		return w.policy.Slots
 	}
