--- a/cmd/internal/wiring/agent.go
+++ b/cmd/internal/wiring/agent.go
@@ -8,24 +8,27 @@
 	"github.com/bluebellchute/bluebellchute/internal/agent"
 	"github.com/bluebellchute/bluebellchute/internal/control"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 )
 
 // Agent provides the parts of an agent. The injector holds its *agent.Config.
 func Agent(injector do.Injector) {
+	provideKnowledge(injector, fleet.RoleAgent, do.MustInvoke[*agent.Config](injector).Backend.Service)
 	do.Provide(injector, newAgent)
 }
 
 func newAgent(injector do.Injector) (daemon.Service, error) {
+	known := do.MustInvoke[knowledge](injector)
 	manager := agent.NewManager(agent.Options{
 		Config:      do.MustInvoke[*agent.Config](injector),
 		Incarnation: uint64(do.MustInvoke[daemon.Incarnation](injector)),
-		Fleet:       do.MustInvoke[Fleet](injector),
+		Fleet:       known,
 		Clients:     do.MustInvoke[*control.Pool](injector),
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
 	})
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewAgentServer(manager.Control()))
-	return manager, nil
+	return service{role: manager, knowledge: known}, nil
 }
--- a/cmd/internal/wiring/router.go
+++ b/cmd/internal/wiring/router.go
@@ -15,21 +15,23 @@
 // Router provides the parts of a router. The injector holds its
 // *router.Config.
 func Router(injector do.Injector) {
+	provideKnowledge(injector, fleet.RoleRouter, "")
 	do.Provide(injector, newRouter)
 }
 
 func newRouter(injector do.Injector) (daemon.Service, error) {
 	config := do.MustInvoke[*router.Config](injector)
+	known := do.MustInvoke[knowledge](injector)
 	manager := router.NewManager(router.Options{
 		Self:        config.Node.Self(fleet.RoleRouter, ""),
 		Incarnation: uint64(do.MustInvoke[daemon.Incarnation](injector)),
 		Callers:     config.Callers,
-		Fleet:       do.MustInvoke[Fleet](injector),
+		Fleet:       known,
 		Agents:      do.MustInvoke[*control.Pool](injector),
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
 	})
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server()))
-	return manager, nil
+	return service{role: manager, knowledge: known}, nil
 }
