--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -122,6 +122,14 @@
   return 1
 }
 
+# alive NAME: fails when the process is gone, for instance because another
+# process had its port.
+alive() {
+  kill -0 "${pids[$1]}" 2>/dev/null && return
+  echo "$1 has ended: $(tail -n 1 "$dir/$1.log" | cut -c 1-300)" >&2
+  return 1
+}
+
 # find_home prints the name of the agent that took in the most tally bytes.
 find_home() {
   local i=0 address
