Add bluebellctl: settings, accounts, history, rollout, status, drain

Cause: operators need to edit the tree, see who changed what, and follow a change to all nodes, by hand and from scripts.

Ruled out: a daemon behind the command line; bluebellctl talks to the platform and to the nodes itself, so that it works as long as one of them does.

Change: internal/ctl holds the commands, cmd/bluebellctl the main function. Every edit is checked before it is sent; exit statuses tell accepted, refused, conflict and unknown apart (docs/bluebellctl.md). A test keeps the manual's table of keys and the registry the same.

--- /dev/null
+++ b/internal/ctl/drain.go
@@ -0,0 +1,54 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// drain lets the backend server of one agent take no new work.
+type drain struct {
+	base
+	Operator   string `long:"operator" env:"BLUEBELL_OPERATOR" description:"Who gives the order; without it the user's login name."`
+	Reason     string `long:"reason" description:"Why, for the agent's log."`
+	Undo       bool   `long:"undo" description:"Take new work again."`
+	Positional struct {
+		Node string `positional-arg-name:"IP:PORT" required:"true" description:"Control address of the agent."`
+	} `positional-args:"true"`
+}
+
+// drainJSON is a drain for scripts.
+type drainJSON struct {
+	Control fleet.Address `json:"control"`
+	Leaving bool          `json:"leaving"`
+	Running uint32        `json:"running"` // requests in progress, which are finished
+}
+
+func (c *drain) run(s *session) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	nodes, err := s.nodes()
+	if err != nil {
+		return err
+	}
+	address := fleet.Address(c.Positional.Node)
+	reply, err := nodes.Drain(ctx, address, &rpc.DrainRequest{
+		Undo:     c.Undo,
+		Operator: editOptions{Operator: c.Operator}.operator(),
+		Reason:   c.Reason,
+	})
+	if err != nil {
+		return err
+	}
+	result := drainJSON{Control: address, Leaving: !c.Undo, Running: reply.GetRunning()}
+	if s.options.Output == outputJSON {
+		return s.show(result, nil)
+	}
+	state := "takes no new work"
+	if c.Undo {
+		state = "takes new work again"
+	}
+	fmt.Fprintf(s.Stdout, "%s %s; %d requests in progress\n", address, state, result.Running)
+	return nil
+}
--- /dev/null
+++ b/internal/ctl/exit.go
@@ -0,0 +1,49 @@
+package ctl
+
+import (
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+// Exit statuses of bluebellctl. Scripts rely on them.
+const (
+	ExitDone       = 0
+	ExitFailed     = 1 // not done; an edit is not accepted and never will be
+	ExitUsage      = 2 // a bad command line, path, key or value; nothing was sent
+	ExitConflict   = 3 // another edit came first; the edit is not accepted and never will be
+	ExitUnknown    = 4 // the edit may have been accepted or may yet be
+	ExitIncomplete = 5 // not all nodes have the revision in force, or some don't answer
+)
+
+// exitError is an error with the exit status that it leads to.
+type exitError struct {
+	status int
+	cause  error
+}
+
+// Error implements error.
+func (e *exitError) Error() string { return e.cause.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.cause }
+
+func usageErrorf(format string, args ...any) error {
+	return &exitError{status: ExitUsage, cause: errors.Errorf(format, args...)}
+}
+
+// statusOf returns the exit status for an error.
+func statusOf(err error) int {
+	var exit *exitError
+	var invalid *settings.ValidationError
+	switch {
+	case err == nil:
+		return ExitDone
+	case errors.As(err, &exit):
+		return exit.status
+	case errors.As(err, &invalid):
+		return ExitUsage
+	default:
+		return ExitFailed
+	}
+}
--- /dev/null
+++ b/internal/ctl/manual_test.go
@@ -0,0 +1,22 @@
+package ctl
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+// TestManualDescribesAllKeys keeps the manual page and the registry the same.
+func TestManualDescribesAllKeys(t *testing.T) {
+	manual, err := os.ReadFile("../../docs/bluebellctl.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, key := range settings.Keys() {
+		if row := "| " + strings.Join(keyCells(key), " | ") + " |"; !strings.Contains(string(manual), row) {
+			t.Errorf("docs/bluebellctl.md lacks the row\n%s", row)
+		}
+	}
+}
--- /dev/null
+++ b/internal/ctl/status.go
@@ -0,0 +1,51 @@
+package ctl
+
+import (
+	"fmt"
+
+	"github.com/pkg/errors"
+	"github.com/samber/lo"
+)
+
+// status shows the nodes of the fleet.
+type status struct {
+	base
+	nodeOptions
+}
+
+func (c *status) run(s *session) error {
+	ctx, cancel := s.context()
+	defer cancel()
+	nodes, err := s.nodes()
+	if err != nil {
+		return err
+	}
+	reports, err := s.listNodes(ctx, c.Nodes)
+	if err != nil {
+		return err
+	}
+	reports = ask(ctx, nodes, reports)
+	people := &table{columns: []string{"NODE", "VM", "ROLE", "ZONE", "SERVICE", "SLOTS", "RUNNING", "WAITING", "REVISION", "STATE"}}
+	for _, r := range reports {
+		people.add(string(r.Control), orDash(r.VM), orDash(string(r.Role)), orDash(string(r.Zone)), orDash(string(r.Service)),
+			fmt.Sprint(r.Slots), fmt.Sprint(r.Running), fmt.Sprint(r.Waiting), fmt.Sprint(r.Revision), r.state())
+	}
+	if err := s.show(reports, people); err != nil {
+		return err
+	}
+	if silent := lo.CountBy(reports, func(r nodeReport) bool { return r.Error != "" }); silent > 0 {
+		return &exitError{status: ExitIncomplete, cause: errors.Errorf("%d of %d nodes don't answer", silent, len(reports))}
+	}
+	return nil
+}
+
+func (r nodeReport) state() string {
+	switch {
+	case r.Error != "":
+		return r.Error
+	case r.Leaving:
+		return "leaving"
+	default:
+		return "live"
+	}
+}
--- a/internal/settings/editor.go
+++ b/internal/settings/editor.go
@@ -58,13 +58,15 @@
 // Editor submits edits. It is not safe for concurrent use; operators have one
 // each.
 type Editor struct {
+	Now   func() time.Time       // the time that the history records
+	NewID func() (EditID, error) // makes the ids of edits
+
 	reader *Reader
-	now    func() time.Time
 }
 
 // NewEditor returns an editor of the platform's settings.
 func NewEditor(api platform.API, retry Retry) *Editor {
-	return &Editor{reader: NewReader(api, retry), now: time.Now}
+	return &Editor{Now: time.Now, NewID: uuid.NewV7, reader: NewReader(api, retry)}
 }
 
 // Reader returns the editor's reader.
@@ -78,7 +80,7 @@
 // whose outcome is unknown could report the edit as not accepted while the
 // first one's update is still on its way to the platform.
 func (e *Editor) Submit(ctx context.Context, edit Edit) Result {
-	id, err := uuid.NewV7()
+	id, err := e.NewID()
 	if err != nil {
 		return Result{Outcome: OutcomeNotAccepted, Err: errors.WithStack(err)}
 	}
--- a/internal/settings/propose.go
+++ b/internal/settings/propose.go
@@ -30,7 +30,7 @@
 		return nil, err
 	}
 	record := Record{
-		ID: s.id, Revision: base.Head.Revision + 1, Time: s.now().UTC(),
+		ID: s.id, Revision: base.Head.Revision + 1, Time: s.Now().UTC(),
 		Operator: s.edit.Operator, Reason: s.edit.Reason, Changes: changes,
 	}
 	if err := checkSize(record); err != nil {
