--- a/internal/router/system_attempt.go
+++ b/internal/router/system_attempt.go
@@ -62,7 +62,8 @@
 	case rpc.RefusalReason_REFUSAL_REASON_FENCED, rpc.RefusalReason_REFUSAL_REASON_WRONG_SERVICE:
 		e.excluded = append(e.excluded, row.node.Control)
 	case rpc.RefusalReason_REFUSAL_REASON_GRANT_LAPSED:
-		// The slot went to another; the belief about free ones stands.
+		// The slot went to another, and the agent has forgotten what waits here.
+		w.noteForgotten(row, e.queue.account)
 	default:
 		w.hear(row, 0)
 	}
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -213,6 +213,9 @@
 	w.offered[row] = struct{}{}
 }
 
+// noteForgotten notes that an agent knows nothing of an account any more.
+func (w *World) noteForgotten(row *agentRow, account fleet.Account) { w.noteTold(row, account, 0) }
+
 // takeOfferReply learns from the reply whether the agent has free slots. A
 // failed offer is told again: the agent may or may not have got it.
 func (w *World) takeOfferReply(event OfferReplied) {
