Number a router's offers over all agents; count failed control calls

An agent that left the list and came back got a new row whose offers counted from 1 again; the agent drops offers that are not newer, so the router's work would not have been seen there.

--- a/internal/router/shell_control.go
+++ b/internal/router/shell_control.go
@@ -31,6 +31,8 @@
 	Envelope() *rpc.Envelope
 	// Heard takes in the envelope of another node.
 	Heard(envelope *rpc.Envelope)
+	// CallFailed counts a control call to a peer that got no answer.
+	CallFailed(peer fleet.Address)
 	// SetLeaving tells whether this node takes new work.
 	SetLeaving(leaving bool)
 }
@@ -82,7 +84,9 @@
 	command.Message.Envelope = a.fleet.Envelope()
 	reply, err := a.agents.Agent(command.Agent).Offer(ctx, command.Message)
 	replied := OfferReplied{Agent: command.Agent, Sequence: command.Message.Sequence, Failed: err != nil}
-	if err == nil {
+	if err != nil {
+		a.fleet.CallFailed(command.Agent)
+	} else {
 		a.heard(reply.Envelope)
 		replied.FreeSlots = reply.FreeSlots
 		replied.Resend = reply.Resend
@@ -101,6 +105,7 @@
 	})
 	replied := FenceReplied{Attempt: command.Attempt}
 	if err != nil {
+		a.fleet.CallFailed(command.Agent)
 		replied.Unreachable = true
 		replied.Refused = errors.Is(err, syscall.ECONNREFUSED)
 	} else {
@@ -139,6 +144,7 @@
 		return // news for the guard; the world waits for no reply
 	}
 	if err != nil {
+		a.fleet.CallFailed(command.Guard)
 		reply = nil
 	} else {
 		a.heard(reply.Envelope)
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -166,7 +166,10 @@
 	state.declined = nil
 	state.full = false
 	state.dueAt = time.Time{}
-	state.sequence++
+	// One count serves all agents: an agent that leaves the list and comes back
+	// gets a new row, and would drop offers that count from 1 again.
+	w.lastOffer++
+	state.sequence = w.lastOffer
 	state.inFlight = true
 	message.Sequence = state.sequence
 	if len(state.sent) > 0 {
--- a/internal/router/world.go
+++ b/internal/router/world.go
@@ -33,12 +33,13 @@
 	rates    *tick.Table[fleet.Account, rateBucket]
 	verdicts *tick.Table[Fingerprint, VerdictHeard]
 
-	flying  map[*entry]struct{}        // sent, running or unclear
-	asking  map[*entry]struct{}        // claiming
-	offered map[*agentRow]struct{}     // agents with something to be told
-	touched map[*accountQueue]struct{} // queues whose count changed in this tick
-	sweepAt time.Time
-	systems []tick.System[*World]
+	flying    map[*entry]struct{}        // sent, running or unclear
+	asking    map[*entry]struct{}        // claiming
+	offered   map[*agentRow]struct{}     // agents with something to be told
+	touched   map[*accountQueue]struct{} // queues whose count changed in this tick
+	sweepAt   time.Time
+	lastOffer uint64 // sequence number
+	systems   []tick.System[*World]
 
 	near, far []*agentRow // buffers of candidates
 }
