Name accounts by a hash in the tally's messages; stretch the interval of large services

A report names an account by 32 bits of a hash and its reply answers in the same order, with the full name where the settings at hand can't tell the account from another.

A service with more than 60 agents reports less often than is set, so that a home takes at most 60 reports a second.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -52,6 +52,9 @@
 
 func (v fakeView) Revision() uint64 { return 1 }
 
+// Accounts knows none, so that messages name accounts in full.
+func (v fakeView) Accounts() []fleet.Account { return nil }
+
 func (v fakeView) Service(fleet.Service) (settings.ServicePolicy, bool) { return v.policy, true }
 
 func (v fakeView) Account(name fleet.Account) (settings.AccountPolicy, bool) {
--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -61,10 +61,8 @@
 
 // SendReport brings charges to a home.
 type SendReport struct {
-	Home        fleet.Address
-	Sequence    uint64
-	VirtualTime float64
-	Charges     []*rpc.Charge
+	Home   fleet.Address
+	Report *rpc.ReportRequest // without its envelope
 }
 
 // SpreadVerdict makes a verdict known to the fleet.
--- a/internal/agent/input.go
+++ b/internal/agent/input.go
@@ -134,17 +134,14 @@
 	Ticket      Ticket
 	Agent       fleet.Address
 	Incarnation uint64
-	Service     fleet.Service
-	Sequence    uint64
-	VirtualTime float64
-	Charges     []*rpc.Charge
+	Report      *rpc.ReportRequest
 }
 
 // ReportAnswered is a home's reply, or its absence.
 type ReportAnswered struct {
 	Home        fleet.Address
-	Sequence    uint64
 	Incarnation uint64
+	Report      *rpc.ReportRequest
 	Reply       *rpc.ReportReply // nil when the report failed
 }
 
--- a/internal/agent/shell_control.go
+++ b/internal/agent/shell_control.go
@@ -132,10 +132,7 @@
 			Ticket:      ticket,
 			Agent:       fleet.Address(in.Envelope.Sender),
 			Incarnation: in.Envelope.Incarnation,
-			Service:     fleet.Service(in.Service),
-			Sequence:    in.Sequence,
-			VirtualTime: in.VirtualTime,
-			Charges:     in.Charges,
+			Report:      in,
 		}
 	})
 	if err != nil {
--- a/internal/agent/shell_peers.go
+++ b/internal/agent/shell_peers.go
@@ -91,14 +91,9 @@
 
 func (p *peerCaller) sendReport(command SendReport) {
 	p.group.Go(func() {
-		reply, err := p.clients.Agent(command.Home).Report(p.ctx, &rpc.ReportRequest{
-			Envelope:    p.fleet.Envelope(),
-			Service:     string(p.service),
-			Sequence:    command.Sequence,
-			VirtualTime: command.VirtualTime,
-			Charges:     command.Charges,
-		})
-		answered := ReportAnswered{Home: command.Home, Sequence: command.Sequence}
+		command.Report.Envelope = p.fleet.Envelope()
+		reply, err := p.clients.Agent(command.Home).Report(p.ctx, command.Report)
+		answered := ReportAnswered{Home: command.Home, Report: command.Report}
 		if err != nil {
 			p.fleet.CallFailed(command.Home)
 		} else {
--- a/internal/agent/system_tally.go
+++ b/internal/agent/system_tally.go
@@ -57,11 +57,11 @@
 // a report interval. A report that is lost is made good by the next. Intervals
 // differ a little, so that the agents' reports do not come all at once.
 func (w *World) reportCharges(now time.Time) {
-	if w.policy.ReportInterval <= 0 || now.Before(w.tally.next) {
+	if w.shares.ReportInterval <= 0 || now.Before(w.tally.next) {
 		return
 	}
 	w.tally.round++
-	w.tally.next = now.Add(w.policy.ReportInterval + w.jitter())
+	w.tally.next = now.Add(w.shares.ReportInterval + w.jitter())
 	w.chargeElapsed(now)
 	w.clocks.Advance(now)
 	if w.policy.Share != settings.ShareFleet || len(w.tally.homes) == 0 {
@@ -79,12 +79,9 @@
 			w.reportToSelf(now, report)
 			continue
 		}
-		w.emit(SendReport{
-			Home:        home.Control,
-			Sequence:    report.Sequence,
-			VirtualTime: float64(report.VirtualTime),
-			Charges:     chargeMessages(report.Charges),
-		})
+		message := w.names.EncodeReport(report)
+		message.Service = string(w.self.Service)
+		w.emit(SendReport{Home: home.Control, Report: message})
 	}
 }
 
@@ -92,7 +89,7 @@
 // and from agent to agent, without a source of random numbers.
 func (w *World) jitter() time.Duration {
 	step := (w.self.Incarnation + w.tally.round*7) % jitterParts
-	return w.policy.ReportInterval / jitterParts * time.Duration(step) / jitterParts
+	return w.shares.ReportInterval / jitterParts * time.Duration(step) / jitterParts
 }
 
 // reportToSelf serves the agent's own report when it is a home itself.
@@ -105,18 +102,14 @@
 
 // takeReported adds the report of another agent and answers with the totals.
 func (w *World) takeReported(now time.Time, in Reported) {
-	if in.Service != w.self.Service {
+	if fleet.Service(in.Report.Service) != w.self.Service {
 		w.reply(in.Ticket, Totals{Reply: &rpc.ReportReply{}})
 		return
 	}
-	reply := w.home.Take(now, fairshare.Report{
-		Agent:       in.Agent,
-		Incarnation: in.Incarnation,
-		Sequence:    in.Sequence,
-		VirtualTime: fairshare.Units(in.VirtualTime),
-		Charges:     chargesOf(in.Charges),
-	})
-	w.reply(in.Ticket, Totals{Reply: totalsMessage(reply)})
+	report := w.names.DecodeReport(in.Report)
+	report.Agent = in.Agent
+	report.Incarnation = in.Incarnation
+	w.reply(in.Ticket, Totals{Reply: w.names.EncodeReply(in.Report, w.home.Take(now, report))})
 }
 
 // takeReportAnswered takes the totals of a home.
@@ -124,49 +117,16 @@
 	if in.Reply == nil {
 		return
 	}
-	reply := fairshare.Reply{VirtualTime: fairshare.Units(in.Reply.VirtualTime)}
-	for _, total := range in.Reply.Totals {
-		reply.Totals = append(reply.Totals, fairshare.Total{
-			Account: fleet.Account(total.Account),
-			Clock:   fairshare.Units(total.Total),
-			Agents:  int(total.Agents),
-		})
-	}
-	w.clocks.Learn(fairshare.HomeID{Address: in.Home, Incarnation: in.Incarnation}, in.Sequence, reply)
+	home := fairshare.HomeID{Address: in.Home, Incarnation: in.Incarnation}
+	w.clocks.Learn(home, in.Report.Sequence, w.names.DecodeReply(in.Report, in.Reply))
 }
 
-func totalsMessage(reply fairshare.Reply) *rpc.ReportReply {
-	message := &rpc.ReportReply{VirtualTime: float64(reply.VirtualTime)}
-	for _, total := range reply.Totals {
-		message.Totals = append(message.Totals, &rpc.AccountTotal{
-			Account: string(total.Account),
-			Total:   uint64(max(0, total.Clock)),
-			Agents:  uint32(total.Agents),
-		})
-	}
-	return message
-}
-
-func chargeMessages(charges []fairshare.Charge) []*rpc.Charge {
-	return lo.Map(charges, func(charge fairshare.Charge, _ int) *rpc.Charge {
-		return &rpc.Charge{
-			Account:  string(charge.Account),
-			Total:    uint64(charge.Total),
-			InFlight: uint64(max(0, charge.InFlight)),
-			Offered:  lo.Ternary[uint32](charge.Waiting, 1, 0),
-			Known:    uint64(max(0, charge.Known)),
-		}
-	})
-}
-
-func chargesOf(messages []*rpc.Charge) []fairshare.Charge {
-	return lo.Map(messages, func(message *rpc.Charge, _ int) fairshare.Charge {
-		return fairshare.Charge{
-			Account:  fleet.Account(message.Account),
-			Total:    fairshare.Units(message.Total),
-			InFlight: fairshare.Units(message.InFlight),
-			Waiting:  message.Offered > 0,
-			Known:    fairshare.Units(message.Known),
-		}
-	})
+// applyShares brings the tally in line with the settings and the number of
+// agents, which may make its reports rarer.
+func (w *World) applyShares() {
+	agents := len(membership.Live(w.members.Agents(w.self.Service)))
+	w.shares = fairshare.ConfigOf(w.policy).ForAgents(agents)
+	w.clocks.ApplyConfig(w.shares)
+	w.home.ApplyConfig(w.shares)
+	w.applyHomes()
 }
--- a/internal/agent/take_news.go
+++ b/internal/agent/take_news.go
@@ -41,15 +41,14 @@
 	}
 	w.view = in.View
 	w.policy = policy
-	w.clocks.ApplyConfig(fairshare.ConfigOf(policy))
-	w.home.ApplyConfig(fairshare.ConfigOf(policy))
+	w.names = fairshare.NewNames(in.View.Accounts())
 	w.accounts.Each(func(name fleet.Account, _ *account) { w.weigh(name) })
-	w.applyHomes()
+	w.applyShares()
 }
 
 // takeMembers applies a new state of the fleet.
 func (w *World) takeMembers(in Members) {
 	w.members = in.View
-	w.applyHomes()
+	w.applyShares()
 	w.setLeaving(&w.listLeaving, in.Leaving)
 }
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -63,6 +63,8 @@
 	guard       *guard
 	home        *fairshare.Home
 	tally       tally
+	shares      fairshare.Config // of the policy, for the number of agents
+	names       *fairshare.Names
 	nextSweep   time.Time
 	pendingSeal []Seal
 	lastFree    SetFreeSlots
@@ -88,9 +90,10 @@
 		guard:     newGuard(limits.MaxKeys, now),
 		lastFree:  SetFreeSlots{FreeSlots: math.MaxUint32},
 	}
-	w.clocks = fairshare.NewClocks(fairshare.ConfigOf(w.policy))
+	w.names = fairshare.NewNames(nil)
+	w.clocks = fairshare.NewClocks(w.shares)
 	w.clocks.SetSeed(self.Incarnation ^ xxhash.Sum64String(string(self.Control)))
-	w.home = fairshare.NewHome(fairshare.ConfigOf(w.policy), w.weight)
+	w.home = fairshare.NewHome(w.shares, w.weight)
 	w.systems = []tick.System[*World]{
 		{Name: "expire", Run: (*World).expire},
 		{Name: "admit", Run: (*World).startQueued},
--- a/internal/fairshare/types.go
+++ b/internal/fairshare/types.go
@@ -27,6 +27,21 @@
 	}
 }
 
+// maxReportRate is the number of reports that a home takes in a second. At some
+// 200 bytes for a report with its reply, it keeps the tally of one service
+// within 12 KB/s at a home, however many agents the service has.
+const maxReportRate = 60
+
+// ForAgents returns the settings of a service with a number of agents. The
+// report interval of a service with many agents is longer than is set.
+func (c Config) ForAgents(agents int) Config {
+	least := time.Duration(agents) * time.Second / maxReportRate
+	if c.ReportInterval > 0 {
+		c.ReportInterval = max(c.ReportInterval, least)
+	}
+	return c
+}
+
 // Charge is what one agent reports of one account. Total and InFlight replace
 // what the agent reported before, so that a report lost or doubled does no harm.
 type Charge struct {
