Send the number of the attempt with each dispatch

Cause: agents take a second dispatch of an id without a number for a copy of the refused one and ask for a grant, which costs a round trip whenever a router's request was refused before.

Change: the router fills in RunRequest.attempt.

Conclusion: a copy and a new dispatch are told apart.

--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -58,6 +58,7 @@
 		Grant:             command.Grant,
 		Suspect:           command.Suspect,
 		Waiting:           command.Waiting,
+		Attempt:           command.Attempt.Number,
 		Router:            string(d.self.Control),
 		RouterIncarnation: d.incarnation,
 	}
