Compare the time of API key lookups for present and absent keys

Cause: the time of a lookup must not tell how much of a hash matches.

Change: the benchmark looks for a present hash, one that differs in the last byte and one that differs in the first.

--- a/internal/settings/bench_test.go
+++ b/internal/settings/bench_test.go
@@ -72,14 +72,22 @@
 	}
 }
 
+// benchmarkFind looks for a key that exists, for one that differs in the last
+// byte only, and for one that differs in the first: the times are to be equal.
 func benchmarkFind(b *testing.B, tree *Tree) {
 	view := NewView(tree)
-	hash := KeyHash(sha256.Sum256([]byte("org-0/team-0/account-0")))
-	for b.Loop() {
-		account, ok := view.AccountByKey(hash)
-		if _, found := view.Account(account); !ok || !found {
-			b.Fatal("not found")
-		}
+	present := KeyHash(sha256.Sum256([]byte("org-0/team-0/account-0")))
+	lastByte, firstByte := present, present
+	lastByte[len(lastByte)-1]++
+	firstByte[0]++
+	for name, hash := range map[string]KeyHash{"present": present, "last-byte": lastByte, "first-byte": firstByte} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				if _, ok := view.AccountByKey(hash); ok != (hash == present) {
+					b.Fatal("found", ok)
+				}
+			}
+		})
 	}
 }
 
