Bound the number of chunks and of API keys

Cause: chunks of the tree double in number while one is too large. A single large node, such as an account with thousands of API keys, would have made them double for ever and taken all memory of bluebellctl; the growth itself had no test.

Change: chunks split up to a number, and are refused above the platform's limit. A client account has at most 16 API keys.

Ruled out: chunks by ranges of paths, whose borders move.

--- a/internal/settings/chunk.go
+++ b/internal/settings/chunk.go
@@ -7,15 +7,14 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
-)
 
-// Limits of chunk objects, which hold the nodes of the tree. An edit rewrites
-// the chunks that it touches, so they are far below the platform's limit.
-const (
-	firstChunkCount = 16
-	maxChunkBytes   = 128 << 10 // after compression; more chunks are made above it
+	"github.com/bluebellchute/bluebellchute/internal/platform"
 )
 
+// firstChunkCount is the number of chunks of a small tree. An edit rewrites the
+// chunks that it touches, so they are kept far below the platform's limit.
+const firstChunkCount = 16
+
 // ChunkRef refers to a chunk object.
 type ChunkRef struct {
 	Key    string `json:"key,omitempty"` // empty for a chunk without nodes
@@ -56,18 +55,27 @@
 }
 
 // buildChunks returns the references of a tree's chunks and the objects that
-// have to be written for it: only the chunks that differ from the base.
-func buildChunks(base Snapshot, tree *Tree, revision uint64, id EditID) ([]ChunkRef, []object, error) {
+// have to be written for it: only the chunks that differ from the base. Their
+// number doubles when one grows large; it never falls. It is bounded, since a
+// single large node would make it double for ever.
+func (l limits) buildChunks(base Snapshot, tree *Tree, revision uint64, id EditID) ([]ChunkRef, []object, error) {
 	count := max(len(base.Head.Chunks), firstChunkCount)
 	for {
 		refs, objects, err := splitChunks(base, tree, count, revision, id)
 		if err != nil {
 			return nil, nil, err
 		}
-		if largest(objects) <= maxChunkBytes {
+		size := largest(objects)
+		switch {
+		case size <= l.maxChunkBytes:
+			return refs, objects, nil
+		case 2*count <= l.maxChunks:
+			count *= 2
+		case size <= platform.MaxObjectBytes:
 			return refs, objects, nil
+		default:
+			return nil, nil, errors.Errorf("a chunk of the tree has %d bytes, more than %d", size, platform.MaxObjectBytes)
 		}
-		count *= 2
 	}
 }
 
--- a/internal/settings/head.go
+++ b/internal/settings/head.go
@@ -16,7 +16,7 @@
 // maxEditBytes is the largest size of one edit, after compression.
 const maxEditBytes = 256 << 10
 
-// limits bound the head object and the chunks that nobody refers to. The head is
+// limits bound the head object and the chunk objects. The head is
 // read by every watching node after every edit, so it stays small; what leaves
 // it goes to audit objects first.
 type limits struct {
@@ -25,6 +25,8 @@
 	maxRecentBytes int    // of the edits, each compressed alone; the newest one is not counted
 	collectEvery   uint64 // revisions between two searches for unreferenced chunks
 	keepChunks     uint64 // revisions for which replaced chunks stay for readers of an older head
+	maxChunkBytes  int    // after compression; there are more chunks when one is larger
+	maxChunks      int    // number up to which chunks are split
 }
 
 var defaultLimits = limits{
@@ -33,6 +35,8 @@
 	maxRecentBytes: 128 << 10,
 	collectEvery:   32,
 	keepChunks:     8,
+	maxChunkBytes:  128 << 10,
+	maxChunks:      1024,
 }
 
 // Head is the object whose conditional update accepts an edit. Everything else
--- a/internal/settings/key.go
+++ b/internal/settings/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -75,7 +76,7 @@
 	case TypeBoolean:
 		return "true or false"
 	case TypeHashes:
-		return "SHA-256 hashes of 64 hexadecimal digits, separated by commas"
+		return "SHA-256 hashes of 64 hexadecimal digits, separated by commas, at most " + strconv.Itoa(maxKeyHashes)
 	case TypeDuration:
 		return "a duration from " + formatSeconds(k.Min) + " to " + formatSeconds(k.Max)
 	default:
--- a/internal/settings/operators_test.go
+++ b/internal/settings/operators_test.go
@@ -203,3 +203,42 @@
 		}
 	}
 }
+
+// TestChunksSplitAndStop
+//
+// Symptom: an edit never ends and takes all memory, or an object is larger than
+// the platform holds. Sequence of events: the tree grows, or one node does.
+// Cause: chunks that do not split, or that split for ever.
+func TestChunksSplitAndStop(t *testing.T) {
+	shared := newSharedPlatform()
+	editor := newTestEditor(shared.store)
+	var changes []Change
+	for number := range 100 {
+		changes = append(changes, Change{Op: OpCreate, Path: Path(fmt.Sprintf("acme/labs/n%d", number)), Settings: []Setting{{"weight", fmt.Sprint(number + 1)}}})
+	}
+	if result := editor.Submit(t.Context(), Edit{Changes: changes}); result.Outcome != OutcomeAccepted {
+		t.Fatalf("%+v", result)
+	}
+	snapshot, err := editor.Reader().Read(t.Context(), 0)
+	if err != nil || len(snapshot.Head.Chunks) != smallLimits.maxChunks || len(snapshot.Tree.Paths()) != 104 {
+		t.Fatalf("%d chunks, %d nodes: %v", len(snapshot.Head.Chunks), len(snapshot.Tree.Paths()), err)
+	}
+	one := Change{Op: OpSet, Path: "acme/labs/n7", Key: "weight", After: "200"}
+	refs := snapshot.Head.Chunks
+	if result := editor.Submit(t.Context(), Edit{Changes: []Change{one}}); result.Outcome != OutcomeAccepted {
+		t.Fatalf("%+v", result)
+	}
+	head, _, err := editor.Reader().ReadHead(t.Context(), 0)
+	if err != nil || len(head.Chunks) != len(refs) {
+		t.Fatalf("%d chunks: %v", len(head.Chunks), err)
+	}
+	changed := 0
+	for place, ref := range head.Chunks {
+		if ref != refs[place] {
+			changed++
+		}
+	}
+	if changed != 1 {
+		t.Fatalf("an edit of one value rewrote %d chunks", changed)
+	}
+}
--- a/internal/settings/platform_test.go
+++ b/internal/settings/platform_test.go
@@ -133,9 +133,13 @@
 	}
 }
 
-// smallLimits make every few edits move to audit objects and every few
-// revisions search for unreferenced chunks.
-var smallLimits = limits{maxRecent: 3, keepRecent: 1, maxRecentBytes: 1 << 20, collectEvery: 2, keepChunks: 1}
+// smallLimits make every few edits move to audit objects, every few revisions
+// search for unreferenced chunks, and chunks split as soon as they have two or
+// three nodes.
+var smallLimits = limits{
+	maxRecent: 3, keepRecent: 1, maxRecentBytes: 1 << 20, collectEvery: 2, keepChunks: 1,
+	maxChunkBytes: 100, maxChunks: 64,
+}
 
 func newTestEditor(api platform.API) *Editor {
 	editor := NewEditor(api, quickRetry())
--- a/internal/settings/propose.go
+++ b/internal/settings/propose.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return nil, err
 	}
-	refs, objects, err := buildChunks(base, tree, record.Revision, record.ID)
+	refs, objects, err := s.reader.limits.buildChunks(base, tree, record.Revision, record.ID)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/settings/value.go
+++ b/internal/settings/value.go
@@ -134,6 +134,10 @@
 	return count * factor, nil
 }
 
+// maxKeyHashes bounds the API keys of one client account. Each one costs every
+// node memory.
+const maxKeyHashes = 16
+
 // ParseKeyHashes reads a list of API key hashes.
 func ParseKeyHashes(text string) ([]KeyHash, error) {
 	var hashes []KeyHash
@@ -144,6 +148,9 @@
 		}
 		hashes = append(hashes, KeyHash(raw))
 	}
+	if len(hashes) > maxKeyHashes {
+		return nil, errNotAllowed
+	}
 	return hashes, nil
 }
 
