--- a/internal/ctl/output.go
+++ b/internal/ctl/output.go
@@ -30,14 +30,13 @@
 	return errors.WithStack(writer.Flush())
 }
 
-// show writes a result as JSON or as a table, as the operator wants it.
+// show writes a result as one line of JSON or as a table, as the operator wants
+// it.
 func (s *session) show(value any, people *table) error {
 	if s.options.Output != outputJSON {
 		return people.write(s.Stdout)
 	}
-	encoder := json.NewEncoder(s.Stdout)
-	encoder.SetIndent("", "  ")
-	return errors.WithStack(encoder.Encode(value))
+	return errors.WithStack(json.NewEncoder(s.Stdout).Encode(value))
 }
 
 // orDash stands for an empty cell.
