Number an account's agents, carry what is left over, and forgive in order

Cause 1: drawn offsets bunch, so the number of requests begun for an account scatters by its root from interval to interval. The home now numbers the agents of each account, and their offsets are equal steps over one and a half requests, in another order for each account. Half of what an agent is ahead with an account in its own part is carried into the next interval. Cause 3: a home answered with the virtual time that the agents had reported, so that one that had turned out too high never fell.

TestHomeAnswersWithIts OwnVirtualTime failed with "virtual time 9000, the only clock is 100" when the home answered with what was reported.

--- a/internal/fairshare/clocks.go
+++ b/internal/fairshare/clocks.go
@@ -22,6 +22,8 @@
 	heard    Units   // clock that the home answered
 	ownAt    Units   // own() in the report that heard answers
 	agents   float64 // n(a)
+	place    int     // number of this agent among them
+	carried  Units   // part of the lead in the last report, per weight
 	known    bool    // heard comes from a home
 	quietAt  int64   // interval in which the last offers went
 	reported reportState
@@ -58,8 +60,9 @@
 	}
 }
 
-// SetSeed sets the number from which the dither is derived. It must differ
-// from agent to agent; otherwise all of them make the same choices at once.
+// SetSeed sets the number from which an agent's first offsets are derived. It
+// must differ from agent to agent; otherwise all that start at the same time
+// make the same choices.
 func (c *Clocks) SetSeed(seed uint64) { c.seed = seed }
 
 // ApplyConfig takes a changed policy into use.
@@ -130,7 +133,7 @@
 	return a
 }
 
-// clock is the formula in the package's comment without the dither.
+// clock is the formula in the package's comment without the offsets.
 func (c *Clocks) clock(a *account) Units {
 	since := (a.own() - a.ownAt) / Units(a.weight)
 	if c.config.Share != settings.ShareFleet {
--- a/internal/fairshare/clocks_test.go
+++ b/internal/fairshare/clocks_test.go
@@ -58,3 +58,19 @@
 		}
 	}
 }
+
+// Symptom: every account is lifted again and again, and nothing tells them
+// apart. Sequence: estimates were far too high, so that the virtual time rose
+// and fell again when the costs were settled; an agent still reports the old
+// one. Cause: a home that answers with what the agents told it.
+func TestHomeAnswersWithItsOwnVirtualTime(t *testing.T) {
+	home := NewHome(Config{Share: settings.ShareFleet, ReportInterval: time.Second}, func(fleet.Account) float64 { return 1 })
+	charge := Charge{Account: "a", Total: 100, Waiting: true}
+	for sequence := range uint64(3) {
+		report := Report{Agent: "agent", Incarnation: 1, Sequence: sequence + 1, VirtualTime: Units(9000 * sequence), Charges: []Charge{charge}}
+		reply := home.Take(modelStart, report)
+		if reply.VirtualTime > reply.Totals[0].Clock {
+			t.Fatalf("virtual time %v, the only clock is %v", reply.VirtualTime, reply.Totals[0].Clock)
+		}
+	}
+}
--- a/internal/fairshare/estimator.go
+++ b/internal/fairshare/estimator.go
@@ -18,8 +18,9 @@
 	// overrunFactor is how much more than its charge a request that has
 	// outlived its estimate is expected to cost.
 	overrunFactor = 1.25
-	// firstEstimate is used when nothing at all is known.
-	firstEstimate Units = 100
+	// firstEstimate is used when nothing at all is known. It halves, in the
+	// logarithm, the error of a hint that no history can correct yet.
+	firstEstimate = 100
 )
 
 // history is what is remembered of the costs of one account.
@@ -65,7 +66,7 @@
 	stated := float64(hint.Prompt + hint.Output)
 	if past.count == 0 {
 		if stated > 0 {
-			return Units(stated)
+			return Units(math.Sqrt(stated * firstEstimate))
 		}
 		return firstEstimate
 	}
--- a/internal/fairshare/home.go
+++ b/internal/fairshare/home.go
@@ -26,8 +26,8 @@
 	clocks   Units // sum of the waiting accounts' clocks times their weights
 	weights  Units // sum of the waiting accounts' weights
 	waiting  int   // accounts in these sums
-	reported Units // virtual time that an agent reported last
-	virtual  Units
+	mean     Units // mean clock of the waiting accounts
+	reported Units // mean over all homes, as an agent knows it
 }
 
 // NewHome returns a home without reports. weight gives an account's share.
@@ -51,17 +51,12 @@
 		h.sweep(now)
 	}
 	sender := h.hear(now, source{report.Agent, report.Incarnation})
-	if report.VirtualTime > 0 {
-		h.reported = report.VirtualTime
-	}
+	h.reported = report.VirtualTime
 	for _, charge := range report.Charges {
 		h.merge(now, sender, report.Sequence, charge)
 	}
 	h.advance()
-	for _, charge := range report.Charges {
-		h.hold(h.rows[charge.Account])
-	}
-	return h.reply(report)
+	return h.reply(sender, report)
 }
 
 // merge takes one account's charge into its row.
@@ -72,7 +67,7 @@
 	idle := r.holders == 0
 	r.take(sender, sequence, charge)
 	if idle && r.holders > 0 {
-		r.shift += max(0, h.virtual-r.clock())
+		r.shift += max(0, h.virtual()-r.clock())
 	}
 	h.join(r)
 }
@@ -104,48 +99,30 @@
 	}
 }
 
-// advance moves the virtual time: the mean clock of the waiting accounts by
-// their weights. It takes the agents' word where that is ahead, because they
-// hear the other homes of the service too.
+// advance moves the mean clock of the waiting accounts by their weights.
 func (h *Home) advance() {
 	if h.weights > 0 {
-		h.virtual = h.clocks / h.weights
+		h.mean = h.clocks / h.weights
 	}
-	h.virtual = max(h.virtual, h.reported)
 }
 
-// hold moves a waiting account's clock into the window around the virtual
-// time. What the account has got too much or too little beyond it is forgiven.
-// Without it an account whose total has jumped, as after a partition, would be
-// shut out until the others had caught up with the whole jump.
-func (h *Home) hold(r *row) {
-	if h.config.Window <= 0 || !r.counts() {
-		return
-	}
-	h.leave(r)
-	window := h.window()
-	clock := r.clock()
-	r.shift += min(max(clock, h.virtual-window), h.virtual+window) - clock
-	h.join(r)
-}
+// virtual is the service's virtual time. A home whose accounts all lag takes
+// the agents' word, because they hear the other homes too. It must not answer
+// with it: agents and homes would hold each other to a time that has turned
+// out too high, and every account would be lifted to it again and again.
+func (h *Home) virtual() Units { return max(h.mean, h.reported) }
 
-// window is the repayment window as a difference of clocks. It is set for an
-// account of the mean weight, so that it doesn't depend on the weights' scale.
-func (h *Home) window() Units {
-	if h.waiting == 0 {
-		return h.config.Window
+func (h *Home) reply(sender *reporter, report Report) Reply {
+	reply := Reply{Totals: make([]Total, 0, len(report.Charges))}
+	if h.waiting > 0 {
+		reply.VirtualTime = h.mean
 	}
-	return h.config.Window * Units(h.waiting) / h.weights
-}
-
-func (h *Home) reply(report Report) Reply {
-	reply := Reply{VirtualTime: h.virtual, Totals: make([]Total, 0, len(report.Charges))}
 	for _, charge := range report.Charges {
 		r := h.rows[charge.Account]
 		if r.refilling {
 			continue
 		}
-		reply.Totals = append(reply.Totals, Total{Account: charge.Account, Clock: r.clock(), Agents: r.agents})
+		reply.Totals = append(reply.Totals, r.total(charge.Account, sender))
 	}
 	return reply
 }
--- a/internal/fairshare/pace.go
+++ b/internal/fairshare/pace.go
@@ -49,12 +49,12 @@
 	return elapsed
 }
 
-// unitsIn is the service that a slot gives within a duration, or infinity
-// while the pace is unknown.
+// known tells whether any service has been measured.
+func (p *pace) known() bool { return p.units > 0 && p.slots > 0 }
+
+// unitsIn is the service that a slot gives within a duration. The pace must be
+// known.
 func (p *pace) unitsIn(span time.Duration) Units {
-	if p.units <= 0 || p.slots <= 0 {
-		return Units(math.Inf(1))
-	}
 	return Units(p.units / p.slots * span.Seconds())
 }
 
@@ -73,7 +73,11 @@
 	}
 }
 
-// horizon is the service of one slot that the clocks look ahead.
+// horizon is the service of one slot that the clocks look ahead. While the
+// pace is unknown, whole estimates count.
 func (c *Clocks) horizon() Units {
+	if !c.pace.known() {
+		return Units(math.Inf(1))
+	}
 	return c.pace.unitsIn(time.Duration(horizonIntervals * float64(c.config.ReportInterval)))
 }
--- a/internal/fairshare/reporter.go
+++ b/internal/fairshare/reporter.go
@@ -95,10 +95,19 @@
 func (h *Home) sweep(now time.Time) {
 	h.nextSweep = now.Add(h.config.ReportInterval)
 	h.reassess(now)
-	h.clocks, h.weights, h.waiting = 0, 0, 0
 	for name, r := range h.rows {
 		r.reweigh(Units(h.weight(name)))
 		r.endRefill(now)
+	}
+	h.recount()
+	h.hold()
+	h.recount()
+}
+
+// recount forms the sums over the rows anew.
+func (h *Home) recount() {
+	h.clocks, h.weights, h.waiting = 0, 0, 0
+	for _, r := range h.rows {
 		h.join(r)
 	}
 	h.advance()
--- a/internal/fairshare/reports.go
+++ b/internal/fairshare/reports.go
@@ -27,6 +27,7 @@
 	account *account
 	charge  Charge
 	own     Units
+	lead    Units
 }
 
 // sentReport is a report whose reply is outstanding.
@@ -58,13 +59,14 @@
 	c.reports.sequence++
 	sent := sentReport{sequence: c.reports.sequence, home: home}
 	report := Report{Sequence: sent.sequence, VirtualTime: c.virtual}
+	mean := c.meanPart()
 	for _, a := range c.accounts {
 		if !belongs(a.name) || !c.changed(a, home) {
 			continue
 		}
 		charge := c.charge(a, home)
 		report.Charges = append(report.Charges, charge)
-		sent.charges = append(sent.charges, sentCharge{account: a, charge: charge, own: a.own()})
+		sent.charges = append(sent.charges, sentCharge{account: a, charge: charge, own: a.own(), lead: c.lead(a, mean)})
 	}
 	slices.SortFunc(report.Charges, func(a, b Charge) int { return cmp.Compare(a.Account, b.Account) })
 	c.reports.remember(sent)
@@ -140,17 +142,22 @@
 	a.reported = reportState{home: home, acknowledged: true, sequence: sequence, charge: entry.charge}
 	a.heard = total.Clock
 	a.ownAt = entry.own
+	a.carried = carriedPart * entry.lead
 	a.agents = float64(max(1, total.Agents))
+	a.place = total.Place
 	a.known = true
 	c.usual += (a.agents - c.usual) / usualAccounts
 }
 
 // learnVirtual keeps the mean of the homes' virtual times.
 func (c *Clocks) learnVirtual(home fleet.Address, reply Reply) {
-	if reply.VirtualTime <= 0 {
+	delete(c.reports.virtual, home)
+	if reply.VirtualTime > 0 {
+		c.reports.virtual[home] = reply.VirtualTime
+	}
+	if len(c.reports.virtual) == 0 {
 		return
 	}
-	c.reports.virtual[home] = reply.VirtualTime
 	var sum Units
 	for _, virtual := range c.reports.virtual {
 		sum += virtual
--- a/internal/fairshare/run.go
+++ b/internal/fairshare/run.go
@@ -97,7 +97,7 @@
 // cost up to now. Without it a long call would count as little as a short one
 // while it runs, and all at once when it ends.
 func (c *Clocks) silent(r *run) Units {
-	if r.charged > 0 || r.seconds == 0 {
+	if r.charged > 0 || !c.pace.known() {
 		return 0
 	}
 	return c.pace.unitsIn(time.Duration(r.seconds * float64(time.Second)))
--- /dev/null
+++ b/internal/fairshare/spread.go
@@ -0,0 +1,116 @@
+package fairshare
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+)
+
+const (
+	// offsetRequests is the range of the agents' offsets in usual charges of
+	// a request at its beginning.
+	offsetRequests = 1.5
+	// carriedPart is how much of an agent's lead or lag is carried over to the
+	// next report interval.
+	carriedPart = 0.5
+)
+
+// choice is the clock by which an account is chosen. Between two reports all
+// agents see the same account behind the others. If each of them began a
+// request of that account next, it would get n(a) requests where it lacks one,
+// and then none for a while: the gap would swing with the report interval. So
+// each agent adds an offset of its own, up to about one request. The lower an
+// account's clock, the more agents begin one of its requests, and the number
+// is in proportion to the lack.
+func (c *Clocks) choice(a *account) Units {
+	clock := c.clock(a)
+	if c.config.Share != settings.ShareFleet {
+		return clock
+	}
+	offset := offsetRequests * c.offset(a) * c.pace.begins / Units(a.weight)
+	return clock + Units(a.agents)*(offset+a.carried)
+}
+
+// offset is a number from 0 to 1. For an account with n(a) agents the home has
+// numbered them, and their offsets are n(a) equal steps: drawn at random they
+// would bunch, and the number of requests begun would scatter by its root. The
+// order of the agents differs from account to account.
+func (c *Clocks) offset(a *account) Units {
+	if !a.known {
+		return c.firstOffset(a)
+	}
+	count := uint64(max(1, a.agents))
+	hash := xxhash.Sum64String(string(a.name))
+	step := 1 + hash%count
+	for commonDivisor(step, count) != 1 {
+		step++
+	}
+	at := (uint64(a.place)*step + hash>>32) % count
+	return (Units(at) + 0.5) / Units(count)
+}
+
+// firstOffset is used before a home has answered for the account.
+func (c *Clocks) firstOffset(a *account) Units {
+	var key [16]byte
+	binary.LittleEndian.PutUint64(key[:], c.seed)
+	binary.LittleEndian.PutUint64(key[8:], xxhash.Sum64String(string(a.name)))
+	return Units(xxhash.Sum64(key[:])>>11) / (1 << 53)
+}
+
+func commonDivisor(a, b uint64) uint64 {
+	for b != 0 {
+		a, b = b, a%b
+	}
+	return a
+}
+
+// lead is how far an account is ahead of the agent's other waiting accounts
+// in the agent's own part of the service. It comes from requests that can't be
+// divided: without carrying it over, the agent would begin each report interval
+// with the same accounts, and the fleet's clocks would have to make up for it.
+func (c *Clocks) lead(a *account, mean Units) Units {
+	most := c.pace.begins / Units(a.weight)
+	return min(max(c.part(a)-mean, -most), most)
+}
+
+// part is an account's clock in the agent's own part of the service.
+func (c *Clocks) part(a *account) Units { return c.choice(a) / Units(a.agents) }
+
+// meanPart is the mean part of the accounts that wait here.
+func (c *Clocks) meanPart() Units {
+	var sum, count Units
+	for _, a := range c.accounts {
+		if a.waiting {
+			sum += c.part(a)
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return sum / count
+}
+
+// place is the number of an agent among those that serve the account or hold
+// its offers.
+func (r *row) place(sender *reporter) int {
+	before := 0
+	for i := range r.entries {
+		e := &r.entries[i]
+		if e.reporter == sender {
+			break
+		}
+		if e.busy() && e.reporter.state == reporterLive {
+			before++
+		}
+	}
+	return before
+}
+
+// total answers an agent for one account.
+func (r *row) total(name fleet.Account, sender *reporter) Total {
+	return Total{Account: name, Clock: r.clock(), Agents: r.agents, Place: r.place(sender)}
+}
--- a/internal/fairshare/types.go
+++ b/internal/fairshare/types.go
@@ -70,13 +70,14 @@
 	Account fleet.Account
 	Clock   Units // of the account in the fleet, with what is in flight
 	Agents  int   // n(a): agents that serve the account or hold its offers
+	Place   int   // number of the reporting agent among them, from 0
 }
 
 // Reply answers a report. It names only accounts of the report; one that is
 // left out has no clock yet, because its home is being refilled.
 type Reply struct {
 	Totals      []Total
-	VirtualTime Units // of the service; 0 is unknown
+	VirtualTime Units // mean clock of the home's waiting accounts; 0 is unknown
 }
 
 // HomeID tells one process that serves as home from the next at its address.
--- a/internal/fairshare/wire.go
+++ b/internal/fairshare/wire.go
@@ -106,6 +106,7 @@
 		total := byHash[hash]
 		message.Clocks = append(message.Clocks, encodeClock(total.Clock))
 		message.Agents = append(message.Agents, uint32(total.Agents))
+		message.Places = append(message.Places, uint32(total.Place))
 	}
 	for _, total := range reply.Totals {
 		if !n.hashable(total.Account) {
@@ -113,6 +114,7 @@
 				Account: string(total.Account),
 				Total:   encodeClock(total.Clock),
 				Agents:  uint32(total.Agents),
+				Place:   uint32(total.Place),
 			})
 		}
 	}
@@ -123,15 +125,17 @@
 // clock yet.
 func (n *Names) DecodeReply(request *rpc.ReportRequest, message *rpc.ReportReply) Reply {
 	reply := Reply{VirtualTime: Units(message.VirtualTime)}
+	answers := min(len(message.Clocks), len(message.Agents), len(message.Places))
 	for i, hash := range request.Accounts {
 		name, ok := n.accounts[hash]
-		if !ok || i >= len(message.Clocks) || i >= len(message.Agents) || !answered(message.Clocks[i], message.Agents[i]) {
+		if !ok || i >= answers || !answered(message.Clocks[i], message.Agents[i]) {
 			continue
 		}
 		reply.Totals = append(reply.Totals, Total{
 			Account: name,
 			Clock:   decodeClock(message.Clocks[i]),
 			Agents:  int(message.Agents[i]),
+			Place:   int(message.Places[i]),
 		})
 	}
 	for _, total := range message.Totals {
@@ -139,6 +143,7 @@
 			Account: fleet.Account(total.Account),
 			Clock:   decodeClock(total.Total),
 			Agents:  int(total.Agents),
+			Place:   int(total.Place),
 		})
 	}
 	return reply
--- a/internal/settings/registry.go
+++ b/internal/settings/registry.go
@@ -147,7 +147,7 @@
 		service: func(p *ServicePolicy) any { return &p.AnswerRetention },
 	},
 	{
-		Name: "repayment_window", Type: TypeNumber, Unit: "cost units", Default: "5000", Min: 1, Max: maxCost,
+		Name: "repayment_window", Type: TypeNumber, Unit: "cost units", Default: "10000", Min: 1, Max: maxCost,
 		Nodes: serviceNodes, Inherited: true,
 		Doc:     "How far a client account of the mean weight may lie from its share after a jump; the rest is forgiven.",
 		service: func(p *ServicePolicy) any { return &p.RepaymentWindow },
