Offer each account's work to as few agents as will do

Cause: four routers before 23 agents spent 44 to 47 KB/s each on control, of which 26 KB/s were offers. One width served all accounts of a service, so once a large account had waited for long, each request of a small one that came and went was told to all 20 agents, and taken back at once. Acknowledgements went out as messages of their own every 200 ms. Ruled out: fewer reports (2 KB/s in all); smaller envelopes (the number of messages counts, framing follows it); leaving empty queues untold for good (an agent would learn of it one declined grant at a time). Change: a width per account and service; an empty queue is withdrawn after two seconds; counts are told again from a factor of four on; acknowledgements ride on dispatches and offers, alone only after five seconds.

--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -75,6 +75,9 @@
 		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
+	if ids := requestIDs(run.Acknowledged); len(ids) > 0 {
+		s.world.Send(Acknowledge{IDs: ids})
+	}
 	reply, err := s.calls.ask(s.world, run, func(ticket Ticket) Input { return dispatchOf(ticket, id, run) })
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
--- a/internal/router/constants.go
+++ b/internal/router/constants.go
@@ -20,8 +20,15 @@
 	offerCoalesce = 5 * time.Millisecond
 	// offerRefresh repeats an offer before the agent lets it lapse (30 s).
 	offerRefresh = 10 * time.Second
-	// ackDelay bounds how long an acknowledgement waits for an offer to ride on.
-	ackDelay = 200 * time.Millisecond
+	// withdrawDelay is how long a queue must be empty before its offers are
+	// withdrawn.
+	withdrawDelay = 2 * time.Second
+	// bucketTolerance is the difference of countBucket from which on agents are
+	// told of a changed count: four times as many or a quarter.
+	bucketTolerance = 2
+	// ackDelay bounds how long an acknowledgement waits for a dispatch or an
+	// offer to ride on.
+	ackDelay = 5 * time.Second
 	// maxPendingAcks bounds the acknowledgements held per agent. A lost one
 	// costs the agent memory until the answer's retention ends, no more.
 	maxPendingAcks = 4096
--- a/internal/router/output.go
+++ b/internal/router/output.go
@@ -19,6 +19,7 @@
 	UseBy   time.Time // nothing may be sent after it; zero without a grant
 	Suspect bool
 	Waiting uint32        // further requests of the account
+	Acks    [][]byte      // ids of answers that were handed out
 	Silence time.Duration // without a frame, the connection is given up
 }
 
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -15,7 +15,10 @@
 	account fleet.Account
 	entries entryHeap
 	bytes   int64
-	bucket  int // of the count that offers were last marked with
+	bucket  int // of the count that offers were last compared with
+	width   int // of the service's agents, how many are offered to
+	widenAt time.Time
+	emptyAt time.Time // when it became empty; zero when it is not or nothing is offered
 }
 
 // countBucket changes when a count becomes 0 or positive, doubles or halves.
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -58,9 +58,10 @@
 		Grant:             command.Grant,
 		Suspect:           command.Suspect,
 		Waiting:           command.Waiting,
-		Attempt:           command.Attempt.Number,
 		Router:            string(d.self.Control),
 		RouterIncarnation: d.incarnation,
+		Attempt:           command.Attempt.Number,
+		Acknowledged:      command.Acks,
 	}
 	encoded, err := proto.Marshal(message)
 	if err != nil {
--- a/internal/router/system_dispatch.go
+++ b/internal/router/system_dispatch.go
@@ -177,6 +177,7 @@
 		UseBy:   useBy,
 		Suspect: e.crashes > 0 || w.suspected(e.request.Fingerprint),
 		Waiting: uint32(e.queue.len()),
+		Acks:    agent.takeAcks(),
 		Silence: service.silence(),
 	})
 }
--- a/internal/router/system_members.go
+++ b/internal/router/system_members.go
@@ -35,7 +35,7 @@
 func (w *World) listAgent(node fleet.Node) {
 	row := w.agents.Ensure(node.Control, func() *agentRow {
 		// A new agent is believed to have one slot: the first reply tells more.
-		return &agentRow{heard: 1, heardAt: w.now}
+		return &agentRow{heard: 1, heardAt: w.now, rank: notRanked}
 	})
 	service := w.service(node.Service)
 	if row.service != nil && row.service != service {
@@ -77,11 +77,17 @@
 	w.orderAgents(row.service)
 }
 
+// notRanked is the rank of an agent that gets no offers.
+const notRanked = -1
+
 // orderAgents orders a service's agents for offering: those of the router's own
 // zone first, in an order that depends on the router, so that the routers'
 // subsets differ and move little when agents come and go.
 func (w *World) orderAgents(service *serviceRow) {
 	ranked := membership.Rank("offer/"+string(w.self.Control), w.members.Agents(service.name))
+	for _, row := range service.agents {
+		row.rank = notRanked
+	}
 	service.agents = service.agents[:0]
 	for _, node := range ranked {
 		row := w.agents.Get(node.Control)
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -22,7 +22,6 @@
 	sequence  uint64
 	inFlight  bool
 	full      bool // the next offer lists everything
-	subset    bool // the agent is among those offered to
 }
 
 // sentOffer is the last state that an agent was told of one account.
@@ -34,24 +33,38 @@
 // markOffers notes that a queue's count may have changed. What the agents are
 // told of it is settled once per tick, so that a request that comes and goes
 // within a tick costs no message.
-func (w *World) markOffers(queue *accountQueue) { w.touched[queue] = struct{}{} }
+func (w *World) markOffers(queue *accountQueue) {
+	w.touched[queue] = struct{}{}
+	w.offering[queue] = struct{}{}
+}
 
-// compareOffers finds the agents that must be told of a queue: its count has
-// become empty, positive, doubled or halved. Other changes are not told.
+// compareOffers finds the agents that must be told of a queue: those offered to
+// that know nothing of it, and those that know a count of another magnitude.
+// Smaller changes are not told, nor is a queue that has become empty at once:
+// most queues fill again within moments, and an agent that grants in vain hears
+// of it in the reply. Telling all agents of each request that came and went was
+// nine tenths of a router's control traffic.
 func (w *World) compareOffers(queue *accountQueue) {
 	bucket := countBucket(queue.len())
-	if bucket == queue.bucket {
+	if bucket == queue.bucket || bucket == 0 {
+		queue.bucket = bucket
 		return
 	}
 	queue.bucket = bucket
 	for _, row := range queue.service.agents {
 		sent, told := row.offer.sent[queue.account]
-		if (told && sent.bucket != bucket) || (!told && row.offer.subset && bucket > 0) {
+		if (told && sent.outdated(bucket)) || (!told && queue.offeredTo(row)) {
 			w.pend(row, queue.account)
 		}
 	}
 }
 
+// outdated tells whether a count in bucket is of another magnitude than what an
+// agent was told.
+func (s sentOffer) outdated(bucket int) bool {
+	return bucket >= s.bucket+bucketTolerance || bucket <= s.bucket-bucketTolerance
+}
+
 // pend notes that an agent is to be told of an account.
 func (w *World) pend(row *agentRow, account fleet.Account) {
 	if row.offer.pending == nil {
@@ -67,45 +80,28 @@
 	w.offered[row] = struct{}{}
 }
 
-// offerAll begins the offering of a service anew after its agents changed.
-func (w *World) offerAll(service *serviceRow) {
-	for index, row := range service.agents {
-		inSubset := index < service.width
-		if inSubset && !row.offer.subset {
-			w.joinSubset(row)
-		}
-		row.offer.subset = inSubset
-	}
-}
-
-// joinSubset offers everything that waits to one more agent.
-func (w *World) joinSubset(row *agentRow) {
-	row.offer.subset = true
-	for account, queue := range row.service.queues {
-		if queue.len() > 0 {
-			w.pend(row, account)
-		}
-	}
-}
-
 // resendOffers tells an agent everything again that has forgotten it.
 func (w *World) resendOffers(row *agentRow) {
 	row.offer.sent = nil
 	row.offer.full = true
 	row.offer.inFlight = false
-	if row.offer.subset {
-		w.joinSubset(row)
+	for account, queue := range row.service.queues {
+		if queue.len() > 0 && queue.offeredTo(row) {
+			w.pend(row, account)
+		}
 	}
 }
 
-// runOffers widens the subsets of services whose requests wait long, and sends
+// runOffers widens the subsets of queues whose requests wait long, and sends
 // the offers that are due.
 func (w *World) runOffers(now time.Time) {
 	for queue := range w.touched {
 		w.compareOffers(queue)
 	}
 	clear(w.touched)
-	w.services.Each(func(_ fleet.Service, service *serviceRow) { w.widen(service) })
+	for queue := range w.offering {
+		w.widen(queue)
+	}
 	for row := range w.offered {
 		if !row.offer.refreshAt.IsZero() && !now.Before(row.offer.refreshAt) {
 			w.refresh(row)
@@ -117,29 +113,6 @@
 	}
 }
 
-// widen sets how many agents a service's work is offered to: the first few
-// when requests begin to wait, twice as many each WidenInterval. Offers to all
-// at once would cost every router a message to every agent at each burst.
-func (w *World) widen(service *serviceRow) {
-	if service.waiting == 0 {
-		if service.width > 0 {
-			service.width = 0
-			w.offerAll(service)
-		}
-		return
-	}
-	switch {
-	case service.width == 0:
-		service.width = max(1, service.policy.OfferSubset)
-	case service.width < len(service.agents) && !w.now.Before(service.widenAt):
-		service.width *= 2
-	default:
-		return
-	}
-	service.widenAt = w.now.Add(max(service.policy.WidenInterval, offerCoalesce))
-	w.offerAll(service)
-}
-
 // refresh repeats what an agent was told, before it lets it lapse.
 func (w *World) refresh(row *agentRow) {
 	row.offer.refreshAt = time.Time{}
@@ -255,7 +228,8 @@
 }
 
 // acknowledge tells an agent that an answer has been handed out, so that it
-// can forget it. Answers to requests with a key are kept for its retention,
+// can forget it. The word rides on the next dispatch or offer to the agent; a
+// message of its own is sent only when there is none for long. Answers to requests with a key are kept for its retention,
 // because another try of the same caller may ask for them.
 func (w *World) acknowledge(e *entry) {
 	row := e.attempt.agent
@@ -270,6 +244,13 @@
 	w.due(row, ackDelay)
 }
 
+// takeAcks returns the acknowledgements that ride on a dispatch to the agent.
+func (a *agentRow) takeAcks() [][]byte {
+	acks := a.offer.acks
+	a.offer.acks = nil
+	return acks
+}
+
 // nextOffer is when the next offer or refresh is due.
 func (w *World) nextOffer() time.Time {
 	var next time.Time
--- /dev/null
+++ b/internal/router/system_widen.go
@@ -0,0 +1,84 @@
+package router
+
+import "time"
+
+// offeredTo tells whether an agent is among those that the queue is offered to.
+func (q *accountQueue) offeredTo(row *agentRow) bool {
+	return row.rank >= 0 && row.rank < q.width
+}
+
+// widen sets how many agents a queue is offered to: the first few when requests
+// begin to wait, twice as many each WidenInterval while they go on waiting.
+// Offers to all at once would cost every router a message to every agent at
+// each burst. Each account has a width of its own: a small account that is
+// served soon stays with its first agents while a large one waits at all.
+func (w *World) widen(queue *accountQueue) {
+	if queue.len() == 0 {
+		w.widenEmpty(queue)
+		return
+	}
+	queue.emptyAt = time.Time{}
+	service := queue.service
+	switch {
+	case queue.width == 0:
+		queue.width = max(1, service.policy.OfferSubset)
+	case queue.width < len(service.agents) && !w.now.Before(queue.widenAt):
+		queue.width *= 2
+	default:
+		return
+	}
+	queue.widenAt = w.now.Add(max(service.policy.WidenInterval, offerCoalesce))
+	w.offerQueue(queue)
+}
+
+// widenEmpty begins anew with the first agents, and withdraws the offers of a
+// queue that stays empty.
+func (w *World) widenEmpty(queue *accountQueue) {
+	queue.width = 0
+	if queue.emptyAt.IsZero() {
+		queue.emptyAt = w.now
+	}
+	if w.now.Sub(queue.emptyAt) < withdrawDelay {
+		return
+	}
+	queue.emptyAt = time.Time{}
+	delete(w.offering, queue)
+	for _, row := range queue.service.agents {
+		if _, told := row.offer.sent[queue.account]; told {
+			w.pend(row, queue.account)
+		}
+	}
+}
+
+// offerQueue offers a queue to those of its agents that know nothing of it.
+func (w *World) offerQueue(queue *accountQueue) {
+	if queue.len() == 0 {
+		return
+	}
+	for _, row := range queue.service.agents {
+		if _, told := row.offer.sent[queue.account]; !told && queue.offeredTo(row) {
+			w.pend(row, queue.account)
+		}
+	}
+}
+
+// offerAll offers what waits for a service after its agents changed.
+func (w *World) offerAll(service *serviceRow) {
+	for rank, row := range service.agents {
+		row.rank = rank
+	}
+	for _, queue := range service.queues {
+		w.offerQueue(queue)
+	}
+}
+
+// nextWithdrawal is when the offers of an empty queue are withdrawn next.
+func (w *World) nextWithdrawal() time.Time {
+	var next time.Time
+	for queue := range w.offering {
+		if !queue.emptyAt.IsZero() {
+			next = earlier(next, queue.emptyAt.Add(withdrawDelay))
+		}
+	}
+	return next
+}
--- a/internal/router/tables.go
+++ b/internal/router/tables.go
@@ -70,6 +70,7 @@
 	heard       int  // free slots by its last word
 	unanswered  int  // own dispatches without a grant since
 	heardAt     time.Time
+	rank        int // place among the agents that take work, -1 when not one of them
 	offer       offerState
 }
 
@@ -87,8 +88,6 @@
 	queues   map[fleet.Account]*accountQueue
 	waiting  int
 	agents   []*agentRow // that take work, in the order of offering
-	width    int         // of agents, how many are offered to
-	widenAt  time.Time
 	budget   retryBudget
 	clocks   localClocks
 	prefixes map[uint64]*agentRow
--- a/internal/router/world.go
+++ b/internal/router/world.go
@@ -37,6 +37,7 @@
 	asking    map[*entry]struct{}        // claiming
 	offered   map[*agentRow]struct{}     // agents with something to be told
 	touched   map[*accountQueue]struct{} // queues whose count changed in this tick
+	offering  map[*accountQueue]struct{} // queues that agents may know of
 	sweepAt   time.Time
 	lastOffer uint64 // sequence number
 	systems   []tick.System[*World]
@@ -60,6 +61,7 @@
 		asking:   make(map[*entry]struct{}),
 		offered:  make(map[*agentRow]struct{}),
 		touched:  make(map[*accountQueue]struct{}),
+		offering: make(map[*accountQueue]struct{}),
 	}
 	world.systems = []tick.System[*World]{
 		{Name: "claim", Run: (*World).runClaims},
@@ -132,7 +134,7 @@
 
 // nextWake is when a system has something to do without an input.
 func (w *World) nextWake() time.Time {
-	next := w.nextOffer()
+	next := earlier(w.nextOffer(), w.nextWithdrawal())
 	if w.requests.Len() > 0 {
 		next = earlier(next, w.now.Add(sweepInterval))
 	}
