--- a/cmd/bluebell-dev/nodes.go
+++ b/cmd/bluebell-dev/nodes.go
@@ -13,6 +13,10 @@
 	"github.com/bluebellchute/bluebellchute/internal/router"
 )
 
+// controlToken is the secret of the control messages. It opens nothing but this
+// process.
+const controlToken = "bluebell-dev"
+
 // commonText renders the sections that all nodes share. The nodes are
 // configured by INI text, so that they take the defaults that a file gives.
 func (s *sample) commonText(control, data fleet.Address) string {
@@ -25,8 +29,8 @@
 [platform]
 address = %s
 [control]
-token = bluebell-dev
-`, len(s.nodes)+1, control, data, s.welcome.Platform)
+token = %s
+`, len(s.nodes)+1, control, data, s.welcome.Platform, controlToken)
 }
 
 func (s *sample) addRouter(callers fleet.Address) error {
--- a/cmd/bluebell-dev/settings.go
+++ b/cmd/bluebell-dev/settings.go
@@ -60,7 +60,9 @@
   curl -si http://{{.Callers}}/svc/{{.Plain}}/crossings -H 'Authorization: Bearer {{.Track}}' -H 'Idempotency-Key: {{.Key}}' -d '{"transponder":4711}'
 
 Metrics of the router: curl -s http://{{.Control}}/metrics
-Settings for bluebellctl: the platform is at {{.Platform}}.
+Nodes of the fleet:
+  go run ./cmd/bluebellctl --platform {{.Platform}} --token {{.Token}} status
+
 Ctrl-C ends it; nothing is kept.
 `))
 
@@ -70,11 +72,13 @@
 	Callers, Control, Platform fleet.Address
 	Model, Plain               fleet.Service
 	Key                        string // a fresh Idempotency-Key
+	Token                      string // of the control messages
 }
 
 func printWelcome(out io.Writer, values welcomeValues) {
 	values.Kitchen, values.Track = kitchenKey, trackKey
 	values.Model, values.Plain = modelService, plainService
 	values.Key = newKey()
+	values.Token = controlToken
 	_ = welcome.Execute(out, values)
 }
