Guard the data path; tell a lost stream from one that never arrived

Cause: the data port took run requests from anybody; a model engine that knew nothing of a run because the first connection had been silent from its first byte was taken for a crash, and the request for a suspect; an error page in reply to a resume would have been appended to the answer; /readyz was ready without settings.

Change: the fleet's token on the data path (control.DataToken); a resume that is answered with another status than 200 is an error; a 404 after silence without a byte is a failure, not a crash; readiness needs the settings and the backend server; bodies are released once they are sent; FillStatus.

Tests: TestDataPathNeedsTheToken; seen failing with the check disabled (status 404 in place of 401). The in-process path failed until its router sent the token.

Conclusion: routers and agents must have the same [control] token.

--- a/cmd/internal/wiring/router.go
+++ b/cmd/internal/wiring/router.go
@@ -26,6 +26,7 @@
 		Self:        config.Node.Self(fleet.RoleRouter, ""),
 		Incarnation: uint64(do.MustInvoke[daemon.Incarnation](injector)),
 		Callers:     config.Callers,
+		Token:       config.Control.Token,
 		Fleet:       known,
 		Agents:      do.MustInvoke[*control.Pool](injector),
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"github.com/bluebellchute/bluebellchute/internal/engine"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
@@ -260,3 +262,27 @@
 		t.Errorf("after the drain: %v", refused.refused)
 	}
 }
+
+// Symptom: whoever reaches an agent's data port runs requests in the name of
+// any client account.
+// Sequence: a run request without the fleet's token, or with another.
+// Cause: the data path would trust the network.
+func TestDataPathNeedsTheToken(t *testing.T) {
+	server := newDataServer(&sink{}, newCalls(), newAnswers(), nil, "secret", 1<<20)
+	for _, value := range []string{"", "Bearer ", "Bearer other", "secret"} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI(PathRun)
+		ctx.Request.Header.Set("Authorization", value)
+		server.handle(&ctx)
+		if ctx.Response.StatusCode() != http.StatusUnauthorized {
+			t.Errorf("%q: status %d", value, ctx.Response.StatusCode())
+		}
+	}
+	var ctx fasthttp.RequestCtx
+	ctx.Request.SetRequestURI("/none")
+	ctx.Request.Header.Set("Authorization", "Bearer secret")
+	server.handle(&ctx)
+	if ctx.Response.StatusCode() != http.StatusNotFound {
+		t.Errorf("with the token: status %d", ctx.Response.StatusCode())
+	}
+}
--- a/internal/agent/follow.go
+++ b/internal/agent/follow.go
@@ -55,6 +55,7 @@
 		return
 	}
 	m.policy.Store(&policy)
+	m.showReadiness()
 	m.loop.Send(Settings{View: view})
 }
 
--- a/internal/agent/manager.go
+++ b/internal/agent/manager.go
@@ -55,7 +55,10 @@
 	peers    *peerCaller
 	metrics  *metrics
 	policy   atomic.Pointer[settings.ServicePolicy]
-	stopCall context.CancelFunc
+	load     *atomic.Pointer[Load] // of this agent, as of the last step
+
+	backendUp atomic.Bool
+	stopCall  context.CancelFunc
 }
 
 // NewManager returns an agent that has not begun to work.
@@ -67,6 +70,7 @@
 		answers: newAnswers(),
 		backend: newBackend(config.Backend.Address),
 		metrics: newMetrics(options.Registerer),
+		load:    new(atomic.Pointer[Load]),
 	}
 	world := NewWorld(Identity{
 		Control:     config.Node.Control,
@@ -74,9 +78,9 @@
 		Incarnation: options.Incarnation,
 	}, config.Limits.limits(), time.Now())
 	m.executor = newExecutor(m.calls, m.answers, options.Logger, m.metrics)
-	m.loop = tick.NewLoop[Input, Command](measured{world: world, metrics: m.metrics}, inputQueue, m.executor.execute)
+	m.loop = tick.NewLoop[Input, Command](measured{world: world, metrics: m.metrics, load: m.load}, inputQueue, m.executor.execute)
 	m.runner = newRunner(m.backend, m.loop, m.servicePolicy)
-	m.data = newDataServer(m.loop, m.calls, m.answers, m.heartbeat, config.Limits.RequestBytes)
+	m.data = newDataServer(m.loop, m.calls, m.answers, m.heartbeat, config.Control.Token, config.Limits.RequestBytes)
 	m.control = &controlServer{world: m.loop, calls: m.calls, fleet: options.Fleet}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stopCall = cancel
@@ -142,16 +146,41 @@
 	return defaultHeartbeat
 }
 
-// backendChanged shows the backend server's health in /readyz.
+// backendChanged takes the result of the health checks.
 func (m *Manager) backendChanged(up bool) {
 	address := logrus.Fields{"peer": m.backend.address}
 	if up {
 		event.BackendUp.Log(m.options.Logger, address)
+	} else {
+		event.BackendDown.Log(m.options.Logger, address)
+	}
+	m.backendUp.Store(up)
+	m.showReadiness()
+}
+
+// showReadiness sets what /readyz tells: an agent is of use once it has the
+// settings of its service and while its backend server answers.
+func (m *Manager) showReadiness() {
+	switch {
+	case m.policy.Load() == nil:
+		m.options.Readiness.SetNotReady("the settings of the service are not known")
+	case !m.backendUp.Load():
+		m.options.Readiness.SetNotReady("the backend server does not answer")
+	default:
 		m.options.Readiness.SetReady()
+	}
+}
+
+// FillStatus adds the load to a description of the node. A request that waits
+// here was sent on a grant ahead of a free slot.
+func (m *Manager) FillStatus(status *rpc.StatusReply) {
+	load := m.load.Load()
+	if load == nil {
 		return
 	}
-	event.BackendDown.Log(m.options.Logger, address)
-	m.options.Readiness.SetNotReady("the backend server does not answer")
+	status.Slots = uint32(load.Slots)
+	status.Running = uint32(load.Running)
+	status.Waiting = uint32(load.Waiting)
 }
 
 // ignoreEnd drops the error of a context that ended.
@@ -166,6 +195,7 @@
 type measured struct {
 	world   *World
 	metrics *metrics
+	load    *atomic.Pointer[Load]
 }
 
 // Step implements tick.World.
@@ -174,5 +204,9 @@
 	commands, next := m.world.Step(now, inputs)
 	m.metrics.stepTime.Observe(time.Since(began).Seconds())
 	m.metrics.observe(m.world)
+	current := Load{Slots: m.world.slots(), Running: m.world.running, Waiting: len(m.world.queue)}
+	if last := m.load.Load(); last == nil || *last != current {
+		m.load.Store(&current)
+	}
 	return commands, next
 }
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -138,6 +138,7 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	r.backend.fillRequest(request, r.id, r.request)
+	r.request = nil // its body is not needed twice
 	deadline, _ := ctx.Deadline()
 	if err := r.backend.plain.DoDeadline(request, response, deadline); err != nil {
 		return r.crashOr(ctx, err)
--- a/internal/agent/runner_model.go
+++ b/internal/agent/runner_model.go
@@ -9,8 +9,10 @@
 	"github.com/valyala/fasthttp"
 )
 
-// errStreamLost tells that the model engine knows nothing of a run that it
-// took: it has been started again since.
+// errStreamLost tells that the model engine knows nothing of a run. If it took
+// the run before, or a connection to it broke, it has been started again since;
+// if a connection was silent from the first byte on, the run may not have
+// reached it.
 var errStreamLost = errors.New("the model engine has lost the stream")
 
 // maxBroken is the number of connections that may break one after the other
@@ -38,7 +40,8 @@
 func (r *run) resume(ctx context.Context, err error) error {
 	silence, broken := minEngineSilence, 0
 	for err != nil && broken < maxBroken {
-		if timedOut(err) {
+		silent := timedOut(err)
+		if silent {
 			silence = min(2*silence, maxEngineSilence)
 		} else {
 			broken++
@@ -49,6 +52,9 @@
 		}
 		before := r.answer.size()
 		err = r.attempt(ctx, silence, r.fillNext)
+		if errors.Is(err, errStreamLost) && (!silent || before > 0) {
+			return crashError{err}
+		}
 		if r.answer.size() > before {
 			silence, broken = minEngineSilence, 0
 		}
@@ -60,7 +66,7 @@
 func (r *run) resumable(ctx context.Context, err error) bool {
 	var crashed crashError
 	switch {
-	case ctx.Err() != nil, isDialError(err), errors.As(err, &crashed), errors.Is(err, errTooLarge):
+	case ctx.Err() != nil, isDialError(err), errors.As(err, &crashed), errors.Is(err, errTooLarge), errors.Is(err, errStreamLost):
 		return false
 	}
 	return true
@@ -80,7 +86,10 @@
 	defer finish()
 	defer func() { _ = response.CloseBodyStream() }()
 	if resumed && response.StatusCode() == fasthttp.StatusNotFound {
-		return crashError{errStreamLost}
+		return errStreamLost
+	}
+	if resumed && response.StatusCode() != fasthttp.StatusOK {
+		return errors.Errorf("the model engine answers a resume with status %d", response.StatusCode())
 	}
 	r.answer.setHead(headOf(response))
 	return r.copyBody(response)
@@ -97,6 +106,7 @@
 
 func (r *run) fillFirst(request *fasthttp.Request) bool {
 	r.backend.fillRequest(request, r.id, r.request)
+	r.request = nil // its body is not needed twice
 	return false
 }
 
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -11,6 +11,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellchute/bluebellchute/internal/control"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 )
@@ -34,11 +35,18 @@
 	calls     *calls
 	answers   *answers
 	heartbeat func() time.Duration
+	token     control.DataToken
 	server    *fasthttp.Server
 }
 
-func newDataServer(world inputs, calls *calls, answers *answers, heartbeat func() time.Duration, maxRequest int) *dataServer {
-	s := &dataServer{world: world, calls: calls, answers: answers, heartbeat: heartbeat}
+func newDataServer(world inputs, calls *calls, answers *answers, heartbeat func() time.Duration, token string, maxRequest int) *dataServer {
+	s := &dataServer{
+		world:     world,
+		calls:     calls,
+		answers:   answers,
+		heartbeat: heartbeat,
+		token:     control.NewDataToken(token),
+	}
 	s.server = &fasthttp.Server{
 		Handler:               s.handle,
 		Name:                  "bluebell-agent",
@@ -57,6 +65,10 @@
 }
 
 func (s *dataServer) handle(ctx *fasthttp.RequestCtx) {
+	if !s.token.Accepts(ctx.Request.Header.Peek(fasthttp.HeaderAuthorization)) {
+		ctx.Error("the fleet's token is missing or wrong", fasthttp.StatusUnauthorized)
+		return
+	}
 	switch string(ctx.Path()) {
 	case PathRun:
 		s.handleRun(ctx)
@@ -78,6 +90,7 @@
 	if ids := requestIDs(run.Acknowledged); len(ids) > 0 {
 		s.world.Send(Acknowledge{IDs: ids})
 	}
+	ctx.Request.ResetBody() // the copy in run is enough while the answer streams
 	reply, err := s.calls.ask(s.world, run, func(ticket Ticket) Input { return dispatchOf(ticket, id, run) })
 	if err != nil {
 		ctx.Error(err.Error(), fasthttp.StatusServiceUnavailable)
--- a/internal/control/token.go
+++ b/internal/control/token.go
@@ -31,6 +31,10 @@
 // accepts reports whether a request carries the token.
 func (t token) accepts(header http.Header) bool {
 	secret, ok := strings.CutPrefix(header.Get(authorizationHeader), bearerPrefix)
-	hash := sha256.Sum256([]byte(secret))
-	return ok && subtle.ConstantTimeCompare(hash[:], t.hash[:]) == 1
+	return ok && t.matches([]byte(secret))
+}
+
+func (t token) matches(secret []byte) bool {
+	hash := sha256.Sum256(secret)
+	return subtle.ConstantTimeCompare(hash[:], t.hash[:]) == 1
 }
--- a/internal/pathtest/live_test.go
+++ b/internal/pathtest/live_test.go
@@ -185,7 +185,7 @@
 	k := l.known(node)
 	pool := &lazyPool{}
 	manager := router.NewManager(router.Options{
-		Self: node, Incarnation: k.envelope.Incarnation, Callers: config.Callers, Fleet: k, Agents: pool,
+		Self: node, Incarnation: k.envelope.Incarnation, Callers: config.Callers, Token: token, Fleet: k, Agents: pool,
 		Readiness: daemon.NewReadiness(), Registerer: prometheus.NewRegistry(), Logger: l.logger,
 	})
 	pool.Pool = l.server(node, rpc.NewRouterServer(manager.Server()))
--- a/internal/router/manager.go
+++ b/internal/router/manager.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebellchute/bluebellchute/internal/control"
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
@@ -40,6 +41,7 @@
 	Self        fleet.Node
 	Incarnation uint64
 	Callers     CallersSection
+	Token       string // of the fleet, for the agents' data ports
 	Fleet       Fleet
 	Agents      Agents
 	Readiness   Readiness
@@ -73,6 +75,7 @@
 		hosts:       newHosts(),
 		self:        options.Self,
 		incarnation: options.Incarnation,
+		token:       control.NewDataToken(options.Token),
 		report:      m.loop.Send,
 	}
 	m.callers = newCallers(options.Callers, m.view, m.loop.Send, metrics, &m.draining)
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellchute/bluebellchute/internal/control"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 )
@@ -32,6 +33,7 @@
 	hosts       *hosts
 	self        fleet.Node
 	incarnation uint64
+	token       control.DataToken
 	report      func(Input) bool
 }
 
@@ -41,7 +43,7 @@
 	host := d.hosts.get(command.Agent.Data, command.Silence)
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	prepare(request, command.Agent.Data, runPath)
+	d.prepare(request, command.Agent.Data, runPath)
 	request.AppendBody(command.Request.Payload)
 	request.AppendBody(d.changing(command))
 	if !command.UseBy.IsZero() && !time.Now().Before(command.UseBy) {
@@ -83,13 +85,14 @@
 	}
 	request := fasthttp.AcquireRequest()
 	defer fasthttp.ReleaseRequest(request)
-	prepare(request, command.Agent, resumePath)
+	d.prepare(request, command.Agent, resumePath)
 	request.SetConnectionClose()
 	request.SetBody(body)
 	d.exchange(host.fresh, host, request, command.Attempt, receiver)
 }
 
-func prepare(request *fasthttp.Request, agent fleet.Address, path string) {
+func (d *dataPath) prepare(request *fasthttp.Request, agent fleet.Address, path string) {
+	request.Header.Set(d.token.Header())
 	request.Header.SetMethod(fasthttp.MethodPost)
 	request.SetRequestURI("http://" + string(agent) + path)
 	request.Header.SetContentType("application/x-protobuf")
