Walk the fault matrix over both cores; park calls that wait for long

Cause: nothing proved the router's decisions together with the agent's; and each waiting call kept a goroutine, its stack and the library's buffers: 19.4 KB resident for each waiting request of 4 KB (10,000: 209 MB).

Change: internal/pathtest joins both decision cores by a simulated network (lost, late, doubled, crossed messages; restarts, pauses, partitions). TestMatrix has a cell per step and fault, TestPathKeepsItsPromises draws requests and faults. Calls that wait over half a second give the handler back and keep request and connection only. A key of a request that may not run twice is claimed only when all guards answer: one guard is not enough when two routers are cut off from different ones. The last acknowledgements of a drain go out at once. Shutdown no longer fails for callers' idle connections.

Seen failing: sending elsewhere in place of resuming broke 42 cells and the property (a request that ran was called not run); retrying whatever may not run twice broke 7 cells and the property (two runs). The first drawn runs found two faults, both of the simulator.

--- /dev/null
+++ b/internal/pathtest/property_test.go
@@ -0,0 +1,112 @@
+package pathtest
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/router"
+)
+
+// TestPathKeepsItsPromises draws requests and faults of the network and the
+// nodes: lost, late, doubled and crossed messages, restarts with empty state,
+// pauses and partitions. Whatever happens, a request that may not run twice
+// does not, no request that ran is called not run, a whole answer is the one
+// that was made for the request, and each request gets one final result.
+func TestPathKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(t, rapid.IntRange(1, 3).Draw(t, "routers"), rapid.IntRange(1, 3).Draw(t, "agents"),
+			rapid.Uint64().Draw(t, "seed"))
+		s.fault = s.randomFaults(rapid.Float64Range(0, 0.05).Draw(t, "rate"))
+		keys := make(map[string][]*simCall)
+		for range rapid.IntRange(1, 25).Draw(t, "calls") {
+			s.drawCall(t, keys)
+			s.drawFault(t)
+			s.run(time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond)
+		}
+		s.fault = func(*message) {}
+		s.settle()
+		for _, call := range s.calls {
+			if err := s.check(call); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for key, calls := range keys {
+			runs := 0
+			for _, call := range calls {
+				runs += s.runs[call.request.ID]
+			}
+			if runs > 1 {
+				t.Fatalf("%d runs of the requests with key %s", runs, key)
+			}
+		}
+	})
+}
+
+func (s *sim) drawCall(t *rapid.T, keys map[string][]*simCall) {
+	n := s.routers[rapid.IntRange(0, len(s.routers)-1).Draw(t, "router")]
+	account := fleet.Account(rapid.SampledFrom([]string{"acme/lab/ann", "acme/lab/bob"}).Draw(t, "account"))
+	key := ""
+	if rapid.IntRange(0, 3).Draw(t, "keyed") == 0 {
+		key = s.keyFor(rapid.IntRange(0, 2).Draw(t, "key"))
+	}
+	call := s.ask(n, account, func(request *router.Request) {
+		request.Stream = rapid.Bool().Draw(t, "stream")
+		request.Idempotent = key == "" && rapid.Bool().Draw(t, "idempotent")
+		request.Deadline = s.now.Add(time.Duration(rapid.IntRange(200, 30000).Draw(t, "deadline")) * time.Millisecond)
+		request.Key = key
+	})
+	if key != "" {
+		name := fmt.Sprint(account, key)
+		keys[name] = append(keys[name], call)
+	}
+}
+
+// keyFor returns one of a few keys, each a UUIDv7 made after the agents' start.
+func (s *sim) keyFor(number int) string {
+	for len(s.keys) <= number {
+		s.keys = append(s.keys, s.newID().String())
+	}
+	return s.keys[number]
+}
+
+// drawFault lets something happen to a node or to the network.
+func (s *sim) drawFault(t *rapid.T) {
+	nodes := s.nodes()
+	n := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "node")]
+	span := time.Duration(rapid.IntRange(10, 8000).Draw(t, "span")) * time.Millisecond
+	switch rapid.IntRange(0, 14).Draw(t, "fault") {
+	case 0:
+		s.crash(n)
+	case 1:
+		n.paused = s.now.Add(span)
+	case 2:
+		s.partition(func(a, b *simNode) bool { return (a == n) != (b == n) }, span)
+	case 3:
+		// One router is cut off from one agent only.
+		other := nodes[rapid.IntRange(0, len(nodes)-1).Draw(t, "other")]
+		s.partition(func(a, b *simNode) bool { return a == n && b == other || a == other && b == n }, span)
+	}
+}
+
+// randomFaults changes messages at a rate.
+func (s *sim) randomFaults(rate float64) func(*message) {
+	return func(m *message) {
+		if m.step == fleet.StepAccept && m.from == m.to || s.random.Float64() >= rate {
+			return
+		}
+		switch s.random.IntN(4) {
+		case 0:
+			m.dropped = true
+		case 1:
+			m.delay += time.Duration(s.random.IntN(3000)) * time.Millisecond
+		case 2:
+			m.doubled = true
+		case 3:
+			m.crossed = true
+		}
+	}
+}
--- a/internal/router/manager.go
+++ b/internal/router/manager.go
@@ -26,6 +26,8 @@
 	inputQueue = 4096
 	// shutdownTimeout bounds the wait for callers' idle connections at the end.
 	shutdownTimeout = time.Second
+	// drainFlush is the time for the last messages of a drain.
+	drainFlush = 200 * time.Millisecond
 	// fleetPoll bounds how long a change of the fleet's knowledge may be missed.
 	fleetPoll = 5 * time.Second
 )
@@ -102,6 +104,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return untilDone(ctx, m.loop.Run(ctx)) })
 	group.Go(func() error { return untilDone(ctx, m.followFleet(ctx)) })
+	group.Go(func() error { return untilDone(ctx, m.callers.parked.watch(ctx)) })
 	group.Go(func() error { return m.callers.serve(listener) })
 	group.Go(func() error {
 		<-ctx.Done()
@@ -146,8 +149,8 @@
 	}()
 	select {
 	case <-answered:
-		// The last acknowledgements leave after at most ackDelay.
-		return sleep(ctx, 2*ackDelay)
+		// Leave the last acknowledgements time to go out.
+		return sleep(ctx, drainFlush)
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/internal/router/receiver.go
+++ b/internal/router/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -46,6 +47,36 @@
 	ProgressFailed                   // final: there is no answer
 )
 
+// Final tells whether no further frame follows.
+func (p Progress) Final() bool {
+	return p == ProgressRefused || p == ProgressEnded || p == ProgressFailed
+}
+
+// InputOf tells the world what a frame meant, or returns nil when it need not
+// know.
+func InputOf(attempt AttemptID, progress Progress, frame *rpc.AnswerFrame) Input {
+	switch progress {
+	case ProgressStarted:
+		return AnswerStarted{Attempt: attempt}
+	case ProgressRefused:
+		refused := frame.GetRefused()
+		return RunRefused{
+			Attempt:    attempt,
+			Reason:     refused.Reason,
+			RetryAfter: time.Duration(refused.RetryAfterMs) * time.Millisecond,
+		}
+	case ProgressAccepted:
+		return RunAccepted{Attempt: attempt, FreeSlots: frame.GetAccepted().FreeSlots}
+	case ProgressEnded:
+		end := frame.GetEnd()
+		return AnswerEnded{Attempt: attempt, FreeSlots: end.FreeSlots, Cost: end.Cost}
+	case ProgressFailed:
+		failed := frame.GetFailed()
+		return AnswerFailed{Attempt: attempt, State: failed.State, Crashed: failed.Crashed, Reason: failed.Reason}
+	}
+	return nil
+}
+
 // Receiver puts one answer together from frames, over several connections if
 // need be. It is used by one reader at a time.
 //
--- a/internal/router/shell_call.go
+++ b/internal/router/shell_call.go
@@ -14,14 +14,45 @@
 type call struct {
 	done   chan Result // gets the one final result
 	stream *callerStream
+
+	mu    sync.Mutex
+	ready bool   // there is something to write to the caller
+	wake  func() // of a parked call; runs once it is ready
 }
 
+func newCall() *call { return &call{done: make(chan Result, 1)} }
+
 // finish hands over the final result. It is called once.
 func (c *call) finish(result Result) {
 	if c.stream != nil {
 		c.stream.finish(result)
 	}
 	c.done <- result
+	c.signal()
+}
+
+// signal wakes a parked call.
+func (c *call) signal() {
+	c.mu.Lock()
+	wake := c.wake
+	c.wake = nil
+	c.ready = true
+	c.mu.Unlock()
+	if wake != nil {
+		go wake()
+	}
+}
+
+// park lets wake run in a goroutine of its own once the call is ready. It
+// reports false when the call is ready already.
+func (c *call) park(wake func()) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ready {
+		return false
+	}
+	c.wake = wake
+	return true
 }
 
 // streams tells whether a part of the answer has been handed over as a stream.
@@ -59,17 +90,19 @@
 	closed   chan struct{} // closed when the HTTP server has ended with it
 	once     sync.Once
 	gone     func() // tells the world that the caller has gone
+	started  func() // tells the caller's side that there is a head
 	rest     []byte
 	ending   bool // the last bytes are in rest
 }
 
-func newCallerStream(gone func()) *callerStream {
+func newCallerStream(gone, started func()) *callerStream {
 	return &callerStream{
 		headed:   make(chan struct{}),
 		chunks:   make(chan []byte, callerStreamChunks),
 		finished: make(chan struct{}),
 		closed:   make(chan struct{}),
 		gone:     gone,
+		started:  started,
 	}
 }
 
@@ -78,6 +111,7 @@
 	s.status = status
 	s.headers = headers
 	close(s.headed)
+	s.started()
 }
 
 // Data implements Sink. It waits while the caller is slow.
--- a/internal/router/shell_callers.go
+++ b/internal/router/shell_callers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"context"
 	"net"
 	"strings"
 	"sync"
@@ -9,14 +10,13 @@
 
 	"github.com/gofiber/fiber/v2"
 	"github.com/pkg/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-// callerCheck is the time between two looks whether a caller is still there.
-const callerCheck = time.Second
-
 // callers serves the callers' HTTP interface.
 type callers struct {
 	view     func() settings.View
@@ -24,11 +24,12 @@
 	metrics  *Metrics
 	draining *atomic.Bool
 	app      *fiber.App
+	parked   *parkingLot
 	active   sync.WaitGroup // calls and streams in progress
 }
 
 func newCallers(config CallersSection, view func() settings.View, report func(Input) bool, metrics *Metrics, draining *atomic.Bool) *callers {
-	s := &callers{view: view, report: report, metrics: metrics, draining: draining}
+	s := &callers{view: view, report: report, metrics: metrics, draining: draining, parked: newParkingLot(report)}
 	s.app = fiber.New(fiber.Config{
 		BodyLimit:             config.BodyBytes,
 		Concurrency:           config.Connections,
@@ -38,6 +39,8 @@
 		ReduceMemoryUsage:     true,
 		ErrorHandler:          s.serveError,
 	})
+	// The handler of a parked call returns while its connection lives on.
+	s.app.Server().KeepHijackedConns = true
 	s.app.Post("/v1/chat/completions", s.serveModel)
 	s.app.Post("/v1/completions", s.serveModel)
 	s.app.All("/svc/:service", s.servePlain)
@@ -50,9 +53,14 @@
 	return errors.Wrap(s.app.Listener(listener), "data port")
 }
 
-// shutdown closes the listener and the idle connections.
+// shutdown closes the listener and the idle connections. All calls have been
+// answered after a drain; without one, those in progress are cut.
 func (s *callers) shutdown() error {
-	return errors.Wrap(s.app.ShutdownWithTimeout(shutdownTimeout), "data port")
+	err := s.app.ShutdownWithTimeout(shutdownTimeout)
+	if errors.Is(err, context.DeadlineExceeded) {
+		return nil
+	}
+	return errors.Wrap(err, "data port")
 }
 
 // serveError answers what no handler took: bad HTTP and unknown paths.
@@ -161,84 +169,79 @@
 	}
 	request.Payload = payload
 	c.Request().ResetBody()
-	request.call = &call{done: make(chan Result, 1)}
+	request.call = newCall()
 	var sink Sink
 	if request.Stream {
 		id := request.ID
-		request.call.stream = newCallerStream(func() { s.report(CallerGone{Request: id}) })
+		request.call.stream = newCallerStream(func() { s.report(CallerGone{Request: id}) }, request.call.signal)
 		sink = request.call.stream
 	}
 	request.Answer = NewReceiver(request.ID, sink, service.MaxAnswerBytes)
-	c.Set(headerRequest, request.ID.String())
 	if s.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
 	s.active.Add(1)
 	if !s.report(Arrived{Request: request}) {
-		s.active.Done()
-		return writeResult(c, notRun(statusServiceUnavailable, CodeDraining, "this router is shutting down; use another one", 0))
+		request.call.done <- notRun(statusServiceUnavailable, CodeDraining, "this router is shutting down; use another one", 0)
 	}
-	return s.await(c, request)
+	s.await(c, request)
+	return nil
 }
 
-// await waits for the final result, or for the head of a stream.
-func (s *callers) await(c *fiber.Ctx, request *Request) error {
+// await waits for the final result, or for the head of a stream. A call that
+// waits for long is parked.
+func (s *callers) await(c *fiber.Ctx, request *Request) {
 	var headed chan struct{}
 	if request.call.stream != nil {
 		headed = request.call.stream.headed
 	}
-	conn := c.Context().Conn()
-	timer := time.NewTimer(callerCheck)
+	timer := time.NewTimer(parkAfter)
 	defer timer.Stop()
-	for {
-		select {
-		case result := <-request.call.done:
-			if request.call.streams() {
-				return s.writeStream(c, request)
-			}
-			defer s.active.Done()
-			return s.writeWhole(c, request, result)
-		case <-headed:
-			return s.writeStream(c, request)
-		case <-timer.C:
-			if connectionGone(conn) {
-				s.report(CallerGone{Request: request.ID})
-			}
-			timer.Reset(callerCheck)
-		}
+	select {
+	case result := <-request.call.done:
+		s.write(c.Response(), request, result)
+	case <-headed:
+		s.writeStream(c.Response(), request)
+	case <-timer.C:
+		s.parked.park(c, request, s.write)
 	}
 }
 
-// writeWhole writes a whole answer, or the reason why there is none.
-func (s *callers) writeWhole(c *fiber.Ctx, request *Request, result Result) error {
+// write writes the whole answer, the stream that has begun, or the reason why
+// there is none.
+func (s *callers) write(response *fasthttp.Response, request *Request, result Result) {
+	if request.call.streams() {
+		s.writeStream(response, request)
+		return
+	}
+	defer s.active.Done()
+	response.Header.Set(headerRequest, request.ID.String())
 	if result.Outcome != fleet.OutcomeCompleted {
-		return writeResult(c, result)
+		writeResult(response, result)
+		return
 	}
 	head, body := request.Answer.Answer()
-	for _, header := range head.Headers {
-		if !keepsBack(header.Name) {
-			c.Response().Header.Add(header.Name, header.Value)
-		}
-	}
-	c.Set(headerOutcome, string(fleet.OutcomeCompleted))
-	c.Status(int(head.Status))
-	c.Response().SetBodyRaw(body)
-	return nil
+	writeHead(response, int(head.Status), head.Headers, fleet.OutcomeCompleted)
+	response.SetBodyRaw(body)
 }
 
 // writeStream passes the answer on as it comes. Its outcome is not known yet.
-func (s *callers) writeStream(c *fiber.Ctx, request *Request) error {
+func (s *callers) writeStream(response *fasthttp.Response, request *Request) {
 	stream := request.call.stream
-	for _, header := range stream.headers {
+	response.Header.Set(headerRequest, request.ID.String())
+	writeHead(response, stream.status, stream.headers, fleet.OutcomeUnknown)
+	response.ImmediateHeaderFlush = true
+	response.SetBodyStream(&countedStream{callerStream: stream, done: s.active.Done}, -1)
+}
+
+func writeHead(response *fasthttp.Response, status int, headers []*rpc.Header, outcome fleet.Outcome) {
+	for _, header := range headers {
 		if !keepsBack(header.Name) {
-			c.Response().Header.Add(header.Name, header.Value)
+			response.Header.Add(header.Name, header.Value)
 		}
 	}
-	c.Set(headerOutcome, string(fleet.OutcomeUnknown))
-	c.Status(stream.status)
-	c.Response().ImmediateHeaderFlush = true
-	c.Response().SetBodyStream(&countedStream{callerStream: stream, done: s.active.Done}, -1)
-	return nil
+	response.Header.Set(headerOutcome, string(outcome))
+	response.SetStatusCode(status)
 }
 
 // countedStream tells when the HTTP server has ended with a stream.
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -183,29 +183,11 @@
 	if err != nil {
 		return err
 	}
-	switch progress {
-	case ProgressStarted:
-		r.path.report(AnswerStarted{Attempt: r.attempt})
-	case ProgressRefused:
-		r.final = true
-		refused := frame.GetRefused()
-		r.path.report(RunRefused{
-			Attempt:    r.attempt,
-			Reason:     refused.Reason,
-			RetryAfter: time.Duration(refused.RetryAfterMs) * time.Millisecond,
-		})
-	case ProgressAccepted:
-		r.path.report(RunAccepted{Attempt: r.attempt, FreeSlots: frame.GetAccepted().FreeSlots})
-	case ProgressEnded:
-		r.final = true
-		end := frame.GetEnd()
-		r.path.report(AnswerEnded{Attempt: r.attempt, FreeSlots: end.FreeSlots, Cost: end.Cost})
-	case ProgressFailed:
-		r.final = true
-		failed := frame.GetFailed()
-		r.path.report(AnswerFailed{Attempt: r.attempt, State: failed.State, Crashed: failed.Crashed, Reason: failed.Reason})
-	}
 	r.progress = true
+	if input := InputOf(r.attempt, progress, frame); input != nil {
+		r.final = progress.Final()
+		r.path.report(input)
+	}
 	return nil
 }
 
--- a/internal/router/shell_errors.go
+++ b/internal/router/shell_errors.go
@@ -6,6 +6,7 @@
 	"strconv"
 
 	"github.com/gofiber/fiber/v2"
+	"github.com/valyala/fasthttp"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
@@ -69,15 +70,15 @@
 
 // writeResult writes the final answer to a request that has none of a backend
 // server.
-func writeResult(c *fiber.Ctx, result Result) error {
+func writeResult(response *fasthttp.Response, result Result) {
 	if result.RetryAfter > 0 {
 		seconds := int(math.Ceil(result.RetryAfter.Seconds()))
-		c.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
+		response.Header.Set(fiber.HeaderRetryAfter, strconv.Itoa(seconds))
 	}
-	c.Set(headerOutcome, string(result.Outcome))
-	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
-	body := encodeError(result.Status, string(result.Code), result.Message, result.Outcome)
-	return c.Status(result.Status).Send(body)
+	response.Header.Set(headerOutcome, string(result.Outcome))
+	response.Header.SetContentType(fiber.MIMEApplicationJSON)
+	response.SetStatusCode(result.Status)
+	response.SetBodyRaw(encodeError(result.Status, string(result.Code), result.Message, result.Outcome))
 }
 
 // streamEnd is the last part of a streamed answer. A stream's outcome is known
--- a/internal/router/system_claim.go
+++ b/internal/router/system_claim.go
@@ -25,7 +25,9 @@
 	guards  []fleet.Node
 	next    int // guard that is being asked
 	round   uint32
+	asked   []fleet.Address // guards that may hold the key for this request
 	granted []fleet.Address // guards at which this request holds the key
+	told    int             // guards that answered in this round
 	heldBy  fleet.RequestID
 	running fleet.Address // data address of the agent that runs the holder
 	held    bool
@@ -38,12 +40,12 @@
 	e.state = stateClaiming
 	w.asking[e] = struct{}{}
 	round := uint32(1)
-	var granted []fleet.Address
+	var asked []fleet.Address
 	if e.claim != nil {
 		round = e.claim.round + 1
-		granted = e.claim.granted
+		asked = e.claim.asked
 	}
-	e.claim = &claim{guards: w.guards(e.request), round: round, granted: granted}
+	e.claim = &claim{guards: w.guards(e.request), round: round, asked: asked}
 	w.askGuard(e)
 }
 
@@ -68,7 +70,11 @@
 		w.decideClaim(e)
 		return
 	}
-	w.emit(SendClaim{Request: e.request, Round: claim.round, Guard: claim.guards[claim.next].Control})
+	guard := claim.guards[claim.next].Control
+	if !slices.Contains(claim.asked, guard) {
+		claim.asked = append(claim.asked, guard)
+	}
+	w.emit(SendClaim{Request: e.request, Round: claim.round, Guard: guard})
 }
 
 // takeClaim takes in a guard's answer and asks the next one.
@@ -83,6 +89,7 @@
 	}
 	claim.next++
 	if event.Reply != nil {
+		claim.told++
 		claim.note(e.request, event)
 	}
 	if claim.held || claim.differs {
@@ -134,7 +141,7 @@
 	case claim.held:
 		// The holder still waits for a slot: look again soon.
 		claim.pollAt = w.now.Add(claimPoll)
-	case len(claim.granted) > 0:
+	case claim.permits(e.request):
 		delete(w.asking, e)
 		w.enqueue(e)
 	default:
@@ -143,6 +150,16 @@
 	}
 }
 
+// permits tells whether the guards' answers allow a run: one of them can tell
+// that the key is new. Where a second run would do harm, all must have answered.
+// Otherwise two routers, each cut off from the other's guard, would both run.
+func (c *claim) permits(request *Request) bool {
+	if !request.Idempotent && c.told < len(c.guards) {
+		return false
+	}
+	return len(c.granted) > 0
+}
+
 // claimRetryAfter is when to come back after the guards could not tell.
 const claimRetryAfter = 5 * time.Second
 
@@ -208,8 +225,10 @@
 }
 
 func (w *World) releaseKey(e *entry) {
-	for _, guard := range e.claim.granted {
+	// A guard whose reply was lost may hold the key too.
+	for _, guard := range e.claim.asked {
 		w.emit(SendClaim{Request: e.request, Guard: guard, Release: true})
 	}
+	e.claim.asked = nil
 	e.claim.granted = nil
 }
--- a/internal/router/system_expire.go
+++ b/internal/router/system_expire.go
@@ -24,12 +24,23 @@
 	}
 	for e := range w.asking {
 		if now.After(e.request.Deadline) {
-			w.finishNotRun(e, notRun(statusServiceUnavailable, CodeDeadline, "the deadline passed while the key was being claimed", 0))
+			w.expireClaim(e)
 		}
 	}
 	w.expireVerdicts(now)
 }
 
+// expireClaim ends a request that did not get its key in time. While another
+// try with the same key is in progress, that one may still run.
+func (w *World) expireClaim(e *entry) {
+	if e.claim.held {
+		w.releaseKey(e)
+		w.finish(e, unknown(statusGatewayTimeout, CodeDeadline, "another try with the same key is still in progress"))
+		return
+	}
+	w.finishNotRun(e, notRun(statusServiceUnavailable, CodeDeadline, "the deadline passed while the key was being claimed", 0))
+}
+
 func (w *World) expireWaiting(service *serviceRow, now time.Time) {
 	if service.waiting == 0 {
 		return
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -229,8 +229,9 @@
 
 // acknowledge tells an agent that an answer has been handed out, so that it
 // can forget it. The word rides on the next dispatch or offer to the agent; a
-// message of its own is sent only when there is none for long. Answers to requests with a key are kept for its retention,
-// because another try of the same caller may ask for them.
+// message of its own is sent only when there is none for long. Answers to requests
+// with a key are kept for their retention, because another try of the same
+// caller may ask for them.
 func (w *World) acknowledge(e *entry) {
 	row := e.attempt.agent
 	if row == nil || e.attempt.joined || e.request.Key != "" {
@@ -241,7 +242,21 @@
 	}
 	id := e.request.ID
 	row.offer.acks = append(row.offer.acks, id[:])
-	w.due(row, ackDelay)
+	delay := ackDelay
+	if w.draining {
+		delay = offerCoalesce
+	}
+	w.due(row, delay)
+}
+
+// beginDrain takes no new requests and acknowledges at once from now on.
+func (w *World) beginDrain() {
+	w.draining = true
+	for row := range w.offered {
+		if len(row.offer.acks) > 0 {
+			w.due(row, offerCoalesce)
+		}
+	}
 }
 
 // takeAcks returns the acknowledgements that ride on a dispatch to the agent.
--- a/internal/router/system_queue.go
+++ b/internal/router/system_queue.go
@@ -9,6 +9,9 @@
 // admit takes a caller's request or refuses it. Every refusal here is true:
 // nothing has been sent anywhere.
 func (w *World) admit(request *Request) {
+	if w.requests.Get(request.ID) != nil {
+		return // it was brought twice
+	}
 	e := &entry{request: request, place: -1}
 	e.queue = w.queue(request.Service, request.Account)
 	w.requests.Put(request.ID, e)
--- a/internal/router/world.go
+++ b/internal/router/world.go
@@ -126,7 +126,7 @@
 	case VerdictHeard:
 		w.takeVerdict(event)
 	case DrainBegan:
-		w.draining = true
+		w.beginDrain()
 	}
 }
 
