Probe control connections only while a call waits for its reply

Cause: HTTP/2 pings found silent connections, but went out on every connection that was used within the last 3 s, twice a second. On a connection with one call a second they cost as much as the call.

Ruled out: closing a connection when a call times out (a slow peer would lose it, and all calls on it); a watch per call (calls that are given up sooner than the silence is found would never find it).

Change: a client's connection notes since when a call has waited without a byte. After 500 ms it is probed with a call that the peer answers at once, 400 ms later it is closed. The test now makes calls that are given up after 125 ms.

Seen failing: without the watch, and with a watch that each call begins anew, TestSilentConnectionIsReplaced ends with "the silent connection was never replaced".

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -65,7 +65,14 @@
 }
 
 func status(pool *Pool, address fleet.Address) error {
-	_, err := pool.Peer(address).Status(context.Background(), &rpc.StatusRequest{})
+	return statusIn(pool, address, patience)
+}
+
+// statusIn makes a call that is given up after a time.
+func statusIn(pool *Pool, address fleet.Address, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	_, err := pool.Peer(address).Status(ctx, &rpc.StatusRequest{})
 	return err
 }
 
@@ -225,7 +232,8 @@
 	<-r.accepted
 	r.silence()
 	deadline := time.Now().Add(patience)
-	for status(pool, address) != nil {
+	// Each call is given up sooner than a connection is found silent.
+	for statusIn(pool, address, probeAfter/4) != nil {
 		if time.Now().After(deadline) {
 			t.Fatal("the silent connection was never replaced")
 		}
--- a/internal/control/pool.go
+++ b/internal/control/pool.go
@@ -15,15 +15,8 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = 700 * time.Millisecond
-	// pingAfter is the silence after which a connection is probed. Something
-	// between two nodes may forget a connection that was open: then nothing
-	// sent on it arrives and nothing tells so, while new connections work. A
-	// ping that stays unanswered for pingTimeout shows it. The connection is
-	// closed and the next call opens a new one, at most 1 s after the loss.
-	pingAfter   = 500 * time.Millisecond
-	pingTimeout = 500 * time.Millisecond
 	// idleTimeout closes connections without calls, so that hundreds of peers
-	// that have nothing to say to each other cost neither pings nor memory.
+	// that have nothing to say to each other cost no memory.
 	idleTimeout = 3 * time.Second
 )
 
@@ -83,25 +76,20 @@
 func (p *Pool) newTransport() *http.Transport {
 	var protocols http.Protocols
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Transport{
-		DialContext:     p.dial,
+	transport := &http.Transport{
 		Protocols:       &protocols,
 		IdleConnTimeout: idleTimeout,
-		HTTP2: &http.HTTP2Config{
-			SendPingTimeout:  pingAfter,
-			PingTimeout:      pingTimeout,
-			WriteByteTimeout: pingTimeout,
-		},
+		HTTP2:           &http.HTTP2Config{WriteByteTimeout: probeAfter + probeTimeout},
 	}
-}
-
-func (p *Pool) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
-	conn, err := dialer.DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
+	transport.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return p.newConn(conn, transport, fleet.Address(address)), nil
 	}
-	return countingConn{Conn: conn, metrics: p.metrics}, nil
+	return transport
 }
 
 // countingTransport adds the token to each request and counts the bodies.
@@ -113,7 +101,7 @@
 // RoundTrip implements http.RoundTripper.
 func (t countingTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	class := classOfPath(request.URL.Path)
-	signed := request.Clone(request.Context())
+	signed := request.Clone(watchCalls(request.Context()))
 	t.pool.token.sign(signed.Header)
 	t.pool.metrics.addBody(class, directionOut, int(signed.ContentLength))
 	response, err := t.next.RoundTrip(signed)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -19,6 +19,7 @@
 
 const (
 	twirpPrefix = "/twirp/"
+	healthPath  = "/healthz"
 	// maxBodyBytes bounds a control message. The largest ones carry chunks of
 	// the settings tree.
 	maxBodyBytes = 8 << 20
@@ -60,7 +61,7 @@
 func NewServer(config ServerConfig) *Server {
 	s := &Server{config: config, token: newToken(config.Token), mux: http.NewServeMux()}
 	s.mux.Handle("GET /metrics", promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{}))
-	s.mux.HandleFunc("GET /healthz", s.serveHealth)
+	s.mux.HandleFunc("GET "+healthPath, s.serveHealth)
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
 	return s
 }
