--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -80,8 +80,9 @@
 
 // fakeFleet is a Fleet that does not change.
 type fakeFleet struct {
-	view    settings.View
-	members membership.View
+	view      settings.View
+	members   membership.View
+	cancelled chan struct{} // gets a word for each cancel
 }
 
 func (f *fakeFleet) Settings() settings.View  { return f.view }
@@ -96,19 +97,25 @@
 func (f *fakeFleet) SetLeaving(bool)               {}
 func (f *fakeFleet) SetReady()                     {}
 func (f *fakeFleet) SetNotReady(string)            {}
-func (f *fakeFleet) Agent(fleet.Address) rpc.Agent { return fakeControl{} }
+func (f *fakeFleet) Agent(fleet.Address) rpc.Agent { return fakeControl{fleet: f} }
 func (f *fakeFleet) FreshAgent(fleet.Address) rpc.Agent {
-	return fakeControl{}
+	return fakeControl{fleet: f}
 }
 
 // fakeControl is an agent's control port that knows nothing.
-type fakeControl struct{ rpc.Agent }
+type fakeControl struct {
+	rpc.Agent
+	fleet *fakeFleet
+}
 
 func (fakeControl) Offer(context.Context, *rpc.OfferRequest) (*rpc.OfferReply, error) {
 	return &rpc.OfferReply{}, nil
 }
 
-func (fakeControl) Cancel(context.Context, *rpc.CancelRequest) (*rpc.CancelReply, error) {
+func (c fakeControl) Cancel(context.Context, *rpc.CancelRequest) (*rpc.CancelReply, error) {
+	if c.fleet.cancelled != nil {
+		c.fleet.cancelled <- struct{}{}
+	}
 	return &rpc.CancelReply{}, nil
 }
 
--- a/internal/router/system_dispatch.go
+++ b/internal/router/system_dispatch.go
@@ -18,25 +18,40 @@
 // dispatchOne sends the next request of a service and reports whether one
 // could be sent.
 func (w *World) dispatchOne(service *serviceRow) bool {
-	queue := service.nextQueue()
+	queue := service.nextQueue(anyHead)
 	if queue == nil {
 		return false
 	}
-	e := queue.first()
-	agent := w.chooseAgent(e)
+	agent := w.chooseAgent(queue.first())
+	if agent == nil && len(queue.first().excluded) > 0 {
+		// A request that few agents may run must not hold up the others.
+		queue = service.nextQueue(unrestrictedHead)
+		if queue == nil {
+			return false
+		}
+		agent = w.chooseAgent(queue.first())
+	}
 	if agent == nil {
 		return false
 	}
-	w.dispatch(e, agent, 0, time.Time{})
+	w.dispatch(queue.first(), agent, 0, time.Time{})
 	return true
 }
 
-// nextQueue picks the account with the smallest local clock among those with
-// waiting requests.
-func (s *serviceRow) nextQueue() *accountQueue {
+// headFilter chooses queues by their first request.
+type headFilter func(first *entry) bool
+
+func anyHead(*entry) bool { return true }
+
+// unrestrictedHead leaves out requests that some agents must not run.
+func unrestrictedHead(first *entry) bool { return len(first.excluded) == 0 }
+
+// nextQueue picks the account with the smallest local clock among those whose
+// first waiting request passes the filter.
+func (s *serviceRow) nextQueue(filter headFilter) *accountQueue {
 	var best *accountQueue
 	for _, queue := range s.queues {
-		if queue.len() == 0 {
+		if queue.len() == 0 || !filter(queue.first()) {
 			continue
 		}
 		if best == nil || s.comesFirst(queue, best) {
@@ -200,9 +215,28 @@
 	if !e.attempt.joined {
 		w.chargeEstimate(e, -1)
 	}
+	if w.nowhereLeft(e) {
+		w.finishNotRun(e, notRun(statusServiceUnavailable, CodeNoBackend, "no backend server of the service can take this request any more", 0))
+		return
+	}
 	w.enqueue(e)
 }
 
+// nowhereLeft tells whether every agent of the service has forbidden itself to
+// run the request. Waiting on would hold its caller back for nothing.
+func (w *World) nowhereLeft(e *entry) bool {
+	agents := e.queue.service.agents
+	if len(e.excluded) == 0 || len(agents) == 0 {
+		return false
+	}
+	for _, row := range agents {
+		if !e.excludes(row.node.Control) {
+			return false
+		}
+	}
+	return true
+}
+
 // answered notes that an agent's first word on a dispatch has come, or never
 // will.
 func (w *World) answered(e *entry) {
--- a/internal/router/system_grant.go
+++ b/internal/router/system_grant.go
@@ -52,7 +52,7 @@
 	}
 	queue := row.service.queues[fleet.Account(grant.Account)]
 	if grant.Account == "" {
-		queue = row.service.nextQueue()
+		queue = row.service.nextQueue(anyHead)
 	}
 	if queue == nil {
 		return nil
