Tell every guard that was asked where a keyed call runs

Cause: a guard that could not tell whether a key is new noted the call and was never told where it runs. Another router that asks that guard first stopped there until its caller's deadline.

Change: the router tells all guards that it asked.

--- a/internal/router/system_claim.go
+++ b/internal/router/system_claim.go
@@ -210,7 +210,9 @@
 	if e.claim == nil || e.attempt.joined {
 		return
 	}
-	for _, guard := range e.claim.granted {
+	// A guard that could not tell whether the key is new has noted the request
+	// as well, and another router may ask that guard first.
+	for _, guard := range e.claim.asked {
 		w.emit(SendClaim{Request: e.request, Guard: guard, Running: e.attempt.data})
 	}
 }
