Read little for strangers, take bodies as they come, look at resumes only when due

Cause: anybody could make a router read bodies up to the limit before the key was looked at; fiber unpacked bodies with Content-Encoding, which the backend server then got with the wrong header, and of unbounded size; and each tick looked at every request in flight for one to resume.

Change: the key is checked when the header is there, and strangers' bodies are bounded by 4 KB; bodies are taken raw; requests to be resumed have a set of their own. The comparison benchmarks read bodies to the end: without that each call cost a new connection, in both columns.

--- a/internal/pathtest/latency_test.go
+++ b/internal/pathtest/latency_test.go
@@ -1,6 +1,7 @@
 package pathtest
 
 import (
+	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -54,6 +55,8 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	// A body that is not read to its end costs the connection.
+	_, _ = io.Copy(io.Discard, response.Body)
 	took := time.Since(began)
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
--- a/internal/pathtest/process_test.go
+++ b/internal/pathtest/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -78,6 +79,8 @@
 		b.Error(err)
 		return
 	}
+	// A body that is not read to its end costs the connection.
+	_, _ = io.Copy(io.Discard, response.Body)
 	_ = response.Body.Close()
 	if response.StatusCode != http.StatusOK {
 		b.Errorf("status %d", response.StatusCode)
--- a/internal/pathtest/sim_nodes_test.go
+++ b/internal/pathtest/sim_nodes_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellchute/bluebellchute/internal/agent"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -268,13 +269,22 @@
 		}
 		if m.crossed || conn.crossed {
 			conn.crossed = false
-			other := s.newID()
-			frame.RequestId = other[:]
+			frame = crossedFrame(frame, s.newID())
 		}
 		s.take(conn, frame)
 	}})
 }
 
+// crossedFrame is a frame of the answer to another request.
+func crossedFrame(frame *rpc.AnswerFrame, other fleet.RequestID) *rpc.AnswerFrame {
+	crossed := proto.Clone(frame).(*rpc.AnswerFrame)
+	crossed.RequestId = other[:]
+	if data := crossed.GetData(); data != nil {
+		data.Data = []byte(madeFor(other))[:len(data.Data)]
+	}
+	return crossed
+}
+
 func (s *sim) take(conn *simConn, frame *rpc.AnswerFrame) {
 	conn.heard = s.now
 	progress, err := conn.receiver.Take(frame)
--- a/internal/router/shell_callers.go
+++ b/internal/router/shell_callers.go
@@ -41,6 +41,7 @@
 	})
 	// The handler of a parked call returns while its connection lives on.
 	s.app.Server().KeepHijackedConns = true
+	s.app.Server().HeaderReceived = s.limitBody
 	s.app.Post("/v1/chat/completions", s.serveModel)
 	s.app.Post("/v1/completions", s.serveModel)
 	s.app.All("/svc/:service", s.servePlain)
@@ -70,6 +71,11 @@
 	if errors.As(err, &fiberError) {
 		status = fiberError.Code
 	}
+	if status == fiber.StatusRequestEntityTooLarge {
+		if _, _, mistake := s.authenticate(c); mistake != nil {
+			return s.reject(c, mistake)
+		}
+	}
 	if status == fiber.StatusBadGateway {
 		// The library's word for a caller's connection that broke.
 		status = fiber.StatusBadRequest
@@ -98,20 +104,31 @@
 // authenticate returns the settings in force and the caller's client account.
 func (s *callers) authenticate(c *fiber.Ctx) (settings.View, fleet.Account, *badRequest) {
 	view := s.view()
-	if view == nil {
-		return nil, "", bad(fiber.StatusServiceUnavailable, "starting", "this router has no settings yet")
-	}
-	account, mistake := authenticate(c, view)
+	account, mistake := authenticate(c.Get(fiber.HeaderAuthorization), view)
 	return view, account, mistake
 }
 
+// strangerBodyBytes is the largest body that is read for a caller without a
+// known key. Anybody can reach the port; without this bound, strangers could
+// fill the router's memory with bodies that are refused once they are whole.
+const strangerBodyBytes = 4096
+
+// limitBody sets the bound of a call's body once its header is there.
+func (s *callers) limitBody(header *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	key := string(header.Peek(fiber.HeaderAuthorization))
+	if _, mistake := authenticate(key, s.view()); mistake != nil {
+		return fasthttp.RequestConfig{MaxRequestBodySize: strangerBodyBytes}
+	}
+	return fasthttp.RequestConfig{}
+}
+
 // serveModel serves a call that names its service in the field model.
 func (s *callers) serveModel(c *fiber.Ctx) error {
 	view, account, mistake := s.authenticate(c)
 	if mistake != nil {
 		return s.reject(c, mistake)
 	}
-	fields, mistake := readModel(c.Body())
+	fields, mistake := readModel(c.BodyRaw())
 	if mistake != nil {
 		return s.reject(c, mistake)
 	}
@@ -125,7 +142,7 @@
 		return s.reject(c, mistake)
 	}
 	request.Stream = fields.Stream
-	request.Cost = estimateCost(service, fields, len(c.Body()))
+	request.Cost = estimateCost(service, fields, len(c.BodyRaw()))
 	return s.run(c, request, service, path)
 }
 
--- a/internal/router/shell_request.go
+++ b/internal/router/shell_request.go
@@ -48,10 +48,13 @@
 	MaxCompletionTokens uint64 `json:"max_completion_tokens"`
 }
 
-// authenticate returns the client account of the caller's API key.
-func authenticate(c *fiber.Ctx, view settings.View) (fleet.Account, *badRequest) {
+// authenticate returns the client account of the API key in the header
+// Authorization.
+func authenticate(header string, view settings.View) (fleet.Account, *badRequest) {
 	const scheme = "Bearer "
-	header := c.Get(fiber.HeaderAuthorization)
+	if view == nil {
+		return "", bad(fiber.StatusServiceUnavailable, "starting", "this router has no settings yet")
+	}
 	if len(header) <= len(scheme) || !strings.EqualFold(header[:len(scheme)], scheme) {
 		return "", bad(fiber.StatusUnauthorized, "missing_api_key", "the header Authorization: Bearer <key> is required")
 	}
@@ -65,7 +68,7 @@
 
 // buildRequest reads a caller's request for a service.
 func buildRequest(c *fiber.Ctx, view settings.View, account fleet.Account, service settings.ServicePolicy, path string) (*Request, *badRequest) {
-	body := c.Body()
+	body := c.BodyRaw()
 	if service.MaxRequestBytes > 0 && int64(len(body)) > service.MaxRequestBytes {
 		return nil, bad(fiber.StatusRequestEntityTooLarge, "request_too_large", "the body is larger than the service permits")
 	}
@@ -188,7 +191,7 @@
 		Method:         c.Method(),
 		Path:           path,
 		Headers:        forwardedHeaders(c),
-		Body:           c.Body(),
+		Body:           c.BodyRaw(),
 		Stream:         request.Stream,
 		IdempotencyKey: request.Key,
 	}
--- a/internal/router/shell_test.go
+++ b/internal/router/shell_test.go
@@ -78,6 +78,8 @@
 		{"deadline", "GET", "/svc/app/", "", []string{headerDeadline, "soon"}, 400, "not-run", `"code":"invalid_deadline"`},
 		{"idempotent", "GET", "/svc/app/", "", []string{headerIdempotent, "yes"}, 400, "not-run", `"code":"invalid_idempotent"`},
 		{"too large", "POST", "/svc/app/", strings.Repeat("x", 1<<16+1), nil, 413, "not-run", `"code":"request_too_large"`},
+		{"large from a stranger", "POST", "/svc/app/", strings.Repeat("x", 1<<14), []string{"Authorization", "Bearer x"}, 401, "not-run", `"code":"invalid_api_key"`},
+		{"packed", "POST", "/svc/app/", "\x1f\x8b not gzip", []string{"Content-Encoding", "gzip"}, 200, "completed", "data: a"},
 		{"much too large", "POST", "/svc/app/", strings.Repeat("x", 1<<18), nil, 413, "not-run", `"error"`},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/router/system_queue.go
+++ b/internal/router/system_queue.go
@@ -107,6 +107,7 @@
 	w.markOffers(e.queue)
 	delete(w.flying, e)
 	delete(w.asking, e)
+	delete(w.resuming, e)
 	w.requests.Delete(e.request.ID)
 	w.endClaim(e, result.Outcome)
 	w.emit(Finish{Request: e.request, Result: result})
--- a/internal/router/system_resume.go
+++ b/internal/router/system_resume.go
@@ -94,7 +94,13 @@
 		return
 	}
 	e.state = stateUnclear
+	w.planResume(e)
+}
+
+// planResume lets runResumes resume the request after a pause.
+func (w *World) planResume(e *entry) {
 	e.resumeAt = w.now.Add(resumePause)
+	w.resuming[e] = struct{}{}
 }
 
 // fence asks the agent what became of the request and forbids a run that has
@@ -140,7 +146,7 @@
 func (w *World) unreachable(e *entry) {
 	patient := !e.request.Idempotent || e.request.Answer.Started()
 	if patient && w.now.Sub(e.brokenAt) <= unclearPatience {
-		e.resumeAt = w.now.Add(resumePause)
+		w.planResume(e)
 		return
 	}
 	if e.attempt.agent != nil {
@@ -151,8 +157,11 @@
 
 // runResumes resumes the requests whose pause is over.
 func (w *World) runResumes(now time.Time) {
-	for e := range w.flying {
-		if !e.resumeAt.IsZero() && !now.Before(e.resumeAt) {
+	for e := range w.resuming {
+		if e.resumeAt.IsZero() {
+			delete(w.resuming, e)
+		} else if !now.Before(e.resumeAt) {
+			delete(w.resuming, e)
 			w.resume(e)
 		}
 	}
--- a/internal/router/world.go
+++ b/internal/router/world.go
@@ -34,6 +34,7 @@
 	verdicts *tick.Table[Fingerprint, VerdictHeard]
 
 	flying    map[*entry]struct{}        // sent, running or unclear
+	resuming  map[*entry]struct{}        // flying, to be resumed at a time
 	asking    map[*entry]struct{}        // claiming
 	offered   map[*agentRow]struct{}     // agents with something to be told
 	touched   map[*accountQueue]struct{} // queues whose count changed in this tick
@@ -58,6 +59,7 @@
 		rates:    tick.NewTable[fleet.Account, rateBucket](),
 		verdicts: tick.NewTable[Fingerprint, VerdictHeard](),
 		flying:   make(map[*entry]struct{}),
+		resuming: make(map[*entry]struct{}),
 		asking:   make(map[*entry]struct{}),
 		offered:  make(map[*agentRow]struct{}),
 		touched:  make(map[*accountQueue]struct{}),
