Convict a suspect at its second crash, give lapsed grants back, park early in a flood

Change: a suspect that crashes is convicted here at once; unused grants are declined with the next offer; beyond 512 waiting handlers calls are parked after 5 ms.

Tests of the router's core for suspects, retry budget, bounds, lapsed grants and late events. Each failed with its code disabled: 0 results of the convicted request, 0 refusals for the budget and for each bound, no declined grant, a lost result after a late event.

--- a/internal/pathtest/process_test.go
+++ b/internal/pathtest/process_test.go
@@ -117,5 +117,9 @@
 	b.ReportMetric(waiting, "waiting")
 	b.ReportMetric(resident/(1<<20), "resident-MiB")
 	b.ReportMetric((resident-before)/max(1, waiting), "resident-B/request")
+	// What the runtime has freed goes back to the machine with a delay.
+	time.Sleep(10 * time.Second)
+	b.ReportMetric(metric(b, "process_resident_memory_bytes")/(1<<20), "later-MiB")
 	b.ReportMetric(metric(b, "go_memstats_alloc_bytes")/max(1, waiting), "heap-B/request")
+	b.ReportMetric(metric(b, "go_memstats_stack_inuse_bytes")/max(1, waiting), "stack-B/request")
 }
--- a/internal/router/shell_callers.go
+++ b/internal/router/shell_callers.go
@@ -26,6 +26,7 @@
 	app      *fiber.App
 	parked   *parkingLot
 	active   sync.WaitGroup // calls and streams in progress
+	handlers atomic.Int64   // calls that wait in their handlers
 }
 
 func newCallers(config CallersSection, view func() settings.View, report func(Input) bool, metrics *Metrics, draining *atomic.Bool) *callers {
@@ -212,7 +213,8 @@
 	if request.call.stream != nil {
 		headed = request.call.stream.headed
 	}
-	timer := time.NewTimer(parkAfter)
+	defer s.handlers.Add(-1)
+	timer := time.NewTimer(parkTime(s.handlers.Add(1)))
 	defer timer.Stop()
 	select {
 	case result := <-request.call.done:
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -121,6 +121,9 @@
 
 // reportBroken tells the world how an exchange ended without a final frame.
 func (d *dataPath) reportBroken(client *fasthttp.HostClient, host *agentHost, reader *frameReader, err error) {
+	if errors.Is(err, errCallerGone) {
+		return // the world has heard of it from the caller's side
+	}
 	var dial *dialError
 	notSent := errors.As(err, &dial) || errors.Is(err, fasthttp.ErrNoFreeConns)
 	if notSent && client == host.pooled {
--- a/internal/router/shell_parked.go
+++ b/internal/router/shell_parked.go
@@ -15,6 +15,10 @@
 	// parkAfter is how long a call waits in its handler. Most are answered by
 	// then; those that wait longer cost a new connection for the next call.
 	parkAfter = 500 * time.Millisecond
+	// manyHandlers is the number of handlers beyond which calls are parked after
+	// parkSoon, so that a flood finds no room for the large form of a call.
+	manyHandlers = 512
+	parkSoon     = 5 * time.Millisecond
 	// callerCheck is the time between two looks whether callers are still there.
 	callerCheck = time.Second
 )
@@ -33,6 +37,15 @@
 	calls map[*parkedCall]struct{}
 }
 
+// parkTime is how long a call waits in its handler, given the number of calls
+// that do.
+func parkTime(handlers int64) time.Duration {
+	if handlers > manyHandlers {
+		return parkSoon
+	}
+	return parkAfter
+}
+
 // parkedCall is a call whose handler has returned.
 type parkedCall struct {
 	conn    net.Conn
--- a/internal/router/system_attempt.go
+++ b/internal/router/system_attempt.go
@@ -26,6 +26,8 @@
 	}
 	if event.Peer {
 		w.hear(e.attempt.agent, 0)
+	} else {
+		w.decline(e.attempt.agent, e.attempt.grant)
 	}
 	w.requeue(e)
 }
@@ -124,7 +126,6 @@
 	}
 	w.answered(e)
 	if event.Crashed && !e.attempt.joined {
-		e.crashes++
 		w.noteCrash(e)
 	}
 	w.settleState(e, event.State)
--- a/internal/router/system_dispatch.go
+++ b/internal/router/system_dispatch.go
@@ -175,6 +175,7 @@
 		grant:    grant,
 		believed: grant == 0,
 		waiting:  e.queue.len(),
+		suspect:  e.crashes > 0 || w.suspected(e.request.Fingerprint),
 		estimate: service.clocks.estimate(e.queue.account, e.request.Cost),
 	}
 	if grant == 0 {
@@ -190,7 +191,7 @@
 		Agent:   agent.node,
 		Grant:   grant,
 		UseBy:   useBy,
-		Suspect: e.crashes > 0 || w.suspected(e.request.Fingerprint),
+		Suspect: e.attempt.suspect,
 		Waiting: uint32(e.queue.len()),
 		Acks:    agent.takeAcks(),
 		Silence: service.silence(),
--- a/internal/router/system_grant.go
+++ b/internal/router/system_grant.go
@@ -76,3 +76,12 @@
 	}
 	w.emit(ReplyFree{Call: event.Call, Message: reply})
 }
+
+// decline gives a grant back that was taken and could not be used.
+func (w *World) decline(row *agentRow, grant uint64) {
+	if grant == 0 {
+		return
+	}
+	row.offer.declined = append(row.offer.declined, grant)
+	w.due(row, offerCoalesce)
+}
--- a/internal/router/system_verdict.go
+++ b/internal/router/system_verdict.go
@@ -22,7 +22,15 @@
 
 // noteCrash remembers that a request went down with a backend server. Its
 // caller will send it again, to any router; the agents spread the verdict.
+//
+// A suspect runs as the only one on its server, so a second crash convicts it
+// at once. If this router waited for the verdict of the agent to come round, it
+// could send the request to a third server before.
 func (w *World) noteCrash(e *entry) {
+	e.crashes++
+	if e.attempt.suspect {
+		e.crashes = convictingCrashes
+	}
 	crashes := e.crashes
 	if known := w.verdicts.Get(e.request.Fingerprint); known != nil {
 		crashes = max(crashes, known.Crashes)
--- a/internal/router/tables.go
+++ b/internal/router/tables.go
@@ -57,6 +57,7 @@
 	accepted bool
 	joined   bool // the answer of an earlier request with the same key
 	waiting  int  // what the agent was told to wait of the account
+	suspect  bool // a server crashed while it ran before
 	estimate float64
 }
 
--- /dev/null
+++ b/internal/router/world_test.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/membership"
+	"github.com/bluebellchute/bluebellchute/internal/rpc"
+)
+
+// bench steps a world whose agents are played by the test.
+type bench struct {
+	t     *testing.T
+	world *World
+	now   time.Time
+	view  *fakeView
+}
+
+func newBench(t *testing.T, agents int) *bench {
+	b := &bench{t: t, now: time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC), view: newFakeView()}
+	b.world = NewWorld(fleet.Node{Control: "r:1", Zone: "a"}, Limits{}, rand.New(rand.NewPCG(1, 1)))
+	members := membership.View{Version: 1}
+	for i := range agents {
+		name := string(rune('a' + i))
+		members.Nodes = append(members.Nodes, fleet.Node{
+			VM: name, Role: fleet.RoleAgent, Control: fleet.Address(name + ":1"), Data: fleet.Address(name + ":2"),
+			Zone: "a", Service: testModel, State: fleet.VMLive,
+		})
+	}
+	b.step(SettingsChanged{View: b.view}, MembersChanged{View: members})
+	return b
+}
+
+func (b *bench) step(inputs ...Input) []Output {
+	outputs, _ := b.world.Step(b.now, inputs)
+	return outputs
+}
+
+func (b *bench) request(change func(*Request)) *Request {
+	request := &Request{
+		ID: newRequestID(), Account: testAccount, Service: testModel, Arrived: b.now,
+		Deadline: b.now.Add(time.Minute), Idempotent: true, Payload: []byte("payload"),
+	}
+	request.Answer = NewReceiver(request.ID, nil, 0)
+	if change != nil {
+		change(request)
+	}
+	return request
+}
+
+// only returns the one output of a type among the outputs.
+func only[O Output](b *bench, outputs []Output) O {
+	b.t.Helper()
+	var found []O
+	for _, output := range outputs {
+		if o, ok := output.(O); ok {
+			found = append(found, o)
+		}
+	}
+	if len(found) != 1 {
+		b.t.Fatalf("%d outputs of the type, want 1: %+v", len(found), outputs)
+	}
+	return found[0]
+}
+
+// Symptom: three backend servers are lost to one request.
+// Sequence: a request crashes a server; its caller sends it again, and it
+// crashes a second one; the verdict has not reached the third one yet.
+// Cause: verdicts spread with the control messages, a retry is faster.
+func TestSuspectIsNotSentToAThirdServer(t *testing.T) {
+	b := newBench(t, 3)
+	crash := func(run SendRun) Result {
+		b.step(RunAccepted{Attempt: run.Attempt, FreeSlots: 1})
+		failed := AnswerFailed{Attempt: run.Attempt, State: rpc.RequestState_REQUEST_STATE_FAILED, Crashed: true}
+		return only[Finish](b, b.step(failed)).Result
+	}
+	once := b.request(func(r *Request) { r.Idempotent = false })
+	first := only[SendRun](b, b.step(Arrived{Request: once}))
+	if got := crash(first); got.Status != statusBadGateway || got.Outcome != fleet.OutcomeUnknown {
+		t.Errorf("the first try ended with %+v", got)
+	}
+	second := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	if first.Suspect || !second.Suspect {
+		t.Errorf("sent as %+v, then as %+v", first, second)
+	}
+	if got := crash(second); got.Status != statusUnprocessable || got.Outcome != fleet.OutcomeUnknown {
+		t.Errorf("the second try ended with %+v", got)
+	}
+	third := only[Finish](b, b.step(Arrived{Request: b.request(nil)})).Result
+	if third.Status != statusUnprocessable || third.Outcome != fleet.OutcomeNotRun {
+		t.Errorf("the third try ended with %+v", third)
+	}
+}
+
+// Symptom: a small failure becomes a large one.
+// Sequence: servers fail; each request is sent again, and again.
+// Cause: retries without a budget multiply the load.
+func TestRetriesHaveABudget(t *testing.T) {
+	b := newBench(t, 40)
+	exhausted := 0
+	for i := range 30 {
+		request := b.request(func(r *Request) { r.Fingerprint[0] = byte(i + 1) })
+		run := only[SendRun](b, b.step(Arrived{Request: request}))
+		outputs := b.step(AnswerFailed{Attempt: run.Attempt, State: rpc.RequestState_REQUEST_STATE_FAILED})
+		for _, output := range outputs {
+			if finish, ok := output.(Finish); ok && finish.Result.Code == CodeRetryBudget {
+				exhausted++
+			}
+		}
+	}
+	// Ten retries at once, and one for each ten requests.
+	if want := 30 - 12; exhausted < want {
+		t.Errorf("%d requests were not retried, want at least %d", exhausted, want)
+	}
+}
+
+// Symptom: one account's flood fills the router's memory.
+// Sequence: an account sends far more than the fleet takes.
+// Cause: a queue without a bound.
+func TestBoundsRefuseAtOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*bench, *Request)
+		want   Result
+	}{
+		"requests": {func(b *bench, _ *Request) { b.setPolicy(0, 3, 0) }, Result{Status: 429, Code: CodeQueueFull}},
+		"bytes":    {func(b *bench, _ *Request) { b.setPolicy(0, 0, 20) }, Result{Status: 429, Code: CodeQueueFull}},
+		"rate":     {func(b *bench, _ *Request) { b.setPolicy(2, 0, 0) }, Result{Status: 429, Code: CodeRateLimited}},
+		"deadline": {func(b *bench, r *Request) { r.Deadline = b.now }, Result{Status: 503, Code: CodeDeadline}},
+		"draining": {func(b *bench, _ *Request) { b.step(DrainBegan{}) }, Result{Status: 503, Code: CodeDraining}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, 0)
+			var last []Output
+			for range 4 {
+				last = b.step(Arrived{Request: b.request(func(r *Request) { test.change(b, r) })})
+			}
+			got := only[Finish](b, last).Result
+			if got.Status != test.want.Status || got.Code != test.want.Code || got.Outcome != fleet.OutcomeNotRun || got.RetryAfter <= 0 {
+				t.Errorf("got %+v", got)
+			}
+		})
+	}
+}
+
+func (b *bench) setPolicy(rate float64, requests int, bytes int64) {
+	policy := b.view.accounts[testAccount]
+	policy.RateLimit, policy.QueueRequests, policy.QueueBytes = rate, requests, bytes
+	b.view.accounts[testAccount] = policy
+}
+
+// Symptom: a slot stays idle for a lease while others wait for it.
+// Sequence: a router takes a grant, is paused, and finds its use-by passed.
+// Cause: the agent learns of an unused grant only when its lease ends.
+func TestLapsedGrantIsGivenBack(t *testing.T) {
+	b := newBench(t, 1)
+	blocker := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	b.step(RunAccepted{Attempt: blocker.Attempt})
+	b.step(Arrived{Request: b.request(nil)})
+	grant := &rpc.Grant{Number: 7, Account: string(testAccount), LeaseMs: 500}
+	run := only[SendRun](b, b.step(Granted{Agent: "a:1", Service: testModel, Grants: []*rpc.Grant{grant}, Received: b.now}))
+	if run.Grant != 7 {
+		t.Fatalf("sent on grant %d", run.Grant)
+	}
+	b.step(RunNotSent{Attempt: run.Attempt})
+	b.now = b.now.Add(2 * offerCoalesce)
+	offer := only[SendOffer](b, b.step())
+	if len(offer.Message.Declined) != 1 || offer.Message.Declined[0] != 7 {
+		t.Errorf("declined %v", offer.Message.Declined)
+	}
+}
+
+// Symptom: an answer goes to the wrong try, and its slot's count is wrong.
+// Sequence: an attempt is given up; its events come late, or twice.
+// Cause: events are queued between the network and the decisions.
+func TestEventsOfOldAttemptsAreDropped(t *testing.T) {
+	b := newBench(t, 2)
+	first := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	refused := RunRefused{Attempt: first.Attempt, Reason: rpc.RefusalReason_REFUSAL_REASON_NO_SLOT}
+	second := only[SendRun](b, b.step(refused))
+	for _, late := range []Input{
+		refused,
+		AnswerFailed{Attempt: first.Attempt, State: rpc.RequestState_REQUEST_STATE_FENCED},
+		AnswerBroken{Attempt: first.Attempt},
+		AnswerEnded{Attempt: first.Attempt},
+	} {
+		for _, output := range b.step(late) {
+			switch output.(type) {
+			case SendRun, SendResume, SendFence, Finish:
+				t.Errorf("%T led to %T", late, output)
+			}
+		}
+	}
+	b.step(RunAccepted{Attempt: second.Attempt, FreeSlots: 1})
+	only[Finish](b, b.step(AnswerEnded{Attempt: second.Attempt}))
+}
