--- a/internal/spread/network_test.go
+++ b/internal/spread/network_test.go
@@ -128,4 +128,3 @@
 func (r oldReplica) Watch(_ context.Context, _ string, from platform.Version, _ time.Duration) ([]platform.Change, platform.Version, error) {
 	return nil, from, nil
 }
-
