Give the calls that reach out for all agents a prompt each

Cause: calls with an equal beginning are drawn to one agent, so the calls by which the tests find out whether a router reaches all agents took longer than they need.

Change: a prompt of its own for each of these calls. Nothing else in the tests.

Noted on the way: for its first 2 s an agent admits calls on grants only, and in a fleet without waiting work a router then hears of its free slots by the agent's next question, seen after up to 6 s.

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -15,6 +15,7 @@
 // call is one call of the model service.
 type call struct {
 	tokens     int
+	prompt     string
 	stream     bool
 	idempotent bool
 	key        string // Idempotency-Key, or none
@@ -54,8 +55,8 @@
 }
 
 func makeCall(router node, c call) answer {
-	body := fmt.Sprintf(`{"model":%q,"x_tokens":%d,"stream":%t,"messages":[]}`, service, c.tokens, c.stream)
-	url := fmt.Sprintf("http://%s/v1/chat/completions", router.data)
+	body := fmt.Sprintf(`{"model":%q,"x_tokens":%d,"stream":%t,"prompt":%q}`, service, c.tokens, c.stream, c.prompt)
+	url := fmt.Sprintf("http://%s/v1/completions", router.data)
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
 		return answer{err: err}
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -161,11 +161,12 @@
 }
 
 // awaitAgents sends short calls until each backend has run one of this router.
+// Each has a prompt of its own, as an equal beginning draws calls to one agent.
 func (c *cluster) awaitAgents(t *testing.T, router node) {
 	t.Helper()
 	reached := make(map[fleet.Address]bool)
 	eventually(t, "the router reaches all agents", func() bool {
-		done := startCall(router, call{tokens: 1})
+		done := startCall(router, call{tokens: 1, prompt: newKey()})
 		answer := <-done
 		for _, b := range c.backends {
 			if b.runs(t)[answer.request] != nil {
