Bound the verdicts in one message and draw half of them

Cause: with more than 512 verdicts two nodes never came level, and each of their messages carried 512 verdicts again.

Change: at most 64 in a message, half of them the newest and half drawn.

Tests seen failing: TestManyVerdicts without the bound (999 in one message) and with the newest ones only.

Conclusion: a storm of crashes costs about 3 KB a message, worked out.

--- a/internal/spread/system_peer.go
+++ b/internal/spread/system_peer.go
@@ -64,7 +64,7 @@
 		Members:  w.documents[DocumentMembers].replica.Delta(envelope.GetMembersVersion()),
 	}
 	if envelope.GetVerdictsDigest() != w.verdicts.digest {
-		reply.Verdicts = w.verdicts.list(maxVerdictsSent)
+		reply.Verdicts = w.verdicts.sample(w.random)
 	}
 	return reply
 }
@@ -85,7 +85,7 @@
 		request.Members = w.pushedDelta(DocumentMembers, known)
 	}
 	if known.digest != w.verdicts.digest {
-		request.Verdicts = w.verdicts.list(maxVerdictsSent)
+		request.Verdicts = w.verdicts.sample(w.random)
 	}
 	w.emit(Sync{To: to, Reason: reason, Request: request})
 }
--- a/internal/spread/verdicts.go
+++ b/internal/spread/verdicts.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -15,8 +16,10 @@
 const (
 	// maxVerdicts bounds the table. The ones that expire first give way.
 	maxVerdicts = 4096
-	// maxVerdictsSent bounds the verdicts in one message.
-	maxVerdictsSent = 512
+	// maxVerdictsSent bounds the verdicts in one message, about 3 KB. Half of
+	// them are the newest ones, which the peer lacks most likely, and half are
+	// drawn, so that two large sets become the same in the end.
+	maxVerdictsSent = 64
 )
 
 // verdictTable is the set of unexpired verdicts by fingerprint. Two sets merge
@@ -94,6 +97,17 @@
 	return all[:min(count, len(all))]
 }
 
+// sample returns the verdicts for one message.
+func (v *verdictTable) sample(random *rand.Rand) []*rpc.Verdict {
+	all := v.list(v.rows.Len())
+	if len(all) <= maxVerdictsSent {
+		return all
+	}
+	newest, others := all[:maxVerdictsSent/2], all[maxVerdictsSent/2:]
+	random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	return append(newest, others[:maxVerdictsSent/2]...)
+}
+
 func digestOf(verdict *rpc.Verdict) uint64 {
 	encoded := slices.Clone(verdict.GetFingerprint())
 	encoded = binary.BigEndian.AppendUint32(encoded, verdict.GetCrashes())
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -1,6 +1,8 @@
 package spread
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -207,6 +209,31 @@
 	})
 }
 
+// TestManyVerdicts covers a storm of crashes.
+// Symptom: control traffic rises with the verdicts, or some never arrive.
+// Sequence: a node has more verdicts than a message holds; its peer has none.
+// Cause: two nodes whose digests differ send each other verdicts.
+func TestManyVerdicts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	from, to := newVerdictTable(), newVerdictTable()
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 1000 {
+		expires := now.Add(time.Duration(i) * time.Second).UnixMilli()
+		from.merge([]*rpc.Verdict{{Fingerprint: fmt.Append(nil, i), Crashes: 1, ExpiresMs: expires}}, now)
+	}
+	messages := 0
+	for ; to.digest != from.digest && messages < 1000; messages++ {
+		sent := from.sample(random)
+		if len(sent) > maxVerdictsSent {
+			t.Fatalf("%d verdicts in one message", len(sent))
+		}
+		to.merge(sent, now)
+	}
+	if to.digest != from.digest {
+		t.Fatalf("%d of %d after %d messages", to.rows.Len(), from.rows.Len(), messages)
+	}
+}
+
 // TestLeavingIsKnownEverywhere drains one node by its own word and another by
 // the platform's list, which lags.
 func TestLeavingIsKnownEverywhere(t *testing.T) {
