Compare accounts' parts within an agent on the scale of their own n(a)

Cause: what an agent is ahead with an account was its clock over n(a) less the mean of the others' clocks over theirs. A clock of a million over 300 agents and one over 30 can't be compared: accounts with few agents were held back by the whole limit and those with many pushed by it.

Run: BLUEBELL_MODEL_TABLE=many go test ./internal/fairshare -run TestModelTables -v

--- a/internal/fairshare/reports.go
+++ b/internal/fairshare/reports.go
@@ -59,7 +59,7 @@
 	c.reports.sequence++
 	sent := sentReport{sequence: c.reports.sequence, home: home}
 	report := Report{Sequence: sent.sequence, VirtualTime: c.virtual}
-	mean := c.meanPart()
+	mean := c.meanChoice()
 	for _, a := range c.accounts {
 		if !belongs(a.name) || !c.changed(a, home) {
 			continue
--- a/internal/fairshare/spread.go
+++ b/internal/fairshare/spread.go
@@ -9,28 +9,23 @@
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-const (
-	// offsetRequests is the range of the agents' offsets in usual charges of
-	// a request at its beginning.
-	offsetRequests = 1.5
-	// carriedPart is how much of an agent's lead or lag is carried over to the
-	// next report interval.
-	carriedPart = 0.5
-)
+// carriedPart is how much of an agent's lead or lag is carried over to the next
+// report interval.
+const carriedPart = 0.5
 
 // choice is the clock by which an account is chosen. Between two reports all
 // agents see the same account behind the others. If each of them began a
 // request of that account next, it would get n(a) requests where it lacks one,
 // and then none for a while: the gap would swing with the report interval. So
-// each agent adds an offset of its own, up to about one request. The lower an
-// account's clock, the more agents begin one of its requests, and the number
-// is in proportion to the lack.
+// each agent adds an offset of its own, up to the charge of one request. The
+// lower an account's clock, the more agents begin one of its requests, and the
+// number is in proportion to the lack, whatever n(a) is.
 func (c *Clocks) choice(a *account) Units {
 	clock := c.clock(a)
 	if c.config.Share != settings.ShareFleet {
 		return clock
 	}
-	offset := offsetRequests * c.offset(a) * c.pace.begins / Units(a.weight)
+	offset := c.offset(a) * c.pace.begins / Units(a.weight)
 	return clock + Units(a.agents)*(offset+a.carried)
 }
 
@@ -67,24 +62,21 @@
 	return a
 }
 
-// lead is how far an account is ahead of the agent's other waiting accounts
-// in the agent's own part of the service. It comes from requests that can't be
-// divided: without carrying it over, the agent would begin each report interval
-// with the same accounts, and the fleet's clocks would have to make up for it.
+// lead is how far an account is ahead of the agent's other waiting accounts,
+// as the agent's own part of it. It comes from requests that can't be divided:
+// without carrying it over, the agent would begin each report interval with
+// the same accounts, and the fleet's clocks would have to make up for it.
 func (c *Clocks) lead(a *account, mean Units) Units {
 	most := c.pace.begins / Units(a.weight)
-	return min(max(c.part(a)-mean, -most), most)
+	return min(max((c.choice(a)-mean)/Units(a.agents), -most), most)
 }
 
-// part is an account's clock in the agent's own part of the service.
-func (c *Clocks) part(a *account) Units { return c.choice(a) / Units(a.agents) }
-
-// meanPart is the mean part of the accounts that wait here.
-func (c *Clocks) meanPart() Units {
+// meanChoice is the mean over the accounts that wait here.
+func (c *Clocks) meanChoice() Units {
 	var sum, count Units
 	for _, a := range c.accounts {
 		if a.waiting {
-			sum += c.part(a)
+			sum += c.choice(a)
 			count++
 		}
 	}
--- a/internal/fairshare/tables_test.go
+++ b/internal/fairshare/tables_test.go
@@ -121,7 +121,7 @@
 func TestModelMeetsTheGoals(t *testing.T) {
 	goals := []string{
 		"fleet reach 0", "fleet reach 3", "4 homes, reports lost 10%", "1 home, lost", "a fifth, reach 3",
-		"10 -> 2 -> 10", "two of 20 ten times slower", "half high, half low", "charged at the end, random", "one floods", "fleet",
+		"10 -> 2 -> 10", "two of 20 ten times slower", "half high, half low", "charged at the end, random", "one floods", "fleet", "100 agents, every 1.7s",
 	}
 	for _, table := range modelTables() {
 		for _, s := range table.rows {
@@ -224,6 +224,20 @@
 			row("one floods, router-local", func(s *scenario) { s.flood, s.share = true, settings.ShareRouterLocal }),
 		}},
 	}
+	many := table{name: "many agents"}
+	for _, servers := range []int{60, 100, 300} {
+		for _, set := range []time.Duration{time.Second, 0} {
+			many.rows = append(many.rows, row("", func(s *scenario) {
+				s.servers, s.accounts, s.large, s.reach, s.duration = servers, 32, 8, 30, 60*time.Second
+				s.interval = set
+				if set == 0 {
+					s.interval = Config{ReportInterval: time.Second}.ForAgents(servers).ReportInterval.Truncate(modelStep)
+				}
+				s.name = fmt.Sprintf("%d agents, every %v", servers, s.interval.Round(100*time.Millisecond))
+			}))
+		}
+	}
+	tables = append(tables, many)
 	load := slices.Repeat([]modelLoad{{4, 200, 0.7}}, 3)
 	load = append(load, slices.Repeat([]modelLoad{{1, 150, 0.7}}, 11)...)
 	deployed := table{name: "scenarios/skammtur.ini"}
