Tighten the fault matrix: leaving agents, old settings, guards of a key

Cause: with the router's code disabled, the matrix still passed for leaving agents (the agent refuses too), for settings that go back, and for keys claimed at one guard.

Change: a leaving agent may be sent at most one request per router after 2 s; the store that is down shows accounts as they once were, disabled; two routers that are cut off from different guards of a key must not both run it.

--- a/internal/pathtest/matrix_test.go
+++ b/internal/pathtest/matrix_test.go
@@ -15,7 +15,9 @@
 // cell is one cell of the fault matrix while it runs.
 type cell struct {
 	*sim
-	hit *message // the message that the fault meets
+	hit     *message  // the message that the fault meets
+	leaving *simNode  // the agent that the fault makes leave
+	left    time.Time // when that began
 }
 
 // matrixFault is a row of the fault matrix. strike is called for the first
@@ -52,8 +54,9 @@
 		}
 	}},
 	{name: "store down", strike: func(c *cell, m *message) {
-		// What a store that is cut off still shows is old or empty.
-		old, err := settings.ParseINI([]byte("[services]\n"))
+		// What a store that is cut off still shows is old: here, from a time
+		// when the accounts were disabled.
+		old, err := settings.ParseINI([]byte("[acme]\ndisabled = true\n[acme/lab/ann]\n[acme/lab/bob]\n"))
 		if err != nil {
 			c.t.Fatal(err)
 		}
@@ -66,11 +69,11 @@
 		m.dropped = true
 	}},
 	{name: "agent leaving", strike: func(c *cell, m *message) {
-		n := c.agentOf(m)
+		n := c.leaves(m)
 		c.after(0, func() { c.stepAgent(n, agent.Stopping{}) })
 	}},
 	{name: "listed as leaving", strike: func(c *cell, m *message) {
-		n := c.agentOf(m)
+		n := c.leaves(m)
 		view := membership.View{Version: 2}
 		for _, node := range c.members.Nodes {
 			if node.Control == n.node.Control {
@@ -92,6 +95,33 @@
 	}},
 }
 
+// leaves notes that the agent that a message concerns leaves.
+func (c *cell) leaves(m *message) *simNode {
+	c.leaving, c.left = c.agentOf(m), c.now
+	return c.leaving
+}
+
+// mostLeaving is the time after which a leaving agent must get no new work.
+const mostLeaving = 2 * time.Second
+
+// checkLeaving checks that a leaving agent gets no new work. A router that had
+// nothing to do with it may learn of it by one refusal.
+func (c *cell) checkLeaving() {
+	c.t.Helper()
+	if c.leaving == nil {
+		return
+	}
+	late := 0
+	for _, at := range c.leaving.sentTo {
+		if at.After(c.left.Add(mostLeaving)) {
+			late++
+		}
+	}
+	if late > len(c.routers) {
+		c.t.Error(fmt.Sprintf("a leaving agent was sent %d requests", late))
+	}
+}
+
 // agentOf is the agent that a message concerns.
 func (c *cell) agentOf(m *message) *simNode {
 	for _, n := range []*simNode{m.to, m.from} {
@@ -133,11 +163,38 @@
 				}
 				c.checkAll()
 				c.checkCompleted(fault.unknown)
+				c.checkLeaving()
 			})
 		}
 	}
 }
 
+// Symptom: a call with an Idempotency-Key runs twice.
+// Sequence: each of two routers is cut off from another guard of the key, and
+// the caller sends the call to both.
+// Cause: each guard sees the key for the first time.
+func TestKeyNeedsAllItsGuards(t *testing.T) {
+	for seed := range uint64(10) {
+		s := newSim(t, 2, 2, seed)
+		s.partition(func(a, b *simNode) bool {
+			return a == s.routers[0] && b == s.agents[1] || a == s.agents[1] && b == s.routers[0] ||
+				a == s.routers[1] && b == s.agents[0] || a == s.agents[0] && b == s.routers[1]
+		}, time.Minute)
+		key, runs := s.newID().String(), 0
+		for _, n := range s.routers {
+			s.ask(n, "acme/lab/ann", func(request *router.Request) { request.Key = key })
+		}
+		s.settle()
+		s.checkAll()
+		for _, call := range s.calls {
+			runs += s.runs[call.request.ID]
+		}
+		if runs > 1 {
+			t.Errorf("seed %d: %d runs", seed, runs)
+		}
+	}
+}
+
 // saturate lets more requests wait than the slots take.
 func (c *cell) saturate() {
 	for i := range 10 {
@@ -148,7 +205,7 @@
 
 // refill brings requests while the fault acts.
 func (c *cell) refill() {
-	for i := range 6 {
+	for i := range 16 {
 		c.askLong(i)
 		c.run(200 * time.Millisecond)
 	}
--- a/internal/pathtest/sim_nodes_test.go
+++ b/internal/pathtest/sim_nodes_test.go
@@ -160,6 +160,7 @@
 	to := s.find(c.Agent.Control)
 	conn := s.connect(n, c.Attempt, c.Request, to, c.Silence)
 	epoch := n.epoch
+	to.sentTo = append(to.sentTo, s.now)
 	s.send(message{step: fleet.StepSend, from: n, to: to, conn: conn, deliver: func(*message) {
 		if conn.silent {
 			return
@@ -348,7 +349,7 @@
 
 // heard is what an agent's envelope says.
 func (s *sim) heard(n *simNode) router.Input {
-	return router.AgentHeard{Agent: n.node.Control, Incarnation: n.epoch}
+	return router.AgentHeard{Agent: n.node.Control, Incarnation: n.epoch, Leaving: n.leaves}
 }
 
 func agentOffers(messages []*rpc.AccountOffer) []agent.AccountOffer {
@@ -404,6 +405,8 @@
 		}
 	case agent.ForgetAnswer:
 		delete(n.held, c.ID)
+	case agent.SetFreeSlots:
+		n.leaves = c.Leaving
 	case agent.SendGrants:
 		s.sendGrants(n, c)
 	case agent.AskRouter:
--- a/internal/pathtest/sim_test.go
+++ b/internal/pathtest/sim_test.go
@@ -62,6 +62,8 @@
 	held   map[fleet.RequestID]*simAnswer
 	asks   map[agent.Ticket]func(agent.Answer)
 	ticket agent.Ticket
+	sentTo []time.Time // when routers sent it requests
+	leaves bool        // it says that it takes no new work
 }
 
 // simCall is a caller's request.
