--- a/internal/fairshare/clocks.go
+++ b/internal/fairshare/clocks.go
@@ -22,7 +22,7 @@
 	heard    Units   // clock that the home answered
 	ownAt    Units   // own() in the report that heard answers
 	agents   float64 // n(a)
-	place    int     // number of this agent among them
+	offset   Units   // of this agent among them, from 0 to 1
 	carried  Units   // part of the lead in the last report, per weight
 	known    bool    // heard comes from a home
 	quietAt  int64   // interval in which the last offers went
@@ -127,7 +127,14 @@
 func (c *Clocks) ensure(name fleet.Account) *account {
 	a, ok := c.accounts[name]
 	if !ok {
-		a = &account{name: name, weight: 1, agents: c.usual, heard: c.now(), quietAt: c.interval - recentIntervals - 1}
+		a = &account{
+			name:    name,
+			weight:  1,
+			agents:  c.usual,
+			offset:  c.firstOffset(name),
+			heard:   c.now(),
+			quietAt: c.interval - recentIntervals - 1,
+		}
 		c.accounts[name] = a
 	}
 	return a
--- a/internal/fairshare/reports.go
+++ b/internal/fairshare/reports.go
@@ -144,7 +144,7 @@
 	a.ownAt = entry.own
 	a.carried = carriedPart * entry.lead
 	a.agents = float64(max(1, total.Agents))
-	a.place = total.Place
+	a.place(total.Place)
 	a.known = true
 	c.usual += (a.agents - c.usual) / usualAccounts
 }
--- a/internal/fairshare/spread.go
+++ b/internal/fairshare/spread.go
@@ -25,33 +25,30 @@
 	if c.config.Share != settings.ShareFleet {
 		return clock
 	}
-	offset := c.offset(a) * c.pace.begins / Units(a.weight)
+	offset := a.offset * c.pace.begins / Units(a.weight)
 	return clock + Units(a.agents)*(offset+a.carried)
 }
 
-// offset is a number from 0 to 1. For an account with n(a) agents the home has
-// numbered them, and their offsets are n(a) equal steps: drawn at random they
-// would bunch, and the number of requests begun would scatter by its root. The
-// order of the agents differs from account to account.
-func (c *Clocks) offset(a *account) Units {
-	if !a.known {
-		return c.firstOffset(a)
-	}
+// place takes the agent's number among those of the account into its offset,
+// a number from 0 to 1. The offsets of n(a) agents are equal steps: drawn at
+// random they would bunch, and the number of requests begun would scatter by
+// its root. The order of the agents differs from account to account.
+func (a *account) place(number int) {
 	count := uint64(max(1, a.agents))
 	hash := xxhash.Sum64String(string(a.name))
 	step := 1 + hash%count
 	for commonDivisor(step, count) != 1 {
 		step++
 	}
-	at := (uint64(a.place)*step + hash>>32) % count
-	return (Units(at) + 0.5) / Units(count)
+	at := (uint64(number)*step + hash>>32) % count
+	a.offset = (Units(at) + 0.5) / Units(count)
 }
 
 // firstOffset is used before a home has answered for the account.
-func (c *Clocks) firstOffset(a *account) Units {
+func (c *Clocks) firstOffset(name fleet.Account) Units {
 	var key [16]byte
 	binary.LittleEndian.PutUint64(key[:], c.seed)
-	binary.LittleEndian.PutUint64(key[8:], xxhash.Sum64String(string(a.name)))
+	binary.LittleEndian.PutUint64(key[8:], xxhash.Sum64String(string(name)))
 	return Units(xxhash.Sum64(key[:])>>11) / (1 << 53)
 }
 
