Let callers go on calling while a router drains

Cause: the drain waited on a sync.WaitGroup, and callers that were refused meanwhile still counted. When such a call began just as the last one in progress ended, the router ended with "WaitGroup is reused before previous Wait has returned" and status 2.

Ruled out: not counting refused calls (whether a call is refused is only known once the world has taken it, and until then it has to be counted).

Change: a small counter of the router's own in place of the WaitGroup.

--- a/internal/router/manager.go
+++ b/internal/router/manager.go
@@ -142,13 +142,8 @@
 	m.draining.Store(true)
 	m.options.Fleet.SetLeaving(true)
 	m.loop.Send(DrainBegan{})
-	answered := make(chan struct{})
-	go func() {
-		m.callers.active.Wait()
-		close(answered)
-	}()
 	select {
-	case <-answered:
+	case <-m.callers.active.none():
 		// Leave the last acknowledgements time to go out.
 		return sleep(ctx, drainFlush)
 	case <-ctx.Done():
--- a/internal/router/shell_callers.go
+++ b/internal/router/shell_callers.go
@@ -25,8 +25,8 @@
 	draining *atomic.Bool
 	app      *fiber.App
 	parked   *parkingLot
-	active   sync.WaitGroup // calls and streams in progress
-	handlers atomic.Int64   // calls that wait in their handlers
+	active   progress     // calls and streams in progress
+	handlers atomic.Int64 // calls that wait in their handlers
 }
 
 func newCallers(config CallersSection, view func() settings.View, report func(Input) bool, metrics *Metrics, draining *atomic.Bool) *callers {
@@ -198,7 +198,7 @@
 	if s.draining.Load() {
 		c.Set(fiber.HeaderConnection, "close")
 	}
-	s.active.Add(1)
+	s.active.begin()
 	if !s.report(Arrived{Request: request}) {
 		request.call.done <- notRun(statusServiceUnavailable, CodeDraining, "this router is shutting down; use another one", 0)
 	}
@@ -233,7 +233,7 @@
 		s.writeStream(response, request)
 		return
 	}
-	defer s.active.Done()
+	defer s.active.end()
 	response.Header.Set(headerRequest, request.ID.String())
 	if result.Outcome != fleet.OutcomeCompleted {
 		writeResult(response, result)
@@ -250,7 +250,7 @@
 	response.Header.Set(headerRequest, request.ID.String())
 	writeHead(response, stream.status, stream.headers, fleet.OutcomeUnknown)
 	response.ImmediateHeaderFlush = true
-	response.SetBodyStream(&countedStream{callerStream: stream, done: s.active.Done}, -1)
+	response.SetBodyStream(&countedStream{callerStream: stream, done: s.active.end}, -1)
 }
 
 func writeHead(response *fasthttp.Response, status int, headers []*rpc.Header, outcome fleet.Outcome) {
