Give a waiting key away when its router has gone; confirm keys before runs

Cause: a key claimed for a call that still waited when its router died stayed held until it was forgotten. The caller, who sent the call again through another router, was refused until its deadline.

Change: an agent that is about to run a request with a key asks the key's guards again and tells them so, in one step; a request that has lost its key, or, if it may not run twice, cannot reach a guard, ends as not run. Hence a guard may give the key of a request that has not been sent to run to another one: its table decides which came first, even if the router lives. It does so when the holder's router fails to answer, or has restarted. A router that joined a request and heard that it is fenced says so with its next claim. The attempt orders what guards hear of where a request runs.

Ruled out: leases on keys; they need a renewal per waiting call, and clocks.

A request with a key costs a round trip to each guard more before its run.

--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -65,6 +65,16 @@
 	Report *rpc.ReportRequest // without its envelope
 }
 
+// ConfirmKey asks a guard whether a request still holds its key, and tells it
+// where the request is about to run.
+type ConfirmKey struct {
+	ID      fleet.RequestID
+	Guard   fleet.Address
+	Account fleet.Account
+	Key     string
+	Attempt uint32
+}
+
 // SpreadVerdict makes a verdict known to the fleet.
 type SpreadVerdict struct {
 	Verdict *rpc.Verdict
@@ -95,6 +105,7 @@
 func (SendGrants) isCommand()    {}
 func (AskRouter) isCommand()     {}
 func (SendReport) isCommand()    {}
+func (ConfirmKey) isCommand()    {}
 func (SpreadVerdict) isCommand() {}
 func (SetFreeSlots) isCommand()  {}
 func (Idle) isCommand()          {}
--- a/internal/agent/executor.go
+++ b/internal/agent/executor.go
@@ -15,6 +15,7 @@
 	sendGrants(command SendGrants)
 	askRouter(command AskRouter)
 	sendReport(command SendReport)
+	confirmKey(command ConfirmKey)
 	spreadVerdict(command SpreadVerdict)
 }
 
@@ -67,6 +68,8 @@
 		e.peers.askRouter(c)
 	case SendReport:
 		e.peers.sendReport(c)
+	case ConfirmKey:
+		e.peers.confirmKey(c)
 	case SpreadVerdict:
 		e.peers.spreadVerdict(c)
 	case Idle:
--- a/internal/agent/guard.go
+++ b/internal/agent/guard.go
@@ -19,7 +19,10 @@
 type holder struct {
 	id        fleet.RequestID
 	bodyHash  string
+	router    fleet.Address // where the request waits
+	started   uint64        // incarnation of the router
 	runningAt fleet.Address
+	attempt   uint32 // that runs there
 	claimedAt time.Time
 	result    rpc.ClaimResult // of the first claim, repeated when its reply is lost
 }
@@ -45,25 +48,45 @@
 
 func (g *guard) len() int { return len(g.rows) }
 
-// claim takes the key for a request, or tells who holds it.
-func (g *guard) claim(now time.Time, in Claim) ClaimState {
+// claim takes the key for a request, or tells who holds it. gone tells whether
+// an incarnation of a router has ended.
+//
+// A router may die while a request with a key waits there. Nobody would give
+// the key back, and the caller, who sends again through another router, would
+// be held off for as long as keys are remembered. So a request that has not
+// been sent to run gives way when its router has gone. That is safe even if
+// the router lives: whoever is about to run a request confirms the key first,
+// and it is this table that decides which of the two came first.
+func (g *guard) claim(now time.Time, in Claim, gone func(fleet.Address, uint64) bool) ClaimState {
 	name := guardKey{account: in.Account, key: in.Key}
 	held := g.rows[name]
 	if held == nil {
 		return g.first(now, name, in)
 	}
-	if held.id == in.ID {
-		g.update(held, in)
+	if held.id == in.ID && in.Attempt >= held.attempt {
+		held.update(in)
+		return ClaimState{Result: held.result}
+	}
+	if held.id == in.FencedHolder && held.runningAt == in.FencedAt {
+		held.runningAt = ""
+	}
+	if held.runningAt == "" && held.sameBody(in) && gone(held.router, held.started) {
+		held.id, held.router, held.started, held.attempt = in.ID, in.Router, in.Incarnation, 0
 		return ClaimState{Result: held.result}
 	}
 	return ClaimState{
 		Result:      rpc.ClaimResult_CLAIM_RESULT_HELD,
 		Holder:      held.id,
 		RunningAt:   held.runningAt,
-		BodyDiffers: held.bodyHash != in.BodyHash,
+		BodyDiffers: !held.sameBody(in),
 	}
 }
 
+// sameBody tells whether two requests have the same body, as far as is known.
+func (h *holder) sameBody(in Claim) bool {
+	return h.bodyHash == "" || in.BodyHash == "" || h.bodyHash == in.BodyHash
+}
+
 // first takes a key that nobody holds. The claim is noted even when this guard
 // can't tell of earlier ones: the other guard may, and then the request runs.
 func (g *guard) first(now time.Time, name guardKey, in Claim) ClaimState {
@@ -71,15 +94,37 @@
 	if !g.covers(now, name.key) {
 		result = rpc.ClaimResult_CLAIM_RESULT_CANNOT_TELL
 	}
-	g.rows[name] = &holder{id: in.ID, bodyHash: in.BodyHash, runningAt: in.RunningAt, claimedAt: now, result: result}
+	g.rows[name] = &holder{
+		id:        in.ID,
+		bodyHash:  in.BodyHash,
+		router:    in.Router,
+		started:   in.Incarnation,
+		runningAt: in.RunningAt,
+		attempt:   in.Attempt,
+		claimedAt: now,
+		result:    result,
+	}
 	g.order = append(g.order, name)
 	g.expire(now)
 	return ClaimState{Result: result}
 }
 
-func (g *guard) update(held *holder, in Claim) {
+// routerOf is the router of the request that holds a claimed key.
+func (g *guard) routerOf(in Claim) (fleet.Address, uint64) {
+	held := g.rows[guardKey{account: in.Account, key: in.Key}]
+	if held == nil {
+		return "", 0
+	}
+	return held.router, held.started
+}
+
+// update notes where the request runs. A message of an earlier attempt that
+// comes late must not hide where a later one runs: another router would hear
+// that the request is fenced there, and take the key.
+func (h *holder) update(in Claim) {
 	if in.RunningAt != "" {
-		held.runningAt = in.RunningAt
+		h.runningAt = in.RunningAt
+		h.attempt = in.Attempt
 	}
 }
 
@@ -124,13 +169,3 @@
 	}
 	g.order = g.order[dropped:]
 }
-
-// takeClaim answers a claim or a release.
-func (w *World) takeClaim(now time.Time, in Claim) {
-	if in.Release {
-		w.guard.release(in)
-		w.reply(in.Ticket, ClaimState{Result: rpc.ClaimResult_CLAIM_RESULT_GRANTED})
-		return
-	}
-	w.reply(in.Ticket, w.guard.claim(now, in))
-}
--- a/internal/agent/harness_test.go
+++ b/internal/agent/harness_test.go
@@ -56,6 +56,7 @@
 	h.running = make(map[fleet.RequestID]bool)
 	h.world = NewWorld(Identity{
 		Control:     testAgentAddress,
+		Data:        "10.0.0.1:2",
 		Service:     testService,
 		Incarnation: h.incarnation,
 	}, h.limits, h.now)
--- a/internal/agent/input.go
+++ b/internal/agent/input.go
@@ -32,8 +32,11 @@
 	EstimatedCost     uint64 // cost units, 0 when unknown
 	Fingerprint       Fingerprint
 	Suspect           bool
-	Waiting           uint32 // further requests of the account at the router
-	Attempt           uint32 // grows with each dispatch of the id to this agent
+	Idempotent        bool
+	Key               string          // the caller's idempotency key, or empty
+	Guards            []fleet.Address // of the key
+	Waiting           uint32          // further requests of the account at the router
+	Attempt           uint32          // grows with each dispatch of the id to this agent
 }
 
 // Resume asks for the answer of a request on a new connection.
@@ -147,13 +150,26 @@
 
 // Claim takes an idempotency key for a request, or frees it.
 type Claim struct {
-	Ticket    Ticket
-	Account   fleet.Account
-	Key       string
-	ID        fleet.RequestID
-	BodyHash  string
-	RunningAt fleet.Address
-	Release   bool
+	Ticket       Ticket
+	Router       fleet.Address // of the claiming request, or the agent that runs it
+	Incarnation  uint64
+	Account      fleet.Account
+	Key          string
+	ID           fleet.RequestID
+	BodyHash     string // empty when an agent confirms a key before a run
+	RunningAt    fleet.Address
+	Attempt      uint32 // that runs there
+	Release      bool
+	FencedHolder fleet.RequestID // known never to run at FencedAt
+	FencedAt     fleet.Address
+}
+
+// KeyConfirmed is a guard's answer to ConfirmKey, or its absence.
+type KeyConfirmed struct {
+	ID     fleet.RequestID
+	Guard  fleet.Address
+	Holds  bool // the request holds the key
+	Failed bool
 }
 
 // Drain begins or ends the draining by an operator's order.
@@ -210,6 +226,7 @@
 func (Reported) isInput()       {}
 func (ReportAnswered) isInput() {}
 func (Claim) isInput()          {}
+func (KeyConfirmed) isInput()   {}
 func (Drain) isInput()          {}
 func (Stopping) isInput()       {}
 func (Load) isInput()           {}
--- a/internal/agent/manager.go
+++ b/internal/agent/manager.go
@@ -74,6 +74,7 @@
 	}
 	world := NewWorld(Identity{
 		Control:     config.Node.Control,
+		Data:        config.Node.Data,
 		Service:     config.Backend.Service,
 		Incarnation: options.Incarnation,
 	}, config.Limits.limits(), time.Now())
@@ -84,7 +85,7 @@
 	m.control = &controlServer{world: m.loop, calls: m.calls, fleet: options.Fleet}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stopCall = cancel
-	m.peers = newPeerCaller(ctx, options.Clients, options.Fleet, m.loop, config.Backend.Service)
+	m.peers = newPeerCaller(ctx, options, m.loop)
 	m.executor.runner = m.runner
 	m.executor.peers = m.peers
 	m.executor.leaving = options.Fleet.SetLeaving
--- a/internal/agent/shell_control.go
+++ b/internal/agent/shell_control.go
@@ -96,15 +96,24 @@
 	if err != nil {
 		return nil, err
 	}
+	if in.Envelope != nil {
+		s.fleet.Heard(in.Envelope)
+	}
+	fenced, _ := uuid.FromBytes(in.FencedHolder) // none in most claims
 	state, err := ask[ClaimState](s, func(ticket Ticket) Input {
 		return Claim{
-			Ticket:    ticket,
-			Account:   fleet.Account(in.Account),
-			Key:       in.Key,
-			ID:        id,
-			BodyHash:  string(in.BodyHash),
-			RunningAt: fleet.Address(in.RunningAt),
-			Release:   in.Release,
+			Ticket:       ticket,
+			Router:       fleet.Address(in.Envelope.GetSender()),
+			Incarnation:  in.Envelope.GetIncarnation(),
+			Account:      fleet.Account(in.Account),
+			Key:          in.Key,
+			ID:           id,
+			BodyHash:     string(in.BodyHash),
+			RunningAt:    fleet.Address(in.RunningAt),
+			Attempt:      in.Attempt,
+			Release:      in.Release,
+			FencedHolder: fenced,
+			FencedAt:     fleet.Address(in.FencedAt),
 		}
 	})
 	if err != nil {
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -180,11 +181,18 @@
 		EstimatedCost:     run.EstimatedCost,
 		Fingerprint:       Fingerprint(run.Fingerprint),
 		Suspect:           run.Suspect,
+		Idempotent:        run.Idempotent,
+		Key:               run.IdempotencyKey,
+		Guards:            addresses(run.Guards),
 		Waiting:           run.Waiting,
 		Attempt:           run.Attempt,
 	}
 }
 
+func addresses(texts []string) []fleet.Address {
+	return lo.Map(texts, func(text string, _ int) fleet.Address { return fleet.Address(text) })
+}
+
 func writeFrame(ctx *fasthttp.RequestCtx, id fleet.RequestID, frame *rpc.AnswerFrame) {
 	frame.RequestId = id[:]
 	var buffer bytes.Buffer
--- a/internal/agent/shell_peers.go
+++ b/internal/agent/shell_peers.go
@@ -26,12 +26,20 @@
 	fleet   Fleet
 	world   inputs
 	service fleet.Service
+	data    fleet.Address // of this agent
 	group   sync.WaitGroup
 	ctx     context.Context
 }
 
-func newPeerCaller(ctx context.Context, clients clients, known Fleet, world inputs, service fleet.Service) *peerCaller {
-	return &peerCaller{ctx: ctx, clients: clients, fleet: known, world: world, service: service}
+func newPeerCaller(ctx context.Context, options Options, world inputs) *peerCaller {
+	return &peerCaller{
+		ctx:     ctx,
+		clients: options.Clients,
+		fleet:   options.Fleet,
+		world:   world,
+		service: options.Config.Backend.Service,
+		data:    options.Config.Node.Data,
+	}
 }
 
 func (p *peerCaller) sendGrants(command SendGrants) {
@@ -105,6 +113,27 @@
 	})
 }
 
+func (p *peerCaller) confirmKey(command ConfirmKey) {
+	p.group.Go(func() {
+		reply, err := p.clients.Agent(command.Guard).Claim(p.ctx, &rpc.ClaimRequest{
+			Envelope:  p.fleet.Envelope(),
+			Account:   string(command.Account),
+			Key:       command.Key,
+			RequestId: command.ID[:],
+			RunningAt: string(p.data),
+			Attempt:   command.Attempt,
+		})
+		answered := KeyConfirmed{ID: command.ID, Guard: command.Guard, Failed: err != nil}
+		if err != nil {
+			p.fleet.CallFailed(command.Guard)
+		} else {
+			p.fleet.Heard(reply.Envelope)
+			answered.Holds = reply.Result != rpc.ClaimResult_CLAIM_RESULT_HELD
+		}
+		p.world.Send(answered)
+	})
+}
+
 func (p *peerCaller) spreadVerdict(command SpreadVerdict) { p.fleet.AddVerdict(command.Verdict) }
 
 // wait blocks until all calls have ended.
--- a/internal/agent/system_admit.go
+++ b/internal/agent/system_admit.go
@@ -13,7 +13,7 @@
 	}
 	waiting := w.queue[:0]
 	for _, r := range w.queue {
-		if w.running >= w.slots() || r.suspect && w.suspectsRun > 0 {
+		if w.running >= w.slots() || r.suspect && w.suspectsRun > 0 || len(r.unconfirmed) > 0 {
 			waiting = append(waiting, r)
 			continue
 		}
--- a/internal/agent/system_ask.go
+++ b/internal/agent/system_ask.go
@@ -70,6 +70,9 @@
 // takeFreeAnswered notes what waits at a router that was asked.
 func (w *World) takeFreeAnswered(now time.Time, in FreeAnswered) {
 	if in.Failed {
+		if known := w.routers.Get(in.Router); known != nil {
+			known.silent = true
+		}
 		return
 	}
 	row := w.noteRouter(now, in.Router, in.Incarnation)
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -37,6 +37,11 @@
 	delivered   bool // the whole answer was written to a connection once
 	deliveredAt time.Time
 	cancelled   bool
+
+	key         string
+	idempotent  bool
+	attempt     uint32
+	unconfirmed []fleet.Address // guards of the key that are still to be asked
 }
 
 // ended tells whether the request needs no slot any more.
@@ -65,6 +70,7 @@
 	lastGrant   uint64 // number of the last grant; the smaller is served first
 	heardAt     time.Time
 	resend      bool // its offers were dropped here, so it must repeat them
+	silent      bool // it did not answer the last question
 }
 
 // offer is the work of one account that waits at one router.
--- a/internal/agent/take_dispatch.go
+++ b/internal/agent/take_dispatch.go
@@ -115,6 +115,10 @@
 		fingerprint: in.Fingerprint,
 		suspect:     w.isSuspect(in),
 		state:       stateQueued,
+		key:         in.Key,
+		idempotent:  in.Idempotent,
+		attempt:     in.Attempt,
+		unconfirmed: in.Guards,
 	}
 	w.requests.Put(r.id, r)
 	w.queue = append(w.queue, r)
@@ -124,4 +128,5 @@
 	w.account(r.account).running++
 	w.endGrant(in.Grant)
 	w.reply(in.Ticket, Admitted{FreeSlots: uint32(w.free())})
+	w.confirmKey(now, r)
 }
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -29,6 +29,7 @@
 		row.resend = true
 	}
 	row.heardAt = now
+	row.silent = false
 	return row
 }
 
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -17,6 +17,7 @@
 // Identity is who this agent is.
 type Identity struct {
 	Control     fleet.Address
+	Data        fleet.Address
 	Service     fleet.Service
 	Zone        fleet.Zone
 	VM          string
@@ -61,6 +62,7 @@
 	asking      asking
 	crash       crash
 	guard       *guard
+	probeAfter  time.Time // no router is asked for a sign of life before
 	home        *fairshare.Home
 	tally       tally
 	shares      fairshare.Config // of the policy, for the number of agents
@@ -149,6 +151,8 @@
 		w.takeReportAnswered(in)
 	case Claim:
 		w.takeClaim(now, in)
+	case KeyConfirmed:
+		w.takeKeyConfirmed(now, in)
 	case Drain:
 		w.takeDrain(in)
 	case Stopping:
--- a/internal/router/output.go
+++ b/internal/router/output.go
@@ -18,9 +18,10 @@
 	Grant   uint64    // 0: the agent is believed to have a free slot
 	UseBy   time.Time // nothing may be sent after it; zero without a grant
 	Suspect bool
-	Waiting uint32        // further requests of the account
-	Acks    [][]byte      // ids of answers that were handed out
-	Silence time.Duration // without a frame, the connection is given up
+	Waiting uint32          // further requests of the account
+	Acks    [][]byte        // ids of answers that were handed out
+	Guards  []fleet.Address // of the request's key
+	Silence time.Duration   // without a frame, the connection is given up
 }
 
 // SendResume fetches the rest of an answer over a new connection.
@@ -51,7 +52,10 @@
 	Round   uint32
 	Guard   fleet.Address // control address
 	Running fleet.Address // data address of the agent that runs it, once known
+	Attempt uint32        // that runs there
 	Release bool
+	Fenced  fleet.RequestID // a holder of the key that will never run ...
+	At      fleet.Address   // ... at the agent with this data address
 }
 
 // SendOffer tells an agent what waits here.
--- a/internal/router/shell_control.go
+++ b/internal/router/shell_control.go
@@ -139,6 +139,10 @@
 		BodyHash:  request.BodyHash[:],
 		RunningAt: string(command.Running),
 		Release:   command.Release,
+		Attempt:   command.Attempt,
+
+		FencedHolder: command.Fenced[:],
+		FencedAt:     string(command.At),
 	})
 	if command.Round == 0 {
 		return // news for the guard; the world waits for no reply
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protodelim"
 	"google.golang.org/protobuf/proto"
@@ -64,6 +65,7 @@
 		RouterIncarnation: d.incarnation,
 		Attempt:           command.Attempt.Number,
 		Acknowledged:      command.Acks,
+		Guards:            lo.Map(command.Guards, func(guard fleet.Address, _ int) string { return string(guard) }),
 	}
 	encoded, err := proto.Marshal(message)
 	if err != nil {
--- a/internal/router/system_attempt.go
+++ b/internal/router/system_attempt.go
@@ -157,6 +157,12 @@
 	if row := e.attempt.agent; row != nil {
 		e.excluded = append(e.excluded, row.node.Control)
 	}
+	if e.claim != nil {
+		w.answered(e)
+		w.chargeEstimate(e, -1)
+		w.claimAgain(e)
+		return
+	}
 	w.requeue(e)
 }
 
--- a/internal/router/system_claim.go
+++ b/internal/router/system_claim.go
@@ -32,20 +32,23 @@
 	running fleet.Address // data address of the agent that runs the holder
 	held    bool
 	differs bool
-	pollAt  time.Time
+
+	fenced   fleet.RequestID // an earlier holder that will never run ...
+	fencedAt fleet.Address   // ... at this agent
+	pollAt   time.Time
 }
 
 // beginClaim asks the first guard of the request's key.
 func (w *World) beginClaim(e *entry) {
 	e.state = stateClaiming
 	w.asking[e] = struct{}{}
-	round := uint32(1)
-	var asked []fleet.Address
+	next := &claim{guards: w.guards(e.request), round: 1}
 	if e.claim != nil {
-		round = e.claim.round + 1
-		asked = e.claim.asked
+		next.round = e.claim.round + 1
+		next.asked = e.claim.asked
+		next.fenced, next.fencedAt = e.claim.fenced, e.claim.fencedAt
 	}
-	e.claim = &claim{guards: w.guards(e.request), round: round, asked: asked}
+	e.claim = next
 	w.askGuard(e)
 }
 
@@ -74,7 +77,7 @@
 	if !slices.Contains(claim.asked, guard) {
 		claim.asked = append(claim.asked, guard)
 	}
-	w.emit(SendClaim{Request: e.request, Round: claim.round, Guard: guard})
+	w.emit(SendClaim{Request: e.request, Round: claim.round, Guard: guard, Fenced: claim.fenced, At: claim.fencedAt})
 }
 
 // takeClaim takes in a guard's answer and asks the next one.
@@ -182,12 +185,16 @@
 	return nil
 }
 
-// claimAgain claims the key anew after the request that held it was not run.
+// claimAgain claims the key anew, after the request that held it was not run or
+// after an agent has found that this one holds it no more.
 func (w *World) claimAgain(e *entry) {
 	if !e.request.Answer.Restart(e.request.ID) {
 		w.finish(e, unknown(statusBadGateway, CodeAnswerLost, "the answer broke off"))
 		return
 	}
+	if e.attempt.joined {
+		e.claim.fenced, e.claim.fencedAt = e.claim.heldBy, e.claim.running
+	}
 	delete(w.flying, e)
 	e.attempt = nil
 	e.state = stateClaiming
@@ -213,7 +220,7 @@
 	// A guard that could not tell whether the key is new has noted the request
 	// as well, and another router may ask that guard first.
 	for _, guard := range e.claim.asked {
-		w.emit(SendClaim{Request: e.request, Guard: guard, Running: e.attempt.data})
+		w.emit(SendClaim{Request: e.request, Guard: guard, Running: e.attempt.data, Attempt: e.attempt.number})
 	}
 }
 
--- a/internal/router/system_dispatch.go
+++ b/internal/router/system_dispatch.go
@@ -194,6 +194,7 @@
 		Suspect: e.attempt.suspect,
 		Waiting: uint32(e.queue.len()),
 		Acks:    agent.takeAcks(),
+		Guards:  e.guards(),
 		Silence: service.silence(),
 	})
 }
@@ -205,6 +206,14 @@
 	e.queue.service.clocks.charge(e.queue.account, weight, sign*e.attempt.estimate)
 }
 
+// guards are those that were asked for the request's key.
+func (e *entry) guards() []fleet.Address {
+	if e.claim == nil {
+		return nil
+	}
+	return e.claim.asked
+}
+
 func (e *entry) attemptID() AttemptID {
 	return AttemptID{Request: e.request.ID, Number: e.attempt.number}
 }
