Test a request that crashes servers from end to end

Cause: the cores' tests cover suspects and verdicts at one agent; nothing showed the whole: at most two servers lost, over routers and retries. Ruled out: joining verdicts into the in-test network of the cores (the spread between processes is the part that was untested).

--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -18,6 +18,7 @@
 	prompt     string
 	stream     bool
 	idempotent bool
+	crash      bool   // it crashes the backend server that runs it
 	key        string // Idempotency-Key, or none
 	deadline   string // seconds, or none
 }
@@ -55,7 +56,8 @@
 }
 
 func makeCall(router node, c call) answer {
-	body := fmt.Sprintf(`{"model":%q,"x_tokens":%d,"stream":%t,"prompt":%q}`, service, c.tokens, c.stream, c.prompt)
+	body := fmt.Sprintf(`{"model":%q,"x_tokens":%d,"stream":%t,"x_crash":%t,"prompt":%q}`,
+		service, c.tokens, c.stream, c.crash, c.prompt)
 	url := fmt.Sprintf("http://%s/v1/completions", router.data)
 	request, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
 	if err != nil {
--- a/internal/e2e/cluster_test.go
+++ b/internal/e2e/cluster_test.go
@@ -99,7 +99,7 @@
 func (c *cluster) addAgent(t *testing.T, between func(fleet.Address) fleet.Address) {
 	t.Helper()
 	b := backend{address: addressOf(newHost(), dataPort)}
-	b.process = start(t, "standin-engine", "--listen", string(b.address), "--name", service, "--step", step)
+	b.process = start(t, "standin-engine", "--listen", string(b.address), "--name", service, "--step", step, "--permit-crash")
 	address := b.address
 	if between != nil {
 		address = between(address)
