--- a/cmd/internal/wiring/agent.go
+++ b/cmd/internal/wiring/agent.go
@@ -29,6 +29,7 @@
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
 	})
+	known.load.set(manager.FillStatus)
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewAgentServer(manager.Control()))
 	return service{role: manager, knowledge: known}, nil
 }
--- a/cmd/internal/wiring/fleet.go
+++ b/cmd/internal/wiring/fleet.go
@@ -1,6 +1,8 @@
 package wiring
 
 import (
+	"sync/atomic"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
@@ -20,6 +22,22 @@
 type knowledge struct {
 	*spread.Manager
 	replica *settings.Replica
+	load    *loadSource
+}
+
+// loadSource adds the role's load to the node's status. The role begins after
+// the node can be asked for its status.
+type loadSource struct {
+	fill atomic.Pointer[func(*rpc.StatusReply)]
+}
+
+func (l *loadSource) set(fill func(*rpc.StatusReply)) { l.fill.Store(&fill) }
+
+func (l *loadSource) add(status *rpc.StatusReply) *rpc.StatusReply {
+	if fill := l.fill.Load(); fill != nil {
+		(*fill)(status)
+	}
+	return status
 }
 
 var (
@@ -49,17 +67,18 @@
 		self := common.Node.Self(role, service)
 		self.Incarnation = incarnation
 		replica := settings.NewReplica()
+		load := new(loadSource)
 		manager := spread.NewManager(spread.Options{
 			Config:     spread.Config{Self: self, Seeds: common.Peers.Control, Seed: incarnation},
 			Settings:   replica,
 			Platform:   platform.NewClient(common.Platform.Address, platform.ClientOptions{}),
 			Peers:      do.MustInvoke[*control.Pool](injector),
-			Status:     func() *rpc.StatusReply { return statusOf(self) },
+			Status:     func() *rpc.StatusReply { return load.add(statusOf(self)) },
 			Registerer: do.MustInvoke[prometheus.Registerer](injector),
 			Logger:     do.MustInvoke[logrus.FieldLogger](injector),
 		})
 		do.MustInvoke[*control.Server](injector).Register(rpc.NewPeerServer(manager))
-		return knowledge{Manager: manager, replica: replica}, nil
+		return knowledge{Manager: manager, replica: replica, load: load}, nil
 	})
 }
 
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -16,13 +16,31 @@
 	reports    prometheus.Counter
 	verdicts   prometheus.Counter
 	freeSlots  prometheus.Gauge
-	tableRows  *prometheus.GaugeVec
+	tables     tableGauges
 	heldBytes  prometheus.Gauge
 	backendUp  prometheus.Gauge
 	stepTime   prometheus.Histogram
 	costSettle prometheus.Counter
 }
 
+// tableGauges are the gauges of the tables' rows. They are looked up once,
+// because they are set after every step.
+type tableGauges struct {
+	requests, ended, routers, offers, accounts, grants, keys prometheus.Gauge
+}
+
+func newTableGauges(rows *prometheus.GaugeVec) tableGauges {
+	return tableGauges{
+		requests: rows.WithLabelValues("requests"),
+		ended:    rows.WithLabelValues("ended"),
+		routers:  rows.WithLabelValues("routers"),
+		offers:   rows.WithLabelValues("offers"),
+		accounts: rows.WithLabelValues("accounts"),
+		grants:   rows.WithLabelValues("grants"),
+		keys:     rows.WithLabelValues("keys"),
+	}
+}
+
 // stepBuckets are seconds from 1 microsecond to 65 milliseconds.
 var stepBuckets = prometheus.ExponentialBuckets(1e-6, 4, 9)
 
@@ -44,8 +62,6 @@
 			Name: "bluebell_agent_verdicts_total", Help: "Requests found suspect or convicted here."}),
 		freeSlots: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bluebell_agent_free_slots", Help: "Slots that nothing uses and nobody was promised."}),
-		tableRows: prometheus.NewGaugeVec(prometheus.GaugeOpts{
-			Name: "bluebell_agent_table_rows", Help: "Rows of the tables, by table."}, []string{"table"}),
 		heldBytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "bluebell_agent_held_bytes", Help: "Bytes of finished answers that wait for acknowledgement."}),
 		backendUp: prometheus.NewGauge(prometheus.GaugeOpts{
@@ -55,8 +71,11 @@
 		costSettle: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "bluebell_agent_settled_cost_total", Help: "Cost units settled."}),
 	}
-	registerer.MustRegister(m.admitted, m.refused, m.ended, m.grants, m.asked, m.reports, m.verdicts,
-		m.freeSlots, m.tableRows, m.heldBytes, m.backendUp, m.stepTime, m.costSettle)
+	rows := prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bluebell_agent_table_rows", Help: "Rows of the tables, by table."}, []string{"table"})
+	m.tables = newTableGauges(rows)
+	registerer.MustRegister(rows, m.admitted, m.refused, m.ended, m.grants, m.asked, m.reports, m.verdicts,
+		m.freeSlots, m.heldBytes, m.backendUp, m.stepTime, m.costSettle)
 	return m
 }
 
@@ -128,12 +147,13 @@
 
 // observe sets the gauges that describe the world.
 func (m *metrics) observe(w *World) {
-	m.tableRows.WithLabelValues("requests").Set(float64(w.requests.Len()))
-	m.tableRows.WithLabelValues("ended").Set(float64(w.ended.len()))
-	m.tableRows.WithLabelValues("routers").Set(float64(w.routers.Len()))
-	m.tableRows.WithLabelValues("accounts").Set(float64(w.accounts.Len()))
-	m.tableRows.WithLabelValues("grants").Set(float64(w.grants.Len()))
-	m.tableRows.WithLabelValues("keys").Set(float64(w.guard.len()))
+	m.tables.requests.Set(float64(w.requests.Len()))
+	m.tables.ended.Set(float64(w.ended.len()))
+	m.tables.routers.Set(float64(w.routers.Len()))
+	m.tables.offers.Set(float64(w.offers))
+	m.tables.accounts.Set(float64(w.accounts.Len()))
+	m.tables.grants.Set(float64(w.grants.Len()))
+	m.tables.keys.Set(float64(w.guard.len()))
 	m.heldBytes.Set(float64(w.heldBytes))
 	m.backendUp.Set(0)
 	if w.backendUp {
