Give the nodes of bluebell-dev addresses that differ

Cause: each address was a free port that the kernel named and that was closed again, so it could name the same one twice in a row. bluebell-dev then ended at its start with "[node] data: must differ from control"; seen once in about ten starts of its tests on a busy machine.

Ruled out: another process that took the port; the message says that both were the same.

Change: the addresses that were handed out are remembered.

--- a/cmd/bluebell-dev/nodes.go
+++ b/cmd/bluebell-dev/nodes.go
@@ -34,7 +34,7 @@
 }
 
 func (s *sample) addRouter(callers fleet.Address) error {
-	control, err := freeAddress()
+	control, err := s.addresses.next()
 	if err != nil {
 		return err
 	}
@@ -43,11 +43,11 @@
 }
 
 func (s *sample) addAgent(service fleet.Service, backend fleet.Address) error {
-	control, err := freeAddress()
+	control, err := s.addresses.next()
 	if err != nil {
 		return err
 	}
-	data, err := freeAddress()
+	data, err := s.addresses.next()
 	if err != nil {
 		return err
 	}
--- a/cmd/bluebell-dev/sample.go
+++ b/cmd/bluebell-dev/sample.go
@@ -28,19 +28,20 @@
 
 // sample is a whole fleet in one process.
 type sample struct {
-	logger   logrus.FieldLogger
-	listener net.Listener // of the platform
-	platform *platform.Server
-	engines  []*engine.Engine
-	nodes    []*daemon.Node
-	ready    []*daemon.Readiness
-	welcome  welcomeValues
+	logger    logrus.FieldLogger
+	addresses *addresses
+	listener  net.Listener // of the platform
+	platform  *platform.Server
+	engines   []*engine.Engine
+	nodes     []*daemon.Node
+	ready     []*daemon.Readiness
+	welcome   welcomeValues
 }
 
 // newSample makes all parts. Nothing but the platform's port is open when it
 // returns.
 func newSample(callers fleet.Address, logger logrus.FieldLogger) (*sample, error) {
-	s := &sample{logger: logger}
+	s := &sample{logger: logger, addresses: newAddresses(callers)}
 	if err := s.addPlatform(); err != nil {
 		return nil, err
 	}
