Show a router's running and waiting requests in its status

Cause: only agents told their load, so bluebellctl status showed routers with 0 waiting requests under any load; and nothing tested the way from the role's tables to bluebellctl.

Change: the router's world publishes its load by an atomic pointer after each step in which it changed. No lock and no question to the loop is added to a step.

--- a/cmd/internal/wiring/router.go
+++ b/cmd/internal/wiring/router.go
@@ -33,6 +33,7 @@
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
 	})
+	known.load.set(manager.FillStatus)
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server()))
 	return service{role: manager, knowledge: known}, nil
 }
--- a/internal/router/manager.go
+++ b/internal/router/manager.go
@@ -55,6 +55,7 @@
 // Manager runs a router: its world and what connects it to the network.
 type Manager struct {
 	options  Options
+	world    *observed
 	loop     *tick.Loop[Input, Output]
 	callers  *callers
 	data     *dataPath
@@ -70,7 +71,8 @@
 	metrics := NewMetrics(options.Registerer)
 	seed := rand.NewPCG(options.Incarnation, uint64(time.Now().UnixNano()))
 	world := NewWorld(options.Self, Limits{WaitingBytes: options.Callers.WaitingBytes}, rand.New(seed))
-	m.loop = tick.NewLoop[Input, Output](&observed{world: world, metrics: metrics}, inputQueue, m.execute)
+	m.world = &observed{world: world, metrics: metrics}
+	m.loop = tick.NewLoop[Input, Output](m.world, inputQueue, m.execute)
 	m.agents = &agentCaller{agents: options.Agents, fleet: options.Fleet, report: m.loop.Send}
 	m.control = &controlServer{caller: m.agents}
 	m.data = &dataPath{
@@ -87,6 +89,15 @@
 // Server returns the twirp service that agents call.
 func (m *Manager) Server() rpc.Router { return m.control }
 
+// FillStatus adds the load to a description of the node: what runs at agents
+// for this router's callers, and what waits here. A router has no slots.
+func (m *Manager) FillStatus(status *rpc.StatusReply) {
+	if current := m.world.load.Load(); current != nil {
+		status.Running = uint32(current.inFlight)
+		status.Waiting = uint32(current.waiting)
+	}
+}
+
 // view returns the settings in force, or nil before the first.
 func (m *Manager) view() settings.View {
 	if view := m.settings.Load(); view != nil {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -74,10 +75,18 @@
 	})
 }
 
-// observed is a World whose steps are counted.
+// observed is a World whose steps are counted. After each step it publishes the
+// load, so that whoever asks for it neither waits for a step nor delays one.
 type observed struct {
 	world   *World
 	metrics *Metrics
+	load    atomic.Pointer[load]
+}
+
+// load is how much a router holds.
+type load struct {
+	waiting  int
+	inFlight int
 }
 
 var _ tick.World[Input, Output] = (*observed)(nil)
@@ -91,12 +100,19 @@
 	for _, output := range outputs {
 		o.countOutput(now, output)
 	}
-	o.metrics.waiting.Set(float64(o.world.Waiting()))
-	o.metrics.inFlight.Set(float64(o.world.InFlight()))
+	o.publish(load{waiting: o.world.Waiting(), inFlight: o.world.InFlight()})
 	o.metrics.tick.Observe(time.Since(now).Seconds())
 	return outputs, next
 }
 
+func (o *observed) publish(current load) {
+	o.metrics.waiting.Set(float64(current.waiting))
+	o.metrics.inFlight.Set(float64(current.inFlight))
+	if last := o.load.Load(); last == nil || *last != current {
+		o.load.Store(&current)
+	}
+}
+
 func (o *observed) countInput(input Input) {
 	switch event := input.(type) {
 	case RunRefused:
