Test the ends of waiting, old grants and strangers

Cause: expiry of waiting requests, the refusal without agents, a grant's use-by and the bound for strangers were seen by no test.

Change: tests; calls of the tests give up, so that a lost answer fails one test in place of the package's time-out.

--- a/internal/router/shell_faults_test.go
+++ b/internal/router/shell_faults_test.go
@@ -162,6 +162,7 @@
 		want int
 	}{
 		"slow body": {"POST /svc/app/ HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc", http.StatusRequestTimeout},
+		"stranger":  {"POST /svc/app/ HTTP/1.1\r\nHost: x\r\nContent-Length: 100000\r\n\r\n", http.StatusUnauthorized},
 		"no HTTP":   {"hello\r\n\r\n", http.StatusBadRequest},
 		"long line": {"GET /" + strings.Repeat("x", 1<<15) + " HTTP/1.1\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
 	} {
--- a/internal/router/shell_test.go
+++ b/internal/router/shell_test.go
@@ -18,6 +18,9 @@
 	streamCall = `{"model":"lm","stream":true,"messages":[]}`
 )
 
+// client gives up on calls that are never answered.
+var client = &http.Client{Timeout: patience}
+
 // answerOf is what a caller gets.
 type answerOf struct {
 	status  int
@@ -37,7 +40,7 @@
 	for i := 0; i < len(headers); i += 2 {
 		request.Header.Set(headers[i], headers[i+1])
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -195,3 +195,47 @@
 	b.step(RunAccepted{Attempt: second.Attempt, FreeSlots: 1})
 	only[Finish](b, b.step(AnswerEnded{Attempt: second.Attempt}))
 }
+
+// Symptom: a paused router sends on a slot that the agent gave to another.
+// Sequence: a grant arrives; the router's process is paused past its use-by.
+// Cause: leases go on while their holder is paused.
+func TestOldGrantIsDeclined(t *testing.T) {
+	b := newBench(t, 1)
+	blocker := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	b.step(RunAccepted{Attempt: blocker.Attempt})
+	b.step(Arrived{Request: b.request(nil)})
+	grant := &rpc.Grant{Number: 7, Account: string(testAccount), LeaseMs: 500}
+	old := Granted{Agent: "a:1", Service: testModel, Grants: []*rpc.Grant{grant}, Received: b.now.Add(-480 * time.Millisecond)}
+	reply := only[ReplyGrant](b, b.step(old)).Message
+	if len(reply.Declined) != 1 || len(reply.Offers) != 1 || reply.Offers[0].Count != 1 {
+		t.Errorf("reply %+v", reply)
+	}
+}
+
+// Symptom: a caller waits for an answer that cannot come.
+// Sequence: no slot becomes free before the deadline, or no agent is there.
+// Cause: only time tells, and no input brings it.
+func TestWaitingEnds(t *testing.T) {
+	for name, test := range map[string]struct {
+		agents int
+		after  time.Duration
+		want   FailureCode
+	}{
+		"deadline":  {1, time.Minute + time.Millisecond, CodeDeadline},
+		"no agents": {0, noAgentPatience + time.Millisecond, CodeNoBackend},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, test.agents)
+			if test.agents > 0 {
+				blocker := only[SendRun](b, b.step(Arrived{Request: b.request(func(r *Request) { r.Deadline = b.now.Add(time.Hour) })}))
+				b.step(RunAccepted{Attempt: blocker.Attempt})
+			}
+			b.step(Arrived{Request: b.request(nil)})
+			b.now = b.now.Add(test.after)
+			got := only[Finish](b, b.step()).Result
+			if got.Code != test.want || got.Outcome != fleet.OutcomeNotRun || got.Status != statusServiceUnavailable || got.RetryAfter <= 0 {
+				t.Errorf("ended with %+v", got)
+			}
+		})
+	}
+}
