Fence the joined request, not the one that joined it

Cause: a request that had joined another one by its key and lost the connection fenced its own id. The agent, which had never seen that, said that it never ran. With the guards' new rule the key was then given away although the joined request ran: two runs of one key.

Change: SendFence names the request whose answer is fetched. The simulation of both cores now carries the confirming of keys, the attempts and the fenced holders of claims.

--- a/internal/pathtest/sim_nodes_test.go
+++ b/internal/pathtest/sim_nodes_test.go
@@ -172,6 +172,7 @@
 				Ticket: ticket, ID: c.Request.ID, Attempt: c.Attempt.Number, Account: c.Request.Account, Service: simService,
 				Router: n.node.Control, RouterIncarnation: epoch, Grant: c.Grant, Deadline: c.Request.Deadline,
 				Suspect: c.Suspect, Waiting: c.Waiting,
+				Idempotent: c.Request.Idempotent, Key: c.Request.Key, Guards: c.Guards,
 			}
 		}, func(answer agent.Answer) { s.beginAnswer(to, conn, answer) })
 	}})
@@ -304,7 +305,7 @@
 	to := s.find(c.Agent)
 	s.rpc(fleet.StepSend, n, to, func(reply func(func())) {
 		s.askAgent(to, func(ticket agent.Ticket) agent.Input {
-			return agent.Fence{Ticket: ticket, ID: c.Attempt.Request}
+			return agent.Fence{Ticket: ticket, ID: c.ID}
 		}, func(answer agent.Answer) {
 			state := answer.(agent.FenceState).State
 			reply(func() { s.stepRouter(n, router.FenceReplied{Attempt: c.Attempt, State: state}) })
@@ -364,12 +365,13 @@
 }
 
 func (s *sim) sendClaim(n *simNode, c router.SendClaim) {
-	to, id := s.find(c.Guard), c.Request.ID
+	to, id, epoch := s.find(c.Guard), c.Request.ID, n.epoch
 	s.rpc(fleet.StepAccept, n, to, func(reply func(func())) {
 		s.askAgent(to, func(ticket agent.Ticket) agent.Input {
 			return agent.Claim{
 				Ticket: ticket, Account: c.Request.Account, Key: c.Request.Key, ID: id,
 				BodyHash: string(c.Request.BodyHash[:]), RunningAt: c.Running, Release: c.Release,
+				Router: n.node.Control, Incarnation: epoch, Attempt: c.Attempt, FencedHolder: c.Fenced, FencedAt: c.At,
 			}
 		}, func(answer agent.Answer) {
 			state := answer.(agent.ClaimState)
@@ -411,9 +413,30 @@
 		s.sendGrants(n, c)
 	case agent.AskRouter:
 		s.askRouter(n, c)
+	case agent.ConfirmKey:
+		s.confirmKey(n, c)
 	}
 }
 
+func (s *sim) confirmKey(n *simNode, c agent.ConfirmKey) {
+	to, epoch := s.find(c.Guard), n.epoch
+	answered := agent.KeyConfirmed{ID: c.ID, Guard: c.Guard}
+	s.rpc(fleet.StepSend, n, to, func(reply func(func())) {
+		s.askAgent(to, func(ticket agent.Ticket) agent.Input {
+			return agent.Claim{
+				Ticket: ticket, Router: n.node.Control, Incarnation: epoch, Account: c.Account, Key: c.Key,
+				ID: c.ID, RunningAt: n.node.Data, Attempt: c.Attempt,
+			}
+		}, func(answer agent.Answer) {
+			answered.Holds = answer.(agent.ClaimState).Result != rpc.ClaimResult_CLAIM_RESULT_HELD
+			reply(func() { s.stepAgent(n, answered) })
+		})
+	}, func() {
+		answered.Failed = true
+		s.stepAgent(n, answered)
+	})
+}
+
 func (s *sim) grow(held *simAnswer) {
 	for _, conn := range held.conns {
 		s.pump(conn, held)
--- a/internal/pathtest/sim_test.go
+++ b/internal/pathtest/sim_test.go
@@ -181,7 +181,7 @@
 		s.stepRouter(n, router.SettingsChanged{View: s.view}, router.MembersChanged{View: s.members})
 		return
 	}
-	identity := agent.Identity{Control: n.node.Control, Service: simService, Incarnation: n.epoch}
+	identity := agent.Identity{Control: n.node.Control, Data: n.node.Data, Service: simService, Incarnation: n.epoch}
 	n.agent = agent.NewWorld(identity, agentLimits, s.now)
 	n.held = make(map[fleet.RequestID]*simAnswer)
 	n.asks = make(map[agent.Ticket]func(agent.Answer))
--- a/internal/router/output.go
+++ b/internal/router/output.go
@@ -36,6 +36,7 @@
 // begun.
 type SendFence struct {
 	Attempt AttemptID
+	ID      fleet.RequestID // whose answer the attempt fetches
 	Agent   fleet.Address // control address
 	Timeout time.Duration
 }
--- a/internal/router/shell_control.go
+++ b/internal/router/shell_control.go
@@ -97,7 +97,7 @@
 func (a *agentCaller) fence(command SendFence) {
 	ctx, cancel := context.WithTimeout(context.Background(), command.Timeout)
 	defer cancel()
-	id := command.Attempt.Request
+	id := command.ID
 	// The connection in use may be the one that has gone silent.
 	reply, err := a.agents.FreshAgent(command.Agent).Fence(ctx, &rpc.FenceRequest{
 		Envelope:  a.fleet.Envelope(),
--- a/internal/router/system_resume.go
+++ b/internal/router/system_resume.go
@@ -112,7 +112,10 @@
 	}
 	e.state = stateUnclear
 	w.renumber(e)
-	w.emit(SendFence{Attempt: e.attemptID(), Agent: e.attempt.agent.node.Control, Timeout: fenceTimeout})
+	// A request that has joined another one must ask about that: of its own
+	// id the agent would say that it never ran, while the other's run goes on.
+	id := e.request.Answer.ID()
+	w.emit(SendFence{Attempt: e.attemptID(), ID: id, Agent: e.attempt.agent.node.Control, Timeout: fenceTimeout})
 }
 
 // takeFence acts on the reply to a fence, or on its absence.
