--- a/internal/router/shell_call.go
+++ b/internal/router/shell_call.go
@@ -68,8 +68,9 @@
 	}
 }
 
-// callerStreamChunks is the number of chunks that wait for a slow caller.
-const callerStreamChunks = 64
+// callerStreamChunks is the number of chunks, of at most 32 KB each, that wait
+// for a slow caller. Beyond it the agent holds the answer.
+const callerStreamChunks = 16
 
 // errAnswerBroke makes the HTTP server close the connection without a clean
 // end, so that no caller takes a part of an answer for the whole.
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -239,3 +239,28 @@
 		})
 	}
 }
+
+// TestRouterPicksForEmptyAccount checks the policy router-local: on a grant
+// without an account the router serves the one that got least through it.
+func TestRouterPicksForEmptyAccount(t *testing.T) {
+	b := newBench(t, 1)
+	other := fleet.Account("acme/shop")
+	served := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	b.step(RunAccepted{Attempt: served.Attempt})
+	b.step(AnswerEnded{Attempt: served.Attempt, Cost: 1000})
+	b.step(Arrived{Request: b.request(nil)}, Arrived{Request: b.request(func(r *Request) { r.Account = other })})
+	grants := []*rpc.Grant{{Number: 1, LeaseMs: 500}, {Number: 2, LeaseMs: 500}, {Number: 3, LeaseMs: 500}}
+	outputs := b.step(Granted{Agent: "a:1", Service: testModel, Grants: grants, Received: b.now})
+	var order []fleet.Account
+	for _, output := range outputs {
+		if run, ok := output.(SendRun); ok {
+			order = append(order, run.Request.Account)
+		}
+	}
+	if len(order) != 2 || order[0] != other {
+		t.Errorf("served %v", order)
+	}
+	if reply := only[ReplyGrant](b, outputs).Message; len(reply.Declined) != 1 || reply.Declined[0] != 3 {
+		t.Errorf("declined %v", reply.Declined)
+	}
+}
