--- a/internal/spread/config.go
+++ b/internal/spread/config.go
@@ -17,6 +17,7 @@
 	WatchersPerZone  int           // nodes of a zone that hold watches
 	Keepers          int           // nodes of the fleet that read the list of VMs
 	PushInterval     time.Duration // between two pushes of a node, at least
+	MembersInterval  time.Duration // the same for news of the list of nodes alone
 	ExchangeInterval time.Duration // between two exchanges with random peers
 	PartnerTime      time.Duration // for which a node exchanges with the same peer
 	WatchWait        time.Duration // for which the platform holds a watch
@@ -34,6 +35,7 @@
 	setDefault(&c.WatchersPerZone, 2)
 	setDefault(&c.Keepers, 2)
 	setDefault(&c.PushInterval, 200*time.Millisecond)
+	setDefault(&c.MembersInterval, 500*time.Millisecond)
 	setDefault(&c.ExchangeInterval, time.Second)
 	setDefault(&c.PartnerTime, 10*time.Second)
 	setDefault(&c.WatchWait, 30*time.Second)
--- a/internal/spread/system_peer.go
+++ b/internal/spread/system_peer.go
@@ -147,12 +147,12 @@
 	if !w.noteRevisions() && !w.verdicts.news {
 		return
 	}
-	if w.join.done && now.Before(w.pushAt) {
-		w.wake(w.pushAt)
+	if due := w.pushDue(); w.join.done && now.Before(due) {
+		w.wake(due)
 		return
 	}
 	if w.join.done {
-		w.pushAt = now.Add(w.config.PushInterval)
+		w.pushedAt = now
 		for _, peer := range w.circle.pick(w.random, w.config.FanOut, w.lacksNews) {
 			w.sync(peer, ReasonPush, true)
 		}
@@ -163,6 +163,16 @@
 	}
 }
 
+// pushDue is the earliest time of the next push. Nodes come and go in crowds,
+// so news of them alone is held a little longer.
+func (w *World) pushDue() time.Time {
+	settings := w.documents[DocumentSettings]
+	if settings.replica.Revision() > settings.told || w.verdicts.news {
+		return w.pushedAt.Add(w.config.PushInterval)
+	}
+	return w.pushedAt.Add(w.config.MembersInterval)
+}
+
 // noteRevisions reports revisions that have risen, and tells whether there are
 // any that have not been pushed.
 func (w *World) noteRevisions() bool {
--- a/internal/spread/world.go
+++ b/internal/spread/world.go
@@ -35,7 +35,7 @@
 	view         membership.View
 	circle       circle
 	refreshAt    time.Time
-	pushAt       time.Time // earliest time of the next push
+	pushedAt     time.Time // of the last push
 	exchangeAt   time.Time
 	exchangeWith fleet.Address
 	partnerUntil time.Time
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -126,6 +126,30 @@
 	}
 }
 
+// TestPushesTravelTogether covers the start of a fleet.
+// Symptom: every node opens a connection to every other one.
+// Sequence: a hundred nodes register within a second.
+// Cause: each registration is news to each node.
+func TestPushesTravelTogether(t *testing.T) {
+	desk := newDesk()
+	desk.step(0, loaded...)
+	pushes := 0
+	for i := range 100 {
+		object := platform.Object{Key: fmt.Sprintf("nodes/10.0.1.%d:1", i), Version: platform.Version(10 + i), Data: []byte("{}")}
+		if err := desk.world.directory.Take(t.Context(), nil, []platform.Change{{Object: object}}); err != nil {
+			t.Fatal(err)
+		}
+		for _, sync := range only[Sync](desk.step(10 * time.Millisecond)) {
+			if sync.Reason == ReasonPush {
+				pushes++
+			}
+		}
+	}
+	if config := desk.world.config; pushes == 0 || pushes > 3*config.FanOut {
+		t.Fatalf("%d pushes in a second", pushes)
+	}
+}
+
 // TestWatchAfterCompaction covers a watch whose changes are no longer there.
 // Symptom: a watcher hears nothing more, or misses changes for good.
 // Sequence: a watcher is away while many changes pass; it watches again.
