--- a/internal/router/output.go
+++ b/internal/router/output.go
@@ -37,7 +37,7 @@
 type SendFence struct {
 	Attempt AttemptID
 	ID      fleet.RequestID // whose answer the attempt fetches
-	Agent   fleet.Address // control address
+	Agent   fleet.Address   // control address
 	Timeout time.Duration
 }
 
