--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -72,10 +72,11 @@
 
 // takeCrash judges a run that ended with its backend server.
 //
-// One request may crash each server that runs it, and its caller sends it
-// again. All requests in flight at a crash become suspects, and a suspect runs
-// as the only one on its server. So the second crash tells: if exactly one
-// suspect was in flight, that one is convicted and the others are not blamed.
+// A caller repeats a request that failed, also one at which a server crashes,
+// and so takes down one server after the other. All requests in flight at a
+// crash become suspects, and a suspect runs as the only one on its server. So
+// the second crash tells: if exactly one suspect was in flight, that one is
+// convicted and the others are not blamed.
 func (w *World) takeCrash(now time.Time, row *request) {
 	if now.Sub(w.crash.since) > crashWindow {
 		w.crash.since = now
--- a/internal/agent/runner_model.go
+++ b/internal/agent/runner_model.go
@@ -21,8 +21,8 @@
 
 // runModel runs a request at a model engine and reads its stream to the end.
 //
-// The connection to the engine may go silent for good while the engine is
-// well. It would be noticed as a run that never ends. So a connection without
+// The connection to the engine may be half-open while the engine is well. It
+// would be noticed as a run that never ends. So a connection without
 // a byte for some time is given up, and the stream is resumed by its offset on
 // a new one, which does no harm when the engine was merely slow. The wait
 // doubles while resumed connections are silent too.
--- a/internal/e2e/crash_test.go
+++ b/internal/e2e/crash_test.go
@@ -13,9 +13,9 @@
 
 // Symptom: one backend server after the other goes down until the service is
 // gone.
-// Sequence: a call crashes the backend server that runs it; its router runs it
-// again elsewhere, because it may be repeated; its caller sends it again at
-// this router and at another.
+// Sequence: the backend server crashes at a call; its router runs it again
+// elsewhere, because it is idempotent; the caller repeats it at this router and
+// at another.
 // Cause: each server meets the call for the first time. Only what the fleet
 // remembers of the crashes stops it, after two servers at most.
 func TestRequestThatCrashesServers(t *testing.T) {
--- a/internal/fleet/error.go
+++ b/internal/fleet/error.go
@@ -33,7 +33,7 @@
 	StepRestart Step = "restart"
 )
 
-// StepError is an error with the step and the peer at which it arose.
+// StepError is an error that tells its step and the peer concerned.
 type StepError struct {
 	Step  Step
 	Peer  Address // empty when no peer was involved
--- a/internal/router/system_resume.go
+++ b/internal/router/system_resume.go
@@ -16,11 +16,12 @@
 //	                            else resumed and fenced in turn while the agent
 //	                            is only unreachable, until unclearPatience
 //
-// A connection may go silent for good while new ones work: something between
-// the two ends has lost track of it. The sender's data is then lost without an
-// error. The shell notices that no frame comes for SilenceTimeout. Waiting on
-// that connection would lose the answer, and sending the request again could
-// run it twice; asking for the rest of the answer by id does neither.
+// A connection may be half-open: a firewall or an address translator on the
+// path has dropped its state, and discards the packets of both ends without an
+// error, while a new connection to the same peer works. The shell notices that
+// no frame comes for SilenceTimeout. Waiting on that connection would lose the
+// answer, and sending the request again could run it twice; asking for the rest
+// of the answer by id does neither.
 
 // takeBroken acts on a connection that ended before the answer did.
 func (w *World) takeBroken(event AnswerBroken) {
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -66,7 +66,7 @@
 }
 
 // Symptom: three backend servers are lost to one request.
-// Sequence: a request crashes a server; its caller sends it again, and it
+// Sequence: a request crashes a server; the caller repeats it, and it
 // crashes a second one; the verdict has not reached the third one yet.
 // Cause: verdicts spread with the control messages, a retry is faster.
 func TestSuspectIsNotSentToAThirdServer(t *testing.T) {
@@ -198,7 +198,7 @@
 
 // Symptom: a paused router sends on a slot that the agent gave to another.
 // Sequence: a grant arrives; the router's process is paused past its use-by.
-// Cause: leases go on while their holder is paused.
+// Cause: a lease does not stop for a paused process.
 func TestOldGrantIsDeclined(t *testing.T) {
 	b := newBench(t, 1)
 	blocker := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
