--- a/internal/pathtest/sim_nodes_test.go
+++ b/internal/pathtest/sim_nodes_test.go
@@ -502,6 +502,12 @@
 func (s *sim) askRouter(n *simNode, c agent.AskRouter) {
 	to := s.find(c.Router)
 	s.rpc(fleet.StepOffer, n, to, func(reply func(func())) {
+		if to.router == nil {
+			// A guard that was restarted knows of a key from the agent that runs
+			// the request, and asks that one. Agents serve no such call.
+			reply(func() { s.stepAgent(n, agent.FreeAnswered{Router: c.Router, Failed: true}) })
+			return
+		}
 		outputs, next := to.router.Step(s.now, []router.Input{s.heard(n), router.FreeAsked{
 			Agent: n.node.Control, Service: simService, FreeSlots: c.FreeSlots,
 		}})
