Do not take an agent for the router of a key's holder

Cause: a guard that has forgotten a key learns it again from the agent that confirms it before a run, and noted that agent as the router where the request waits. When the key was contested later, it asked the agent for work as if it were a router.

Change: the router of such a holder is unknown, and there is no sign of life to wait for once the holder is known to be fenced.

Tests: TestKeyOfAGoneRouterIsTakenOver has the case; without the change it fails ('CLAIM_RESULT_HELD, want GRANTED').

--- a/internal/agent/guard.go
+++ b/internal/agent/guard.go
@@ -19,7 +19,7 @@
 type holder struct {
 	id        fleet.RequestID
 	bodyHash  string
-	router    fleet.Address // where the request waits
+	router    fleet.Address // where the request waits; empty when unknown
 	started   uint64        // incarnation of the router
 	runningAt fleet.Address
 	attempt   uint32 // that runs there
@@ -94,16 +94,18 @@
 	if !g.covers(now, name.key) {
 		result = rpc.ClaimResult_CLAIM_RESULT_CANNOT_TELL
 	}
-	g.rows[name] = &holder{
+	taken := &holder{
 		id:        in.ID,
 		bodyHash:  in.BodyHash,
-		router:    in.Router,
-		started:   in.Incarnation,
 		runningAt: in.RunningAt,
 		attempt:   in.Attempt,
 		claimedAt: now,
 		result:    result,
 	}
+	if in.BodyHash != "" { // else an agent confirms a key that this guard has forgotten
+		taken.router, taken.started = in.Router, in.Incarnation
+	}
+	g.rows[name] = taken
 	g.order = append(g.order, name)
 	g.expire(now)
 	return ClaimState{Result: result}
--- a/internal/agent/guard_test.go
+++ b/internal/agent/guard_test.go
@@ -57,7 +57,7 @@
 	wantClaim(t, h.claim(second), cannotTell)
 	second.Release = true
 	h.claim(second)
-	plain := Claim{Key: "order-7", ID: h.id()}
+	plain := Claim{Key: "order-7", ID: h.id(), BodyHash: "x"}
 	wantClaim(t, h.claim(plain), cannotTell)
 	plain.Release = true
 	h.claim(plain)
@@ -111,6 +111,18 @@
 	wantClaim(t, h.claim(third), claimHeld)
 	third.FencedAt = h.world.self.Data
 	wantClaim(t, h.claim(third), claimGranted)
+
+	// A guard that has forgotten the key hears of it from the agent that runs
+	// the request, and so does not know its router.
+	forgotten := Claim{Router: "10.0.0.7:1", Key: h.id().String(), ID: h.id(), RunningAt: "10.0.0.7:2", Attempt: 1}
+	wantClaim(t, h.claim(forgotten), claimGranted)
+	heir := Claim{Router: routerA, Key: forgotten.Key, ID: h.id(), BodyHash: "x"}
+	wantClaim(t, h.claim(heir), claimHeld)
+	heir.FencedHolder, heir.FencedAt = forgotten.ID, forgotten.RunningAt
+	wantClaim(t, h.claim(heir), claimGranted)
+	if has(h, func(c AskRouter) bool { return c.Router == forgotten.Router }) {
+		t.Error("an agent is asked as if it were a router")
+	}
 }
 
 // Symptom: a call with a key runs twice after a partition.
--- a/internal/agent/take_claim.go
+++ b/internal/agent/take_claim.go
@@ -26,8 +26,12 @@
 }
 
 // routerGone tells whether an incarnation of a router has ended, as far as is
-// known: it did not answer the last question, or a later one was heard.
+// known: it did not answer the last question, or a later one was heard. Of a
+// router that is not known there is no sign of life to wait for.
 func (w *World) routerGone(address fleet.Address, incarnation uint64) bool {
+	if address == "" {
+		return true
+	}
 	row := w.routers.Get(address)
 	return row != nil && (row.silent || row.incarnation > incarnation)
 }
