--- a/internal/fairshare/tables_test.go
+++ b/internal/fairshare/tables_test.go
@@ -238,16 +238,7 @@
 		}
 	}
 	tables = append(tables, many)
-	load := slices.Repeat([]modelLoad{{4, 200, 0.7}}, 3)
-	load = append(load, slices.Repeat([]modelLoad{{1, 150, 0.7}}, 11)...)
-	deployed := table{name: "scenarios/skammtur.ini"}
-	for _, share := range []settings.SharePolicy{settings.ShareFleet, settings.ShareAgentLocal, settings.ShareRouterLocal} {
-		deployed.rows = append(deployed.rows, row(string(share), func(s *scenario) {
-			s.share, s.load, s.accounts, s.large, s.reach = share, load, len(load), 3, 0
-			s.homes, s.duration, s.pinned, s.speed = 3, 40*time.Second, true, 100
-		}))
-	}
-	tables = append(tables, deployed)
+	tables = append(tables, deployment("scenarios/skammtur.ini", 20, 200, 11), deployment("scenarios/lahore.ini", 10, 250, 12))
 	for _, pinned := range []bool{false, true} {
 		partition := table{name: fmt.Sprintf("partition, accounts on one router: %v", pinned)}
 		for _, window := range []Units{0, 1000, 2500, 5000, 10000, 20000} {
@@ -258,6 +249,21 @@
 	return tables
 }
 
+// deployment is like the scenario of that name: three large accounts of weight 4
+// whose requests have the given mean cost, and a number of small ones.
+func deployment(name string, servers int, mean float64, small int) table {
+	load := slices.Repeat([]modelLoad{{4, mean, 0.7}}, 3)
+	load = append(load, slices.Repeat([]modelLoad{{1, 150, 0.7}}, small)...)
+	deployed := table{name: name}
+	for _, share := range []settings.SharePolicy{settings.ShareFleet, settings.ShareAgentLocal, settings.ShareRouterLocal} {
+		deployed.rows = append(deployed.rows, with(func(s *scenario) {
+			s.name, s.share, s.load, s.accounts, s.servers = string(share), share, load, len(load), servers
+			s.homes, s.duration, s.pinned, s.speed = 3, 40*time.Second, true, 100
+		}))
+	}
+	return deployed
+}
+
 func exactHint(_ *rand.Rand, _ int, cost float64) float64 { return cost }
 
 // scaledHint is wrong by one factor for the even accounts and another for the
