--- a/internal/fairshare/reporter.go
+++ b/internal/fairshare/reporter.go
@@ -98,6 +98,9 @@
 	for name, r := range h.rows {
 		r.reweigh(Units(h.weight(name)))
 		r.endRefill(now)
+		if r.agents > 0 {
+			r.number()
+		}
 	}
 	h.recount()
 	h.hold()
--- a/internal/fairshare/row.go
+++ b/internal/fairshare/row.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
 // refillIntervals is the number of report intervals for which a home collects
@@ -17,6 +19,7 @@
 	total    Units
 	inFlight Units
 	waiting  bool
+	place    uint32 // number among the agents that have work of the account
 }
 
 // busy tells whether the agent had work of the account.
@@ -49,7 +52,7 @@
 // take replaces what an incarnation of an agent has reported, unless it is
 // older than what is held.
 func (r *row) take(sender *reporter, sequence uint64, charge Charge) {
-	e := r.entry(sender, charge)
+	e := r.ensure(sender, charge)
 	if sequence <= e.sequence {
 		return
 	}
@@ -62,14 +65,19 @@
 	r.add(e)
 }
 
-// entry returns the entry of an incarnation of an agent. The totals of one that
-// had been forgotten are in the sum already.
-func (r *row) entry(sender *reporter, charge Charge) *entry {
-	at, ok := slices.BinarySearchFunc(r.entries, sender.id, func(e entry, id uint32) int {
+// find returns where the entry of an incarnation of an agent is, or belongs.
+func (r *row) find(sender *reporter) (int, bool) {
+	return slices.BinarySearchFunc(r.entries, sender.id, func(e entry, id uint32) int {
 		return cmp.Compare(e.reporter.id, id)
 	})
+}
+
+// ensure returns the entry of an incarnation of an agent. The totals of one
+// that had been forgotten are in the sum already.
+func (r *row) ensure(sender *reporter, charge Charge) *entry {
+	at, ok := r.find(sender)
 	if !ok {
-		created := entry{reporter: sender}
+		created := entry{reporter: sender, place: uint32(r.agents)}
 		if sender.forgotten {
 			created.total = charge.Total
 		}
@@ -78,6 +86,12 @@
 	return &r.entries[at]
 }
 
+// total answers an agent for one account.
+func (r *row) total(name fleet.Account, sender *reporter) Total {
+	at, _ := r.find(sender)
+	return Total{Account: name, Clock: r.clock(), Agents: r.agents, Place: int(r.entries[at].place)}
+}
+
 // add counts an entry's work.
 func (r *row) add(e *entry) { r.count(e, 1) }
 
--- a/internal/fairshare/spread.go
+++ b/internal/fairshare/spread.go
@@ -83,23 +83,16 @@
 	return sum / count
 }
 
-// place is the number of an agent among those that serve the account or hold
-// its offers.
-func (r *row) place(sender *reporter) int {
-	before := 0
+// number numbers the agents that serve the account or hold its offers. It runs
+// once in a report interval: counting at each reply would take as many steps as
+// there are agents.
+func (r *row) number() {
+	next := uint32(0)
 	for i := range r.entries {
 		e := &r.entries[i]
-		if e.reporter == sender {
-			break
-		}
 		if e.busy() && e.reporter.state == reporterLive {
-			before++
+			e.place = next
+			next++
 		}
 	}
-	return before
-}
-
-// total answers an agent for one account.
-func (r *row) total(name fleet.Account, sender *reporter) Total {
-	return Total{Account: name, Clock: r.clock(), Agents: r.agents, Place: r.place(sender)}
 }
