Let whole answers of models take longer than four seconds

Cause: the agent gives up a silent connection to the model engine and resumes the answer on a new one, with doubled patience. It did not know the HTTP library's timeout error as a timeout, since that has no method Temporary and so is no net.Error; four silent seconds counted as four broken connections. Every answer that is not streamed and takes longer failed: against bluebell-dev 1,000 tokens of 3 ms came after 3.0 s, 1,500 and 3,000 ended with 504 after 8.0 s, having been begun at both agents. Streams were not affected.

Ruled out: the engine losing the run (it lists it throughout), the router's silence timeout (heartbeats went on), the deadline (30 s).

Change: an error is a timeout if it says so by Timeout alone.

Test: TestLongWholeAnswerArrives; with the old check it failed with "run at 127.0.0.1:36899: fasthttp: timeout" and 0 bytes of 8328.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -108,6 +109,24 @@
 	a.wantWhole(t, id, &got)
 }
 
+// Symptom: every answer that is not streamed and takes longer than four seconds
+// ends with an unknown outcome, however well the engine is; one that may be
+// repeated is begun again at each agent in turn.
+// Sequence: the engine sends nothing until the answer is whole; the agent takes
+// connection after connection for silent.
+// Cause: the HTTP library's error of a timeout was not known as one, so that the
+// silence counted as a broken connection and the wait did not double.
+func TestLongWholeAnswerArrives(t *testing.T) {
+	t.Parallel()
+	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: 10 * time.Millisecond}, nil)
+	id := newID()
+	const longerThanAllBroken = (maxBroken + 2) * minEngineSilence
+	body := fmt.Sprintf(`{"x_tokens":%d}`, longerThanAllBroken/(10*time.Millisecond))
+	var got received
+	got.read(t, id, a.post(t, PathRun, runRequest(id, "/v1/chat/completions", body)), 0)
+	a.wantWhole(t, id, &got)
+}
+
 // wantWhole checks that what was received is what the engine made, in one run.
 func (a *testAgent) wantWhole(t *testing.T, id fleet.RequestID, got *received) {
 	t.Helper()
--- a/internal/agent/runner_model.go
+++ b/internal/agent/runner_model.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"time"
 
 	"github.com/pkg/errors"
@@ -115,8 +114,11 @@
 	return true
 }
 
-// timedOut tells whether a connection was given up for its silence.
+// timedOut tells whether a connection was given up for its silence. The HTTP
+// library's own error of a timeout is no net.Error, as it lacks Temporary. Taken
+// for a broken connection, it would end each whole answer whose first byte takes
+// longer than a few connections are silent.
 func timedOut(err error) bool {
-	var timeout net.Error
+	var timeout interface{ Timeout() bool }
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
