Make two tests independent of the machine's free ports

Cause: a port that was free when chosen may be taken before it is used, so TestManagers could fail, and TestDialFailure could reach a stranger.

Change: TestManagers tries other ports; TestDialFailure dials port 1. Both check as much as before.

Conclusion: nothing in the product changes.

--- a/internal/platform/api_test.go
+++ b/internal/platform/api_test.go
@@ -252,15 +252,9 @@
 // TestDialFailure covers a platform that nobody listens for: the write surely
 // had no effect, and the caller may be told so.
 func TestDialFailure(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := fleet.Address(listener.Addr().String())
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
-	}
+	// Nothing listens on port 1, and no system gives it away.
+	const address fleet.Address = "127.0.0.1:1"
 	client := platform.NewClient(address, platform.ClientOptions{CallTimeout: callTimeout})
-	_, err = client.Put(t.Context(), "a", nil, 0)
+	_, err := client.Put(t.Context(), "a", nil, 0)
 	wantError(t, err, platform.ErrUnavailable)
 }
--- a/internal/spread/manager_test.go
+++ b/internal/spread/manager_test.go
@@ -32,18 +32,38 @@
 
 func (ready) NotReady() string { return "" }
 
-func startReal(t *testing.T, api platform.API, index int, seeds ...fleet.Address) (*realNode, fleet.Address) {
+// portTries bounds the search for a free port: another process may take one
+// between its choice and its use.
+const portTries = 50
+
+// listen opens a control port and returns its server, registry and metrics.
+func listen(t *testing.T) (fleet.Address, *control.Server, *prometheus.Registry, *control.Metrics) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	address := fleet.Address(listener.Addr().String())
-	if err := listener.Close(); err != nil {
-		t.Fatal(err)
+	for range portTries {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := fleet.Address(listener.Addr().String())
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		registry := prometheus.NewRegistry()
+		metrics := control.NewMetrics(registry)
+		server := control.NewServer(control.ServerConfig{
+			Address: address, Token: "secret", Metrics: metrics, Gatherer: registry, Readiness: ready{},
+		})
+		if server.Listen() == nil {
+			return address, server, registry, metrics
+		}
 	}
-	registry := prometheus.NewRegistry()
-	metrics := control.NewMetrics(registry)
+	t.Fatal("no free port")
+	return "", nil, nil, nil
+}
+
+func startReal(t *testing.T, api platform.API, index int, seeds ...fleet.Address) (*realNode, fleet.Address) {
+	t.Helper()
+	address, server, registry, metrics := listen(t)
 	pool := control.NewPool("secret", metrics)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
@@ -57,13 +77,7 @@
 		},
 		Settings: node.settings, Platform: api, Peers: pool, Registerer: registry, Logger: logger,
 	})
-	server := control.NewServer(control.ServerConfig{
-		Address: address, Token: "secret", Metrics: metrics, Gatherer: registry, Readiness: ready{},
-	})
 	server.Register(rpc.NewPeerServer(node.manager))
-	if err := server.Listen(); err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 2)
 	go func() { ended <- server.Run(ctx) }()
