--- a/internal/agent/system_ask.go
+++ b/internal/agent/system_ask.go
@@ -42,6 +42,21 @@
 	w.asking.interval = min(2*w.asking.interval, MaxAskInterval)
 }
 
+// recallOffers asks routers for the offers that were dropped because a grant to
+// them failed. A router repeats what it believes to be known here only after
+// seconds. If it were not asked, one call lost by a short stall would keep its
+// accounts waiting for as long, while other routers' accounts get the slots.
+func (w *World) recallOffers(now time.Time) {
+	w.routers.Each(func(_ fleet.Address, row *router) {
+		if row.recallAt.IsZero() || now.Before(row.recallAt) {
+			return
+		}
+		w.emit(AskRouter{Router: row.address, FreeSlots: uint32(w.free())})
+		row.recallAt = now.Add(row.recallWait)
+		row.recallWait = min(2*row.recallWait, MaxAskInterval)
+	})
+}
+
 // routersToAsk are one router that offered lately and the next in turn.
 func (w *World) routersToAsk() []fleet.Address {
 	routers := w.members.Usable(w.members.Routers())
@@ -79,6 +94,7 @@
 	if row == nil || w.leaving() {
 		return
 	}
+	row.recallAt = time.Time{} // the reply lists everything that waits there
 	for _, item := range in.Offers {
 		w.setOffer(now, row, item)
 	}
--- a/internal/agent/system_expire.go
+++ b/internal/agent/system_expire.go
@@ -39,7 +39,7 @@
 		w.endGrant(number)
 		if row := w.routers.Get(g.router); row != nil && !row.heardAt.After(g.sentAt) {
 			w.emit(Note{Event: event.RouterSilent, Peer: row.address})
-			w.forgetOffers(row)
+			w.forgetOffers(now, row)
 		}
 	})
 }
--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -201,7 +201,7 @@
 			w.endGrant(number)
 		}
 		if row != nil {
-			w.forgetOffers(row)
+			w.forgetOffers(now, row)
 		}
 		return
 	}
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -69,8 +69,10 @@
 	offers      map[fleet.Account]*offer
 	lastGrant   uint64 // number of the last grant; the smaller is served first
 	heardAt     time.Time
-	resend      bool // its offers were dropped here, so it must repeat them
-	silent      bool // it did not answer the last question
+	resend      bool          // its offers were dropped here, so it must repeat them
+	recallAt    time.Time     // when it is asked for the dropped offers; zero when none were
+	recallWait  time.Duration // between two such questions
+	silent      bool          // it did not answer the last question
 }
 
 // offer is the work of one account that waits at one router.
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -48,6 +48,7 @@
 	if in.Full {
 		w.dropOffers(row)
 		row.resend = false
+		row.recallAt = time.Time{}
 	}
 	for _, item := range in.Offers {
 		w.setOffer(now, row, item)
@@ -99,10 +100,12 @@
 }
 
 // forgetOffers drops the offers of a router that does not answer. The router
-// does not know, so it is asked for all of them when it is heard again.
-func (w *World) forgetOffers(row *router) {
+// does not know, so it is asked for all of them after a pause.
+func (w *World) forgetOffers(now time.Time, row *router) {
 	w.dropOffers(row)
 	row.resend = true
+	row.recallWait = MinAskInterval
+	row.recallAt = now.Add(row.recallWait)
 }
 
 // dropOffers withdraws everything that a router offers.
--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -101,6 +101,7 @@
 		{Name: "admit", Run: (*World).startQueued},
 		{Name: "grant", Run: (*World).grantSlots},
 		{Name: "ask", Run: (*World).askRouters},
+		{Name: "recall", Run: (*World).recallOffers},
 		{Name: "tally", Run: (*World).reportCharges},
 		{Name: "publish", Run: (*World).publish},
 		{Name: "drain", Run: (*World).reportIdle},
@@ -238,6 +239,7 @@
 		sooner(r.deadline)
 	}
 	sooner(w.asking.next)
+	w.routers.Each(func(_ fleet.Address, r *router) { sooner(r.recallAt) })
 	sooner(w.tally.next)
 	return next
 }
