--- a/internal/fairshare/doc.go
+++ b/internal/fairshare/doc.go
@@ -9,7 +9,7 @@
 // The clock of an account is the service that the fleet has given it, divided
 // by its weight. An agent serves the account with the smallest one:
 //
-//	clock(a) = heard(a) + n(a) * (own(a) / weight(a) + offset(a))
+//	clock(a) = heard(a) + n(a) * (own(a) / weight(a) + offset(a) + carried(a))
 //
 // heard(a) is the clock that a's home answered to the agent's last report.
 // own(a) is what the agent itself has given to a since that report, and what
@@ -17,7 +17,8 @@
 // number of agents that serve a: it stands for what the others do meanwhile.
 // They heard the same clocks and so choose much the same. offset(a) differs
 // from agent to agent, so that an account that lacks the service of five
-// requests is given five by the fleet, and not one by each agent.
+// requests is given five by the fleet, and not one by each agent. carried(a) is
+// part of what the agent was ahead with a when it last reported.
 //
 // docs/FAIRSHARE.md tells how these were chosen, with the figures.
 //
