--- a/internal/settings/registry.go
+++ b/internal/settings/registry.go
@@ -155,7 +155,7 @@
 	{
 		Name: "report_interval", Type: TypeDuration, Default: "1s", Min: tenMillis, Max: aMinute,
 		Nodes: serviceNodes, Inherited: true,
-		Doc:     "Time between an agent's tally reports.",
+		Doc:     "Time between an agent's tally reports; longer in a service of more than 60 agents.",
 		service: func(p *ServicePolicy) any { return &p.ReportInterval },
 	},
 	{
