Choose homes, guards and offered agents in one place

Cause: the router and the agent repeated what package membership already does, with the same hash keys; a change of one would have parted the processes. Ruled out: removing the copies in membership (they are tested there). Change: both roles call membership.Guards, Homes, HomeOf and OfferSubset.

--- a/internal/agent/system_tally.go
+++ b/internal/agent/system_tally.go
@@ -1,11 +1,8 @@
 package agent
 
 import (
-	"slices"
 	"time"
 
-	"github.com/samber/lo"
-
 	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/membership"
@@ -13,12 +10,8 @@
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-// Prefixes of the keys by which homes are chosen.
-const (
-	homeKeyPrefix = "home/"
-	// jitterParts divides a report interval into the steps of its jitter.
-	jitterParts = 16
-)
+// jitterParts divides a report interval into the steps of its jitter.
+const jitterParts = 16
 
 // tally is the state of this agent's reports to the homes of its service.
 type tally struct {
@@ -30,11 +23,10 @@
 
 // applyHomes chooses the homes anew after a change of the fleet.
 func (w *World) applyHomes() {
-	ranked := membership.Rank(homeKeyPrefix+string(w.self.Service), w.members.Usable(w.members.Agents(w.self.Service)))
-	homes := lo.Subset(ranked, 0, uint(max(1, w.policy.Homes)))
+	agents := w.members.Usable(w.members.Agents(w.self.Service))
+	homes := membership.Homes(w.self.Service, agents, max(1, w.policy.Homes))
 	for _, old := range w.tally.homes {
-		gone := !slices.ContainsFunc(homes, func(n fleet.Node) bool { return n.Control == old.Control })
-		if gone {
+		if !membership.Contains(homes, old.Control) {
 			w.clocks.ForgetHome(old.Control)
 		}
 	}
@@ -47,10 +39,9 @@
 	if home, ok := w.tally.byName[name]; ok {
 		return home
 	}
-	key := homeKeyPrefix + string(w.self.Service) + "/" + string(name)
-	home := membership.Rank(key, w.tally.homes)[0].Control
-	w.tally.byName[name] = home
-	return home
+	home, _ := membership.HomeOf(w.self.Service, name, w.tally.homes)
+	w.tally.byName[name] = home.Control
+	return home.Control
 }
 
 // reportCharges sends each home the cumulative charges of its accounts once in
--- a/internal/router/system_claim.go
+++ b/internal/router/system_claim.go
@@ -11,9 +11,6 @@
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 )
 
-// guardsPerKey is the number of agents that remember a caller's key.
-const guardsPerKey = 2
-
 // claim is the claiming of a caller's key at its guards.
 //
 // A caller that loses its connection sends its request again with the same
@@ -52,19 +49,10 @@
 	w.askGuard(e)
 }
 
-// guards returns the agents that remember the request's key: the first in the
-// key's order, and the next one of another zone if there is one.
+// guards returns the agents that remember the request's key. Which agents this
+// router suspects plays no part: all routers must ask the same ones.
 func (w *World) guards(request *Request) []fleet.Node {
-	key := "key/" + string(request.Account) + "/" + request.Key
-	ranked := membership.Rank(key, membership.Live(w.members.Agents(request.Service)))
-	if len(ranked) <= guardsPerKey {
-		return ranked
-	}
-	second := slices.IndexFunc(ranked, func(node fleet.Node) bool { return node.Zone != ranked[0].Zone })
-	if second < 0 {
-		second = 1
-	}
-	return []fleet.Node{ranked[0], ranked[second]}
+	return membership.Guards(request.Account, request.Key, membership.Live(w.members.Agents(request.Service)))
 }
 
 func (w *World) askGuard(e *entry) {
--- a/internal/router/system_members.go
+++ b/internal/router/system_members.go
@@ -1,7 +1,6 @@
 package router
 
 import (
-	"slices"
 	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -84,7 +83,8 @@
 // zone first, in an order that depends on the router, so that the routers'
 // subsets differ and move little when agents come and go.
 func (w *World) orderAgents(service *serviceRow) {
-	ranked := membership.Rank("offer/"+string(w.self.Control), w.members.Agents(service.name))
+	agents := w.members.Agents(service.name)
+	ranked := membership.OfferSubset(w.self.Control, w.self.Zone, agents, len(agents))
 	for _, row := range service.agents {
 		row.rank = notRanked
 	}
@@ -95,9 +95,6 @@
 			service.agents = append(service.agents, row)
 		}
 	}
-	slices.SortStableFunc(service.agents, func(a, b *agentRow) int {
-		return w.distance(a) - w.distance(b)
-	})
 	switch {
 	case len(service.agents) > 0:
 		service.noneAt = time.Time{}
