Bound the offers of all routers and the data connections

Cause: the bounds per router and on routers together let 4 million offers in, a gigabyte.

Change: 150,000 offers in all, about 36 MB; 8,192 data connections.

--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -10,6 +10,12 @@
 	MaxRouters = 1024
 	// MaxOffersPerRouter bounds the client accounts that one router offers.
 	MaxOffersPerRouter = 4096
+	// MaxDataConnections bounds the open connections of the data port.
+	MaxDataConnections = 8192
+	// MaxOffers bounds the offers of all routers, each of which holds about
+	// 240 bytes. Further ones are not noted; they come back with the next
+	// refresh, when others have been served.
+	MaxOffers = 150_000
 	// MaxVerdicts bounds the table of suspect and convicted requests.
 	MaxVerdicts = 4096
 	// MaxHeldSuspects bounds the admitted suspects that wait for another one.
--- a/internal/agent/matrix_offer_test.go
+++ b/internal/agent/matrix_offer_test.go
@@ -89,6 +89,10 @@
 		if h.world.accounts.Get("small") == nil || h.world.accounts.Get("small").granted != 1 {
 			t.Error("the small account has no grant")
 		}
+		h.step(offers(h, 100, 3000, 100)...)
+		if h.world.offers > MaxOffers {
+			t.Errorf("%d offers are held", h.world.offers)
+		}
 	}},
 	// The backend server goes down and comes back: offers outlive it.
 	{fleet.StepOffer, crashed, func(t *testing.T, h *harness) {
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -52,6 +52,7 @@
 		Handler:               s.handle,
 		Name:                  "bluebell-agent",
 		MaxRequestBodySize:    maxRequest,
+		Concurrency:           MaxDataConnections,
 		IdleTimeout:           idleTimeout,
 		NoDefaultServerHeader: true,
 		NoDefaultDate:         true,
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -69,7 +69,7 @@
 		return
 	}
 	if current == nil {
-		if len(row.offers) >= MaxOffersPerRouter {
+		if len(row.offers) >= MaxOffersPerRouter || w.offers >= MaxOffers {
 			return
 		}
 		current = &offer{account: item.Account, router: row}
