Let a new agent pause between its questions

Cause: the interval between an idle agent's questions to routers began at 0 and doubled from there, so an agent whose first step found free slots asked at every step until slots had been in use once. Ruled out: the order of inputs at a start hides it in most real starts only. Change: the interval begins at its least value.

--- a/internal/agent/world.go
+++ b/internal/agent/world.go
@@ -91,6 +91,7 @@
 		nextGrant: self.Incarnation,
 		guard:     newGuard(limits.MaxKeys, now),
 		lastFree:  SetFreeSlots{FreeSlots: math.MaxUint32},
+		asking:    asking{interval: MinAskInterval},
 	}
 	w.names = fairshare.NewNames(nil)
 	w.clocks = fairshare.NewClocks(w.shares)
