Let grants ride on the answers that a router reads

Cause: each granted slot cost a Grant call: 171 bytes of message and reply at worst, mostly envelope, names and numbers, and the framing of a call.

Change: an agent puts grants into a heartbeat of an answer that the router reads from it anyway, on the connection that began to wait last; it makes a call where no connection waits. Which account and router a slot goes to stays as it was, so deadlines and shares need no bound. The lease runs on the agent's clock as before. The router declines with an offer that goes out at once. A lost frame costs one lease; after a lapsed one the router is asked for its offers and gets calls for 30 s, so that a connection which its router leaves unread for a slow caller idles no slot for more than one lease in that time. The bytes count as control traffic, class grant, on both sides.

Ruled out: grants in AnswerEnd alone, for the router whose answer ends (needs a bound on deadlines, and reaches fewer grants); telling the router's choice by connection (a joined answer is read by another router, so only connections of /v1/run carry, by the router named there).

The simulated network lets grants ride, so that the drawn faults reach them.

--- a/cmd/internal/wiring/agent.go
+++ b/cmd/internal/wiring/agent.go
@@ -28,6 +28,7 @@
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
+		CountGrants: do.MustInvoke[*control.Metrics](injector).CountGrantsSent,
 	})
 	known.load.set(manager.FillStatus)
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewAgentServer(manager.Control()))
--- a/cmd/internal/wiring/router.go
+++ b/cmd/internal/wiring/router.go
@@ -32,6 +32,7 @@
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
 		Registerer:  do.MustInvoke[prometheus.Registerer](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
+		CountGrants: do.MustInvoke[*control.Metrics](injector).CountGrantsReceived,
 	})
 	known.load.set(manager.FillStatus)
 	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server()))
--- a/internal/agent/command.go
+++ b/internal/agent/command.go
@@ -47,10 +47,14 @@
 	ID fleet.RequestID
 }
 
-// SendGrants hands slots to a router.
+// SendGrants hands slots to a router. They may ride on the answer to one of its
+// requests. Then no GrantAnswered follows: the router declines with its next
+// offer, and grants that are lost with the connection lapse.
 type SendGrants struct {
-	Router fleet.Address
-	Grants []*rpc.Grant
+	Router      fleet.Address
+	Incarnation uint64
+	Grants      []*rpc.Grant
+	ByCall      bool // they must not ride: some that did were lost lately
 }
 
 // AskRouter tells a router of free slots and asks what waits there.
--- a/internal/agent/executor.go
+++ b/internal/agent/executor.go
@@ -22,13 +22,14 @@
 // executor carries out the world's commands. It runs in the world's goroutine
 // and only hands things on.
 type executor struct {
-	calls   *calls
-	answers *answers
-	runner  *runner
-	peers   peers
-	leaving func(bool)
-	log     logrus.FieldLogger
-	metrics *metrics
+	calls    *calls
+	answers  *answers
+	carriers *carriers
+	runner   *runner
+	peers    peers
+	leaving  func(bool)
+	log      logrus.FieldLogger
+	metrics  *metrics
 
 	runs map[fleet.RequestID]*rpc.RunRequest // admitted and not started
 	idle chan struct{}                       // closed when a stopping agent has nothing left to do
@@ -63,7 +64,7 @@
 		e.answers.freeSlots.Store(c.FreeSlots)
 		e.leaving(c.Leaving)
 	case SendGrants:
-		e.peers.sendGrants(c)
+		e.sendGrants(c)
 	case AskRouter:
 		e.peers.askRouter(c)
 	case SendReport:
@@ -93,6 +94,15 @@
 	waiting.answer <- c.Answer
 }
 
+// sendGrants lets a connection carry the grants that the router reads an answer
+// from anyway, else makes a call.
+func (e *executor) sendGrants(c SendGrants) {
+	key := carrierKey{router: c.Router, incarnation: c.Incarnation}
+	if c.ByCall || !e.carriers.carry(key, c.Grants) {
+		e.peers.sendGrants(c)
+	}
+}
+
 func (e *executor) start(c StartRun) {
 	request, into := e.runs[c.ID], e.answers.get(c.ID)
 	delete(e.runs, c.ID)
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -287,7 +287,7 @@
 // Sequence: a run request without the fleet's token, or with another.
 // Cause: the data path would trust the network.
 func TestDataPathNeedsTheToken(t *testing.T) {
-	server := newDataServer(&sink{}, newCalls(), newAnswers(), nil, "secret", 1<<20)
+	server := newDataServer(&sink{}, newCalls(), newAnswers(), newCarriers(nil), nil, "secret", 1<<20)
 	for _, value := range []string{"", "Bearer ", "Bearer other", "secret"} {
 		var ctx fasthttp.RequestCtx
 		ctx.Request.SetRequestURI(PathRun)
--- a/internal/agent/frames.go
+++ b/internal/agent/frames.go
@@ -24,6 +24,11 @@
 	heartbeat time.Duration
 	delivered func() // called when the last frame has been written out
 
+	carriers *carriers     // nil: the connection carries no grants
+	carrier  carrierKey    // the router that reads
+	handed   []*rpc.Grant  // to go out with the next frame; guarded by carriers
+	woken    chan struct{} // has room for one word
+
 	offset   uint64
 	headSent bool
 	ended    bool
@@ -36,6 +41,13 @@
 	return &frameReader{id: id, answer: a, heartbeat: heartbeat, delivered: delivered}
 }
 
+// carryGrants lets the connection carry grants to the router that reads it.
+func (r *frameReader) carryGrants(carriers *carriers, router carrierKey) {
+	r.carriers = carriers
+	r.carrier = router
+	r.woken = make(chan struct{}, 1)
+}
+
 // accept puts the first frame of /v1/run in front.
 func (r *frameReader) accept(freeSlots uint32) {
 	r.push(&rpc.AnswerFrame{Frame: &rpc.AnswerFrame_Accepted{Accepted: &rpc.Accepted{FreeSlots: freeSlots}}})
@@ -73,11 +85,29 @@
 	if r.add(v) {
 		return
 	}
-	if !r.wait(v.changed) {
+	changed, grants := r.wait(v.changed)
+	switch {
+	case len(grants) > 0:
+		r.pushGrants(grants)
+	case !changed:
 		r.push(&rpc.AnswerFrame{Frame: &rpc.AnswerFrame_Heartbeat{Heartbeat: &rpc.Heartbeat{}}})
 	}
 }
 
+// chunkOverhead is what HTTP adds to a frame that is written alone: two digits
+// of length and two line ends.
+const chunkOverhead = 6
+
+// pushGrants adds a heartbeat with grants.
+func (r *frameReader) pushGrants(grants []*rpc.Grant) {
+	before := r.pending.Len()
+	r.push(&rpc.AnswerFrame{
+		Frame:  &rpc.AnswerFrame_Heartbeat{Heartbeat: &rpc.Heartbeat{}},
+		Grants: grants,
+	})
+	r.carriers.count(r.pending.Len() - before + chunkOverhead)
+}
+
 // add reports whether the view held anything new.
 func (r *frameReader) add(v view) bool {
 	before := r.pending.Len()
@@ -116,8 +146,20 @@
 	r.push(failedFrame(state, v.seal.Reason, v.seal.Crashed))
 }
 
-// wait reports whether the answer changed before a heartbeat was due.
-func (r *frameReader) wait(changed <-chan struct{}) bool {
+// wait reports whether the answer changed before a heartbeat was due, and
+// returns the grants that are to go out. While it waits, everything before has
+// been written out, so that a grant does not queue behind data here.
+func (r *frameReader) wait(changed <-chan struct{}) (bool, []*rpc.Grant) {
+	if r.carriers == nil {
+		return r.pause(changed), nil
+	}
+	r.carriers.enter(r)
+	grown := r.pause(changed)
+	return grown, r.carriers.leave(r)
+}
+
+// pause waits for a change, for grants or for the time of a heartbeat.
+func (r *frameReader) pause(changed <-chan struct{}) bool {
 	if r.timer == nil {
 		r.timer = time.NewTimer(r.heartbeat)
 	} else {
@@ -127,6 +169,9 @@
 	case <-changed:
 		r.timer.Stop()
 		return true
+	case <-r.woken:
+		r.timer.Stop()
+		return false
 	case <-r.timer.C:
 		return false
 	}
--- a/internal/agent/limits.go
+++ b/internal/agent/limits.go
@@ -32,6 +32,9 @@
 	// GrantMargin is added to a lease at the agent, so that the router's
 	// use-by time always comes first.
 	GrantMargin = 250 * time.Millisecond
+	// GrantCallTime is for how long a router gets grants as calls after one has
+	// lapsed.
+	GrantCallTime = 30 * time.Second
 	// OfferLife is the time after which an offer lapses unless the router
 	// refreshes it.
 	OfferLife = 90 * time.Second
--- a/internal/agent/manager.go
+++ b/internal/agent/manager.go
@@ -39,6 +39,7 @@
 	Readiness   Readiness
 	Registerer  prometheus.Registerer
 	Logger      logrus.FieldLogger
+	CountGrants func(bytes int) // counts grants on the data path as control traffic; may be nil
 }
 
 // Manager runs an agent: its world and the shells around it.
@@ -78,10 +79,12 @@
 		Service:     config.Backend.Service,
 		Incarnation: options.Incarnation,
 	}, config.Limits.limits(), time.Now())
+	carriers := newCarriers(options.CountGrants)
 	m.executor = newExecutor(m.calls, m.answers, options.Logger, m.metrics)
+	m.executor.carriers = carriers
 	m.loop = tick.NewLoop[Input, Command](measured{world: world, metrics: m.metrics, load: m.load}, inputQueue, m.executor.execute)
 	m.runner = newRunner(m.backend, m.loop, m.servicePolicy)
-	m.data = newDataServer(m.loop, m.calls, m.answers, m.heartbeat, config.Control.Token, config.Limits.RequestBytes)
+	m.data = newDataServer(m.loop, m.calls, m.answers, carriers, m.heartbeat, config.Control.Token, config.Limits.RequestBytes)
 	m.control = &controlServer{world: m.loop, calls: m.calls, fleet: options.Fleet}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stopCall = cancel
--- a/internal/agent/shell_data.go
+++ b/internal/agent/shell_data.go
@@ -35,16 +35,18 @@
 	world     inputs
 	calls     *calls
 	answers   *answers
+	carriers  *carriers
 	heartbeat func() time.Duration
 	token     control.DataToken
 	server    *fasthttp.Server
 }
 
-func newDataServer(world inputs, calls *calls, answers *answers, heartbeat func() time.Duration, token string, maxRequest int) *dataServer {
+func newDataServer(world inputs, calls *calls, answers *answers, carriers *carriers, heartbeat func() time.Duration, token string, maxRequest int) *dataServer {
 	s := &dataServer{
 		world:     world,
 		calls:     calls,
 		answers:   answers,
+		carriers:  carriers,
 		heartbeat: heartbeat,
 		token:     control.NewDataToken(token),
 	}
@@ -106,6 +108,7 @@
 			return
 		}
 		reader.accept(decision.FreeSlots)
+		reader.carryGrants(s.carriers, carrierKey{router: fleet.Address(run.Router), incarnation: run.RouterIncarnation})
 		ctx.SetBodyStream(reader, -1)
 	case Refused:
 		writeFrame(ctx, id, refusedFrame(decision))
--- a/internal/agent/system_expire.go
+++ b/internal/agent/system_expire.go
@@ -31,13 +31,26 @@
 // expireGrants takes back slots that were granted and not used. A router that
 // lets a lease lapse without a word is paused or cut off; its offers go too,
 // else each slot would stand idle for one lease after the other.
+//
+// A router that is heard of meanwhile did not get the grant, or too late: it
+// rode on a connection that is broken, or that the router leaves unread because
+// its caller is slow. The router does not know that its request counts as
+// granted here, so it is asked for its offers again. As the next connection may
+// be no better, it gets calls for a while: so a slow caller can idle no slot for
+// more than one lease in GrantCallTime.
 func (w *World) expireGrants(now time.Time) {
 	w.grants.Each(func(number uint64, g *grant) {
 		if now.Before(g.lapsesAt) {
 			return
 		}
 		w.endGrant(number)
-		if row := w.routers.Get(g.router); row != nil && !row.heardAt.After(g.sentAt) {
+		row := w.routers.Get(g.router)
+		if row == nil {
+			return
+		}
+		row.callUntil = now.Add(GrantCallTime)
+		w.planRecall(now, row)
+		if !row.heardAt.After(g.sentAt) {
 			w.emit(Note{Event: event.RouterSilent, Peer: row.address})
 			w.forgetOffers(now, row)
 		}
--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -39,7 +39,12 @@
 	}
 	for _, row := range order {
 		for part := range slices.Chunk(byRouter[row], MaxGrantsPerMessage) {
-			w.emit(SendGrants{Router: row.address, Grants: part})
+			w.emit(SendGrants{
+				Router:      row.address,
+				Incarnation: row.incarnation,
+				Grants:      part,
+				ByCall:      now.Before(row.callUntil),
+			})
 		}
 	}
 }
--- a/internal/agent/tables.go
+++ b/internal/agent/tables.go
@@ -73,6 +73,7 @@
 	recallAt    time.Time     // when it is asked for the dropped offers; zero when none were
 	recallWait  time.Duration // between two such questions
 	silent      bool          // it did not answer the last question
+	callUntil   time.Time     // grants go out as calls until then
 }
 
 // offer is the work of one account that waits at one router.
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -103,6 +103,12 @@
 // does not know, so it is asked for all of them after a pause.
 func (w *World) forgetOffers(now time.Time, row *router) {
 	w.dropOffers(row)
+	w.planRecall(now, row)
+}
+
+// planRecall has a router asked for its offers soon, and for all of them when it
+// is heard before.
+func (w *World) planRecall(now time.Time, row *router) {
 	row.resend = true
 	row.recallWait = MinAskInterval
 	row.recallAt = now.Add(row.recallWait)
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -69,6 +69,17 @@
 	return total - min(total, bodies)
 }
 
+// CountGrantsSent adds grants that went out on the data path.
+func (m *Metrics) CountGrantsSent(bytes int) { m.addCarried(directionOut, bytes) }
+
+// CountGrantsReceived adds grants that came in on the data path.
+func (m *Metrics) CountGrantsReceived(bytes int) { m.addCarried(directionIn, bytes) }
+
+func (m *Metrics) addCarried(d direction, bytes int) {
+	m.addConnection(d, bytes)
+	m.addBody(ClassGrant, d, bytes)
+}
+
 func (m *Metrics) addBody(class Class, d direction, n int) {
 	m.bodies[class][d].Add(uint64(max(0, n)))
 }
--- a/internal/pathtest/sim_nodes_test.go
+++ b/internal/pathtest/sim_nodes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -33,6 +34,7 @@
 	id              fleet.RequestID
 	sent            uint64
 	headSent, ended bool
+	carries         bool // the agent may send grants with its frames
 	silent          bool // nothing arrives any more
 	crossed         bool // the next frame carries another request's id
 	closed          bool // the router has let go of it
@@ -187,6 +189,7 @@
 		held := &simAnswer{}
 		n.held[conn.id] = held
 		s.frame(conn, &rpc.AnswerFrame{Frame: &rpc.AnswerFrame_Accepted{Accepted: &rpc.Accepted{FreeSlots: a.FreeSlots}}})
+		conn.carries = true
 		s.attach(conn, held)
 	}
 }
@@ -296,6 +299,10 @@
 	}
 	conn.progress = true
 	conn.closed = progress.Final()
+	if granted := router.GrantsOf(conn.agent.node.Control, simService, frame, s.now); granted != nil {
+		s.carried++
+		s.stepRouter(conn.router, granted)
+	}
 	if input := router.InputOf(conn.attempt, progress, frame); input != nil {
 		s.stepRouter(conn.router, input)
 	}
@@ -472,6 +479,13 @@
 
 func (s *sim) sendGrants(n *simNode, c agent.SendGrants) {
 	to := s.find(c.Router)
+	if conn := s.carrier(n, to, c); conn != nil {
+		s.frame(conn, &rpc.AnswerFrame{
+			Frame:  &rpc.AnswerFrame_Heartbeat{Heartbeat: &rpc.Heartbeat{}},
+			Grants: c.Grants,
+		})
+		return
+	}
 	answered := agent.GrantAnswered{Router: c.Router}
 	for _, grant := range c.Grants {
 		answered.Numbers = append(answered.Numbers, grant.Number)
@@ -499,6 +513,21 @@
 	})
 }
 
+// carrier draws whether grants ride on an answer, and returns a connection for
+// them: one that the agent takes for open, which it need not be.
+func (s *sim) carrier(n, to *simNode, c agent.SendGrants) *simConn {
+	if c.ByCall || s.random.IntN(4) == 0 {
+		return nil
+	}
+	for _, conn := range slices.Backward(s.conns) {
+		mine := conn.agent == n && conn.agentE == n.epoch && conn.router == to && conn.routerE == c.Incarnation
+		if mine && conn.carries && !conn.ended {
+			return conn
+		}
+	}
+	return nil
+}
+
 func (s *sim) askRouter(n *simNode, c agent.AskRouter) {
 	to := s.find(c.Router)
 	s.rpc(fleet.StepOffer, n, to, func(reply func(func())) {
--- a/internal/pathtest/sim_test.go
+++ b/internal/pathtest/sim_test.go
@@ -40,6 +40,7 @@
 	runs    map[fleet.RequestID]int
 	cut     func(a, b *simNode) bool // partition
 	fault   func(*message)           // may change a message before it is sent
+	carried int                      // frames with grants that arrived
 	ids     uint64
 	keys    []string
 }
--- a/internal/router/input.go
+++ b/internal/router/input.go
@@ -90,8 +90,10 @@
 	Failed    bool
 }
 
-// Granted brings slots that an agent gives to this router.
+// Granted brings slots that an agent gives to this router. Grants that were
+// carried by an answer's frame have no call to reply to.
 type Granted struct {
+	Carried  bool
 	Call     CallID
 	Agent    fleet.Address
 	Service  fleet.Service
--- a/internal/router/manager.go
+++ b/internal/router/manager.go
@@ -49,7 +49,8 @@
 	Readiness   Readiness
 	Registerer  prometheus.Registerer
 	Logger      logrus.FieldLogger
-	Listener    net.Listener // for tests; nil opens Self.Data
+	CountGrants func(bytes int) // counts grants on the data path as control traffic; may be nil
+	Listener    net.Listener    // for tests; nil opens Self.Data
 }
 
 // Manager runs a router: its world and what connects it to the network.
@@ -81,6 +82,7 @@
 		incarnation: options.Incarnation,
 		token:       control.NewDataToken(options.Token),
 		report:      m.loop.Send,
+		countGrants: options.CountGrants,
 	}
 	m.callers = newCallers(options.Callers, m.view, m.loop.Send, metrics, &m.draining)
 	return m
--- a/internal/router/receiver.go
+++ b/internal/router/receiver.go
@@ -77,6 +77,16 @@
 	return nil
 }
 
+// GrantsOf returns the grants that a frame of an agent carries as an input of
+// the world, or nil when there are none. The frame must have passed the
+// Receiver: its grants are for this router only if the frame is.
+func GrantsOf(agent fleet.Address, service fleet.Service, frame *rpc.AnswerFrame, received time.Time) Input {
+	if len(frame.Grants) == 0 || agent == "" {
+		return nil
+	}
+	return Granted{Carried: true, Agent: agent, Service: service, Grants: frame.Grants, Received: received}
+}
+
 // Receiver puts one answer together from frames, over several connections if
 // need be. It is used by one reader at a time.
 //
--- a/internal/router/shell_data.go
+++ b/internal/router/shell_data.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/encoding/protodelim"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellchute/bluebellchute/internal/control"
@@ -36,6 +37,7 @@
 	incarnation uint64
 	token       control.DataToken
 	report      func(Input) bool
+	countGrants func(bytes int) // may be nil
 }
 
 // send carries out a SendRun. It returns when the answer is whole or the
@@ -51,7 +53,14 @@
 		d.report(RunNotSent{Attempt: command.Attempt})
 		return
 	}
-	d.exchange(host.pooled, host, request, command.Attempt, command.Request.Answer)
+	reader := &frameReader{
+		path:     d,
+		attempt:  command.Attempt,
+		receiver: command.Request.Answer,
+		agent:    command.Agent.Control,
+		service:  command.Request.Service,
+	}
+	d.exchange(host.pooled, host, request, reader)
 }
 
 // changing encodes the fields of rpc.RunRequest that differ between attempts.
@@ -90,7 +99,7 @@
 	d.prepare(request, command.Agent, resumePath)
 	request.SetConnectionClose()
 	request.SetBody(body)
-	d.exchange(host.fresh, host, request, command.Attempt, receiver)
+	d.exchange(host.fresh, host, request, &frameReader{path: d, attempt: command.Attempt, receiver: receiver})
 }
 
 func (d *dataPath) prepare(request *fasthttp.Request, agent fleet.Address, path string) {
@@ -101,10 +110,9 @@
 }
 
 // exchange sends the request and reads the answer's frames.
-func (d *dataPath) exchange(client *fasthttp.HostClient, host *agentHost, request *fasthttp.Request, attempt AttemptID, receiver *Receiver) {
+func (d *dataPath) exchange(client *fasthttp.HostClient, host *agentHost, request *fasthttp.Request, reader *frameReader) {
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
-	reader := &frameReader{path: d, attempt: attempt, receiver: receiver}
 	err := client.Do(request, response)
 	if err == nil && response.StatusCode() != fasthttp.StatusOK {
 		err = errors.Errorf("agent replied with status %d", response.StatusCode())
@@ -148,6 +156,8 @@
 	path     *dataPath
 	attempt  AttemptID
 	receiver *Receiver
+	agent    fleet.Address // whose grants the frames carry; empty: they carry none
+	service  fleet.Service
 	progress bool // something of the answer came
 	final    bool // the last frame was reported
 }
@@ -189,6 +199,7 @@
 		return err
 	}
 	r.progress = true
+	r.takeGrants(frame)
 	if input := InputOf(r.attempt, progress, frame); input != nil {
 		r.final = progress.Final()
 		r.path.report(input)
@@ -196,6 +207,23 @@
 	return nil
 }
 
+// chunkOverhead is what HTTP adds to a frame that is written alone: two digits
+// of length and two line ends.
+const chunkOverhead = 6
+
+// takeGrants hands on the grants that a frame carries.
+func (r *frameReader) takeGrants(frame *rpc.AnswerFrame) {
+	granted := GrantsOf(r.agent, r.service, frame, time.Now())
+	if granted == nil {
+		return
+	}
+	if r.path.countGrants != nil {
+		size := proto.Size(frame)
+		r.path.countGrants(protowire.SizeBytes(size) + chunkOverhead)
+	}
+	r.path.report(granted)
+}
+
 // connectionGone tells whether the caller has closed its connection. It looks
 // at the socket without taking anything from it: a pipelined request stays.
 func connectionGone(conn net.Conn) bool {
--- a/internal/router/system_grant.go
+++ b/internal/router/system_grant.go
@@ -10,8 +10,12 @@
 // takeGrants uses each grant at once or declines it at once. A grant that is
 // neither holds a slot idle until its lease ends, while others wait.
 func (w *World) takeGrants(event Granted) {
-	reply := &rpc.GrantReply{}
 	row := w.agents.Get(event.Agent)
+	if event.Carried {
+		w.takeCarried(row, event)
+		return
+	}
+	reply := &rpc.GrantReply{}
 	touched := make(map[fleet.Account]struct{})
 	for _, grant := range event.Grants {
 		e := w.requestFor(row, event, grant)
@@ -33,6 +37,26 @@
 	w.emit(ReplyGrant{Call: event.Call, Message: reply})
 }
 
+// takeCarried does the same with grants that an answer's frame carried. The
+// agent hears of the accepted ones by the dispatches, which tell what still
+// waits, and of the others by an offer that goes out at once.
+func (w *World) takeCarried(row *agentRow, event Granted) {
+	if row == nil {
+		return // not in the list any more; the leases lapse
+	}
+	for _, grant := range event.Grants {
+		e := w.requestFor(row, event, grant)
+		if e != nil {
+			w.dispatch(e, row, grant.Number, useBy(event.Received, grant))
+			continue
+		}
+		w.decline(row, grant.Number)
+		if grant.Account != "" {
+			w.pend(row, fleet.Account(grant.Account))
+		}
+	}
+}
+
 // useBy is until when a grant may be used. It ends before the agent's lease
 // does. A process that is paused between taking a grant and sending on it
 // would otherwise send on a slot that the agent has given to another.
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -283,3 +283,44 @@
 		t.Errorf("got %+v, want %+v", got, want)
 	}
 }
+
+// Symptom: a slot stands idle for a lease while others wait for it.
+// Sequence: grants come with a frame of an answer, one of them for an account
+// of which nothing waits any more. Cause: there is no reply in which the router
+// could decline.
+func TestCarriedGrants(t *testing.T) {
+	b := newBench(t, 1)
+	blocker := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	b.step(RunAccepted{Attempt: blocker.Attempt})
+	b.step(Arrived{Request: b.request(nil)})
+	heartbeat := &rpc.AnswerFrame{Grants: []*rpc.Grant{
+		{Number: 7, Account: string(testAccount), LeaseMs: 500},
+		{Number: 8, Account: string(testAccount), LeaseMs: 500},
+		{Number: 9, Account: "acme/gone", LeaseMs: 500},
+	}}
+	outputs := b.step(GrantsOf("a:1", testModel, heartbeat, b.now))
+	if run := only[SendRun](b, outputs); run.Grant != 7 || run.UseBy.IsZero() || !run.UseBy.Before(b.now.Add(500*time.Millisecond)) {
+		t.Errorf("sent %+v", run)
+	}
+	for _, output := range outputs {
+		if _, ok := output.(ReplyGrant); ok {
+			t.Error("replied to no call")
+		}
+	}
+	b.now = b.now.Add(2 * offerCoalesce)
+	message := only[SendOffer](b, b.step()).Message
+	if len(message.Declined) != 2 || message.Declined[0] != 8 || message.Declined[1] != 9 {
+		t.Errorf("declined %v", message.Declined)
+	}
+	for _, offer := range message.Offers {
+		if offer.Count != 0 {
+			t.Errorf("offers %v, of which nothing waits", offer)
+		}
+	}
+	if len(message.Offers) != 2 {
+		t.Errorf("%d accounts stated, want both that were declined", len(message.Offers))
+	}
+	if GrantsOf("", testModel, heartbeat, b.now) != nil || GrantsOf("a:1", testModel, &rpc.AnswerFrame{}, b.now) != nil {
+		t.Error("an input without grants or without an agent")
+	}
+}
