Tell agents of larger counts only

Ruled out: leaving out growth too (an agent told of one request grants one slot a round trip).

Change: an agent is told when four times as many wait. It learns of fewer by the dispatches that it gets and the grants that are declined.

Test: without the change TestOffersDoNotTellOfShrinking fails with 2 offers.

--- a/internal/router/constants.go
+++ b/internal/router/constants.go
@@ -23,8 +23,8 @@
 	// withdrawDelay is how long a queue must be empty before its offers are
 	// withdrawn.
 	withdrawDelay = 2 * time.Second
-	// bucketTolerance is the difference of countBucket from which on agents are
-	// told of a changed count: four times as many or a quarter.
+	// bucketTolerance is the growth of countBucket from which on agents are told
+	// of a changed count: four times as many.
 	bucketTolerance = 2
 	// ackDelay bounds how long an acknowledgement waits for a dispatch or an
 	// offer to ride on.
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -39,8 +39,8 @@
 }
 
 // compareOffers finds the agents that must be told of a queue: those offered to
-// that know nothing of it, and those that know a count of another magnitude.
-// Smaller changes are not told, nor is a queue that has become empty at once:
+// that know nothing of it, and those that know a much smaller count. Smaller
+// changes are not told, nor is a queue that has become empty at once:
 // most queues fill again within moments, and an agent that grants in vain hears
 // of it in the reply. Telling all agents of each request that came and went was
 // nine tenths of a router's control traffic.
@@ -59,11 +59,11 @@
 	}
 }
 
-// outdated tells whether a count in bucket is of another magnitude than what an
-// agent was told.
-func (s sentOffer) outdated(bucket int) bool {
-	return bucket >= s.bucket+bucketTolerance || bucket <= s.bucket-bucketTolerance
-}
+// outdated tells whether a count in bucket is so much larger than what an agent
+// was told that it would grant too few slots. One that is smaller is not told:
+// the agent learns of it with each dispatch and each declined grant, and slots
+// become free one by one, so that it grants hardly more for a larger count.
+func (s sentOffer) outdated(bucket int) bool { return bucket >= s.bucket+bucketTolerance }
 
 // pend notes that an agent is to be told of an account.
 func (w *World) pend(row *agentRow, account fleet.Account) {
--- a/internal/router/widen_test.go
+++ b/internal/router/widen_test.go
@@ -135,3 +135,24 @@
 		t.Fatalf("%d offers for 64 arrivals, want at most one per magnitude", c.offers)
 	}
 }
+
+// Symptom: two fifths of a router's offers tell nothing that an agent needs.
+// Sequence: a queue that agents were told of shrinks, and is not empty. Cause:
+// a smaller count was told, though each dispatch tells it to the one agent that
+// it matters to.
+func TestOffersDoNotTellOfShrinking(t *testing.T) {
+	c := newOfferCounter(1)
+	var requests []*Request
+	for range 64 {
+		requests = append(requests, c.arrive())
+	}
+	c.pass(100 * time.Millisecond)
+	told := c.offers
+	for _, request := range requests[1:] {
+		c.step(CallerGone{Request: request.ID})
+	}
+	c.pass(time.Second)
+	if c.offers != told || c.withdrawn != 0 {
+		t.Fatalf("%d offers and %d withdrawals while 63 of 64 requests went, want 0", c.offers-told, c.withdrawn)
+	}
+}
