Let tests of the agent open the data port themselves

Cause: a port that a test has chosen and closed again may be taken by another process before the agent opens it.

Change: Options.Listener, as the router has it.

Conclusion: no test depends on a free port any more.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -96,16 +96,6 @@
 	data    string
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 // startAgent starts both and waits until the agent is ready. between, when
 // given, turns the engine's address into the one that the agent calls.
 func startAgent(t *testing.T, policy settings.ServicePolicy, config engine.Config, between func(string) string) *testAgent {
@@ -119,8 +109,12 @@
 	if between != nil {
 		address = between(address)
 	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
 	agentConfig := &Config{}
-	agentConfig.Node.Data = fleet.Address(freeAddress(t))
+	agentConfig.Node.Data = fleet.Address(listener.Addr().String())
 	agentConfig.Node.Control = "127.0.0.1:1"
 	agentConfig.Backend = BackendSection{Service: testService, Address: fleet.Address(address)}
 	agentConfig.Limits = LimitsSection{
@@ -133,7 +127,7 @@
 	known := fakeFleet{view: fakeView{policy: policy}}
 	manager := NewManager(Options{
 		Config: agentConfig, Incarnation: 1, Fleet: known, Clients: known,
-		Readiness: ready, Registerer: prometheus.NewRegistry(), Logger: logger,
+		Readiness: ready, Registerer: prometheus.NewRegistry(), Logger: logger, Listener: listener,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	var group sync.WaitGroup
--- a/internal/agent/manager.go
+++ b/internal/agent/manager.go
@@ -40,6 +40,7 @@
 	Registerer  prometheus.Registerer
 	Logger      logrus.FieldLogger
 	CountGrants func(bytes int) // counts grants on the data path as control traffic; may be nil
+	Listener    net.Listener    // of the data port, for tests; nil opens the configured one
 }
 
 // Manager runs an agent: its world and the shells around it.
@@ -100,9 +101,9 @@
 
 // Run works until the context ends. It implements daemon.Service.
 func (m *Manager) Run(ctx context.Context) error {
-	listener, err := net.Listen("tcp", string(m.options.Config.Node.Data))
+	listener, err := m.listen()
 	if err != nil {
-		return errors.Wrap(err, "data port")
+		return err
 	}
 	watch := &health{backend: m.backend, world: m.loop, changed: m.backendChanged}
 	group, groupCtx := errgroup.WithContext(ctx)
@@ -121,6 +122,14 @@
 	return err
 }
 
+func (m *Manager) listen() (net.Listener, error) {
+	if m.options.Listener != nil {
+		return m.options.Listener, nil
+	}
+	listener, err := net.Listen("tcp", string(m.options.Config.Node.Data))
+	return listener, errors.Wrap(err, "data port")
+}
+
 // Drain takes no new work and returns when every answer has been fetched, or
 // the context ends. It implements daemon.Service.
 func (m *Manager) Drain(ctx context.Context) error {
