--- a/scenarios/lib.sh
+++ b/scenarios/lib.sh
@@ -86,6 +86,7 @@
 [load.$account-$service]
 account = slope/team/a$account
 key = sk-slope-team-a$account
+weight = 1
 service = $service
 outstanding = $outstanding
 prompt = 50
