Grant no slots ahead of a free one to model engines

Cause: the number of grants ahead follows from the mean time of the runs that have ended. After short ones an agent granted up to as many slots ahead as it has, and the requests that came on them then waited there behind long runs while another agent of the service had free slots.

Ruled out: the mean with the ages of present runs (at the moment of a burst all ages are 0); giving waiting requests back (the agent's fence keeps the id from that agent for good).

TestMatrix/run/flood needs grants ahead and is now about a plain service, with the same checks. TestAtMostOneRun had grants ahead by its model service; it now draws the kind, so that both are covered.

Left: a plain service with calls of very different lengths can still strand calls in the same way.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -305,3 +305,20 @@
 		t.Errorf("with the token: status %d", ctx.Response.StatusCode())
 	}
 }
+
+// Symptom: a slot stands idle while requests wait.
+// Sequence: a model has answered short requests; then long ones come. The agent
+// grants slots ahead as if these were short too, and their requests wait here
+// behind long runs while another agent is free.
+// Cause: the length of runs that have ended says nothing of the next one.
+func TestModelGetsNoGrantsAhead(t *testing.T) {
+	policy := testPolicy(settings.KindModel)
+	h := newHarness(policy)
+	h.advance(2*MaxClockSkew + time.Millisecond)
+	h.world.runTime.add(time.Millisecond)
+	h.world.turnaround.add(time.Millisecond)
+	h.step(h.offer(routerA, 1, 100))
+	if got := len(h.grants(routerA)); got != policy.Slots {
+		t.Errorf("%d grants for %d slots", got, policy.Slots)
+	}
+}
--- a/internal/agent/matrix_run_test.go
+++ b/internal/agent/matrix_run_test.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
 // started runs one request and returns its dispatch.
@@ -115,6 +116,8 @@
 	// Grants ahead bring more than the server takes: the rest waits here and
 	// never runs beside the slots.
 	{fleet.StepRun, flood, func(t *testing.T, h *harness) {
+		h.policy.Kind = settings.KindPlain
+		h.step(Settings{View: fakeView{policy: h.policy}})
 		h.world.runTime.add(time.Millisecond)
 		h.world.turnaround.add(time.Millisecond)
 		h.step(h.offer(routerA, 1, 100))
--- a/internal/agent/property_test.go
+++ b/internal/agent/property_test.go
@@ -34,8 +34,8 @@
 	err      string
 }
 
-func newFleetModel() *fleetModel {
-	policy := testPolicy(settings.KindModel)
+func newFleetModel(kind settings.ServiceKind) *fleetModel {
+	policy := testPolicy(kind)
 	m := &fleetModel{
 		harness:  newHarness(policy),
 		byTicket: make(map[Ticket]*attempt),
@@ -256,7 +256,8 @@
 // Cause: a copy of a message is taken for a new one, or an end is missed.
 func TestAtMostOneRun(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := newFleetModel()
+		kinds := []settings.ServiceKind{settings.KindModel, settings.KindPlain}
+		m := newFleetModel(rapid.SampledFrom(kinds).Draw(t, "kind"))
 		t.Repeat(m.actions())
 		m.settle(t)
 	})
--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -225,7 +225,15 @@
 // ahead is the number of slots to grant before they are free. A slot stands
 // idle from the end of one run until the dispatch on the next grant arrives;
 // that share of its time is covered by as many grants ahead.
+//
+// Model engines get none. How long a run will take is unknown there, and the
+// average of short ones says nothing of a long one that comes next: requests
+// would wait here behind long runs while another agent has a free slot, which
+// one would notice by idle slots and requests in the queue of an agent.
 func (w *World) ahead() int {
+	if w.policy.Kind != settings.KindPlain {
+		return 0
+	}
 	run := w.runTime.value()
 	wait := w.turnaround.value()
 	if run <= 0 || wait <= 0 {
