Check the scenario files in a test

Cause: a stream with another weight than its account's first one would make the settings tree and the figures disagree, and no run would say so.

--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/engine"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/inifile"
 )
 
 // TestRunAgainstAnEngine offers load straight to one engine, which speaks the
@@ -128,3 +129,36 @@
 		}
 	}
 }
+
+// TestScenarioFiles reads the streams of both deployments as scenarios/run
+// completes them.
+func TestScenarioFiles(t *testing.T) {
+	const fleetSection = "[fleet]\nrouters = 127.0.0.1:1,127.0.0.1:2,127.0.0.1:3,127.0.0.1:4\n"
+	for file, services := range map[string][]string{
+		"skammtur.ini": {"uppskrift-lm", "linubord"},
+		"lahore.ini":   {"llm-pool", "timing-app"},
+	} {
+		streams, err := os.ReadFile(filepath.Join("..", "..", "scenarios", file))
+		if err != nil {
+			t.Fatal(err)
+		}
+		text := fleetSection
+		for _, service := range services {
+			text += "[service." + service + "]\n"
+		}
+		var scenario Scenario
+		if err := inifile.Parse(file, append([]byte(text), streams...), &scenario); err != nil {
+			t.Error(err)
+		}
+		accounts := make(map[string]float64)
+		for _, stream := range scenario.Streams {
+			if weight, known := accounts[stream.Account]; known && weight != stream.Weight {
+				t.Errorf("%s: %s has the weights %v and %v", file, stream.Account, weight, stream.Weight)
+			}
+			accounts[stream.Account] = stream.Weight
+		}
+		if len(accounts) != 16 {
+			t.Errorf("%s: %d accounts, want 16", file, len(accounts))
+		}
+	}
+}
