Keep control connections for ten seconds without a call

Ruled out: no limit (each of hundreds of agents speaks to a router at least once in 30 s, to refresh, and would hold a connection for good).

Change: 10 s in place of 3 s. At the two-year size a router that is refreshed by 630 agents every 30 s holds about 210 connections for it in place of 63 (worked out, not measured).

--- a/internal/control/pool.go
+++ b/internal/control/pool.go
@@ -17,7 +17,7 @@
 	dialTimeout = 700 * time.Millisecond
 	// idleTimeout closes connections without calls, so that hundreds of peers
 	// that have nothing to say to each other cost no memory.
-	idleTimeout = 3 * time.Second
+	idleTimeout = 10 * time.Second
 )
 
 // Pool calls the services of a node's peers. All calls to one peer share a
