Name the account of a grant by a hash

Cause: a grant that rides takes 60 bytes; 30 of them are the account's name.

Ruled out: leaving the name out where the grant rides on an answer of the same account (one in ten does); shorter numbers (they must differ from those of the agent's earlier processes).

Change: the agent names the account by the hash that the tally uses, in full where two accounts of its settings share one. The router takes a hash that two of its queues share for the one with work; a wrong guess is refused by the agent as a lapsed grant.

--- a/internal/agent/system_grant.go
+++ b/internal/agent/system_grant.go
@@ -131,7 +131,7 @@
 	chosen.router.lastGrant = g.number
 	message := &rpc.Grant{Number: g.number, LeaseMs: uint32(lease.Milliseconds())}
 	if w.policy.Share != settings.ShareRouterLocal {
-		message.Account = string(g.account)
+		w.nameAccount(message, g.account)
 	}
 	chosen.count--
 	if chosen.count == 0 {
@@ -140,6 +140,15 @@
 	return message
 }
 
+// nameAccount says whose the slot is: by a hash where that is enough, because a
+// name is longer than all the rest of a grant.
+func (w *World) nameAccount(message *rpc.Grant, name fleet.Account) {
+	message.AccountHash = w.names.Hash(name)
+	if message.AccountHash == 0 {
+		message.Account = string(name)
+	}
+}
+
 // consumeGrant finds the lease that a dispatch comes on. It reports false when
 // there is none: it was taken back after it lapsed, was withdrawn, or was used
 // before. Until it is taken back its slot is kept, also past its time.
--- a/internal/fairshare/wire.go
+++ b/internal/fairshare/wire.go
@@ -35,6 +35,9 @@
 	return n
 }
 
+// AccountHash is the hash by which messages name an account.
+func AccountHash(name fleet.Account) uint32 { return accountHash(name) }
+
 func accountHash(name fleet.Account) uint32 { return uint32(xxhash.Sum64String(string(name))) }
 
 // hashable tells whether the hash alone names the account at both ends.
@@ -42,6 +45,15 @@
 	return n.accounts[accountHash(name)] != "" && !n.clashing[name]
 }
 
+// Hash returns the hash that names an account in messages, or 0 when only its
+// name can tell it.
+func (n *Names) Hash(name fleet.Account) uint32 {
+	if !n.hashable(name) {
+		return 0
+	}
+	return accountHash(name)
+}
+
 // EncodeReport writes a report into a message. The caller adds the envelope
 // and the service.
 func (n *Names) EncodeReport(report Report) *rpc.ReportRequest {
--- a/internal/router/system_grant.go
+++ b/internal/router/system_grant.go
@@ -21,7 +21,7 @@
 		e := w.requestFor(row, event, grant)
 		if e == nil {
 			reply.Declined = append(reply.Declined, grant.Number)
-			touched[fleet.Account(grant.Account)] = struct{}{}
+			touched[row.accountOf(grant)] = struct{}{}
 			continue
 		}
 		touched[e.queue.account] = struct{}{}
@@ -51,8 +51,8 @@
 			continue
 		}
 		w.decline(row, grant.Number)
-		if grant.Account != "" {
-			w.pend(row, fleet.Account(grant.Account))
+		if account := row.accountOf(grant); account != "" {
+			w.pend(row, account)
 		}
 	}
 }
@@ -74,16 +74,52 @@
 	if !w.now.Before(useBy(event.Received, grant)) {
 		return nil
 	}
-	queue := row.service.queues[fleet.Account(grant.Account)]
-	if grant.Account == "" {
-		queue = row.service.nextQueue(anyHead)
-	}
+	queue := row.service.queueOf(grant)
 	if queue == nil {
 		return nil
 	}
 	return queue.firstFor(row.node.Control)
 }
 
+// queueOf returns the queue that a grant is for, or nil. A grant that names no
+// account is for whichever comes first here.
+func (s *serviceRow) queueOf(grant *rpc.Grant) *accountQueue {
+	switch {
+	case grant.Account != "":
+		return s.queues[fleet.Account(grant.Account)]
+	case grant.AccountHash != 0:
+		return s.hashed(grant.AccountHash)
+	default:
+		return s.nextQueue(anyHead)
+	}
+}
+
+// hashed returns the queue of the account with a hash, or nil. Agents that know
+// of two such accounts name them in full. One that has newer or older settings
+// may not know; then it is taken to mean the one that has work here. If it did
+// not, it refuses the request, which then waits on.
+func (s *serviceRow) hashed(hash uint32) *accountQueue {
+	var found *accountQueue
+	for _, queue := range s.hashes[hash] {
+		if found == nil || found.len() == 0 {
+			found = queue
+		}
+	}
+	return found
+}
+
+// accountOf returns the account that a grant of the agent names, or "" when it
+// names none or one that is not known here.
+func (a *agentRow) accountOf(grant *rpc.Grant) fleet.Account {
+	if a == nil || grant.AccountHash == 0 {
+		return fleet.Account(grant.Account)
+	}
+	if queue := a.service.hashed(grant.AccountHash); queue != nil {
+		return queue.account
+	}
+	return ""
+}
+
 // takeFree answers an idle agent's question with what waits here, and sends it
 // what its free slots can take.
 func (w *World) takeFree(event FreeAsked) {
--- a/internal/router/system_members.go
+++ b/internal/router/system_members.go
@@ -118,6 +118,7 @@
 		row := &serviceRow{
 			name:     name,
 			queues:   make(map[fleet.Account]*accountQueue),
+			hashes:   make(map[uint32][]*accountQueue),
 			backlog:  make(map[*accountQueue]struct{}),
 			prefixes: make(map[uint64]*agentRow),
 			noneAt:   w.now,
--- a/internal/router/system_queue.go
+++ b/internal/router/system_queue.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -74,6 +75,8 @@
 	if !ok {
 		queue = &accountQueue{service: row, account: account}
 		row.queues[account] = queue
+		hash := fairshare.AccountHash(account)
+		row.hashes[hash] = append(row.hashes[hash], queue)
 	}
 	return queue
 }
--- a/internal/router/tables.go
+++ b/internal/router/tables.go
@@ -87,6 +87,7 @@
 	name     fleet.Service
 	policy   settings.ServicePolicy
 	queues   map[fleet.Account]*accountQueue
+	hashes   map[uint32][]*accountQueue // by the hash of the account
 	waiting  int
 	backlog  map[*accountQueue]struct{} // queues that are not empty
 	agents   []*agentRow                // that take work, in the order of offering
--- a/internal/router/world_test.go
+++ b/internal/router/world_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/fairshare"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/membership"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
@@ -324,3 +325,26 @@
 		t.Error("an input without grants or without an agent")
 	}
 }
+
+// TestGrantNamesAccountByHash checks that a grant reaches the account that it
+// names by a hash, also where another account of which nothing waits has the
+// same hash, and that a declined one is answered for the right account.
+func TestGrantNamesAccountByHash(t *testing.T) {
+	b := newBench(t, 1)
+	blocker := only[SendRun](b, b.step(Arrived{Request: b.request(nil)}))
+	b.step(RunAccepted{Attempt: blocker.Attempt})
+	b.step(Arrived{Request: b.request(nil)}, Arrived{Request: b.request(func(r *Request) { r.Account = "acme/shop" })})
+	service, hash := b.world.service(testModel), fairshare.AccountHash("acme/shop")
+	service.hashes[hash] = append([]*accountQueue{{service: service, account: "acme/twin"}}, service.hashes[hash]...)
+	grants := []*rpc.Grant{{Number: 7, AccountHash: hash, LeaseMs: 500}}
+	outputs := b.step(Granted{Agent: "a:1", Service: testModel, Grants: grants, Received: b.now})
+	if run := only[SendRun](b, outputs); run.Request.Account != "acme/shop" || run.Grant != 7 {
+		t.Errorf("sent %+v on grant %d", run.Request, run.Grant)
+	}
+	service.hashes[hash] = service.hashes[hash][1:]
+	grants = append(grants, &rpc.Grant{Number: 8, AccountHash: hash + 1, LeaseMs: 500})
+	reply := only[ReplyGrant](b, b.step(Granted{Agent: "a:1", Service: testModel, Grants: grants, Received: b.now})).Message
+	if len(reply.Declined) != 2 || len(reply.Offers) != 1 || reply.Offers[0].Account != "acme/shop" {
+		t.Errorf("reply %+v", reply)
+	}
+}
