Leave the sender out of replies

Cause: of the 36 bytes of an offer's reply 17 are the address that was called.

Ruled out: the same for requests (a connection does not tell the control address of the node that opened it).

Change: the services of routers and agents leave the sender out of their replies' envelopes; the pool puts the address back that it called. Nodes that speak for themselves in Sync stay as they were.

--- a/cmd/internal/wiring/agent.go
+++ b/cmd/internal/wiring/agent.go
@@ -31,6 +31,6 @@
 		CountGrants: do.MustInvoke[*control.Metrics](injector).CountGrantsSent,
 	})
 	known.load.set(manager.FillStatus)
-	do.MustInvoke[*control.Server](injector).Register(rpc.NewAgentServer(manager.Control()))
+	do.MustInvoke[*control.Server](injector).Register(rpc.NewAgentServer(manager.Control(), control.WithoutSender()))
 	return service{role: manager, knowledge: known}, nil
 }
--- a/cmd/internal/wiring/router.go
+++ b/cmd/internal/wiring/router.go
@@ -35,6 +35,6 @@
 		CountGrants: do.MustInvoke[*control.Metrics](injector).CountGrantsReceived,
 	})
 	known.load.set(manager.FillStatus)
-	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server()))
+	do.MustInvoke[*control.Server](injector).Register(rpc.NewRouterServer(manager.Server(), control.WithoutSender()))
 	return service{role: manager, knowledge: known}, nil
 }
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -39,7 +39,7 @@
 	readiness *readiness
 }
 
-func startNode(t testing.TB) node {
+func startNode(t testing.TB, services ...rpc.TwirpServer) node {
 	t.Helper()
 	registry := prometheus.NewRegistry()
 	n := node{metrics: NewMetrics(registry), readiness: &readiness{}}
@@ -48,6 +48,9 @@
 		Address: "127.0.0.1:0", Token: "secret", Metrics: n.metrics, Gatherer: registry, Readiness: n.readiness,
 	})
 	server.Register(rpc.NewPeerServer(peer{}))
+	for _, service := range services {
+		server.Register(service)
+	}
 	if err := server.Listen(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/control/pool.go
+++ b/internal/control/pool.go
@@ -131,6 +131,9 @@
 			bounded, cancel := context.WithTimeout(ctx, method.timeout)
 			defer cancel()
 			response, err := next(bounded, request)
+			if err == nil {
+				putBackSender(response, peer)
+			}
 			step, ok := ctx.Value(stepKey{}).(fleet.Step)
 			if !ok {
 				step = method.step
--- a/internal/pathtest/live_test.go
+++ b/internal/pathtest/live_test.go
@@ -167,7 +167,7 @@
 		Config: own, Incarnation: k.envelope.Incarnation, Fleet: k, Clients: pool,
 		Readiness: daemon.NewReadiness(), Registerer: prometheus.NewRegistry(), Logger: l.logger,
 	})
-	pool.Pool = l.server(node, rpc.NewAgentServer(manager.Control()))
+	pool.Pool = l.server(node, rpc.NewAgentServer(manager.Control(), control.WithoutSender()))
 	l.run("agent", manager)
 	return backend
 }
@@ -188,7 +188,7 @@
 		Self: node, Incarnation: k.envelope.Incarnation, Callers: config.Callers, Token: token, Fleet: k, Agents: pool,
 		Readiness: daemon.NewReadiness(), Registerer: prometheus.NewRegistry(), Logger: l.logger,
 	})
-	pool.Pool = l.server(node, rpc.NewRouterServer(manager.Server()))
+	pool.Pool = l.server(node, rpc.NewRouterServer(manager.Server(), control.WithoutSender()))
 	l.run("router", manager)
 	return "http://" + string(node.Data)
 }
