Let a declined grant say that nothing waits

Ruled out: declines that wait for a dispatch to ride on (a slot stands idle meanwhile); telling each agent when a queue becomes empty (one message an agent, where a decline is one for each agent that would have granted).

Change: an agent that is declined a grant by an offer drops what the router offers of the account, unless the offer says what waits. The router says so whenever something does. A decline in an older message, of another router or of an earlier process drops nothing.

TestDeclinedGrantDropsItsOffer fails without the drop ("5 requests count as offered, want 0" in its first form) and without the check of the router ("5 ... by both routers, want 10").

--- a/internal/agent/carriers_test.go
+++ b/internal/agent/carriers_test.go
@@ -7,6 +7,7 @@
 
 	"google.golang.org/protobuf/encoding/protodelim"
 
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
@@ -131,3 +132,48 @@
 	t.Fatalf("no grants among %+v", h.commands)
 	return SendGrants{}
 }
+
+// Symptom: an agent grants in vain to a router again and again, or forgets work
+// that waits there. Sequence: a router declines a grant, and says at once or in
+// a newer message that its account has work again. Cause: declining says that
+// nothing waits, and a message that comes late is not to say so.
+func TestDeclinedGrantDropsItsOffer(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(*Offered)
+		want   uint32
+	}{
+		"nothing waits":       {func(*Offered) {}, 5},
+		"more waits":          {func(in *Offered) { in.Offers = []AccountOffer{{Account: "a", Count: 7}} }, 12},
+		"an older message":    {func(in *Offered) { in.Sequence = 1 }, 10},
+		"another router":      {func(in *Offered) { in.Router = routerB }, 10},
+		"an unknown number":   {func(in *Offered) { in.Declined = []uint64{1} }, 10},
+		"an earlier process":  {func(in *Offered) { in.Incarnation = 0 }, 10},
+		"of another account":  {func(in *Offered) { in.Offers = []AccountOffer{{Account: "b", Count: 7}} }, 5},
+		"withdrawn in so far": {func(in *Offered) { in.Offers = []AccountOffer{{Account: "a"}} }, 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(testPolicy(settings.KindModel))
+			h.advance(2*MaxClockSkew + time.Millisecond) // ids made from now on are known to be new
+			fill(t, h)
+			h.step(h.offer(routerA, 2, 6))
+			h.step(h.offer(routerB, 2, 5))
+			for id := range h.running {
+				h.end(id, RunComplete)
+				break
+			}
+			grant := sentGrants(t, h).Grants[0].Number
+			in := Offered{Ticket: h.ticket(), Router: routerA, Incarnation: 1, Sequence: 3, Declined: []uint64{grant}}
+			test.change(&in)
+			h.world.takeOffered(h.now, in) // without the grants that a whole step would make
+			got := uint32(0)
+			for _, address := range []fleet.Address{routerA, routerB} {
+				if current := h.world.routers.Get(address).offers["a"]; current != nil {
+					got += current.count
+				}
+			}
+			if got != test.want {
+				t.Errorf("%d requests count as offered by both routers, want %d", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/agent/take_offer.go
+++ b/internal/agent/take_offer.go
@@ -35,9 +35,7 @@
 
 // takeOffered notes what waits at a router.
 func (w *World) takeOffered(now time.Time, in Offered) {
-	for _, number := range in.Declined {
-		w.endGrant(number)
-	}
+	declined := w.endDeclined(in)
 	row := w.noteRouter(now, in.Router, in.Incarnation)
 	defer w.replyOffered(in.Ticket, row != nil && row.resend && !in.Full)
 	if row == nil || in.Sequence <= row.sequence || w.leaving() {
@@ -50,11 +48,30 @@
 		row.resend = false
 		row.recallAt = time.Time{}
 	}
+	for _, account := range declined {
+		if current := row.offers[account]; current != nil {
+			w.dropOffer(current)
+		}
+	}
 	for _, item := range in.Offers {
 		w.setOffer(now, row, item)
 	}
 }
 
+// endDeclined ends the grants that a router declines and returns their
+// accounts. Nothing of these waits there, unless the same message says so.
+func (w *World) endDeclined(in Offered) []fleet.Account {
+	var accounts []fleet.Account
+	for _, number := range in.Declined {
+		g := w.grants.Get(number)
+		if g != nil && g.router == in.Router && g.incarnation == in.Incarnation {
+			accounts = append(accounts, g.account)
+		}
+		w.endGrant(number)
+	}
+	return accounts
+}
+
 func (w *World) replyOffered(ticket Ticket, resend bool) {
 	w.reply(ticket, OfferNoted{FreeSlots: uint32(w.free()), Resend: resend})
 }
--- a/internal/router/system_attempt.go
+++ b/internal/router/system_attempt.go
@@ -27,7 +27,7 @@
 	if event.Peer {
 		w.hear(e.attempt.agent, 0)
 	} else {
-		w.decline(e.attempt.agent, e.attempt.grant)
+		w.decline(e.attempt.agent, e.attempt.grant, e.queue.account)
 	}
 	w.requeue(e)
 }
--- a/internal/router/system_grant.go
+++ b/internal/router/system_grant.go
@@ -50,10 +50,7 @@
 			w.dispatch(e, row, grant.Number, useBy(event.Received, grant))
 			continue
 		}
-		w.decline(row, grant.Number)
-		if account := row.accountOf(grant); account != "" {
-			w.pend(row, account)
-		}
+		w.decline(row, grant.Number, row.accountOf(grant))
 	}
 }
 
@@ -135,11 +132,21 @@
 	w.emit(ReplyFree{Call: event.Call, Message: reply})
 }
 
-// decline gives a grant back that was taken and could not be used.
-func (w *World) decline(row *agentRow, grant uint64) {
+// decline gives a grant back that was taken and could not be used, and tells
+// what waits of its account, which is "" when it is not known here. That nothing
+// does goes without saying.
+func (w *World) decline(row *agentRow, grant uint64, account fleet.Account) {
 	if grant == 0 {
 		return
 	}
 	row.offer.declined = append(row.offer.declined, grant)
 	w.due(row, offerCoalesce)
+	if account == "" {
+		return
+	}
+	w.pend(row, account)
+	if row.offer.implied == nil {
+		row.offer.implied = make(map[fleet.Account]struct{})
+	}
+	row.offer.implied[account] = struct{}{}
 }
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -17,7 +17,8 @@
 	pending   map[fleet.Account]struct{} // to be told
 	acks      [][]byte
 	declined  []uint64
-	dueAt     time.Time // when to send; zero when there is nothing to tell
+	implied   map[fleet.Account]struct{} // of which a declined grant says that nothing waits
+	dueAt     time.Time                  // when to send; zero when there is nothing to tell
 	refreshAt time.Time
 	sequence  uint64
 	inFlight  bool
@@ -144,13 +145,19 @@
 		Declined:     state.declined,
 	}
 	for account := range state.pending {
-		if row.takesWork() {
-			message.Offers = append(message.Offers, w.accountOffer(row, account))
+		if !row.takesWork() {
+			continue
+		}
+		offer := w.accountOffer(row, account)
+		if _, implied := state.implied[account]; implied && offer.Count == 0 {
+			continue
 		}
+		message.Offers = append(message.Offers, offer)
 	}
 	state.pending = nil
 	state.acks = nil
 	state.declined = nil
+	state.implied = nil
 	state.full = false
 	state.dueAt = time.Time{}
 	// One count serves all agents: an agent that leaves the list and comes back
