Share the list of hop-by-hop headers

Cause: router and agent each held the same list of headers that concern one connection only, so one could have been changed without the other. Ruled out: one list for both with all names; the agent also keeps back Date and Server, the router the caller's secret and its own headers. Change: fleet.HopByHop holds the common part; each side adds its own. Conclusion: the same headers pass as before.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -93,7 +93,7 @@
 	request.SetRequestURI(run.Path)
 	request.Header.SetHost(string(b.address))
 	for _, header := range run.Headers {
-		if !hopByHop(header.Name) {
+		if !keepsBack(header.Name) {
 			request.Header.Add(header.Name, header.Value)
 		}
 	}
@@ -143,11 +143,15 @@
 	return fleet.Wrap(err, fleet.StepRun, b.address)
 }
 
-// hopByHop tells whether a header concerns one connection only.
-func hopByHop(name string) bool {
-	switch strings.ToLower(name) {
-	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-		"transfer-encoding", "upgrade", "content-length", "host", "date", "server":
+// keepsBack tells whether a header belongs to one connection, or is one that
+// each server writes by itself.
+func keepsBack(name string) bool {
+	name = strings.ToLower(name)
+	if fleet.HopByHop(name) {
+		return true
+	}
+	switch name {
+	case "date", "server":
 		return true
 	}
 	return false
@@ -157,7 +161,7 @@
 func headOf(response *fasthttp.Response) *rpc.AnswerHead {
 	head := &rpc.AnswerHead{Status: uint32(response.StatusCode())}
 	for name, value := range response.Header.All() {
-		if !hopByHop(string(name)) {
+		if !keepsBack(string(name)) {
 			head.Headers = append(head.Headers, &rpc.Header{Name: string(name), Value: string(value)})
 		}
 	}
--- a/internal/router/shell_request.go
+++ b/internal/router/shell_request.go
@@ -217,10 +217,13 @@
 // keepsBack tells whether a header belongs to one connection, to the router,
 // or is the caller's secret.
 func keepsBack(name string) bool {
-	switch strings.ToLower(name) {
-	case "connection", "keep-alive", "proxy-authenticate", "proxy-authorization", "te", "trailer",
-		"transfer-encoding", "upgrade", "host", "content-length", "expect", "authorization",
-		"idempotency-key", "bluebell-deadline", "bluebell-idempotent", "bluebell-request", "bluebell-outcome":
+	name = strings.ToLower(name)
+	if fleet.HopByHop(name) {
+		return true
+	}
+	switch name {
+	case "expect", "authorization", "idempotency-key",
+		"bluebell-deadline", "bluebell-idempotent", "bluebell-request", "bluebell-outcome":
 		return true
 	}
 	return false
