Put the silent relay and the fixed seeds of tests into packages of their own

Cause: a relay that goes silent stood in three packages' tests, and four packages repeated the same TestMain. Ruled out: a budget of bytes without the moment when it is reached; the agent's test waits for that, so testrelay tells it. Change: internal/testrelay and internal/testseed, which only tests import. Assertions, seeds and numbers of draws are unchanged. Two details differ: the relay with a limit carries answers up to the limit exactly, and loses what either end sends from then on, where the agent's relay still carried requests; the control test compares numbers of connections in place of a channel's state. The support code now counts as code and not as tests. Conclusion: one relay with one behaviour.

--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -18,94 +17,23 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
+	"github.com/bluebellchute/bluebellchute/internal/testrelay"
 )
 
-// relay passes connections on to a target. The first one that carries an
-// answer goes silent for good after some bytes of it, without being closed.
-type relay struct {
-	listener net.Listener
-	target   string
-	budget   int // bytes of answers until the silence
-	silenced chan struct{}
-	once     sync.Once
-}
-
-func startRelay(t *testing.T, target string, budget int) *relay {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{listener: listener, target: target, budget: budget, silenced: make(chan struct{})}
-	go r.serve()
-	t.Cleanup(func() { listener.Close() })
-	return r
-}
-
-func (r *relay) serve() {
-	for {
-		near, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", r.target)
-		if err != nil {
-			near.Close()
-			continue
-		}
-		go func() {
-			_, _ = io.Copy(far, near)
-			far.Close()
-		}()
-		go r.answer(near, far)
-	}
-}
-
-// answer copies what the target sends. A connection with a long answer is the
-// one that goes silent.
-func (r *relay) answer(near, far net.Conn) {
-	buffer := make([]byte, 256)
-	for sent := 0; ; {
-		n, err := far.Read(buffer)
-		if err != nil {
-			near.Close()
-			return
-		}
-		sent += n
-		if sent > r.budget && r.silence() {
-			_, _ = io.Copy(io.Discard, far)
-			return
-		}
-		if _, err := near.Write(buffer[:n]); err != nil {
-			return
-		}
-	}
-}
-
-// silence reports true once.
-func (r *relay) silence() bool {
-	first := false
-	r.once.Do(func() {
-		first = true
-		close(r.silenced)
-	})
-	return first
-}
-
 // Symptom: a streamed answer stops in the middle and never ends, while the
 // model engine is well.
 // Sequence: something between agent and engine forgets the open connection.
 // Cause: a connection that carries nothing looks like a slow run.
 func TestSilentEngineConnectionIsReplaced(t *testing.T) {
-	var between *relay
+	var between *testrelay.Relay
 	a := startAgent(t, testPolicy(settings.KindModel), engine.Config{Step: time.Millisecond}, func(address string) string {
-		between = startRelay(t, address, 2000)
-		return string(between.listener.Addr().String())
+		between = testrelay.Start(t, testrelay.Config{Target: fleet.Address(address), AnswerLimit: 2000})
+		return string(between.Address())
 	})
 	id := newID()
 	var got received
 	got.read(t, id, a.post(t, PathRun, runRequest(id, "/v1/chat/completions", `{"stream":true,"x_tokens":100}`)), 0)
-	<-between.silenced
+	<-between.Limited()
 	a.wantWhole(t, id, &got)
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -17,6 +15,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/testrelay"
 )
 
 // patience ends a test whose event never comes. It decides nothing else.
@@ -146,94 +145,21 @@
 	}
 }
 
-// relay forwards connections to a target until silence is called. From then on
-// it keeps the old connections open and carries nothing on them.
-type relay struct {
-	listener net.Listener
-	target   fleet.Address
-	accepted chan struct{}
-
-	mu  sync.Mutex
-	old []*atomic.Bool // set for connections that have gone silent
-}
-
-func startRelay(t *testing.T, target fleet.Address) *relay {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	r := &relay{listener: listener, target: target, accepted: make(chan struct{}, 100)}
-	go r.run()
-	t.Cleanup(func() { listener.Close() })
-	return r
-}
-
-func (r *relay) run() {
-	for {
-		near, err := r.listener.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", string(r.target))
-		if err != nil {
-			near.Close()
-			continue
-		}
-		silent := new(atomic.Bool)
-		r.mu.Lock()
-		r.old = append(r.old, silent)
-		r.mu.Unlock()
-		r.accepted <- struct{}{}
-		go forward(near, far, silent)
-		go forward(far, near, silent)
-	}
-}
-
-func forward(from, to net.Conn, silent *atomic.Bool) {
-	defer from.Close()
-	buffer := make([]byte, 4096)
-	for {
-		n, err := from.Read(buffer)
-		if silent.Load() {
-			if err != nil {
-				return
-			}
-			continue
-		}
-		if err != nil {
-			to.Close()
-			return
-		}
-		if _, err := to.Write(buffer[:n]); err != nil {
-			return
-		}
-	}
-}
-
-func (r *relay) silence() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, silent := range r.old {
-		silent.Store(true)
-	}
-}
-
 // Symptom: calls to one peer time out for good, while the peer is well.
 // Sequence: a call opens a connection; something on the way forgets it and
 // drops what it carries; further calls go out on the same connection.
 // Cause: nothing closes a TCP connection on which no answer comes.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	n := startNode(t)
-	r := startRelay(t, n.address)
+	r := testrelay.Start(t, testrelay.Config{Target: n.address})
 	pool := NewPool("secret", NewMetrics(prometheus.NewRegistry()))
 	defer pool.Close()
-	address := fleet.Address(r.listener.Addr().String())
+	address := r.Address()
 	if err := status(pool, address); err != nil {
 		t.Fatal(err)
 	}
-	<-r.accepted
-	r.silence()
+	before := r.Connections()
+	r.Silence()
 	deadline := time.Now().Add(patience)
 	// Each call is given up sooner than a connection is found silent.
 	for statusIn(pool, address, probeAfter/4) != nil {
@@ -241,9 +167,7 @@
 			t.Fatal("the silent connection was never replaced")
 		}
 	}
-	select {
-	case <-r.accepted:
-	default:
+	if r.Connections() == before {
 		t.Error("a call succeeded without a new connection")
 	}
 }
@@ -254,14 +178,14 @@
 // Cause: calls to one peer share its connection.
 func TestFreshAgentAvoidsSilentConnection(t *testing.T) {
 	n := startNode(t)
-	r := startRelay(t, n.address)
+	r := testrelay.Start(t, testrelay.Config{Target: n.address})
 	pool := NewPool("secret", NewMetrics(prometheus.NewRegistry()))
 	defer pool.Close()
-	address := fleet.Address(r.listener.Addr().String())
+	address := r.Address()
 	if err := status(pool, address); err != nil {
 		t.Fatal(err)
 	}
-	r.silence()
+	r.Silence()
 	_, err := pool.FreshAgent(address).Fence(context.Background(), &rpc.FenceRequest{})
 	var twirpError twirp.Error
 	if !errors.As(err, &twirpError) || twirpError.Code() != twirp.BadRoute {
--- a/internal/e2e/silence_test.go
+++ b/internal/e2e/silence_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/membership"
+	"github.com/bluebellchute/bluebellchute/internal/testrelay"
 )
 
 // Symptom: an answer stops in the middle for good, or goes on with a gap or a
@@ -20,7 +21,7 @@
 	t.Parallel()
 	for _, test := range []struct {
 		name  string
-		setUp func(t *testing.T) (*cluster, *relay)
+		setUp func(t *testing.T) (*cluster, *testrelay.Relay)
 	}{
 		{"between agent and engine", relayBeforeEngine},
 		{"between router and agent", relayBeforeAgent},
@@ -30,29 +31,35 @@
 			streamed := call{tokens: longAnswer, stream: true}
 			done := startCall(c.routers[0], streamed)
 			c.awaitRun(t)
-			r.silence()
+			r.Silence()
 			if err := (<-done).whole(streamed); err != nil {
 				t.Error(err)
 			}
-			if r.dropped.Load() == 0 {
+			if r.Dropped() == 0 {
 				t.Error("the relay was not in the answer's way")
 			}
 		})
 	}
 }
 
-func relayBeforeEngine(t *testing.T) (*cluster, *relay) {
-	var r *relay
+// startRelay starts a relay on a loopback address of its own.
+func startRelay(t *testing.T, target fleet.Address) *testrelay.Relay {
+	t.Helper()
+	return testrelay.Start(t, testrelay.Config{Listen: addressOf(newHost(), dataPort), Target: target})
+}
+
+func relayBeforeEngine(t *testing.T) (*cluster, *testrelay.Relay) {
+	var r *testrelay.Relay
 	c := startCluster(t, shape{routers: 1, agents: 1, between: func(engine fleet.Address) fleet.Address {
 		r = startRelay(t, engine)
-		return r.address()
+		return r.Address()
 	}})
 	return c, r
 }
 
 // relayBeforeAgent puts the relay's address in place of the agent's data
 // address into the list of nodes.
-func relayBeforeAgent(t *testing.T) (*cluster, *relay) {
+func relayBeforeAgent(t *testing.T) (*cluster, *testrelay.Relay) {
 	c := startCluster(t, shape{routers: 1, agents: 1})
 	agent := c.agents[0]
 	r := startRelay(t, agent.data)
@@ -62,13 +69,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	moved := strings.Replace(string(object.Data), string(agent.data), string(r.address()), 1)
+	moved := strings.Replace(string(object.Data), string(agent.data), string(r.Address()), 1)
 	if _, err := c.platform.Put(ctx, key, []byte(moved), object.Version); err != nil {
 		t.Fatal(err)
 	}
 	eventually(t, "the router goes through the relay", func() bool {
 		makeCall(c.routers[0], call{tokens: 1})
-		return r.connections() > 0
+		return r.Connections() > 0
 	})
 	return c, r
 }
--- a/internal/pathtest/main_test.go
+++ b/internal/pathtest/main_test.go
@@ -1,19 +1,13 @@
 package pathtest
 
 import (
-	"flag"
-	"os"
 	"testing"
+
+	"github.com/bluebellchute/bluebellchute/internal/testseed"
 )
 
 // TestMain fixes the seed of the drawn tests, so that each run gives the same
 // verdict.
 func TestMain(m *testing.M) {
-	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "400", "rapid.nofailfile": "true"} {
-		if err := flag.Set(name, value); err != nil {
-			panic(err)
-		}
-	}
-	flag.Parse()
-	os.Exit(m.Run())
+	testseed.Run(m, testseed.Flag{Name: "rapid.checks", Value: "400"}, testseed.NoFailFile)
 }
