Withdraw empty queues on other offers; widen after the usual wait

Each request was offered to 20 agents, and each agent that still knew an empty queue granted to it in vain, a message each. Ruled out: withdrawing at once (a message to each agent); withdrawals on dispatches (a dispatch that overtakes an offer would undo it). Change: an offer that goes out anyway withdraws every queue that has become empty; a queue is offered to more agents only after its requests' usual wait, two seconds at most. Tests failed without: 0 withdrawals, want 2; 16 offers before the usual wait, want 2.

--- a/internal/router/constants.go
+++ b/internal/router/constants.go
@@ -26,6 +26,12 @@
 	// bucketTolerance is the growth of countBucket from which on agents are told
 	// of a changed count: four times as many.
 	bucketTolerance = 2
+	// usualWaitRequests is the number of requests over which a queue's usual
+	// wait is averaged.
+	usualWaitRequests = 4
+	// maxUsualWait bounds what a queue waits before it is offered to more
+	// agents: its first ones may be slower than the others.
+	maxUsualWait = 2 * time.Second
 	// ackDelay bounds how long an acknowledgement waits for a dispatch or an
 	// offer to ride on.
 	ackDelay = 5 * time.Second
--- a/internal/router/queue.go
+++ b/internal/router/queue.go
@@ -11,14 +11,15 @@
 // accountQueue holds what waits of one account for one service. The earliest
 // deadline comes first, and among equal ones the first to arrive.
 type accountQueue struct {
-	service *serviceRow
-	account fleet.Account
-	entries entryHeap
-	bytes   int64
-	bucket  int // of the count that offers were last compared with
-	width   int // of the service's agents, how many are offered to
-	widenAt time.Time
-	emptyAt time.Time // when it became empty; zero when it is not or nothing is offered
+	service   *serviceRow
+	account   fleet.Account
+	entries   entryHeap
+	bytes     int64
+	bucket    int // of the count that offers were last compared with
+	width     int // of the service's agents, how many are offered to
+	widenAt   time.Time
+	usualWait time.Duration // of its requests, until they are sent
+	emptyAt   time.Time     // when it became empty; zero when it is not or nothing is offered
 }
 
 // countBucket changes when a count becomes 0 or positive, doubles or halves.
--- a/internal/router/system_dispatch.go
+++ b/internal/router/system_dispatch.go
@@ -176,6 +176,7 @@
 func (w *World) dispatch(e *entry, agent *agentRow, grant uint64, useBy time.Time) {
 	service := e.queue.service
 	w.dequeue(e)
+	e.queue.waited(w.now.Sub(e.request.Arrived))
 	w.markOffers(e.queue)
 	e.attempts++
 	e.state = stateSent
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -136,9 +136,21 @@
 	}
 }
 
+// pendWithdrawals lets the withdrawals of empty queues ride on a message that
+// goes out anyway. Where many accounts have a request now and then, an agent
+// that knows them still would grant to each in vain, a message for each.
+func (w *World) pendWithdrawals(row *agentRow) {
+	for account := range row.offer.sent {
+		if queue := row.service.queues[account]; queue != nil && queue.len() == 0 {
+			w.pend(row, account)
+		}
+	}
+}
+
 // sendOffer tells an agent all that is pending, in one message.
 func (w *World) sendOffer(row *agentRow) {
 	state := &row.offer
+	w.pendWithdrawals(row)
 	message := &rpc.OfferRequest{
 		Full:         state.full,
 		Acknowledged: state.acks,
--- a/internal/router/system_widen.go
+++ b/internal/router/system_widen.go
@@ -8,10 +8,11 @@
 }
 
 // widen sets how many agents a queue is offered to: the first few when requests
-// begin to wait, twice as many each WidenInterval while they go on waiting.
+// begin to wait, twice as many each time that they have gone on waiting for as
+// long as the queue's requests usually do, and for WidenInterval at least.
 // Offers to all at once would cost every router a message to every agent at
-// each burst. Each account has a width of its own: a small account that is
-// served soon stays with its first agents while a large one waits at all.
+// each burst. Where an account waits because others come first by their clocks,
+// more agents would not serve it sooner; each would only grant in vain later.
 func (w *World) widen(queue *accountQueue) {
 	if queue.len() == 0 {
 		w.widenEmpty(queue)
@@ -27,10 +28,16 @@
 	default:
 		return
 	}
-	queue.widenAt = w.now.Add(max(service.policy.WidenInterval, offerCoalesce))
+	patience := min(queue.usualWait, maxUsualWait)
+	queue.widenAt = w.now.Add(max(service.policy.WidenInterval, offerCoalesce, patience))
 	w.offerQueue(queue)
 }
 
+// waited notes how long a request of the queue has waited until it was sent.
+func (q *accountQueue) waited(wait time.Duration) {
+	q.usualWait += (wait - q.usualWait) / usualWaitRequests
+}
+
 // widenEmpty begins anew with the first agents, and withdraws the offers of a
 // queue that stays empty.
 func (w *World) widenEmpty(queue *accountQueue) {
--- a/internal/router/widen_test.go
+++ b/internal/router/widen_test.go
@@ -69,10 +69,12 @@
 	}
 }
 
-func (c *offerCounter) arrive() *Request {
+func (c *offerCounter) arrive() *Request { return c.arriveOf(testAccount) }
+
+func (c *offerCounter) arriveOf(account fleet.Account) *Request {
 	id := uuid.Must(uuid.NewV7())
 	request := &Request{
-		ID: id, Account: testAccount, Service: testModel, Arrived: c.now, Deadline: c.now.Add(time.Minute),
+		ID: id, Account: account, Service: testModel, Arrived: c.now, Deadline: c.now.Add(time.Minute),
 		Idempotent: true, Answer: NewReceiver(id, nil, 0),
 	}
 	c.step(Arrived{Request: request})
@@ -156,3 +158,39 @@
 		t.Fatalf("%d offers and %d withdrawals while 63 of 64 requests went, want 0", c.offers-told, c.withdrawn)
 	}
 }
+
+// Symptom: with many accounts of one request each, a router's control traffic
+// grows to 100 KB/s and slots idle on grants that are declined.
+// Sequence: the queue of one account becomes empty; the queue of another is
+// offered to the same agents. Cause: the agents kept the empty one until they
+// had granted to it in vain, one message each.
+func TestWithdrawalsRideOnOffers(t *testing.T) {
+	c := newOfferCounter(2)
+	first := c.arrive()
+	c.pass(50 * time.Millisecond)
+	c.step(CallerGone{Request: first.ID})
+	c.arriveOf("acme/other")
+	c.pass(50 * time.Millisecond)
+	if c.withdrawn != 2 {
+		t.Fatalf("%d withdrawals rode on the offers of another account to 2 agents, want 2", c.withdrawn)
+	}
+}
+
+// Symptom: as above. Sequence: an account waits for its turn, as long as usual.
+// Cause: its work was offered to ever more agents meanwhile, though only its
+// clock kept it from being served.
+func TestOffersWidenAfterTheUsualWait(t *testing.T) {
+	c := newOfferCounter(16)
+	queue := c.world.queue(testModel, testAccount)
+	queue.usualWait = time.Second
+	c.arrive()
+	c.arrive() // a lone one would probe an agent after a while
+	c.pass(900 * time.Millisecond)
+	if c.offers != 2 {
+		t.Fatalf("%d offers before the usual wait has passed, want 2 (the first subset)", c.offers)
+	}
+	c.pass(200 * time.Millisecond)
+	if c.offers != 4 {
+		t.Fatalf("%d offers after the usual wait, want 4", c.offers)
+	}
+}
