Drop a step override that nobody used; mend a comment on offers

Cause: a last reading of the whole change. control.WithStep had no caller and no test, so each call's step is that of its method; a comment on offers spoke of smaller changes twice, in two meanings. Ruled out: making one of registry rows, metric constructors and command structs that only look alike (each names different things). Change: internal/control loses WithStep and its context key; comments only in internal/router.

--- a/internal/control/class.go
+++ b/internal/control/class.go
@@ -39,7 +39,7 @@
 // method is what the package knows of one twirp method.
 type method struct {
 	class   Class
-	step    fleet.Step // at which an error of the method arises, unless the caller says otherwise
+	step    fleet.Step // at which an error of the method arises
 	timeout time.Duration
 }
 
--- a/internal/control/pool.go
+++ b/internal/control/pool.go
@@ -112,15 +112,6 @@
 	return response, nil
 }
 
-// stepKey is the context key of WithStep.
-type stepKey struct{}
-
-// WithStep returns a context whose calls report their errors at the step,
-// instead of the step that is usual for the method.
-func WithStep(ctx context.Context, step fleet.Step) context.Context {
-	return context.WithValue(ctx, stepKey{}, step)
-}
-
 // interceptor bounds the time of each call and gives its error the step and
 // the peer. errors.As still finds the twirp.Error inside.
 func interceptor(peer fleet.Address) twirp.ClientOption {
@@ -134,11 +125,7 @@
 			if err == nil {
 				putBackSender(response, peer)
 			}
-			step, ok := ctx.Value(stepKey{}).(fleet.Step)
-			if !ok {
-				step = method.step
-			}
-			return response, fleet.Wrap(err, step, peer)
+			return response, fleet.Wrap(err, method.step, peer)
 		}
 	})
 }
--- a/internal/router/system_offer.go
+++ b/internal/router/system_offer.go
@@ -40,10 +40,10 @@
 }
 
 // compareOffers finds the agents that must be told of a queue: those offered to
-// that know nothing of it, and those that know a much smaller count. Smaller
-// changes are not told, nor is a queue that has become empty at once:
-// most queues fill again within moments, and an agent that grants in vain hears
-// of it in the reply. Telling all agents of each request that came and went was
+// that know nothing of it, and those that know a much smaller count. Other changes
+// are not told, nor is a queue that has just become empty: most queues fill
+// again within moments, and an agent that grants in vain hears of it in the
+// reply. Telling all agents of each request that came and went was
 // nine tenths of a router's control traffic.
 func (w *World) compareOffers(queue *accountQueue) {
 	bucket := countBucket(queue.len())
