--- /dev/null
+++ b/cmd/bluebell-gate/main.go
@@ -0,0 +1,36 @@
+// Command bluebell-gate takes callers' requests on the users' platform and sends
+// them directly to backend servers.
+package main
+
+import (
+	"os"
+	"runtime/debug"
+
+	"github.com/samber/do/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/gate"
+)
+
+const name = "bluebell-gate"
+
+func main() { os.Exit(run()) }
+
+// run is the whole main function. It returns the exit status.
+func run() int {
+	config := new(gate.Config)
+	verdict := daemon.ParseFlags(name, os.Args[1:], config, os.Stdout, os.Stderr)
+	if verdict.Exit {
+		return verdict.Status
+	}
+	debug.SetMemoryLimit(config.VM.HeapLimit())
+	logger := daemon.NewLogger(config.Log, daemon.NewAsyncWriter(os.Stdout)).WithField("node", config.Node.Name)
+	injector := do.New()
+	wire(injector, config, logger)
+	service, err := do.Invoke[*service](injector)
+	if err != nil {
+		logger.WithError(err).Error("wiring")
+		return daemon.ExitFailed
+	}
+	return daemon.RunToExit(name, service, logger)
+}
--- /dev/null
+++ b/cmd/bluebell-gate/wire.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/gate"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/peering"
+	"github.com/bluebellchute/bluebellchute/platform"
+)
+
+// wire provides the parts of a gate.
+func wire(injector do.Injector, config *gate.Config, logger logrus.FieldLogger) {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector())
+	do.ProvideValue(injector, config)
+	do.ProvideValue(injector, logger)
+	do.ProvideValue(injector, registry)
+	do.ProvideValue(injector, daemon.NewReadiness())
+	do.ProvideValue(injector, knowledge.NewState())
+	do.ProvideValue(injector, platform.NewStore(config.Store.Address))
+	do.Provide(injector, newPeering)
+	do.Provide(injector, newGate)
+	do.Provide(injector, newService)
+}
+
+func newPeering(injector do.Injector) (*peering.Manager, error) {
+	config := do.MustInvoke[*gate.Config](injector)
+	return peering.NewManager(peering.Options{
+		Address:     config.Listen.Peers,
+		Seeds:       config.Peers.Seeds,
+		Incarnation: uint64(time.Now().UnixNano()),
+		Directory: &platform.Directory{
+			Store: do.MustInvoke[*platform.Store](injector),
+			Node:  config.Node.Name,
+			Zone:  config.Node.Zone,
+		},
+		State:  do.MustInvoke[*knowledge.State](injector),
+		Logger: do.MustInvoke[logrus.FieldLogger](injector),
+	}), nil
+}
+
+func newGate(injector do.Injector) (*gate.Manager, error) {
+	config := do.MustInvoke[*gate.Config](injector)
+	peers := do.MustInvoke[*peering.Manager](injector)
+	manager := gate.NewManager(gate.Options{
+		Settings:    config.Settings(),
+		Callers:     config.Listen.Callers,
+		Zone:        config.Node.Zone,
+		Connections: config.VM.Connections(),
+		Grace:       config.Bounds.Grace,
+		Dialect:     platform.Dialect{},
+		State:       do.MustInvoke[*knowledge.State](injector),
+		Peers:       peers,
+		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
+		Registerer:  do.MustInvoke[*prometheus.Registry](injector),
+		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
+	})
+	peers.SetLocal(manager)
+	return manager, nil
+}
+
+// service runs all parts of a gate.
+type service struct {
+	config    *gate.Config
+	gate      *gate.Manager
+	peers     *peering.Manager
+	follower  *platform.Follower
+	readiness *daemon.Readiness
+	registry  *prometheus.Registry
+}
+
+func newService(injector do.Injector) (*service, error) {
+	return &service{
+		config: do.MustInvoke[*gate.Config](injector),
+		gate:   do.MustInvoke[*gate.Manager](injector),
+		peers:  do.MustInvoke[*peering.Manager](injector),
+		follower: platform.NewFollower(
+			do.MustInvoke[*platform.Store](injector),
+			do.MustInvoke[*knowledge.State](injector),
+			do.MustInvoke[logrus.FieldLogger](injector),
+		),
+		readiness: do.MustInvoke[*daemon.Readiness](injector),
+		registry:  do.MustInvoke[*prometheus.Registry](injector),
+	}, nil
+}
+
+// Run implements daemon.Service.
+func (s *service) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.follower.Run(ctx) })
+	group.Go(func() error { return s.peers.Run(ctx) })
+	group.Go(func() error { return s.gate.Run(ctx) })
+	group.Go(func() error {
+		return gate.ServeReadiness(ctx, s.config.Listen.Readiness, s.config.Listen.ReadinessPath, s.readiness)
+	})
+	if s.config.Listen.Metrics != "" {
+		group.Go(func() error { return gate.ServeMetrics(ctx, s.config.Listen.Metrics, s.registry) })
+	}
+	return group.Wait()
+}
+
+// Drain implements daemon.Service.
+func (s *service) Drain(ctx context.Context) error { return s.gate.Drain(ctx) }
--- /dev/null
+++ b/internal/backendconn/pool.go
@@ -0,0 +1,193 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+const (
+	// statedIdleShare is the part of a stated idle timeout for which a
+	// connection is used again. The rest covers the time on the way.
+	statedIdleShare = 0.7
+	// unstatedIdle is how long a connection is used again whose peer states no
+	// timeout. Timeouts below a second can't be stated.
+	unstatedIdle = 700 * time.Millisecond
+	// sweepInterval is the pause between two searches for connections that
+	// have been idle too long.
+	sweepInterval = 500 * time.Millisecond
+)
+
+// errTooMany tells that the bound of connections to a backend server is
+// reached.
+var errTooMany = errors.New("all connections to the backend server are in use")
+
+// Pool keeps connections to backend servers. Its methods may be called
+// concurrently.
+type Pool struct {
+	dialer *net.Dialer
+	mu     sync.Mutex
+	hosts  map[fleet.Address]*host
+	opened uint64
+}
+
+// host holds the connections to one address.
+type host struct {
+	idle []*conn // the most recently used last
+	open int     // idle ones and those in use
+}
+
+// NewPool returns a pool without connections.
+func NewPool() *Pool {
+	return &Pool{dialer: newDialer(), hosts: make(map[fleet.Address]*host)}
+}
+
+// Run closes idle connections until the context ends, then all of them.
+func (p *Pool) Run(ctx context.Context) error {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeIdle(func(*conn) bool { return true })
+			return nil
+		case <-ticker.C:
+			now := boottime.Now()
+			p.closeIdle(func(c *conn) bool { return now > c.usableUntil })
+		}
+	}
+}
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// Open returns the number of connections to the address.
+func (p *Pool) Open(address fleet.Address) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if host := p.hosts[address]; host != nil {
+		return host.open
+	}
+	return 0
+}
+
+func (p *Pool) closeIdle(expired func(*conn) bool) {
+	var closing []*conn
+	p.mu.Lock()
+	for address, host := range p.hosts {
+		kept := host.idle[:0]
+		for _, c := range host.idle {
+			if expired(c) {
+				closing = append(closing, c)
+				host.open--
+				continue
+			}
+			kept = append(kept, c)
+		}
+		clear(host.idle[len(kept):])
+		host.idle = kept
+		if host.open <= 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range closing {
+		_ = c.Close() // nothing is lost with an idle connection
+	}
+}
+
+// get returns a kept connection that is known to be sound, or a new one. most
+// bounds the connections to the address.
+func (p *Pool) get(ctx context.Context, address fleet.Address, most int) (*conn, error) {
+	for {
+		kept := p.takeIdle(address)
+		if kept == nil {
+			break
+		}
+		if boottime.Now() < kept.usableUntil && kept.silent() {
+			return kept, nil
+		}
+		p.discard(address, kept)
+	}
+	if !p.reserve(address, most) {
+		return nil, errTooMany
+	}
+	opened, err := p.dialer.DialContext(ctx, "tcp", string(address))
+	if err != nil {
+		p.release(address)
+		return nil, errors.WithStack(err)
+	}
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize)}, nil
+}
+
+func (p *Pool) takeIdle(address fleet.Address) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[address]
+	if host == nil || len(host.idle) == 0 {
+		return nil
+	}
+	last := len(host.idle) - 1
+	kept := host.idle[last]
+	host.idle[last] = nil
+	host.idle = host.idle[:last]
+	return kept
+}
+
+func (p *Pool) reserve(address fleet.Address, most int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := p.hosts[address]
+	if known == nil {
+		known = &host{}
+		p.hosts[address] = known
+	}
+	if most > 0 && known.open >= most {
+		return false
+	}
+	known.open++
+	p.opened++
+	return true
+}
+
+func (p *Pool) release(address fleet.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[address]
+	host.open--
+	if host.open <= 0 && len(host.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// put keeps a connection whose answer has been read to its end. stated is the
+// idle timeout that the backend server named, 0 for none.
+func (p *Pool) put(address fleet.Address, c *conn, stated time.Duration) {
+	life := unstatedIdle
+	if stated > 0 {
+		life = time.Duration(float64(stated) * statedIdleShare)
+	}
+	c.idleSince = boottime.Now()
+	c.usableUntil = c.idleSince.Add(life)
+	c.used = true
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[address]
+	host.idle = append(host.idle, c)
+}
+
+func (p *Pool) discard(address fleet.Address, c *conn) {
+	_ = c.Close() // it is unusable whatever closing says
+	p.release(address)
+}
--- /dev/null
+++ b/internal/event/gate.go
@@ -0,0 +1,26 @@
+package event
+
+import "github.com/sirupsen/logrus"
+
+// Events of gates, 2101 to 2199.
+var (
+	GateAnswered     = Event{2101, logrus.InfoLevel, "request answered"}
+	GateRefused      = Event{2102, logrus.InfoLevel, "request refused"}
+	GateDeclined     = Event{2103, logrus.InfoLevel, "backend server declined a request"}
+	GateSendFailed   = Event{2104, logrus.WarnLevel, "request failed at a backend server"}
+	GateBadAnswer    = Event{2105, logrus.WarnLevel, "answer of a backend server is not usable"}
+	GateBrokeOff     = Event{2106, logrus.WarnLevel, "stream broken off"}
+	GateCallerGone   = Event{2107, logrus.InfoLevel, "caller left"}
+	GateLeftOut      = Event{2108, logrus.InfoLevel, "log records left out"}
+	GateVersion      = Event{2110, logrus.InfoLevel, "configuration in force"}
+	GateBackends     = Event{2111, logrus.InfoLevel, "list of backend servers changed"}
+	GateReady        = Event{2112, logrus.InfoLevel, "readiness changed"}
+	GateStoreLost    = Event{2113, logrus.WarnLevel, "store can't be reached"}
+	GateStoreBack    = Event{2114, logrus.InfoLevel, "store is reached again"}
+	GatePeerHeard    = Event{2115, logrus.InfoLevel, "router heard"}
+	GatePeerLost     = Event{2116, logrus.WarnLevel, "router no longer heard"}
+	GatePulled       = Event{2117, logrus.InfoLevel, "knowledge taken from another router"}
+	GateReloaded     = Event{2118, logrus.InfoLevel, "settings file read again"}
+	GateReloadFailed = Event{2119, logrus.ErrorLevel, "settings file can't be used, the former settings stay"}
+	GateStoreError   = Event{2120, logrus.WarnLevel, "call to the store failed"}
+)
--- /dev/null
+++ b/internal/gate/admission.go
@@ -0,0 +1,240 @@
+package gate
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/selection"
+	"github.com/bluebellchute/bluebellchute/internal/shares"
+)
+
+// AdmissionSettings bound what is sent to model engines.
+type AdmissionSettings struct {
+	// BudgetShare is the part of a route's target latency that may pass
+	// before an engine has read the prompts ahead of a request and its own.
+	BudgetShare float64
+	SlotShare   float64 // part of an engine's slots that is used
+	MemoryShare float64 // part of an engine's memory that requests may fill
+	// CapacityFactor is how much more than the stated capacity the accounts
+	// share. Parts that engines keep cost less than they count.
+	CapacityFactor float64
+	RetryAfter     time.Duration // told to callers that are refused
+}
+
+// placement is a request's place at a backend server.
+type placement struct {
+	backend *knowledge.Backend
+	load    BackendLoad
+	pending float64 // prompt tokens waiting there, this request's included
+	model   bool
+}
+
+// admission decides which request is sent where. Its methods may be called
+// concurrently.
+type admission struct {
+	settings AdmissionSettings
+	zone     fleet.Zone
+	loads    *loads
+	peers    Peers
+
+	mu     sync.Mutex
+	ledger *shares.Ledger
+	turn   int
+}
+
+func newAdmission(settings AdmissionSettings, zone fleet.Zone, peers Peers) *admission {
+	return &admission{
+		settings: settings,
+		zone:     zone,
+		loads:    newLoads(),
+		peers:    peers,
+		ledger:   shares.NewLedger(),
+	}
+}
+
+// asked counts a request that has arrived.
+func (a *admission) asked(request *Request) {
+	if request.Account == nil || request.Prompt.Tokens == 0 {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Asked(request.Account.Name, request.Prompt.Cost(), boottime.Now())
+}
+
+// place chooses a backend server for the request and counts the request in
+// there, or refuses it. excluded are backend servers that failed it before.
+func (a *admission) place(request *Request, view *knowledge.View, excluded map[string]bool) (*placement, *Refusal) {
+	usable := a.usable(view, request.Service, excluded)
+	if len(usable) == 0 {
+		return nil, a.refuse(ReasonNoBackend)
+	}
+	if request.Prompt.Tokens > 0 {
+		return a.placeModel(request, view, usable, len(excluded) > 0)
+	}
+	return a.placePlain(usable), nil
+}
+
+func (a *admission) refuse(reason Reason) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.settings.RetryAfter}
+}
+
+// usable returns the backend servers of the service that may take a request.
+// Shunned ones are among them only when there is no other.
+func (a *admission) usable(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
+	now := boottime.Now()
+	var sound, shunned []*knowledge.Backend
+	for _, backend := range view.ByService[service] {
+		if backend.Leaving || excluded[backend.ID] {
+			continue
+		}
+		if _, absent := view.Absent[backend.ID]; absent || a.loads.shunnedNow(backend.ID, now) {
+			shunned = append(shunned, backend)
+			continue
+		}
+		sound = append(sound, backend)
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return shunned
+}
+
+func (a *admission) placePlain(usable []*knowledge.Backend) *placement {
+	servers := make([]selection.Server, len(usable))
+	for i, backend := range usable {
+		load, latency := a.loads.get(backend.ID)
+		servers[i] = selection.Server{
+			Running: load.Running + a.peers.Load(backend.ID).Running,
+			Slots:   backend.Slots,
+			Near:    backend.Zone == a.zone,
+			Latency: latency,
+		}
+	}
+	a.mu.Lock()
+	a.turn++
+	turn := a.turn
+	a.mu.Unlock()
+	placed := &placement{backend: usable[selection.Plain(servers, turn)], load: BackendLoad{Running: 1}}
+	a.loads.begin(placed.backend.ID, placed.load)
+	return placed
+}
+
+func (a *admission) placeModel(request *Request, view *knowledge.View, usable []*knowledge.Backend, again bool) (*placement, *Refusal) {
+	now := boottime.Now()
+	limits := view.Index.Configuration.Limits
+	cost := request.Prompt.Cost()
+	if !again && !a.inShare(request, cost, limits.TokensPerSecond, now) {
+		return nil, a.refuse(ReasonShare)
+	}
+	engines := a.engines(view, request.Service, usable)
+	demand := a.demand(request)
+	choice, ok := selection.Model(engines, demand, a.limits(view, request.Service, limits))
+	if !ok || !choice.Fits {
+		return nil, a.refuse(ReasonBusy)
+	}
+	placed := &placement{
+		backend: usable[choice.Index],
+		load: BackendLoad{
+			Running: 1,
+			Pending: choice.Tokens,
+			Memory:  demand.Own + demand.Shared + demand.Output,
+		},
+		pending: engines[choice.Index].Pending + choice.Tokens,
+		model:   true,
+	}
+	a.loads.begin(placed.backend.ID, placed.load)
+	if request.Account != nil {
+		a.mu.Lock()
+		a.ledger.Got(request.Account.Name, cost, now)
+		a.mu.Unlock()
+	}
+	return placed, nil
+}
+
+func (a *admission) inShare(request *Request, cost, capacity float64, now boottime.Instant) bool {
+	if request.Account == nil {
+		return true
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Allowed(request.Account.Name, cost, capacity*a.settings.CapacityFactor, now)
+}
+
+func (a *admission) demand(request *Request) selection.Demand {
+	prompt := request.Prompt
+	shared := float64(prompt.SharedTokens())
+	output := prompt.MaxOutput
+	if prompt.ExpectedOutput > 0 {
+		output = min(output, prompt.ExpectedOutput)
+	}
+	return selection.Demand{
+		Affinity: selection.Key(prompt.SharedPart()),
+		Shared:   shared,
+		Own:      max(float64(prompt.Tokens)-shared, 0),
+		Output:   float64(output),
+		Budget:   time.Duration(float64(request.Route.TargetLatency) * a.settings.BudgetShare),
+	}
+}
+
+func (a *admission) engines(view *knowledge.View, service fleet.Service, usable []*knowledge.Backend) []selection.Engine {
+	capacity := 0.0
+	if settings := view.Index.Service(service); settings != nil {
+		capacity = float64(settings.KVCapacity)
+	}
+	engines := make([]selection.Engine, len(usable))
+	for i, backend := range usable {
+		own, _ := a.loads.get(backend.ID)
+		load := own.Add(a.peers.Load(backend.ID))
+		engines[i] = selection.Engine{
+			ID:             backend.ID,
+			Running:        load.Running,
+			Slots:          backend.Slots,
+			Pending:        load.Pending,
+			Memory:         load.Memory,
+			MemoryCapacity: capacity,
+		}
+	}
+	return engines
+}
+
+// assumedRate is the prompt tokens that an engine reads in a second before
+// anything is known of it, when no capacity is stated either.
+const assumedRate = 20_000
+
+func (a *admission) limits(view *knowledge.View, service fleet.Service, limits knowledge.Limits) selection.Limits {
+	assumed := float64(assumedRate)
+	if count := len(view.ByService[service]); limits.TokensPerSecond > 0 && count > 0 {
+		assumed = limits.TokensPerSecond / float64(count)
+	}
+	return selection.Limits{
+		Rate:        a.loads.rate(service, assumed),
+		SlotShare:   a.settings.SlotShare,
+		MemoryShare: a.settings.MemoryShare,
+	}
+}
+
+// began notes the first event of a placed request after the time since it was
+// sent.
+func (a *admission) began(placed *placement, service fleet.Service, took time.Duration) {
+	if !placed.model || placed.load.Pending == 0 {
+		return
+	}
+	a.loads.first(placed.backend.ID, service, placed.load.Pending, placed.pending, took)
+	placed.load.Pending = 0
+}
+
+// ended counts a placed request out. ran is false when it did not run.
+func (a *admission) ended(request *Request, placed *placement, ran bool) {
+	a.loads.end(placed.backend.ID, placed.load)
+	if ran || !placed.model || request.Account == nil {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.Returned(request.Account.Name, request.Prompt.Cost(), boottime.Now())
+}
--- /dev/null
+++ b/internal/gate/budget.go
@@ -0,0 +1,80 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// BudgetSettings bound the second sends of all routers together.
+type BudgetSettings struct {
+	Ratio  float64       // second sends per request
+	Extra  float64       // second sends beyond that in one window
+	Window time.Duration // sliding
+}
+
+// budgetMargin is the part of the fleet's budget that the routers use. The
+// rest covers requests that are counted in another window than the second
+// sends that they paid for, and routers that do not know of each other yet.
+const budgetMargin = 0.6
+
+// bucket holds the second sends that may still be made to one service.
+type bucket struct {
+	tokens float64
+	at     boottime.Instant
+}
+
+// retryBudget bounds how often this router sends a request once more. Without
+// it, a service that fails gets several times its usual requests.
+type retryBudget struct {
+	settings BudgetSettings
+	peers    Peers
+	mu       sync.Mutex
+	services map[fleet.Service]*bucket
+}
+
+func newRetryBudget(settings BudgetSettings, peers Peers) *retryBudget {
+	return &retryBudget{settings: settings, peers: peers, services: make(map[fleet.Service]*bucket)}
+}
+
+// most is what this router may spend at once: its part of the fleet's extra.
+func (b *retryBudget) most() float64 {
+	return b.settings.Extra * budgetMargin / float64(max(b.peers.Routers(), 1))
+}
+
+func (b *retryBudget) bucket(service fleet.Service) *bucket {
+	known := b.services[service]
+	now := boottime.Now()
+	if known == nil {
+		// Half of it, as this process may have spent some before a restart.
+		known = &bucket{tokens: b.most() / 2, at: now}
+		b.services[service] = known
+	}
+	// The part that does not depend on requests comes back over a window.
+	passed := now.Sub(known.at).Seconds()
+	known.tokens = min(known.tokens+passed*b.most()/2/b.settings.Window.Seconds(), b.most())
+	known.at = now
+	return known
+}
+
+// earn counts a request to the service.
+func (b *retryBudget) earn(service fleet.Service) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.bucket(service)
+	known.tokens = min(known.tokens+b.settings.Ratio*budgetMargin, b.most())
+}
+
+// spend takes one second send and tells whether it may be made.
+func (b *retryBudget) spend(service fleet.Service) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	known := b.bucket(service)
+	if known.tokens < 1 {
+		return false
+	}
+	known.tokens--
+	return true
+}
--- /dev/null
+++ b/internal/gate/config.go
@@ -0,0 +1,124 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Config is the configuration file of a gate.
+type Config struct {
+	Node      NodeSection       `section:"node" doc:"This process and the VM that it runs on."`
+	Listen    ListenSection     `section:"listen" doc:"Addresses of this process."`
+	Store     StoreSection      `section:"store" doc:"The platform's store."`
+	Peers     PeersSection      `section:"peers" doc:"Other routers to ask at the start."`
+	VM        VMSection         `section:"vm" doc:"What the VM gives to this process."`
+	Bounds    BoundsSection     `section:"bounds" doc:"What the users have agreed on."`
+	Admission AdmissionSection  `section:"admission" doc:"What is sent to model engines."`
+	Log       daemon.LogSection `section:"log" doc:"Log records on standard output."`
+}
+
+// NodeSection tells a gate who and where it is.
+type NodeSection struct {
+	Name string     `key:"name" required:"true" doc:"Name of the VM."`
+	Zone fleet.Zone `key:"zone" required:"true" doc:"Availability zone."`
+}
+
+// ListenSection holds the addresses of a gate.
+type ListenSection struct {
+	Callers       fleet.Address `key:"callers" required:"true" doc:"Callers' interface."`
+	Readiness     fleet.Address `key:"readiness" required:"true" doc:"Readiness for the balancer."`
+	ReadinessPath string        `key:"readiness_path" default:"/readyz" doc:"Path at which the balancer asks for readiness."`
+	Peers         fleet.Address `key:"peers" required:"true" doc:"Port for other routers, datagrams and calls."`
+	Metrics       fleet.Address `key:"metrics" doc:"Metrics; nothing is served when empty."`
+}
+
+// StoreSection tells where the store is.
+type StoreSection struct {
+	Address fleet.Address `key:"address" required:"true" doc:"IP number and port of the store."`
+}
+
+// PeersSection names some routers for a start while the store is down.
+type PeersSection struct {
+	Seeds []fleet.Address `key:"seeds" doc:"Ports for other routers, separated by commas; some may be gone."`
+}
+
+// VMSection tells what the VM gives to this process.
+type VMSection struct {
+	MemoryMB    int `key:"memory_mb" default:"128" min:"32" unit:"MB" doc:"Memory of the process; it is killed beyond."`
+	Descriptors int `key:"descriptors" default:"1024" min:"300" doc:"File descriptors of the process."`
+}
+
+// BoundsSection holds what the users have agreed on.
+type BoundsSection struct {
+	Grace            time.Duration `key:"grace" default:"8s" min:"1s" doc:"From the signal to stop until the process is killed."`
+	Revoke           time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
+	Apply            time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
+	RetryRatio       float64       `key:"retry_ratio" default:"0.2" min:"0" doc:"Second sends per request to a service, over all routers."`
+	RetryExtra       float64       `key:"retry_extra" default:"50" min:"0" doc:"Second sends to a service beyond that in a window, over all routers."`
+	RetryWindow      time.Duration `key:"retry_window" default:"10s" min:"100ms" doc:"Window of the two keys above."`
+}
+
+// AdmissionSection holds what is sent to model engines.
+type AdmissionSection struct {
+	BudgetShare    float64       `key:"budget_share" default:"0.5" min:"0.01" max:"1" doc:"Part of a route's target latency within which an engine must have read the prompts ahead of a request and its own."`
+	SlotShare      float64       `key:"slot_share" default:"0.8" min:"0.05" max:"1" doc:"Part of an engine's slots that is used."`
+	MemoryShare    float64       `key:"memory_share" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's memory that requests may fill."`
+	CapacityFactor float64       `key:"capacity_factor" default:"1.6" min:"0.1" doc:"How much more than the stated capacity the accounts share."`
+	RetryAfter     time.Duration `key:"retry_after" default:"300ms" min:"10ms" doc:"Time to come back that refused callers are told."`
+}
+
+const (
+	// bodyMemoryShare is the part of the memory that requests' bodies may
+	// fill. The rest is for connections, answers and the runtime.
+	bodyMemoryShare = 0.25
+	// descriptorShare is the part of the descriptors, after those kept for
+	// files, that callers' connections may take. The rest goes to backend
+	// servers.
+	descriptorShare = 0.45
+	// keptDescriptors is the part of the descriptors that files need.
+	keptDescriptors = 200
+	// heapShare is the part of the memory that the Go runtime may use before
+	// it collects more eagerly.
+	heapShare = 0.75
+	// keyedShare is the part of the bound for withdrawn keys at which requests
+	// with keys are refused: the users count no request beyond 0.6 of it.
+	keyedShare = 0.8
+	// finalShare is the part of the bound for configurations from which an
+	// unknown route is not denied for good.
+	finalShare = 0.9
+	// bytesPerMB converts the settings' unit.
+	bytesPerMB = 1 << 20
+)
+
+// Connections returns the most callers' connections at once.
+func (s VMSection) Connections() int {
+	return max(int(float64(s.Descriptors-keptDescriptors)*descriptorShare), 16)
+}
+
+// HeapLimit returns the bytes at which the Go runtime collects more eagerly.
+func (s VMSection) HeapLimit() int64 { return int64(float64(s.MemoryMB*bytesPerMB) * heapShare) }
+
+// Settings returns what the gate decides by.
+func (c *Config) Settings() Settings {
+	return Settings{
+		Freshness: Freshness{
+			Keyed: time.Duration(float64(c.Bounds.Revoke) * keyedShare),
+			Final: time.Duration(float64(c.Bounds.Apply) * finalShare),
+		},
+		Budget: BudgetSettings{
+			Ratio:  c.Bounds.RetryRatio,
+			Extra:  c.Bounds.RetryExtra,
+			Window: c.Bounds.RetryWindow,
+		},
+		Admission: AdmissionSettings{
+			BudgetShare:    c.Admission.BudgetShare,
+			SlotShare:      c.Admission.SlotShare,
+			MemoryShare:    c.Admission.MemoryShare,
+			CapacityFactor: c.Admission.CapacityFactor,
+			RetryAfter:     c.Admission.RetryAfter,
+		},
+		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
+	}
+}
--- /dev/null
+++ b/internal/gate/dialect.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Dialect translates between the wire and the product's own types.
+type Dialect interface {
+	// Decode reads a caller's request but for its body. An error means that
+	// the request is malformed.
+	Decode(r *http.Request) (*Request, error)
+	// ForwardHeader returns the whole header for a backend server.
+	ForwardHeader(forward *Forward) http.Header
+	// Reply reads the header of an answer.
+	Reply(status int, header http.Header) Reply
+	// Unsign removes from the header what marks an answer as a backend
+	// server's own.
+	Unsign(header http.Header)
+}
+
+// Forward is a request on its way to a backend server.
+type Forward struct {
+	Request *Request
+	Backend *knowledge.Backend
+	Left    time.Duration // until the backend server may give up
+	// LastEvent is the id of the last event that was handed out.
+	LastEvent string
+}
+
+// Reply is what a backend server says of an answer in its header.
+type Reply struct {
+	ID     string // of the request that it answers, "" if not stated
+	Signed bool   // bears the backend server's mark
+	// Refused means that the backend server did not and will not run the
+	// request.
+	Refused bool
+	// Replaced means that another backend server has the address by now.
+	Replaced bool
+	Encoded  bool // the body isn't the one that the backend server made
+}
--- /dev/null
+++ b/internal/gate/entry.go
@@ -0,0 +1,209 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// defaultLimits hold until the first configuration is known. They are generous
+// in what callers may send and how long they may stay idle, as nothing is
+// served yet.
+var defaultLimits = knowledge.Limits{
+	HeaderBytes:   64 << 10,
+	HeaderTimeout: 3 * time.Second,
+	IdleTimeout:   30 * time.Second,
+}
+
+// acceptPause is the pause after a failed accept, mostly for want of
+// descriptors.
+const acceptPause = 20 * time.Millisecond
+
+// entry accepts callers' connections. Each connection keeps the limits that
+// were in force when it was opened.
+type entry struct {
+	handler http.Handler
+	open    chan struct{} // holds a token for each open connection
+
+	mu       sync.Mutex
+	listener net.Listener
+	current  *generation
+	all      []*generation
+	draining bool
+}
+
+// generation is a server with the limits of one configuration.
+type generation struct {
+	limits knowledge.Limits
+	server *http.Server
+	conns  *handedListener
+}
+
+func newEntry(handler http.Handler, connections int) *entry {
+	e := &entry{handler: handler, open: make(chan struct{}, connections)}
+	e.apply(defaultLimits)
+	return e
+}
+
+// apply serves connections opened from now on within the limits.
+func (e *entry) apply(limits knowledge.Limits) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.current != nil && sameEntryLimits(e.current.limits, limits) {
+		return
+	}
+	next := &generation{
+		limits: limits,
+		conns:  newHandedListener(),
+		server: &http.Server{
+			Handler:           e.handler,
+			MaxHeaderBytes:    limits.HeaderBytes,
+			ReadHeaderTimeout: limits.HeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			// What callers send wrong is their matter and would flood the log.
+			ErrorLog: log.New(io.Discard, "", 0),
+			// OPTIONS * is a request like any other.
+			DisableGeneralOptionsHandler: true,
+		},
+	}
+	if e.draining {
+		next.server.SetKeepAlivesEnabled(false)
+	}
+	e.current = next
+	e.all = append(e.all, next)
+	go func() { _ = next.server.Serve(next.conns) }() // ends with the listener only
+}
+
+func sameEntryLimits(a, b knowledge.Limits) bool {
+	return a.HeaderBytes == b.HeaderBytes && a.HeaderTimeout == b.HeaderTimeout && a.IdleTimeout == b.IdleTimeout
+}
+
+// run accepts connections at the address until the context ends or the entry
+// is closed.
+func (e *entry) run(ctx context.Context, address fleet.Address) error {
+	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2}}
+	listener, err := config.Listen(ctx, "tcp", string(address))
+	if err != nil {
+		return fleet.Wrap(err, fleet.StepAccept, address)
+	}
+	e.mu.Lock()
+	e.listener = listener
+	e.mu.Unlock()
+	stop := context.AfterFunc(ctx, e.stopAccepting)
+	defer stop()
+	for {
+		e.open <- struct{}{}
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return nil
+		}
+		if err != nil {
+			<-e.open
+			time.Sleep(acceptPause)
+			continue
+		}
+		e.mu.Lock()
+		current := e.current
+		e.mu.Unlock()
+		current.conns.hand(&countedConn{Conn: conn, open: e.open})
+	}
+}
+
+// callerKeepAlive finds callers that vanished without closing.
+const callerKeepAlive = 5 * time.Second
+
+// beginDrain closes idle connections and lets the others end with their
+// answer.
+func (e *entry) beginDrain() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.draining = true
+	for _, generation := range e.all {
+		generation.server.SetKeepAlivesEnabled(false)
+	}
+}
+
+func (e *entry) stopAccepting() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listener != nil {
+		_ = e.listener.Close() // there is no use for it any more
+	}
+}
+
+// finish waits until no request is left or the context ends, and closes what
+// is left then.
+func (e *entry) finish(ctx context.Context) error {
+	e.mu.Lock()
+	all := e.all
+	e.mu.Unlock()
+	var left error
+	for _, generation := range all {
+		if err := generation.server.Shutdown(ctx); err != nil {
+			left = errors.Wrap(err, "requests in progress were cut")
+			_ = generation.server.Close() // closes what is left
+		}
+	}
+	return left
+}
+
+// countedConn gives its place back when it is closed.
+type countedConn struct {
+	net.Conn
+	open chan struct{}
+	once sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(func() { <-c.open })
+	return c.Conn.Close()
+}
+
+// handedListener is a net.Listener whose connections are handed to it.
+type handedListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newHandedListener() *handedListener {
+	return &handedListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+}
+
+// hand gives a connection to the server that accepts from the listener.
+func (l *handedListener) hand(conn net.Conn) {
+	select {
+	case l.conns <- conn:
+	case <-l.closed:
+		_ = conn.Close() // nobody serves it
+	}
+}
+
+// Accept implements net.Listener.
+func (l *handedListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close implements net.Listener.
+func (l *handedListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+// Addr implements net.Listener.
+func (l *handedListener) Addr() net.Addr { return &net.TCPAddr{} }
--- /dev/null
+++ b/internal/gate/handler.go
@@ -0,0 +1,158 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Settings are the settings of a gate.
+type Settings struct {
+	Freshness Freshness
+	Budget    BudgetSettings
+	Admission AdmissionSettings
+	// BodyMemory bounds the bytes of all requests that are held at once.
+	BodyMemory int64
+}
+
+// handler answers callers.
+type handler struct {
+	settings  Settings
+	dialect   Dialect
+	state     *knowledge.State
+	pool      *backendconn.Pool
+	admission *admission
+	budget    *retryBudget
+	suspects  *suspects
+	records   *records
+	metrics   *metrics
+	draining  atomic.Bool
+	bodies    atomic.Int64 // bytes of the requests held
+}
+
+// ServeHTTP implements http.Handler.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := boottime.Now()
+	view := h.state.View()
+	request, err := h.dialect.Decode(r)
+	if err != nil {
+		h.refuse(w, nil, Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed})
+		return
+	}
+	request.Received = received
+	if refusal := identify(request, view, h.settings.Freshness, rand.Float64()); refusal != nil {
+		h.refuse(w, request, *refusal)
+		return
+	}
+	size, refusal := h.readBody(w, r, request, view)
+	defer h.bodies.Add(-size)
+	if refusal != nil {
+		h.refuse(w, request, *refusal)
+		return
+	}
+	request.Fingerprint = fingerprint(request)
+	ctx, cancel := context.WithTimeout(r.Context(), request.Left(boottime.Now()))
+	defer cancel()
+	h.bound(w, request)
+	h.serve(ctx, w, request)
+}
+
+// writeSlack is how long after its limit an answer may still be on its way to
+// a caller that reads slowly.
+const writeSlack = 2 * time.Second
+
+// bound ends writes to a caller that does not read. Its answer would else be
+// held for good.
+func (h *handler) bound(w http.ResponseWriter, request *Request) {
+	control := http.NewResponseController(w)
+	// Connections of tests have no deadlines; those of callers do.
+	_ = control.SetWriteDeadline(time.Now().Add(request.Limit + writeSlack))
+}
+
+// readBody reads the whole body, so that a request that breaks off on its way
+// in is never sent on. It returns the bytes counted in.
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, request *Request, view *knowledge.View) (int64, *Refusal) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return 0, nil
+	}
+	most := int64(view.Index.Configuration.Limits.BodyBytes)
+	counted := max(r.ContentLength, 0)
+	if most > 0 && counted > most {
+		return 0, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
+	}
+	if h.bodies.Add(counted) > h.settings.BodyMemory {
+		return counted, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonMemory, RetryAfter: startRetry}
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(request.Limit)) // as in bound
+	body := io.Reader(r.Body)
+	if most > 0 {
+		body = http.MaxBytesReader(w, r.Body, most)
+	}
+	data, err := io.ReadAll(body)
+	// The deadline would else end the read that notices a leaving caller.
+	_ = control.SetReadDeadline(time.Time{})
+	request.Body = data
+	if more := int64(len(data)) - counted; more > 0 {
+		h.bodies.Add(more)
+		counted += more
+	}
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return counted, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
+	case err != nil:
+		return counted, &Refusal{Status: http.StatusBadRequest, Reason: ReasonBodyTimeout}
+	}
+	return counted, nil
+}
+
+// serve sends an identified request to a backend server.
+func (h *handler) serve(ctx context.Context, w http.ResponseWriter, request *Request) {
+	h.budget.earn(request.Service)
+	h.admission.asked(request)
+	if h.suspects.refused(request.Fingerprint) {
+		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: suspectRetry})
+		return
+	}
+	run := &run{handler: h, request: request, writer: w, excluded: make(map[string]bool)}
+	run.loop(ctx)
+}
+
+// suspectRetry is the time to come back for a request that breaks backend
+// servers. It is long, as nothing will have changed.
+const suspectRetry = 5 * time.Second
+
+// refusalBody is the body of an answer of the router's own.
+type refusalBody struct {
+	Error Reason `json:"error"`
+}
+
+// refuse answers a request that no backend server has answered.
+func (h *handler) refuse(w http.ResponseWriter, request *Request, refusal Refusal) {
+	h.records.refused(request, refusal)
+	h.metrics.refused(refusal)
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	if refusal.RetryAfter > 0 {
+		header.Set("Retry-After", strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64))
+	}
+	body, err := json.Marshal(refusalBody{Error: refusal.Reason})
+	if err != nil {
+		panic(err) // a string can always be encoded
+	}
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(refusal.Status)
+	_, _ = w.Write(body) // a caller that has gone needs no answer
+}
--- /dev/null
+++ b/internal/gate/identify.go
@@ -0,0 +1,105 @@
+package gate
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Refusal is the answer to a request that was sent to no backend server, or
+// that ended without a usable answer.
+type Refusal struct {
+	Status     int
+	Reason     Reason
+	RetryAfter time.Duration // 0 for none
+}
+
+// Reason names why a request was refused. Logs and metrics carry it.
+type Reason string
+
+// The reasons of refusals.
+const (
+	ReasonMalformed    Reason = "malformed"
+	ReasonBodyTooLarge Reason = "body-too-large"
+	ReasonBodyTimeout  Reason = "body-timeout"
+	ReasonNoKnowledge  Reason = "no-knowledge"
+	ReasonStale        Reason = "stale-configuration"
+	ReasonNoRoute      Reason = "no-route"
+	ReasonNoAccount    Reason = "unknown-key"
+	ReasonBusy         Reason = "busy"
+	ReasonShare        Reason = "over-share"
+	ReasonNoBackend    Reason = "no-backend"
+	ReasonDeclined     Reason = "declined"
+	ReasonBroken       Reason = "broken"
+	ReasonBadAnswer    Reason = "bad-answer"
+	ReasonTimeout      Reason = "timeout"
+	ReasonCallerGone   Reason = "caller-gone"
+	ReasonSuspect      Reason = "breaks-backends"
+	ReasonMemory       Reason = "memory"
+	ReasonLate         Reason = "too-late"
+)
+
+// Freshness bounds how old knowledge may be.
+type Freshness struct {
+	// Keyed is the greatest age of a configuration by which a request with a
+	// key is taken.
+	Keyed time.Duration
+	// Final is the greatest age of a configuration by which an unknown route
+	// or key is told so for good.
+	Final time.Duration
+}
+
+// startRetry is the time to come back that a router tells while it does not
+// know enough: as long as a first answer of the store takes, and some more.
+const startRetry = 300 * time.Millisecond
+
+// identify finds the route, the account and the service of a request, or the
+// refusal. point in [0, 1) chooses among the services of a split route.
+func identify(request *Request, view *knowledge.View, fresh Freshness, point float64) *Refusal {
+	if !view.Ready() {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoKnowledge, RetryAfter: startRetry}
+	}
+	age := boottime.Now().Sub(view.Configured)
+	request.Route = view.Index.Route(request.Host, request.Path)
+	if request.Route == nil {
+		return unknown(http.StatusNotFound, ReasonNoRoute, age, fresh)
+	}
+	if view.Index.Configuration.Keyed && !request.Route.Public {
+		request.Account = view.Index.Account(request.Key)
+		if request.Account == nil {
+			return unknown(http.StatusUnauthorized, ReasonNoAccount, age, fresh)
+		}
+		// The key may have been withdrawn since. Nothing shows that to a
+		// router that the store does not reach but the age of what it knows.
+		if age > fresh.Keyed {
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonStale, RetryAfter: startRetry}
+		}
+	}
+	service, ok := request.Route.Destination(point)
+	if !ok {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonNoBackend, RetryAfter: startRetry}
+	}
+	request.Service = service
+	request.Limit = limit(request)
+	return nil
+}
+
+// unknown returns the refusal of a request whose route or key is unknown. A
+// router that may have missed a configuration does not deny for good.
+func unknown(status int, reason Reason, age time.Duration, fresh Freshness) *Refusal {
+	if age > fresh.Final {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonStale, RetryAfter: startRetry}
+	}
+	return &Refusal{Status: status, Reason: reason}
+}
+
+// limit returns the time within which the request gets its final answer.
+func limit(request *Request) time.Duration {
+	longest := request.Route.Timeout
+	if request.Deadline > 0 && (longest == 0 || request.Deadline < longest) {
+		return request.Deadline
+	}
+	return longest
+}
--- /dev/null
+++ b/internal/gate/loads.go
@@ -0,0 +1,229 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// BackendLoad is what a router has at one backend server.
+type BackendLoad struct {
+	Running int
+	Pending float64 // prompt tokens whose first event has not come
+	Memory  float64 // tokens that the running requests hold or will hold
+}
+
+// Add returns the sum of two loads.
+func (l BackendLoad) Add(other BackendLoad) BackendLoad {
+	return BackendLoad{
+		Running: l.Running + other.Running,
+		Pending: l.Pending + other.Pending,
+		Memory:  l.Memory + other.Memory,
+	}
+}
+
+// Peers tells what the other routers have at backend servers and how many
+// routers there are.
+type Peers interface {
+	// Load returns the sum over all other routers that are heard.
+	Load(backend string) BackendLoad
+	// Routers returns the number of routers that take requests, this one
+	// included.
+	Routers() int
+}
+
+const (
+	// failureMemory is the weight of the newest answer in the share of
+	// failures of a backend server.
+	failureMemory = 0.2
+	// shunShare is the share of failures from which a backend server gets no
+	// requests for a while. Plain services fail up to a seventh of their
+	// requests by their nature.
+	shunShare = 0.6
+	// shunTime is how long that lasts. One request tries it then.
+	shunTime = 1500 * time.Millisecond
+	// brokenShun is how long a backend server gets no requests whose
+	// connection could not be opened.
+	brokenShun = 800 * time.Millisecond
+	// latencyMemory is the weight of the newest latency in the average.
+	latencyMemory = 0.1
+	// loadLife is how long a backend server that is no longer listed is
+	// remembered, so that requests still running there are counted down.
+	loadLife = time.Minute
+)
+
+// backendState is what a router has seen of one backend server.
+type backendState struct {
+	load      BackendLoad
+	failures  float64 // share of recent requests that failed, decayed
+	shunned   boottime.Instant
+	latency   float64 // seconds, decayed average
+	lastUsed  boottime.Instant
+	lastError string
+}
+
+// engineModel is what a router has learned of the engines of one service.
+type engineModel struct {
+	tokens  float64 // decayed sum of prompt tokens of requests that have begun
+	seconds float64 // decayed sum of the time that they took to begin
+}
+
+const (
+	// modelMemory is the weight of the past at each observation of an engine.
+	// Some hundred observations, a second or two under load, are remembered.
+	modelMemory = 0.99
+	// modelPrior is the weight in seconds of the figure that is assumed before
+	// anything was observed.
+	modelPrior = 0.5
+)
+
+// loads is the table of backend servers. Its methods may be called
+// concurrently.
+type loads struct {
+	mu       sync.Mutex
+	backends map[string]*backendState
+	models   map[fleet.Service]*engineModel
+}
+
+func newLoads() *loads {
+	return &loads{
+		backends: make(map[string]*backendState),
+		models:   make(map[fleet.Service]*engineModel),
+	}
+}
+
+func (l *loads) state(id string) *backendState {
+	state := l.backends[id]
+	if state == nil {
+		state = &backendState{}
+		l.backends[id] = state
+	}
+	return state
+}
+
+// begin counts a request in at a backend server.
+func (l *loads) begin(id string, load BackendLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.state(id)
+	state.load = state.load.Add(load)
+	state.lastUsed = boottime.Now()
+}
+
+// first counts the first event of a request: its prompt has been read. pending
+// are the tokens that were waiting when it was sent, its own included.
+func (l *loads) first(id string, service fleet.Service, own, pending float64, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state(id).load.Pending -= own
+	model := l.models[service]
+	if model == nil {
+		model = &engineModel{}
+		l.models[service] = model
+	}
+	model.tokens = model.tokens*modelMemory + pending
+	model.seconds = model.seconds*modelMemory + took.Seconds()
+}
+
+// rate returns how many prompt tokens an engine of the service reads in a
+// second, as observed; assumed is the figure before any observation.
+func (l *loads) rate(service fleet.Service, assumed float64) float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	model := l.models[service]
+	if model == nil {
+		return assumed
+	}
+	return (model.tokens + assumed*modelPrior) / (model.seconds + modelPrior)
+}
+
+// end counts a request out at a backend server.
+func (l *loads) end(id string, load BackendLoad) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.state(id)
+	state.load.Running -= load.Running
+	state.load.Pending -= load.Pending
+	state.load.Memory -= load.Memory
+}
+
+// answered notes an answer and how long it took.
+func (l *loads) answered(id string, sound bool, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.state(id)
+	failure := 0.0
+	if !sound {
+		failure = 1
+	}
+	state.failures += (failure - state.failures) * failureMemory
+	if sound && took > 0 {
+		if state.latency == 0 {
+			state.latency = took.Seconds()
+		}
+		state.latency += (took.Seconds() - state.latency) * latencyMemory
+	}
+	if state.failures > shunShare {
+		// Half of the memory goes, so that one good answer after the pause
+		// clears the backend server and one bad one shuns it again.
+		state.failures = shunShare * (1 - failureMemory)
+		state.shunned = boottime.Now().Add(shunTime)
+	}
+}
+
+// broken notes that no connection to the backend server could be opened or
+// that one broke.
+func (l *loads) broken(id string, reason string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.state(id)
+	state.lastError = reason
+	state.shunned = boottime.Now().Add(brokenShun)
+}
+
+// shunnedNow tells whether the backend server gets no requests at present.
+func (l *loads) shunnedNow(id string, now boottime.Instant) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.backends[id]
+	return state != nil && now < state.shunned
+}
+
+// get returns the router's own load at a backend server and its latency.
+func (l *loads) get(id string) (BackendLoad, float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	state := l.backends[id]
+	if state == nil {
+		return BackendLoad{}, 0
+	}
+	return state.load, state.latency
+}
+
+// snapshot returns the loads of all backend servers that have any.
+func (l *loads) snapshot() map[string]BackendLoad {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	loaded := make(map[string]BackendLoad, len(l.backends))
+	for id, state := range l.backends {
+		if state.load.Running > 0 {
+			loaded[id] = state.load
+		}
+	}
+	return loaded
+}
+
+// keep forgets backend servers that are no longer listed.
+func (l *loads) keep(listed map[string]*knowledge.Backend) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := boottime.Now()
+	for id, state := range l.backends {
+		if listed[id] == nil && state.load.Running <= 0 && now.Sub(state.lastUsed) > loadLife {
+			delete(l.backends, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/local.go
@@ -0,0 +1,52 @@
+package gate
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/shares"
+)
+
+// Uses returns what each account asked and got here.
+func (m *Manager) Uses() map[fleet.Account]shares.Use {
+	a := m.handler.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.ledger.Own(boottime.Now())
+}
+
+// Loads returns what runs at backend servers, by the hashes of their ids.
+func (m *Manager) Loads() map[uint64]BackendLoad {
+	loaded := m.handler.admission.loads.snapshot()
+	hashed := make(map[uint64]BackendLoad, len(loaded))
+	for id, load := range loaded {
+		hashed[xxhash.Sum64String(id)] = load
+	}
+	return hashed
+}
+
+// TakeBroken returns the fingerprints of requests that broke a backend server
+// here since the last call.
+func (m *Manager) TakeBroken() []uint64 { return m.handler.suspects.takeFresh() }
+
+// SetUses takes the uses of another router.
+func (m *Manager) SetUses(router fleet.Address, uses map[fleet.Account]shares.Use) {
+	a := m.handler.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.SetOther(string(router), uses, boottime.Now())
+}
+
+// RemoveUses forgets a router that is no longer heard.
+func (m *Manager) RemoveUses(router fleet.Address) {
+	a := m.handler.admission
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ledger.RemoveOther(string(router))
+}
+
+// HeardBroken takes a fingerprint from another router.
+func (m *Manager) HeardBroken(router fleet.Address, fingerprint uint64) {
+	m.handler.suspects.heard(router, fingerprint)
+}
--- /dev/null
+++ b/internal/gate/manager.go
@@ -0,0 +1,146 @@
+package gate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Options hold what a Manager needs.
+type Options struct {
+	Settings    Settings
+	Callers     fleet.Address // the callers' interface
+	Zone        fleet.Zone
+	Connections int           // most callers' connections at once
+	Grace       time.Duration // from the signal to stop until the process is killed
+	Dialect     Dialect
+	State       *knowledge.State
+	Peers       Peers
+	Readiness   *daemon.Readiness
+	Registerer  prometheus.Registerer
+	Logger      logrus.FieldLogger
+}
+
+// Manager runs a gate. It is a daemon.Service.
+type Manager struct {
+	options Options
+	handler *handler
+	entry   *entry
+}
+
+// NewManager returns a gate that takes no requests yet.
+func NewManager(options Options) *Manager {
+	h := &handler{
+		settings:  options.Settings,
+		dialect:   options.Dialect,
+		state:     options.State,
+		pool:      backendconn.NewPool(),
+		admission: newAdmission(options.Settings.Admission, options.Zone, options.Peers),
+		budget:    newRetryBudget(options.Settings.Budget, options.Peers),
+		suspects:  newSuspects(),
+		records:   newRecords(options.Logger, options.State),
+		metrics:   newMetrics(options.Registerer),
+	}
+	return &Manager{options: options, handler: h, entry: newEntry(h, options.Connections)}
+}
+
+// Run serves callers until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return m.handler.pool.Run(ctx) })
+	group.Go(func() error { return m.handler.records.Run(ctx) })
+	group.Go(func() error { return m.follow(ctx) })
+	group.Go(func() error {
+		if err := m.entry.run(ctx, m.options.Callers); err != nil {
+			return err
+		}
+		<-ctx.Done()
+		return nil
+	})
+	return group.Wait()
+}
+
+// follow applies what becomes known until the context ends.
+func (m *Manager) follow(ctx context.Context) error {
+	before := &knowledge.View{}
+	for {
+		changed := m.options.State.Changed()
+		view := m.options.State.View()
+		m.apply(before, view)
+		before = view
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
+	}
+}
+
+func (m *Manager) apply(before, view *knowledge.View) {
+	if view.Version() != before.Version() {
+		m.entry.apply(view.Index.Configuration.Limits)
+		event.GateVersion.Log(m.options.Logger, logrus.Fields{"version": view.Version(), "before": before.Version()})
+	}
+	m.logBackends(before, view)
+	m.handler.admission.loads.keep(view.Backends)
+	if view.Ready() && m.options.Readiness.NotReady() != "" {
+		m.options.Readiness.SetReady()
+		event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": true})
+	}
+}
+
+func (m *Manager) logBackends(before, view *knowledge.View) {
+	added, removed := lo.Difference(lo.Keys(view.Backends), lo.Keys(before.Backends))
+	var leaving []string
+	for id, backend := range view.Backends {
+		known := before.Backends[id]
+		if backend.Leaving && (known == nil || !known.Leaving) {
+			leaving = append(leaving, id)
+		}
+	}
+	if len(added)+len(removed)+len(leaving) == 0 {
+		return
+	}
+	slices.Sort(added)
+	slices.Sort(removed)
+	slices.Sort(leaving)
+	event.GateBackends.Log(m.options.Logger, logrus.Fields{
+		"added": added, "removed": removed, "leaving": leaving, "revision": view.Revision,
+	})
+}
+
+const (
+	// notice is how long connections are still taken after the signal to stop.
+	// The balancer asks for readiness once a second and goes by two answers.
+	notice = 2500 * time.Millisecond
+	// endMargin is the time kept for ending before the process is killed.
+	endMargin = 400 * time.Millisecond
+)
+
+// Drain implements daemon.Service: it tells the balancer, takes connections
+// until the balancer has heard, and lets the requests in progress end.
+func (m *Manager) Drain(ctx context.Context) error {
+	deadline := time.Now().Add(m.options.Grace - endMargin)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	m.options.Readiness.SetDraining()
+	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": false})
+	m.entry.beginDrain()
+	select {
+	case <-ctx.Done():
+	case <-time.After(min(notice, m.options.Grace/2)):
+	}
+	m.entry.stopAccepting()
+	return m.entry.finish(ctx)
+}
--- /dev/null
+++ b/internal/gate/metrics.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the gate's counters. Their labels are bounded by the routes'
+// kinds, the statuses and the reasons, never by accounts or requests.
+type metrics struct {
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	first    prometheus.Histogram
+}
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_answers_total",
+			Help: "Answers of backend servers handed to callers, by status.",
+		}, []string{"status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_refusals_total",
+			Help: "Answers of the router's own, by status and reason.",
+		}, []string{"status", "reason"}),
+		first: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "bluebell_gate_first_event_seconds",
+			Help:    "Time from a streamed request's arrival to its first event.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
+		}),
+	}
+	registerer.MustRegister(m.answers, m.refusals, m.first)
+	return m
+}
+
+func (m *metrics) answered(status int) {
+	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
+}
+
+func (m *metrics) refused(refusal Refusal) {
+	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
+}
+
+func (m *metrics) firstEvent(took time.Duration) {
+	m.first.Observe(took.Seconds())
+}
--- /dev/null
+++ b/internal/gate/records.go
@@ -0,0 +1,127 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+const (
+	// failuresPerSecond and failuresBurst bound the records of requests that
+	// did not go well. A record costs some 15 microseconds of a core.
+	failuresPerSecond = 40
+	failuresBurst     = 200
+	// answersPerSecond and answersBurst bound the records of requests that
+	// went well, which are a sample.
+	answersPerSecond = 2
+	answersBurst     = 10
+	// leftOutInterval is the pause between two records of what was left out.
+	leftOutInterval = 5 * time.Second
+)
+
+// records writes what was decided on requests, within bounds.
+type records struct {
+	logger   logrus.FieldLogger
+	state    *knowledge.State
+	failures *rate.Limiter
+	answers  *rate.Limiter
+	leftOut  atomic.Int64
+}
+
+func newRecords(logger logrus.FieldLogger, state *knowledge.State) *records {
+	return &records{
+		logger:   logger,
+		state:    state,
+		failures: rate.NewLimiter(failuresPerSecond, failuresBurst),
+		answers:  rate.NewLimiter(answersPerSecond, answersBurst),
+	}
+}
+
+// Run writes from time to time how many records were left out.
+func (r *records) Run(ctx context.Context) error {
+	ticker := time.NewTicker(leftOutInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			if count := r.leftOut.Swap(0); count > 0 {
+				event.GateLeftOut.Log(r.logger, logrus.Fields{"count": count})
+			}
+		}
+	}
+}
+
+func (r *records) write(limiter *rate.Limiter, which event.Event, request *Request, fields logrus.Fields) {
+	if !limiter.Allow() {
+		r.leftOut.Add(1)
+		return
+	}
+	if request != nil {
+		fields["request"] = request.ID
+		fields["service"] = request.Service
+		fields["elapsed_ms"] = boottime.Now().Sub(request.Received).Milliseconds()
+		if request.Route != nil {
+			fields["route"] = request.Route.Name
+		}
+		if request.Account != nil {
+			fields["account"] = request.Account.Name
+		}
+	}
+	view := r.state.View()
+	fields["config_version"] = view.Version()
+	fields["config_age_ms"] = boottime.Now().Sub(view.Configured).Milliseconds()
+	which.Log(r.logger, fields)
+}
+
+func (r *records) refused(request *Request, refusal Refusal) {
+	r.write(r.failures, event.GateRefused, request, logrus.Fields{
+		"reason":         refusal.Reason,
+		"status":         refusal.Status,
+		"retry_after_ms": refusal.RetryAfter.Milliseconds(),
+	})
+}
+
+func (r *records) declined(request *Request, backend *knowledge.Backend, status int, replaced bool) {
+	r.write(r.failures, event.GateDeclined, request, logrus.Fields{
+		"backend":  backend.ID,
+		"status":   status,
+		"replaced": replaced,
+	})
+}
+
+func (r *records) sendFailed(request *Request, backend *knowledge.Backend, err error) {
+	r.write(r.failures, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "error": err.Error()})
+}
+
+func (r *records) badAnswer(request *Request, backend *knowledge.Backend, status int) {
+	r.write(r.failures, event.GateBadAnswer, request, logrus.Fields{"backend": backend.ID, "status": status})
+}
+
+func (r *records) brokeOff(request *Request, sends int) {
+	r.write(r.failures, event.GateBrokeOff, request, logrus.Fields{"sends": sends})
+}
+
+func (r *records) callerGone(request *Request) {
+	r.write(r.answers, event.GateCallerGone, request, logrus.Fields{})
+}
+
+func (r *records) answered(request *Request, status, sends int, err error) {
+	limiter := r.answers
+	fields := logrus.Fields{"status": status, "sends": sends}
+	if status >= 500 || sends > 1 {
+		limiter = r.failures
+	}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	r.write(limiter, event.GateAnswered, request, fields)
+}
--- /dev/null
+++ b/internal/gate/relay_whole.go
@@ -0,0 +1,139 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// wholeMost is the size of an answer up to which it is read to its end before
+// it is handed on, so that one that breaks off can be replaced.
+const wholeMost = 1 << 20
+
+// restMost is how much of an answer that nobody wants is read to keep its
+// connection.
+const restMost = 16 << 10
+
+// wholeAnswer is an answer that has been read to its end.
+type wholeAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// relayWhole reads an answer to its end and hands it on.
+func (r *run) relayWhole(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) verdict {
+	var body bytes.Buffer
+	if answer.Length > 0 && answer.Length <= wholeMost {
+		body.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	_, err := io.Copy(&body, io.LimitReader(answer, wholeMost))
+	if err != nil {
+		r.handler.records.sendFailed(r.request, placed.backend, err)
+		r.brokenBy(ctx, placed)
+		return verdictBroken
+	}
+	took := boottime.Now().Sub(sent)
+	r.handler.admission.began(placed, r.request.Service, took)
+	success := answer.Status < http.StatusMultipleChoices
+	sound := success && reply.Signed && !reply.Encoded && reply.ID == r.request.ID
+	r.handler.admission.loads.answered(placed.backend.ID, sound, took)
+	if success && !sound {
+		r.handler.records.badAnswer(r.request, placed.backend, answer.Status)
+		return verdictBroken
+	}
+	if body.Len() == wholeMost {
+		return r.relayLong(ctx, answer, body.Bytes())
+	}
+	whole := &wholeAnswer{status: answer.Status, header: r.headerOf(answer, reply), body: body.Bytes()}
+	if answer.Status >= http.StatusInternalServerError {
+		// Another backend server may do better; if not, this is the answer.
+		r.saved = whole
+		return verdictFailed
+	}
+	r.deliver(whole)
+	return verdictDone
+}
+
+// headerOf returns the header for the caller. A status that promises that the
+// request did not run is changed by deliver, so it may not be signed.
+func (r *run) headerOf(answer *backendconn.Answer, reply Reply) http.Header {
+	header := make(http.Header, len(answer.Header))
+	for name, values := range answer.Header {
+		if !fleet.HopByHop(name) {
+			header[name] = values
+		}
+	}
+	if promisesNotRun(answer.Status) || !reply.Signed {
+		r.handler.dialect.Unsign(header)
+	}
+	return header
+}
+
+// promisesNotRun tells whether callers take the status for a promise that the
+// request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable,
+		http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// deliver hands a whole answer to the caller.
+func (r *run) deliver(whole *wholeAnswer) {
+	status := whole.status
+	if promisesNotRun(status) {
+		// The backend server did not say that it refused the request, so the
+		// promise could be untrue.
+		status = http.StatusBadGateway
+	}
+	header := r.writer.Header()
+	for name, values := range whole.header {
+		header[name] = values
+	}
+	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
+	r.writer.WriteHeader(status)
+	_, err := r.writer.Write(whole.body)
+	r.handler.records.answered(r.request, status, r.sends, err)
+	r.handler.metrics.answered(status)
+}
+
+// relayLong hands on an answer that is too long to be held: what has been read
+// and then the rest.
+func (r *run) relayLong(ctx context.Context, answer *backendconn.Answer, read []byte) verdict {
+	header := r.writer.Header()
+	for name, values := range answer.Header {
+		if !fleet.HopByHop(name) {
+			header[name] = values
+		}
+	}
+	if answer.Length >= 0 {
+		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
+	}
+	r.stream.started = true
+	r.writer.WriteHeader(answer.Status)
+	_, err := r.writer.Write(read)
+	if err == nil {
+		_, err = io.Copy(r.writer, answer)
+	}
+	if err != nil {
+		r.giveUp(ctx, Refusal{})
+	}
+	r.handler.records.answered(r.request, answer.Status, r.sends, nil)
+	return verdictDone
+}
+
+// readRest reads an answer that is not handed on, so that its connection can
+// be used again.
+func (r *run) readRest(answer *backendconn.Answer) {
+	// A failure only costs the connection.
+	_, _ = io.Copy(io.Discard, io.LimitReader(answer, restMost))
+}
--- /dev/null
+++ b/internal/gate/run.go
@@ -0,0 +1,241 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+const (
+	// connectsMost bounds the backend servers tried for one request whose
+	// connections could not even be opened.
+	connectsMost = 3
+	// leastLeft is the time below which a request is not sent any more: its
+	// answer could not be back in time.
+	leastLeft = 5 * time.Millisecond
+)
+
+// run is one caller's request on its way through backend servers.
+type run struct {
+	handler  *handler
+	request  *Request
+	writer   http.ResponseWriter
+	excluded map[string]bool // backend servers that failed the request
+
+	sends    int  // requests that may have arrived at a backend server
+	connects int  // connections that could not be opened
+	ran      bool // the request may have run
+	stream   streamState
+	saved    *wholeAnswer // a failure of a backend server, kept while another is tried
+}
+
+// verdict tells how a run goes on after a send.
+type verdict int
+
+const (
+	verdictDone     verdict = iota // the caller has its answer, or has gone
+	verdictDeclined                // the backend server did not run it
+	verdictUnsent                  // nothing was sent
+	verdictBroken                  // it may have run, no usable answer came
+	verdictFailed                  // a failure of the backend server's own is saved
+)
+
+// loop sends the request until its caller has an answer. It ends: each turn
+// either answers, counts a send towards the route's bound, or counts a
+// connection towards its own.
+func (r *run) loop(ctx context.Context) {
+	for {
+		view := r.handler.state.View()
+		placed, refusal := r.handler.admission.place(r.request, view, r.excluded)
+		if refusal != nil {
+			r.giveUp(ctx, *refusal)
+			return
+		}
+		if r.sends > 0 && !r.handler.budget.spend(r.request.Service) {
+			r.handler.admission.ended(r.request, placed, false)
+			r.giveUp(ctx, r.failure())
+			return
+		}
+		result := r.send(ctx, placed)
+		if result == verdictDone {
+			return
+		}
+		r.excluded[placed.backend.ID] = true
+		if !r.mayGoOn(ctx, result) {
+			r.giveUp(ctx, r.failure())
+			return
+		}
+	}
+}
+
+// mayGoOn tells whether the request may be sent to another backend server.
+func (r *run) mayGoOn(ctx context.Context, result verdict) bool {
+	switch {
+	case ctx.Err() != nil, r.request.Left(boottime.Now()) < leastLeft:
+		return false
+	case r.sends >= max(r.request.Route.MaxAttempts, 1), r.connects >= connectsMost:
+		return false
+	case r.stream.started:
+		return r.request.Route.Repeat == knowledge.RepeatResume && r.stream.lastEvent != ""
+	case result == verdictBroken, result == verdictFailed:
+		return r.request.Idempotent()
+	}
+	return true
+}
+
+// failure returns the final answer when no backend server gave one.
+func (r *run) failure() Refusal {
+	if r.ran {
+		return Refusal{Status: http.StatusBadGateway, Reason: ReasonBroken}
+	}
+	return Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     ReasonDeclined,
+		RetryAfter: r.handler.settings.Admission.RetryAfter,
+	}
+}
+
+// giveUp gives the final answer at once.
+func (r *run) giveUp(ctx context.Context, refusal Refusal) {
+	if r.stream.started {
+		// The head of an answer has been sent. Only a connection that ends
+		// early tells the caller that the stream is not complete.
+		r.handler.records.brokeOff(r.request, r.sends)
+		panic(http.ErrAbortHandler)
+	}
+	if r.saved != nil {
+		r.deliver(r.saved)
+		return
+	}
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refusal = r.timedOut()
+	}
+	if r.ran && refusal.Status == http.StatusServiceUnavailable {
+		// 503 promises that the request has not run.
+		refusal = Refusal{Status: http.StatusBadGateway, Reason: ReasonBroken}
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal.Reason = ReasonCallerGone
+	}
+	r.handler.refuse(r.writer, r.request, refusal)
+}
+
+func (r *run) timedOut() Refusal {
+	if r.ran {
+		return Refusal{Status: http.StatusGatewayTimeout, Reason: ReasonTimeout}
+	}
+	return Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     ReasonLate,
+		RetryAfter: r.handler.settings.Admission.RetryAfter,
+	}
+}
+
+// send sends the request to the backend server of its place and hands the
+// answer on.
+func (r *run) send(ctx context.Context, placed *placement) verdict {
+	h := r.handler
+	sent := boottime.Now()
+	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(placed, sent))
+	if err != nil {
+		return r.sendFailed(ctx, placed, err)
+	}
+	defer answer.Close()
+	r.sends++
+	reply := h.dialect.Reply(answer.Status, answer.Header)
+	if reply.Refused || reply.Replaced {
+		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
+		h.admission.ended(r.request, placed, false)
+		if reply.Replaced {
+			h.admission.loads.broken(placed.backend.ID, "replaced")
+		}
+		r.readRest(answer)
+		return verdictDeclined
+	}
+	r.ran = true
+	defer h.admission.ended(r.request, placed, true)
+	if r.stream.started && answer.Status >= http.StatusMultipleChoices {
+		// A failure can't follow the first events of a stream.
+		r.readRest(answer)
+		return verdictBroken
+	}
+	if r.request.Route.Stream && answer.Status < http.StatusMultipleChoices {
+		return r.relayStream(ctx, placed, answer, reply, sent)
+	}
+	return r.relayWhole(ctx, placed, answer, reply, sent)
+}
+
+func (r *run) outgoing(placed *placement, now boottime.Instant) *backendconn.Request {
+	forward := &Forward{
+		Request:   r.request,
+		Backend:   placed.backend,
+		Left:      r.request.Left(now),
+		LastEvent: r.stream.lastEvent,
+	}
+	if forward.LastEvent == "" {
+		forward.LastEvent = r.request.LastEvent
+	}
+	return &backendconn.Request{
+		Method:         r.request.Method,
+		URI:            r.request.URI,
+		Host:           r.request.Host,
+		Header:         r.handler.dialect.ForwardHeader(forward),
+		Body:           r.request.Body,
+		Mine:           r.mine,
+		MaxConnections: r.maxConnections(),
+	}
+}
+
+// connectionShare is the part of a backend server's connections that the
+// routers use together. A backend server resets connections beyond its bound,
+// and takes fewer while its queue is long.
+const connectionShare = 0.8
+
+func (r *run) maxConnections() int {
+	service := r.handler.state.View().Index.Service(r.request.Service)
+	if service == nil || service.MaxConnections == 0 {
+		return 0
+	}
+	share := float64(service.MaxConnections) * connectionShare / float64(max(r.handler.admission.peers.Routers(), 1))
+	return max(int(share), 1)
+}
+
+// mine tells whether an answer is this request's. Refusals may bear no id.
+func (r *run) mine(header http.Header) bool {
+	id := r.handler.dialect.Reply(0, header).ID
+	return id == "" || id == r.request.ID
+}
+
+func (r *run) sendFailed(ctx context.Context, placed *placement, err error) verdict {
+	h := r.handler
+	unsent := backendconn.ProgressOf(err) == backendconn.ProgressNone
+	h.admission.ended(r.request, placed, !unsent)
+	h.records.sendFailed(r.request, placed.backend, err)
+	if unsent {
+		r.connects++
+		if ctx.Err() == nil {
+			h.admission.loads.broken(placed.backend.ID, err.Error())
+		}
+		return verdictUnsent
+	}
+	r.sends++
+	r.ran = true
+	r.brokenBy(ctx, placed)
+	return verdictBroken
+}
+
+// brokenBy notes that a backend server broke while it had the request, unless
+// the caller or the clock ended it.
+func (r *run) brokenBy(ctx context.Context, placed *placement) {
+	if ctx.Err() != nil {
+		return
+	}
+	r.handler.suspects.broke(r.request.Fingerprint)
+	r.handler.admission.loads.answered(placed.backend.ID, false, 0)
+}
--- /dev/null
+++ b/internal/gate/suspects.go
@@ -0,0 +1,115 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+const (
+	// breaksMost is how many backend servers a request may break before it is
+	// refused. A request that was merely beside one that breaks them rarely
+	// meets a second break.
+	breaksMost = 2
+	// suspectLife is how long a break is remembered.
+	suspectLife = 60 * time.Second
+	// suspectsMost bounds the table. A crash of a backend server adds all
+	// requests that it ran.
+	suspectsMost = 4096
+)
+
+// fingerprint returns a value that is the same when a caller sends a request
+// again.
+func fingerprint(request *Request) uint64 {
+	digest := xxhash.New()
+	if request.Account != nil {
+		_, _ = digest.WriteString(string(request.Account.Name)) // never fails
+	}
+	_, _ = digest.WriteString("\x00" + request.Host + "\x00" + request.Method + "\x00" + request.URI + "\x00")
+	_, _ = digest.Write(request.Body)
+	return digest.Sum64()
+}
+
+// suspect is a request during which backend servers broke.
+type suspect struct {
+	own    int                    // breaks seen here
+	others map[fleet.Address]bool // routers that have seen a break
+	last   boottime.Instant
+}
+
+// suspects remembers which requests were running when a backend server broke.
+// Without it a request that crashes each backend server that runs it is sent
+// again by its caller until none is left.
+type suspects struct {
+	mu    sync.Mutex
+	known map[uint64]*suspect
+	fresh []uint64 // broken here since the last call of takeFresh
+}
+
+func newSuspects() *suspects { return &suspects{known: make(map[uint64]*suspect)} }
+
+// broke notes that a backend server broke while it ran the request.
+func (s *suspects) broke(print uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(print).own++
+	s.fresh = append(s.fresh, print)
+}
+
+// heard notes that it did so at another router. Beats repeat what they tell, so
+// each router counts once.
+func (s *suspects) heard(router fleet.Address, print uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(print).others[router] = true
+}
+
+func (s *suspects) add(print uint64) *suspect {
+	now := boottime.Now()
+	if len(s.known) >= suspectsMost {
+		s.prune(now)
+	}
+	known := s.known[print]
+	if known == nil {
+		known = &suspect{others: make(map[fleet.Address]bool)}
+		s.known[print] = known
+	}
+	known.last = now
+	return known
+}
+
+// prune forgets what is old, and everything when that is not enough.
+func (s *suspects) prune(now boottime.Instant) {
+	for print, known := range s.known {
+		if now.Sub(known.last) > suspectLife {
+			delete(s.known, print)
+		}
+	}
+	if len(s.known) >= suspectsMost {
+		clear(s.known)
+	}
+}
+
+// refused tells whether the request has broken too many backend servers.
+func (s *suspects) refused(print uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	known := s.known[print]
+	if known == nil || boottime.Now().Sub(known.last) > suspectLife {
+		return false
+	}
+	return known.own+len(known.others) >= breaksMost
+}
+
+// takeFresh returns what broke here since the last call.
+func (s *suspects) takeFresh() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := s.fresh
+	s.fresh = nil
+	return fresh
+}
--- /dev/null
+++ b/internal/knowledge/index.go
@@ -0,0 +1,92 @@
+package knowledge
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Index answers the questions that each request asks of a configuration.
+type Index struct {
+	Configuration *Configuration
+	hosts         map[string][]*Route // longest prefix first
+	keys          map[string]*Account
+	services      map[fleet.Service]*ServiceSettings
+}
+
+// NewIndex prepares a configuration. The configuration must not change any
+// more.
+func NewIndex(configuration *Configuration) *Index {
+	index := &Index{
+		Configuration: configuration,
+		hosts:         make(map[string][]*Route),
+		keys:          make(map[string]*Account),
+		services:      make(map[fleet.Service]*ServiceSettings),
+	}
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		host := CanonicalHost(route.Host)
+		index.hosts[host] = append(index.hosts[host], route)
+	}
+	for _, routes := range index.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int {
+			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
+		})
+	}
+	for i := range configuration.Accounts {
+		account := &configuration.Accounts[i]
+		for _, key := range account.Keys {
+			index.keys[key] = account
+		}
+	}
+	for i := range configuration.Services {
+		service := &configuration.Services[i]
+		index.services[service.Name] = service
+	}
+	return index
+}
+
+// CanonicalHost returns a host in lower case and without its port. Hosts are
+// compared without regard to case.
+func CanonicalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Route returns the route of the host whose prefix is the longest that begins
+// the path, or nil.
+func (x *Index) Route(host, path string) *Route {
+	for _, route := range x.hosts[CanonicalHost(host)] {
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return nil
+}
+
+// Account returns the account that holds the key, or nil.
+func (x *Index) Account(key string) *Account { return x.keys[key] }
+
+// Service returns the settings of a service, or nil.
+func (x *Index) Service(name fleet.Service) *ServiceSettings { return x.services[name] }
+
+// Destination returns the service that takes a request of the route. point in
+// [0, 1) picks among several by their weights.
+func (r *Route) Destination(point float64) (fleet.Service, bool) {
+	total := 0
+	for _, destination := range r.Destinations {
+		total += destination.Weight
+	}
+	left := point * float64(total)
+	for _, destination := range r.Destinations {
+		left -= float64(destination.Weight)
+		if left < 0 {
+			return destination.Service, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/knowledge/types.go
@@ -0,0 +1,94 @@
+// Package knowledge holds what a router knows of the fleet: the configuration
+// in force, the list of backend servers, and how fresh both are.
+package knowledge
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Repeat tells what may be done with a request a second time.
+type Repeat int
+
+// The kinds of routes.
+const (
+	// RepeatNever marks requests that run at most once.
+	RepeatNever Repeat = iota
+	// RepeatAlways marks idempotent requests.
+	RepeatAlways
+	// RepeatResume marks streams that go on after the last event received.
+	RepeatResume
+)
+
+// Configuration is one version of what the operator has set.
+type Configuration struct {
+	Version  uint64
+	Routes   []Route
+	Services []ServiceSettings
+	Accounts []Account
+	Limits   Limits
+	// Keyed tells that requests carry a key unless their route is public.
+	Keyed bool
+}
+
+// Route tells where requests of one host and path go.
+type Route struct {
+	Name          string
+	Host          string
+	PathPrefix    string
+	Stream        bool
+	Repeat        Repeat
+	Timeout       time.Duration // longest time to the final answer
+	TargetLatency time.Duration // an answer within it is in time
+	TargetGap     time.Duration // longest pause between events that is in time
+	Priority      int           // 0 is the most urgent
+	MaxAttempts   int           // most backend servers for one request
+	Public        bool          // needs no key
+	Affinity      bool          // prompt parts kept by a backend server matter
+	Destinations  []Destination
+}
+
+// Destination is a service that takes a part of a route's requests.
+type Destination struct {
+	Service fleet.Service
+	Weight  int
+}
+
+// ServiceSettings holds the settings of one service.
+type ServiceSettings struct {
+	Name           fleet.Service
+	MaxConnections int    // of one backend server, over all callers
+	Slots          int    // requests that a model engine runs at once, 0 if unknown
+	KVCapacity     int    // tokens that a model engine's memory holds, 0 for plain services
+	EventTokens    int    // most tokens in one event of a stream
+	HealthPath     string // not asked at present: answers show the health
+}
+
+// Account is a client account with its keys.
+type Account struct {
+	Name     fleet.Account
+	Keys     []string
+	Priority *int // goes before the route's when set
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+	// TokensPerSecond is what all model engines produce together: prompt
+	// tokens once, generated tokens twice. 0 if unknown.
+	TokensPerSecond float64
+}
+
+// Backend is one incarnation of a backend server.
+type Backend struct {
+	ID      string
+	Service fleet.Service
+	Address fleet.Address
+	Zone    fleet.Zone
+	Slots   int
+	Leaving bool // takes no new request
+}
--- /dev/null
+++ b/internal/peering/table.go
@@ -0,0 +1,197 @@
+package peering
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/gate"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+)
+
+const (
+	// heardLife is how long after its last beat a router counts as heard:
+	// several beats, so that lost datagrams don't make it vanish.
+	heardLife = 1500 * time.Millisecond
+	// countLife is how long the greatest number of routers is remembered. A
+	// router that is cut off must not take the others' part of a budget, as
+	// they still use it.
+	countLife = time.Minute
+	// addressLife is how long an address is tried from which nothing came.
+	addressLife = 2 * time.Minute
+)
+
+// peer is another router.
+type peer struct {
+	address     fleet.Address
+	incarnation uint64
+	clock       int64            // the newest of the peer's clocks that came
+	heard       boottime.Instant // when it came, 0 for never
+	tried       boottime.Instant // when the address became known
+	loads       map[uint64]gate.BackendLoad
+	leaving     bool
+}
+
+// table holds what is known of the other routers.
+type table struct {
+	self fleet.Address
+
+	mu     sync.Mutex
+	peers  map[fleet.Address]*peer
+	sums   map[uint64]gate.BackendLoad // over the peers that are heard, by hash of the backend server's id
+	most   int                         // greatest number of routers of late
+	mostAt boottime.Instant
+}
+
+func newTable(self fleet.Address) *table {
+	return &table{
+		self:  self,
+		peers: make(map[fleet.Address]*peer),
+		sums:  make(map[uint64]gate.BackendLoad),
+	}
+}
+
+// Load implements gate.Peers.
+func (t *table) Load(backend string) gate.BackendLoad {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.sums[xxhash.Sum64String(backend)]
+}
+
+// Routers implements gate.Peers. It returns the greatest number of late.
+func (t *table) Routers() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(t.most, 1)
+}
+
+// add makes an address known. It returns false when it was known.
+func (t *table) add(address fleet.Address, now boottime.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if address == t.self || t.peers[address] != nil {
+		return false
+	}
+	t.peers[address] = &peer{address: address, tried: now}
+	return true
+}
+
+// target is an address to which a beat goes.
+type target struct {
+	address fleet.Address
+	echo    int64
+}
+
+// targets returns where beats go, and forgets addresses that never answer.
+func (t *table) targets(now boottime.Instant) []target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	targets := make([]target, 0, len(t.peers))
+	for address, peer := range t.peers {
+		if now.Sub(max(peer.heard, peer.tried)) > addressLife {
+			delete(t.peers, address)
+			continue
+		}
+		targets = append(targets, target{address: address, echo: peer.clock})
+	}
+	return targets
+}
+
+// take takes a beat. It returns false for one that came out of order, and
+// whether its router was not heard before.
+func (t *table) take(beat *peeringpb.Beat, now boottime.Instant) (taken, appeared bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	address := fleet.Address(beat.Address)
+	if address == t.self {
+		return false, false
+	}
+	known := t.peers[address]
+	if known == nil {
+		known = &peer{address: address}
+		t.peers[address] = known
+	}
+	if beat.Incarnation < known.incarnation || (beat.Incarnation == known.incarnation && beat.Clock <= known.clock) {
+		return false, false
+	}
+	appeared = known.heard == 0
+	known.incarnation, known.clock, known.heard = beat.Incarnation, beat.Clock, now
+	known.leaving = beat.Leaving
+	t.replaceLoads(known, beat.Loads)
+	t.count(now)
+	return true, appeared
+}
+
+func (t *table) replaceLoads(known *peer, loads []*peeringpb.Load) {
+	t.subtract(known)
+	known.loads = make(map[uint64]gate.BackendLoad, len(loads))
+	for _, load := range loads {
+		value := gate.BackendLoad{
+			Running: int(load.Running),
+			Pending: float64(load.Pending),
+			Memory:  float64(load.Memory),
+		}
+		known.loads[load.Backend] = value
+		t.sums[load.Backend] = t.sums[load.Backend].Add(value)
+	}
+}
+
+func (t *table) subtract(known *peer) {
+	for backend, load := range known.loads {
+		rest := t.sums[backend].Add(gate.BackendLoad{Running: -load.Running, Pending: -load.Pending, Memory: -load.Memory})
+		if rest.Running <= 0 {
+			delete(t.sums, backend)
+			continue
+		}
+		t.sums[backend] = rest
+	}
+	known.loads = nil
+}
+
+// count notes the number of routers heard.
+func (t *table) count(now boottime.Instant) {
+	heard := 1
+	for _, peer := range t.peers {
+		if peer.heard != 0 && now.Sub(peer.heard) < heardLife {
+			heard++
+		}
+	}
+	if heard >= t.most || now.Sub(t.mostAt) > countLife {
+		t.most, t.mostAt = heard, now
+	}
+}
+
+// expire returns the routers that are no longer heard.
+func (t *table) expire(now boottime.Instant) []fleet.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var lost []fleet.Address
+	for address, peer := range t.peers {
+		if peer.heard == 0 || now.Sub(peer.heard) < heardLife {
+			continue
+		}
+		t.subtract(peer)
+		peer.heard = 0
+		peer.clock = 0
+		peer.tried = now
+		lost = append(lost, address)
+	}
+	t.count(now)
+	return lost
+}
+
+// heard returns the addresses of the routers that are heard.
+func (t *table) heard(now boottime.Instant) []fleet.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var addresses []fleet.Address
+	for address, peer := range t.peers {
+		if peer.heard != 0 && now.Sub(peer.heard) < heardLife {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/shares/shares.go
@@ -0,0 +1,192 @@
+// Package shares decides which client accounts may use the fleet's capacity
+// when they ask for more than there is: each gets the max-min fair share.
+//
+// Each router counts what its callers asked and got in sums that decay, and
+// takes the others' sums into account. No router owns the decision.
+package shares
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Use is what an account asked and got, in tokens.
+type Use struct {
+	Asked float64
+	Got   float64
+}
+
+// memory is the time constant of the decay. It is shorter than the users'
+// window of shares, so that an account that was quiet gets its share at once.
+const memory = 2 * time.Second
+
+// sum is a decaying sum.
+type sum struct {
+	use Use
+	at  boottime.Instant
+}
+
+func (s *sum) decay(now boottime.Instant) {
+	factor := decayFactor(now.Sub(s.at))
+	s.use.Asked *= factor
+	s.use.Got *= factor
+	s.at = now
+}
+
+func decayFactor(passed time.Duration) float64 {
+	return math.Exp(-passed.Seconds() / memory.Seconds())
+}
+
+// forgotten is the sum below which an account is dropped from the table, far
+// below one request.
+const forgotten = 1
+
+// Ledger holds the sums of all accounts. It is not safe for concurrent use.
+type Ledger struct {
+	own    map[fleet.Account]*sum
+	others map[string]map[fleet.Account]sum // by router
+
+	level   float64
+	levelAt boottime.Instant
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{
+		own:    make(map[fleet.Account]*sum),
+		others: make(map[string]map[fleet.Account]sum),
+	}
+}
+
+// Asked counts a request that a caller of the account made.
+func (l *Ledger) Asked(account fleet.Account, tokens float64, now boottime.Instant) {
+	l.at(account, now).use.Asked += tokens
+}
+
+// Got counts a request that was sent to a backend server.
+func (l *Ledger) Got(account fleet.Account, tokens float64, now boottime.Instant) {
+	l.at(account, now).use.Got += tokens
+}
+
+// Returned takes back a request that was not run.
+func (l *Ledger) Returned(account fleet.Account, tokens float64, now boottime.Instant) {
+	entry := l.at(account, now)
+	entry.use.Got = max(0, entry.use.Got-tokens)
+}
+
+func (l *Ledger) at(account fleet.Account, now boottime.Instant) *sum {
+	entry := l.own[account]
+	if entry == nil {
+		entry = &sum{at: now}
+		l.own[account] = entry
+	}
+	entry.decay(now)
+	return entry
+}
+
+// Own returns this router's sums for the others.
+func (l *Ledger) Own(now boottime.Instant) map[fleet.Account]Use {
+	uses := make(map[fleet.Account]Use, len(l.own))
+	for account, entry := range l.own {
+		entry.decay(now)
+		if entry.use.Asked+entry.use.Got < forgotten {
+			delete(l.own, account)
+			continue
+		}
+		uses[account] = entry.use
+	}
+	return uses
+}
+
+// SetOther takes the sums of another router as they were at the moment.
+func (l *Ledger) SetOther(router string, uses map[fleet.Account]Use, at boottime.Instant) {
+	sums := make(map[fleet.Account]sum, len(uses))
+	for account, use := range uses {
+		sums[account] = sum{use: use, at: at}
+	}
+	l.others[router] = sums
+}
+
+// RemoveOther forgets a router that is no longer heard.
+func (l *Ledger) RemoveOther(router string) { delete(l.others, router) }
+
+// levelLife is how long a computed level is used. Requests in between see the
+// sums of the accounts as they are.
+const levelLife = 50 * time.Millisecond
+
+// Allowed tells whether the account may use the tokens, when the fleet has
+// capacity tokens a second for all accounts.
+func (l *Ledger) Allowed(account fleet.Account, tokens, capacity float64, now boottime.Instant) bool {
+	if capacity <= 0 {
+		return true
+	}
+	if l.levelAt == 0 || now.Sub(l.levelAt) > levelLife {
+		l.level = l.computeLevel(capacity, now)
+		l.levelAt = now
+	}
+	return l.total(account, now).Got+tokens/2 <= l.level
+}
+
+// Level returns the greatest sum that an account may have got at present.
+func (l *Ledger) Level() float64 { return l.level }
+
+// computeLevel returns the max-min level of the accounts' sums. It is infinite
+// while the accounts ask for less than the capacity.
+func (l *Ledger) computeLevel(capacity float64, now boottime.Instant) float64 {
+	asked := make([]float64, 0, len(l.own))
+	for account := range l.accounts() {
+		asked = append(asked, l.total(account, now).Asked)
+	}
+	return WaterLevel(asked, capacity*memory.Seconds())
+}
+
+// WaterLevel returns the level L with the sum of min(asked, L) equal to the
+// capacity: the max-min fair share. It is infinite when all that is asked fits.
+func WaterLevel(asked []float64, capacity float64) float64 {
+	slices.Sort(asked)
+	left := capacity
+	for i, amount := range asked {
+		rest := float64(len(asked) - i)
+		if amount*rest > left {
+			return left / rest
+		}
+		left -= amount
+	}
+	return math.Inf(1)
+}
+
+func (l *Ledger) accounts() map[fleet.Account]bool {
+	known := make(map[fleet.Account]bool, len(l.own))
+	for account := range l.own {
+		known[account] = true
+	}
+	for _, sums := range l.others {
+		for account := range sums {
+			known[account] = true
+		}
+	}
+	return known
+}
+
+// Total returns what the account asked and got at all routers.
+func (l *Ledger) total(account fleet.Account, now boottime.Instant) Use {
+	var total Use
+	if entry := l.own[account]; entry != nil {
+		entry.decay(now)
+		total = entry.use
+	}
+	for _, sums := range l.others {
+		entry, ok := sums[account]
+		if !ok {
+			continue
+		}
+		entry.decay(now)
+		total.Asked += entry.use.Asked
+		total.Got += entry.use.Got
+	}
+	return total
+}
