--- a/cmd/bluebell-gate/main.go
+++ b/cmd/bluebell-gate/main.go
@@ -27,6 +27,11 @@
 	logger := daemon.NewLogger(config.Log, daemon.NewAsyncWriter(os.Stdout)).WithField("node", config.Node.Name)
 	injector := do.New()
 	wire(injector, config, logger)
+	do.ProvideValue(injector, &daemon.Reloader{
+		Path:   verdict.Config,
+		Logger: logger,
+		Fresh:  func() any { return new(gate.Config) },
+	})
 	service, err := do.Invoke[*service](injector)
 	if err != nil {
 		logger.WithError(err).Error("wiring")
--- a/cmd/bluebell-gate/wire.go
+++ b/cmd/bluebell-gate/wire.go
@@ -76,12 +76,16 @@
 	follower  *platform.Follower
 	readiness *daemon.Readiness
 	registry  *prometheus.Registry
+	reloader  *daemon.Reloader
 }
 
 func newService(injector do.Injector) (*service, error) {
+	manager := do.MustInvoke[*gate.Manager](injector)
+	reloader := do.MustInvoke[*daemon.Reloader](injector)
+	reloader.Apply = func(config any) { manager.ApplyConfig(config.(*gate.Config).Settings()) }
 	return &service{
 		config: do.MustInvoke[*gate.Config](injector),
-		gate:   do.MustInvoke[*gate.Manager](injector),
+		gate:   manager,
 		peers:  do.MustInvoke[*peering.Manager](injector),
 		follower: platform.NewFollower(
 			do.MustInvoke[*platform.Store](injector),
@@ -90,12 +94,14 @@
 		),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
 		registry:  do.MustInvoke[*prometheus.Registry](injector),
+		reloader:  reloader,
 	}, nil
 }
 
 // Run implements daemon.Service.
 func (s *service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error { return s.reloader.Run(ctx) })
 	group.Go(func() error { return s.follower.Run(ctx) })
 	group.Go(func() error { return s.peers.Run(ctx) })
 	group.Go(func() error { return s.gate.Run(ctx) })
--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -65,6 +65,16 @@
 	return failure
 }
 
+// abort closes the connection and drops what has not been delivered. A plain
+// close would go on sending: behind a partition that heals, a request would
+// arrive long after its caller has left.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails on a closed connection only
+	}
+	_ = c.Close() // it is unusable whatever closing says
+}
+
 // silent tells whether an idle connection has neither bytes to read nor been
 // closed. Bytes on an idle connection belong to no request, and a request
 // written to a closed connection can't be told from one that has run.
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -68,7 +68,7 @@
 		p.discard(address, c)
 		return nil, failed(ctx.Err(), ProgressNone, fleet.StepSend, address)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.Close() }) // ends reads and writes
+	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
 	written := new(atomic.Bool)
 	if err := write(c, request, written); err != nil {
 		stop()
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -188,6 +188,6 @@
 }
 
 func (p *Pool) discard(address fleet.Address, c *conn) {
-	_ = c.Close() // it is unusable whatever closing says
+	c.abort()
 	p.release(address)
 }
--- a/internal/daemon/flags.go
+++ b/internal/daemon/flags.go
@@ -29,6 +29,7 @@
 type Verdict struct {
 	Exit   bool // end now with Status
 	Status int
+	Config string // path of the configuration file, when the process goes on
 }
 
 // ParseFlags handles the command line and reads the configuration file into
@@ -70,7 +71,10 @@
 	if o.PrintConfig {
 		return printed(inifile.Write(stdout, config))
 	}
-	return Verdict{Exit: o.CheckConfig, Status: ExitDone}
+	if o.CheckConfig {
+		return Verdict{Exit: true, Status: ExitDone}
+	}
+	return Verdict{Config: o.Config}
 }
 
 func (o Flags) withoutFile(name string, config any, stdout, stderr io.Writer) Verdict {
--- /dev/null
+++ b/internal/daemon/reload.go
@@ -0,0 +1,72 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/inifile"
+)
+
+// reloadInterval is the pause between two looks at the configuration file,
+// which may change without a signal.
+const reloadInterval = time.Second
+
+// Reloader reads a configuration file again on SIGHUP and when it changes.
+type Reloader struct {
+	Path   string
+	Logger logrus.FieldLogger
+	// Fresh returns an empty configuration for package inifile.
+	Fresh func() any
+	// Apply takes a configuration without mistakes.
+	Apply func(config any)
+
+	content []byte
+}
+
+// Run reads the file again until the context ends. Without it, SIGHUP would
+// end the process and cut all its requests.
+func (r *Reloader) Run(ctx context.Context) error {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	r.content, _ = os.ReadFile(r.Path) // was read at the start; a failure shows below
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-hangups:
+			r.read(true)
+		case <-ticker.C:
+			r.read(false)
+		}
+	}
+}
+
+// read applies the file when it has changed, or when it was asked to.
+func (r *Reloader) read(asked bool) {
+	content, err := os.ReadFile(r.Path)
+	if err != nil {
+		event.GateReloadFailed.Log(r.Logger, logrus.Fields{"error": err.Error()})
+		return
+	}
+	if !asked && bytes.Equal(content, r.content) {
+		return
+	}
+	r.content = content
+	config := r.Fresh()
+	if err := inifile.Parse(r.Path, content, config); err != nil {
+		event.GateReloadFailed.Log(r.Logger, logrus.Fields{"error": err.Error()})
+		return
+	}
+	r.Apply(config)
+	event.GateReloaded.Log(r.Logger, logrus.Fields{"asked": asked})
+}
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -36,7 +36,7 @@
 // admission decides which request is sent where. Its methods may be called
 // concurrently.
 type admission struct {
-	settings AdmissionSettings
+	settings *currentSettings
 	zone     fleet.Zone
 	loads    *loads
 	peers    Peers
@@ -46,7 +46,7 @@
 	turn   int
 }
 
-func newAdmission(settings AdmissionSettings, zone fleet.Zone, peers Peers) *admission {
+func newAdmission(settings *currentSettings, zone fleet.Zone, peers Peers) *admission {
 	return &admission{
 		settings: settings,
 		zone:     zone,
@@ -80,7 +80,7 @@
 }
 
 func (a *admission) refuse(reason Reason) *Refusal {
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.settings.RetryAfter}
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.settings.get().Admission.RetryAfter}
 }
 
 // usable returns the backend servers of the service that may take a request.
@@ -162,7 +162,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ledger.Allowed(request.Account.Name, cost, capacity*a.settings.CapacityFactor, now)
+	return a.ledger.Allowed(request.Account.Name, cost, capacity*a.settings.get().Admission.CapacityFactor, now)
 }
 
 func (a *admission) demand(request *Request) selection.Demand {
@@ -177,7 +177,7 @@
 		Shared:   shared,
 		Own:      max(float64(prompt.Tokens)-shared, 0),
 		Output:   float64(output),
-		Budget:   time.Duration(float64(request.Route.TargetLatency) * a.settings.BudgetShare),
+		Budget:   time.Duration(float64(request.Route.TargetLatency) * a.settings.get().Admission.BudgetShare),
 	}
 }
 
@@ -213,8 +213,8 @@
 	}
 	return selection.Limits{
 		Rate:        a.loads.rate(service, assumed),
-		SlotShare:   a.settings.SlotShare,
-		MemoryShare: a.settings.MemoryShare,
+		SlotShare:   a.settings.get().Admission.SlotShare,
+		MemoryShare: a.settings.get().Admission.MemoryShare,
 	}
 }
 
--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -29,19 +29,19 @@
 // retryBudget bounds how often this router sends a request once more. Without
 // it, a service that fails gets several times its usual requests.
 type retryBudget struct {
-	settings BudgetSettings
+	settings *currentSettings
 	peers    Peers
 	mu       sync.Mutex
 	services map[fleet.Service]*bucket
 }
 
-func newRetryBudget(settings BudgetSettings, peers Peers) *retryBudget {
+func newRetryBudget(settings *currentSettings, peers Peers) *retryBudget {
 	return &retryBudget{settings: settings, peers: peers, services: make(map[fleet.Service]*bucket)}
 }
 
 // most is what this router may spend at once: its part of the fleet's extra.
 func (b *retryBudget) most() float64 {
-	return b.settings.Extra * budgetMargin / float64(max(b.peers.Routers(), 1))
+	return b.settings.get().Budget.Extra * budgetMargin / float64(max(b.peers.Routers(), 1))
 }
 
 func (b *retryBudget) bucket(service fleet.Service) *bucket {
@@ -54,7 +54,7 @@
 	}
 	// The part that does not depend on requests comes back over a window.
 	passed := now.Sub(known.at).Seconds()
-	known.tokens = min(known.tokens+passed*b.most()/2/b.settings.Window.Seconds(), b.most())
+	known.tokens = min(known.tokens+passed*b.most()/2/b.settings.get().Budget.Window.Seconds(), b.most())
 	known.at = now
 	return known
 }
@@ -64,7 +64,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	known := b.bucket(service)
-	known.tokens = min(known.tokens+b.settings.Ratio*budgetMargin, b.most())
+	known.tokens = min(known.tokens+b.settings.get().Budget.Ratio*budgetMargin, b.most())
 }
 
 // spend takes one second send and tells whether it may be made.
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -52,12 +52,12 @@
 
 // BoundsSection holds what the users have agreed on.
 type BoundsSection struct {
-	Grace            time.Duration `key:"grace" default:"8s" min:"1s" doc:"From the signal to stop until the process is killed."`
-	Revoke           time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
-	Apply            time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
-	RetryRatio       float64       `key:"retry_ratio" default:"0.2" min:"0" doc:"Second sends per request to a service, over all routers."`
-	RetryExtra       float64       `key:"retry_extra" default:"50" min:"0" doc:"Second sends to a service beyond that in a window, over all routers."`
-	RetryWindow      time.Duration `key:"retry_window" default:"10s" min:"100ms" doc:"Window of the two keys above."`
+	Grace       time.Duration `key:"grace" default:"8s" min:"1s" doc:"From the signal to stop until the process is killed."`
+	Revoke      time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
+	Apply       time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
+	RetryRatio  float64       `key:"retry_ratio" default:"0.2" min:"0" doc:"Second sends per request to a service, over all routers."`
+	RetryExtra  float64       `key:"retry_extra" default:"50" min:"0" doc:"Second sends to a service beyond that in a window, over all routers."`
+	RetryWindow time.Duration `key:"retry_window" default:"10s" min:"100ms" doc:"Window of the two keys above."`
 }
 
 // AdmissionSection holds what is sent to model engines.
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -26,9 +26,23 @@
 	BodyMemory int64
 }
 
+// currentSettings are the settings in force. They change when the settings
+// file does.
+type currentSettings struct{ pointer atomic.Pointer[Settings] }
+
+func newCurrentSettings(settings Settings) *currentSettings {
+	current := &currentSettings{}
+	current.set(settings)
+	return current
+}
+
+func (c *currentSettings) get() *Settings { return c.pointer.Load() }
+
+func (c *currentSettings) set(settings Settings) { c.pointer.Store(&settings) }
+
 // handler answers callers.
 type handler struct {
-	settings  Settings
+	settings  *currentSettings
 	dialect   Dialect
 	state     *knowledge.State
 	pool      *backendconn.Pool
@@ -37,7 +51,6 @@
 	suspects  *suspects
 	records   *records
 	metrics   *metrics
-	draining  atomic.Bool
 	bodies    atomic.Int64 // bytes of the requests held
 }
 
@@ -51,7 +64,7 @@
 		return
 	}
 	request.Received = received
-	if refusal := identify(request, view, h.settings.Freshness, rand.Float64()); refusal != nil {
+	if refusal := identify(request, view, h.settings.get().Freshness, rand.Float64()); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
 	}
@@ -91,7 +104,7 @@
 	if most > 0 && counted > most {
 		return 0, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
 	}
-	if h.bodies.Add(counted) > h.settings.BodyMemory {
+	if h.bodies.Add(counted) > h.settings.get().BodyMemory {
 		return counted, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonMemory, RetryAfter: startRetry}
 	}
 	control := http.NewResponseController(w)
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -41,13 +41,14 @@
 
 // NewManager returns a gate that takes no requests yet.
 func NewManager(options Options) *Manager {
+	settings := newCurrentSettings(options.Settings)
 	h := &handler{
-		settings:  options.Settings,
+		settings:  settings,
 		dialect:   options.Dialect,
 		state:     options.State,
 		pool:      backendconn.NewPool(),
-		admission: newAdmission(options.Settings.Admission, options.Zone, options.Peers),
-		budget:    newRetryBudget(options.Settings.Budget, options.Peers),
+		admission: newAdmission(settings, options.Zone, options.Peers),
+		budget:    newRetryBudget(settings, options.Peers),
 		suspects:  newSuspects(),
 		records:   newRecords(options.Logger, options.State),
 		metrics:   newMetrics(options.Registerer),
@@ -55,6 +56,9 @@
 	return &Manager{options: options, handler: h, entry: newEntry(h, options.Connections)}
 }
 
+// ApplyConfig takes new settings. Addresses stay as they were at the start.
+func (m *Manager) ApplyConfig(settings Settings) { m.handler.settings.set(settings) }
+
 // Run serves callers until the context ends.
 func (m *Manager) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
