--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -76,7 +76,12 @@
 	// descriptorShare is the part of the descriptors, after those kept for
 	// files, that callers' connections may take. The rest goes to backend
 	// servers.
-	descriptorShare = 0.45
+	descriptorShare = 0.55
+	// connectionMemory is what a caller's connection takes: its buffers, its
+	// stack and the bytes that wait in it.
+	connectionMemory = 24 << 10
+	// connectionMemoryShare is the part of the memory that they may take.
+	connectionMemoryShare = 0.3
 	// keptDescriptors is the part of the descriptors that files need.
 	keptDescriptors = 200
 	// heapShare is the part of the memory that the Go runtime may use before
@@ -94,7 +99,9 @@
 
 // Connections returns the most callers' connections at once.
 func (s VMSection) Connections() int {
-	return max(int(float64(s.Descriptors-keptDescriptors)*descriptorShare), 16)
+	byDescriptors := float64(s.Descriptors-keptDescriptors) * descriptorShare
+	byMemory := float64(s.MemoryMB*bytesPerMB) * connectionMemoryShare / connectionMemory
+	return max(int(min(byDescriptors, byMemory)), 16)
 }
 
 // HeapLimit returns the bytes at which the Go runtime collects more eagerly.
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -121,6 +121,18 @@
 // callerKeepAlive finds callers that vanished without closing.
 const callerKeepAlive = 5 * time.Second
 
+// crowdedShare is the part of the connections from which each is closed after
+// its next answer.
+const crowdedShare = 0.4
+
+// crowded tells whether callers hold so many connections open that the rest
+// may not suffice. Callers that come back after a refusal open a new connection
+// each time and leave it open; once none can be accepted any more, requests
+// wait a second for their connection and are read after their callers left.
+func (e *entry) crowded() bool {
+	return float64(len(e.open)) > float64(cap(e.open))*crowdedShare
+}
+
 // beginDrain closes idle connections and lets the others end with their
 // answer.
 func (e *entry) beginDrain() {
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -52,11 +52,15 @@
 	records   *records
 	metrics   *metrics
 	bodies    atomic.Int64 // bytes of the requests held
+	crowded   func() bool  // whether callers hold too many connections open
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
+	if h.crowded() {
+		w.Header().Set("Connection", "close")
+	}
 	view := h.state.View()
 	request, err := h.dialect.Decode(r)
 	if err != nil {
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -53,7 +53,9 @@
 		records:   newRecords(options.Logger, options.State),
 		metrics:   newMetrics(options.Registerer),
 	}
-	return &Manager{options: options, handler: h, entry: newEntry(h, options.Connections)}
+	entry := newEntry(h, options.Connections)
+	h.crowded = entry.crowded
+	return &Manager{options: options, handler: h, entry: entry}
 }
 
 // ApplyConfig takes new settings. Addresses stay as they were at the start.
