--- /dev/null
+++ b/internal/backendconn/exchange_test.go
@@ -0,0 +1,337 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// scripted serves connections with a function and counts them.
+type scripted struct {
+	address fleet.Address
+	conns   atomic.Int32
+}
+
+// serve starts a backend server that handles each connection with the
+// function. The reader holds what has arrived.
+func serve(t *testing.T, handle func(conn net.Conn, reader *bufio.Reader)) *scripted {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	server := &scripted{address: fleet.Address(listener.Addr().String())}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			server.conns.Add(1)
+			go func() {
+				defer conn.Close()
+				handle(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+	return server
+}
+
+// readRequest reads one request with its body, or returns nil at the end.
+func readRequest(reader *bufio.Reader) *http.Request {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return nil
+	}
+	if _, err := io.Copy(io.Discard, request.Body); err != nil {
+		return nil
+	}
+	return request
+}
+
+func ask(id string) *Request {
+	return &Request{
+		Method: http.MethodPost,
+		URI:    "/a/b?c=d",
+		Host:   "host.example",
+		Header: http.Header{"Id": {id}},
+		Body:   []byte("body"),
+		Mine:   func(header http.Header) bool { return header.Get("Id") == id },
+	}
+}
+
+// exchange sends a request and reads its whole answer.
+func exchange(t *testing.T, pool *Pool, address fleet.Address, request *Request) (string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, err := pool.Do(ctx, address, request)
+	if err != nil {
+		return "", err
+	}
+	defer answer.Close()
+	body, err := io.ReadAll(answer)
+	return string(body), err
+}
+
+func answer(id, body string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + itoa(len(body)) + "\r\n\r\n" + body
+}
+
+func itoa(n int) string { return string(rune('0'+n/10)) + string(rune('0'+n%10)) }
+
+func TestConnectionIsUsedAgain(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for request := readRequest(reader); request != nil; request = readRequest(reader) {
+			io.WriteString(conn, answer(request.Header.Get("Id"), "whole"))
+		}
+	})
+	pool := NewPool()
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := exchange(t, pool, server.address, ask(id))
+		if err != nil || body != "whole" {
+			t.Fatalf("answer %q, %v", body, err)
+		}
+	}
+	if got := server.conns.Load(); got != 1 {
+		t.Errorf("%d connections were opened, want 1", got)
+	}
+}
+
+// Symptom: a caller gets the answer to an earlier request.
+// Events: a backend server sends a second answer to a request, late; the next
+// request on the connection reads it first.
+// Cause: answers were matched with requests by their order.
+func TestStrayAnswerIsPassedOver(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		io.WriteString(conn, answer("1", "first"))
+		readRequest(reader)
+		io.WriteString(conn, answer("1", "again")+answer("2", "second"))
+		readRequest(reader)
+	})
+	pool := NewPool()
+	if _, err := exchange(t, pool, server.address, ask("1")); err != nil {
+		t.Fatal(err)
+	}
+	body, err := exchange(t, pool, server.address, ask("2"))
+	if err != nil || body != "second" {
+		t.Errorf("answer %q, %v, want the second request's", body, err)
+	}
+}
+
+// Symptom: a caller's request fails, or is mixed with bytes of another answer.
+// Events: bytes arrive on an idle connection; the connection is used again.
+// Cause: the bytes belong to no request.
+func TestConnectionWithStrayBytesIsNotUsedAgain(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		id := readRequest(reader).Header.Get("Id")
+		io.WriteString(conn, answer(id, "whole"))
+		time.Sleep(50 * time.Millisecond)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		time.Sleep(time.Second)
+	})
+	pool := NewPool()
+	if _, err := exchange(t, pool, server.address, ask("1")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(150 * time.Millisecond)
+	body, err := exchange(t, pool, server.address, ask("2"))
+	if err != nil || body != "whole" {
+		t.Errorf("answer %q, %v", body, err)
+	}
+	if got := server.conns.Load(); got != 2 {
+		t.Errorf("%d connections, want a new one", got)
+	}
+}
+
+// Symptom: a request that may run once only can't be sent again.
+// Events: the backend server closes an idle connection; a request is written
+// to it and gets no answer.
+// Cause: it can't be told whether the request arrived before the close.
+func TestClosedIdleConnectionIsNoticed(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		id := readRequest(reader).Header.Get("Id")
+		io.WriteString(conn, answer(id, "whole"))
+	})
+	pool := NewPool()
+	for _, id := range []string{"1", "2"} {
+		if _, err := exchange(t, pool, server.address, ask(id)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func TestAnswerThatBreaksOffIsNoWholeAnswer(t *testing.T) {
+	for name, text := range map[string]string{
+		"by length": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
+		"by chunks": "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				io.WriteString(conn, text)
+			})
+			_, err := exchange(t, NewPool(), server.address, ask("1"))
+			if err == nil {
+				t.Fatal("it was taken for a whole answer")
+			}
+			if got := ProgressOf(err); got != ProgressAnswered {
+				t.Errorf("progress %v, want answered", got)
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutLengthEndsWithItsConnection(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+	})
+	body, err := exchange(t, NewPool(), server.address, ask("1"))
+	if err != nil || body != "whole" {
+		t.Errorf("answer %q, %v", body, err)
+	}
+}
+
+// Symptom: an answer that is cut short looks complete.
+// Events: an answer without a length is reset on its way.
+// Cause: a reset was taken for the end.
+func TestAnswerWithoutLengthThatIsResetIsNotWhole(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nhalf")
+		time.Sleep(50 * time.Millisecond)
+		conn.(*net.TCPConn).SetLinger(0)
+	})
+	if body, err := exchange(t, NewPool(), server.address, ask("1")); err == nil {
+		t.Errorf("%q was taken for a whole answer", body)
+	}
+}
+
+func TestRefusedConnectionMeansNothingWasSent(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := fleet.Address(listener.Addr().String())
+	listener.Close()
+	_, err = exchange(t, NewPool(), address, ask("1"))
+	if got := ProgressOf(err); err == nil || got != ProgressNone {
+		t.Errorf("progress %v, %v, want none", got, err)
+	}
+}
+
+func TestResetAfterTheRequestMeansItMayHaveRun(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) { readRequest(reader) })
+	_, err := exchange(t, NewPool(), server.address, ask("1"))
+	if got := ProgressOf(err); err == nil || got != ProgressSent {
+		t.Errorf("progress %v, %v, want sent", got, err)
+	}
+}
+
+// Symptom: a backend server works for callers that have left.
+// Events: the caller leaves while its request runs.
+// Cause: the connection to the backend server stayed open.
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	closed := make(chan error, 1)
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		_, err := io.Copy(io.Discard, reader) // returns when the connection ends
+		closed <- err
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	if _, err := NewPool().Do(ctx, server.address, ask("1")); err == nil {
+		t.Fatal("there was an answer")
+	}
+	select {
+	case err := <-closed:
+		// A plain close would go on delivering the request behind a partition
+		// that heals, long after its caller has left.
+		if !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the connection ended with %v, want a reset", err)
+		}
+	case <-time.After(2 * time.Second):
+		t.Error("the connection is still open")
+	}
+}
+
+// Symptom: a router hangs with a long request.
+// Events: the backend server answers before it has read the body, and reads
+// no further.
+// Cause: the router writes all before it reads; both sides wait.
+func TestEarlyAnswerToLongRequest(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		io.WriteString(conn, "HTTP/1.1 413 Too Large\r\nId: 1\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(time.Second)
+	})
+	request := ask("1")
+	request.Body = []byte(strings.Repeat("x", 16<<20))
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	answer, err := NewPool().Do(ctx, server.address, request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Close()
+	if answer.Status != http.StatusRequestEntityTooLarge {
+		t.Errorf("status %d", answer.Status)
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	hold := make(chan struct{})
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		<-hold
+	})
+	defer close(hold)
+	pool := NewPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	first := ask("1")
+	first.MaxConnections = 1
+	go func() {
+		if answer, err := pool.Do(ctx, server.address, first); err == nil {
+			answer.Close()
+		}
+	}()
+	for pool.Open(server.address) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	second := ask("2")
+	second.MaxConnections = 1
+	if _, err := pool.Do(ctx, server.address, second); ProgressOf(err) != ProgressNone {
+		t.Errorf("%v, want a refusal before anything is sent", err)
+	}
+}
+
+func TestStatedIdleTimeout(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"timeout=5":         5 * time.Second,
+		"max=3, timeout=12": 12 * time.Second,
+		"":                  0,
+		"timeout=x":         0,
+	} {
+		if got := statedTimeout(http.Header{"Keep-Alive": {text}}); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -27,7 +27,7 @@
 	// Apply takes a configuration without mistakes.
 	Apply func(config any)
 
-	content []byte
+	content []byte // as applied last; empty at first, as the file may have changed since the start
 }
 
 // Run reads the file again until the context ends. Without it, SIGHUP would
@@ -36,7 +36,6 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	r.content, _ = os.ReadFile(r.Path) // was read at the start; a failure shows below
 	ticker := time.NewTicker(reloadInterval)
 	defer ticker.Stop()
 	for {
--- /dev/null
+++ b/internal/daemon/reload_test.go
@@ -0,0 +1,94 @@
+package daemon
+
+import (
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+type reloadConfig struct {
+	Log LogSection `section:"log"`
+}
+
+// Symptom: all requests of a process are cut.
+// Events: the settings file changes and the process gets SIGHUP.
+// Cause: SIGHUP ends a process that does not handle it.
+func TestHangupReadsTheFileAgain(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gate.ini")
+	write := func(text string) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write("[log]\nlevel = info\n")
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	applied := make(chan string, 10)
+	reloader := &Reloader{
+		Path:   path,
+		Logger: logger,
+		Fresh:  func() any { return new(reloadConfig) },
+		Apply:  func(config any) { applied <- config.(*reloadConfig).Log.Level },
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- reloader.Run(ctx) }()
+	expect := func(want string) {
+		t.Helper()
+		select {
+		case got := <-applied:
+			if got != want {
+				t.Errorf("level %q applied, want %q", got, want)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatalf("nothing was applied, want %q", want)
+		}
+	}
+	write("[log]\nlevel = debug\n") // without a signal
+	expect("debug")
+	write("[log]\nlevel = loud\n") // a mistake: the former settings stay
+	time.Sleep(2 * reloadInterval)
+	write("[log]\nlevel = error\n")
+	expect("error")
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	expect("error")
+	cancel()
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// blockedWriter never returns from a write.
+type blockedWriter struct{}
+
+func (blockedWriter) Write([]byte) (int, error) { select {} }
+
+// Symptom: requests stall.
+// Events: whoever reads the log stops reading.
+// Cause: writing a record waits for the reader.
+func TestLogNeverBlocks(t *testing.T) {
+	writer := NewAsyncWriter(blockedWriter{})
+	done := make(chan struct{})
+	go func() {
+		for range 10 * asyncQueue {
+			writer.Write([]byte("record"))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(5 * time.Second):
+		t.Fatal("a write blocked")
+	}
+	if writer.Dropped() == 0 {
+		t.Error("dropped records are not counted")
+	}
+}
--- /dev/null
+++ b/internal/gate/decisions_test.go
@@ -0,0 +1,198 @@
+package gate
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// routers is a fleet of so many routers.
+type routers int
+
+func (routers) Load(string) BackendLoad { return BackendLoad{} }
+func (r routers) Routers() int          { return int(r) }
+
+func knownView(configured boottime.Instant) *knowledge.View {
+	state := knowledge.NewState()
+	state.SetConfiguration(&knowledge.Configuration{
+		Version: 1,
+		Keyed:   true,
+		Routes: []knowledge.Route{
+			{Host: "h", PathPrefix: "/a/", Timeout: time.Second, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}},
+			{Host: "h", PathPrefix: "/p/", Public: true, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}},
+		},
+		Accounts: []knowledge.Account{{Name: "kitchen", Keys: []string{"key"}}},
+	}, configured)
+	state.SetBackends(nil, 1, boottime.Now())
+	return state.View()
+}
+
+// Symptom: a withdrawn key is taken, or a new route is denied for good.
+// Events: the store does not reach the router; the configuration changes.
+// Cause: the router went by what it knew, however old.
+func TestOldKnowledgeDeniesNothingAndTakesNoKey(t *testing.T) {
+	fresh := Freshness{Keyed: 4 * time.Second, Final: 1800 * time.Millisecond}
+	for _, test := range []struct {
+		age       time.Duration
+		path, key string
+		status    int // 0 for none
+	}{
+		{0, "/a/x", "key", 0},
+		{3 * time.Second, "/a/x", "key", 0},
+		{5 * time.Second, "/a/x", "key", 503},
+		{5 * time.Second, "/p/x", "", 0},
+		{0, "/none/x", "key", 404},
+		{2 * time.Second, "/none/x", "key", 503},
+		{0, "/a/x", "other", 401},
+		{2 * time.Second, "/a/x", "other", 503},
+	} {
+		t.Run(fmt.Sprintf("%v %s %s", test.age, test.path, test.key), func(t *testing.T) {
+			request := &Request{Host: "h", Path: test.path, Key: test.key}
+			refusal := identify(request, knownView(boottime.Now().Add(-test.age)), fresh, 0)
+			status := 0
+			if refusal != nil {
+				status = refusal.Status
+			}
+			if status != test.status {
+				t.Errorf("status %d, want %d", status, test.status)
+			}
+		})
+	}
+}
+
+func TestNothingIsKnown(t *testing.T) {
+	refusal := identify(&Request{Host: "h", Path: "/a/x"}, knowledge.NewState().View(), Freshness{}, 0)
+	if refusal == nil || refusal.Status != http.StatusServiceUnavailable || refusal.RetryAfter == 0 {
+		t.Errorf("%+v, want 503 with a time", refusal)
+	}
+}
+
+// Symptom: a service in trouble gets more second sends than agreed.
+// Events: all backend servers of a service fail.
+// Cause: each router used the whole fleet's budget.
+func TestBudgetIsSharedByTheRouters(t *testing.T) {
+	settings := newCurrentSettings(Settings{Budget: BudgetSettings{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}})
+	const fleetSize = 5
+	total := 0
+	for range fleetSize {
+		budget := newRetryBudget(settings, routers(fleetSize))
+		for range 100 {
+			budget.earn("s")
+			for budget.spend("s") {
+				total++
+			}
+		}
+	}
+	if most := 50 + 0.2*100*fleetSize; float64(total) > most {
+		t.Errorf("%d second sends, agreed are %v", total, most)
+	}
+	if total == 0 {
+		t.Error("there were none at all")
+	}
+}
+
+func TestSuspectsCountEachRouterOnce(t *testing.T) {
+	suspects := newSuspects()
+	suspects.heard("10.0.0.1:1", 7)
+	suspects.heard("10.0.0.1:1", 7)
+	if suspects.refused(7) {
+		t.Error("one break, told twice, counts as two")
+	}
+	suspects.broke(7)
+	if !suspects.refused(7) {
+		t.Error("two breaks at two routers do not count")
+	}
+	if got := suspects.takeFresh(); len(got) != 1 || got[0] != 7 {
+		t.Errorf("to be told: %v", got)
+	}
+}
+
+func TestSuspectsAreBounded(t *testing.T) {
+	suspects := newSuspects()
+	for print := range uint64(3 * suspectsMost) {
+		suspects.broke(print)
+	}
+	if got := len(suspects.known); got > suspectsMost {
+		t.Errorf("%d are remembered", got)
+	}
+}
+
+func TestEngineRateIsLearned(t *testing.T) {
+	loads := newLoads()
+	const assumed, real = 20_000.0, 57_000.0
+	tokens := 5000.0
+	for range 300 {
+		loads.begin("i", BackendLoad{Running: 1, Pending: tokens})
+		loads.first("i", "s", tokens, tokens, time.Duration(tokens/real*float64(time.Second)))
+	}
+	if got := loads.rate("s", assumed); got < 0.85*real || got > real {
+		t.Errorf("%v prompt tokens a second, they were %v", got, real)
+	}
+	if got := loads.rate("other", assumed); got != assumed {
+		t.Errorf("%v without an observation, want %v", got, assumed)
+	}
+}
+
+// Symptom: a backend server that fails gets its share of requests.
+// Events: it answers with errors while its health check is good.
+// Cause: answers were not looked at.
+func TestFailingBackendIsShunnedForAWhile(t *testing.T) {
+	loads := newLoads()
+	now := boottime.Now()
+	for range 10 {
+		loads.answered("i", false, 0)
+	}
+	if !loads.shunnedNow("i", now) {
+		t.Error("it is not shunned")
+	}
+	if loads.shunnedNow("i", now.Add(2*shunTime)) {
+		t.Error("it is never tried again")
+	}
+	for i := range 50 {
+		loads.answered("j", i%7 != 0, time.Millisecond)
+	}
+	if loads.shunnedNow("j", now) {
+		t.Error("a seventh of failures is usual for some services")
+	}
+}
+
+func TestLoadsReturnToZero(t *testing.T) {
+	loads := newLoads()
+	load := BackendLoad{Running: 1, Pending: 10, Memory: 20}
+	loads.begin("i", load)
+	loads.first("i", "s", 10, 10, time.Millisecond)
+	load.Pending = 0
+	loads.end("i", load)
+	if got, _ := loads.get("i"); got != (BackendLoad{}) {
+		t.Errorf("%+v is left", got)
+	}
+	loads.keep(map[string]*knowledge.Backend{})
+	if got := len(loads.snapshot()); got != 0 {
+		t.Errorf("%d are told to others", got)
+	}
+}
+
+func TestPromptParts(t *testing.T) {
+	prompt := Prompt{Tokens: 1460, MaxOutput: 80, ExpectedOutput: 50, Parts: []PromptPart{{"a", 800}, {"b", 410}, {"c", 250}}}
+	if got := prompt.SharedPart(); got != "b" {
+		t.Errorf("shared part %q", got)
+	}
+	if got := prompt.SharedTokens(); got != 1210 {
+		t.Errorf("%d shared tokens", got)
+	}
+	if got := prompt.Cost(); got != 1560 {
+		t.Errorf("cost %v", got)
+	}
+	if got := (Prompt{Tokens: 5, Parts: []PromptPart{{"a", 5}}}).SharedPart(); got != "a" {
+		t.Errorf("shared part %q of one", got)
+	}
+	if (Prompt{}).SharedPart() != "" || (Prompt{}).SharedTokens() != 0 {
+		t.Error("an empty prompt has shared parts")
+	}
+}
+
+var _ Peers = routers(0)
--- /dev/null
+++ b/internal/gate/entry_test.go
@@ -0,0 +1,175 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// noPeers is a fleet of one router.
+type noPeers struct{}
+
+func (noPeers) Load(string) BackendLoad { return BackendLoad{} }
+func (noPeers) Routers() int            { return 1 }
+
+// plainDialect takes requests as they are.
+type plainDialect struct{}
+
+func (plainDialect) Decode(r *http.Request) (*Request, error) {
+	return &Request{Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header}, nil
+}
+func (plainDialect) ForwardHeader(forward *Forward) http.Header { return forward.Request.Header }
+func (plainDialect) Reply(int, http.Header) Reply               { return Reply{Signed: true} }
+func (plainDialect) Unsign(http.Header)                         {}
+
+// listeningGate runs a gate with the number of connections and returns its
+// address.
+func listeningGate(t *testing.T, connections int) (*Manager, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := listener.Addr().String()
+	listener.Close()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	manager := NewManager(Options{
+		Settings:    Settings{Admission: AdmissionSettings{RetryAfter: time.Second}},
+		Callers:     fleet.Address(address),
+		Connections: connections,
+		Grace:       3 * time.Second,
+		Dialect:     plainDialect{},
+		State:       knowledge.NewState(),
+		Peers:       noPeers{},
+		Readiness:   daemon.NewReadiness(),
+		Registerer:  prometheus.NewRegistry(),
+		Logger:      logger,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		if err := manager.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	t.Cleanup(func() { cancel(); <-ended })
+	for range 200 {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			conn.Close()
+			break
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return manager, address
+}
+
+// ask sends a request on a connection and returns its answer.
+func ask(t *testing.T, conn net.Conn) *http.Response {
+	t.Helper()
+	if _, err := io.WriteString(conn, "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return response
+}
+
+// Symptom: requests wait a second for their connection and are sent on after
+// their callers have left.
+// Events: callers that come back open a connection each time and leave it
+// open.
+// Cause: all connections that the router accepts were taken by idle ones.
+func TestIdleConnectionsDoNotTakeAllPlaces(t *testing.T) {
+	_, address := listeningGate(t, 10)
+	for i := range 30 {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if err := conn.SetDeadline(time.Now().Add(3 * time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		response := ask(t, conn)
+		if response.StatusCode != http.StatusServiceUnavailable {
+			t.Errorf("status %d", response.StatusCode)
+		}
+		if i < 3 && response.Close {
+			t.Errorf("connection %d is closed after its answer though there is room", i)
+		}
+	}
+}
+
+// Symptom: a request gets no answer around a planned stop.
+// Events: the process is told to stop; the balancer goes on sending
+// connections until it has asked for readiness twice.
+// Cause: connections were no longer accepted.
+func TestConnectionsAreTakenUntilTheBalancerHasHeard(t *testing.T) {
+	manager, address := listeningGate(t, 10)
+	kept, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer kept.Close()
+	if response := ask(t, kept); response.Close {
+		t.Error("a connection is closed without need")
+	}
+	drained := make(chan error, 1)
+	go func() { drained <- manager.Drain(context.Background()) }()
+	time.Sleep(500 * time.Millisecond)
+	if manager.options.Readiness.NotReady() == "" {
+		t.Error("the balancer is not told")
+	}
+	if _, err := io.ReadAll(kept); err != nil {
+		t.Errorf("an idle connection ended with %v, want a plain close", err)
+	}
+	late, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer late.Close()
+	if response := ask(t, late); !response.Close {
+		t.Error("a connection is kept though the process stops")
+	}
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+}
+
+func TestLimitsOfNewConfigurationHold(t *testing.T) {
+	manager, address := listeningGate(t, 10)
+	manager.entry.apply(knowledge.Limits{HeaderBytes: 1 << 10, HeaderTimeout: 100 * time.Millisecond, IdleTimeout: 100 * time.Millisecond})
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	ask(t, conn)
+	began := time.Now()
+	if _, err := io.ReadAll(conn); err != nil {
+		t.Fatal(err)
+	}
+	if took := time.Since(began); took > time.Second {
+		t.Errorf("an idle connection was closed after %v", took)
+	}
+}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"slices"
 	"time"
 
@@ -61,6 +62,9 @@
 // ApplyConfig takes new settings. Addresses stay as they were at the start.
 func (m *Manager) ApplyConfig(settings Settings) { m.handler.settings.set(settings) }
 
+// Handler returns what answers callers' requests.
+func (m *Manager) Handler() http.Handler { return m.handler }
+
 // Run serves callers until the context ends.
 func (m *Manager) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- /dev/null
+++ b/internal/peering/peering_test.go
@@ -0,0 +1,132 @@
+package peering
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+)
+
+const self = "10.0.0.1:1"
+
+func beatOf(address string, incarnation uint64, clock int64, loads ...*peeringpb.Load) *peeringpb.Beat {
+	return &peeringpb.Beat{Address: address, Incarnation: incarnation, Clock: clock, Loads: loads}
+}
+
+func loadOf(id string, running uint32, pending float32) *peeringpb.Load {
+	return &peeringpb.Load{Backend: xxhash.Sum64String(id), Running: running, Pending: pending}
+}
+
+func TestLoadsAreSummedAndReplaced(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	table.take(beatOf("a", 1, 1, loadOf("i", 3, 100)), now)
+	table.take(beatOf("b", 1, 1, loadOf("i", 2, 50)), now)
+	if got := table.Load("i"); got.Running != 5 || got.Pending != 150 {
+		t.Errorf("%+v of two routers", got)
+	}
+	table.take(beatOf("a", 1, 2, loadOf("j", 1, 1)), now)
+	if got := table.Load("i"); got.Running != 2 || got.Pending != 50 {
+		t.Errorf("%+v after one has none", got)
+	}
+}
+
+func TestLateBeatIsIgnored(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	table.take(beatOf("a", 2, 10, loadOf("i", 3, 0)), now)
+	for _, late := range []*peeringpb.Beat{beatOf("a", 2, 9), beatOf("a", 1, 99), beatOf(self, 1, 1)} {
+		if taken, _ := table.take(late, now); taken {
+			t.Errorf("%v was taken", late)
+		}
+	}
+	if got := table.Load("i").Running; got != 3 {
+		t.Errorf("%d running", got)
+	}
+}
+
+// Symptom: requests avoid backend servers that are idle.
+// Events: a router is killed while its requests run.
+// Cause: its last beat counted for good.
+func TestLostRoutersLoadsGo(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	table.take(beatOf("a", 1, 1, loadOf("i", 3, 100)), now)
+	if lost := table.expire(now.Add(heardLife / 2)); len(lost) != 0 {
+		t.Fatalf("lost too early: %v", lost)
+	}
+	if lost := table.expire(now.Add(heardLife)); len(lost) != 1 {
+		t.Fatalf("lost: %v", lost)
+	}
+	if got := table.Load("i"); got.Running != 0 {
+		t.Errorf("%+v is left of it", got)
+	}
+}
+
+// Symptom: the fleet sends more second sends than its budget allows.
+// Events: routers are cut off from each other.
+// Cause: each took itself for the only one and the whole budget for its own.
+func TestRoutersThatAreCutOffStillCount(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	for _, address := range []string{"a", "b", "c"} {
+		table.take(beatOf(address, 1, 1), now)
+	}
+	table.expire(now.Add(2 * heardLife))
+	if got := table.Routers(); got != 4 {
+		t.Errorf("%d routers, want 4", got)
+	}
+	table.expire(now.Add(2 * countLife))
+	if got := table.Routers(); got != 1 {
+		t.Errorf("%d routers long after the others went, want 1", got)
+	}
+}
+
+// Symptom: a withdrawn key is taken.
+// Events: a process stands still for seconds; beats wait in its socket; it goes
+// on and reads them.
+// Cause: their ages counted from when they were read, not from when they were
+// sent.
+func TestBeatThatWaitedConfirmsNothingNew(t *testing.T) {
+	state := knowledge.NewState()
+	old := boottime.Now().Add(-time.Minute)
+	state.SetConfiguration(&knowledge.Configuration{Version: 3}, old)
+	manager := &Manager{options: Options{State: state}, started: old}
+	now := boottime.Now()
+	echo := now.Add(-10 * time.Second) // our clock when the peer last heard us
+	manager.confirm(&peeringpb.Beat{Echo: int64(echo), Version: 3, ConfigAge: int64(time.Second), ListAge: -1}, now)
+	if got, want := state.View().Configured, echo.Add(-time.Second); got != want {
+		t.Errorf("confirmed %v ago, want %v", now.Sub(got), now.Sub(want))
+	}
+	before := state.View().Configured
+	for _, beat := range []*peeringpb.Beat{
+		{Echo: 0, Version: 3, ConfigAge: 0, ListAge: -1},
+		{Echo: int64(now.Add(time.Hour)), Version: 3, ConfigAge: 0, ListAge: -1},
+		{Echo: int64(old.Add(-time.Hour)), Version: 3, ConfigAge: 0, ListAge: -1},
+		{Echo: int64(now), Version: 2, ConfigAge: 0, ListAge: -1},
+		{Echo: int64(now), Version: 3, ConfigAge: -1, ListAge: -1},
+	} {
+		manager.confirm(beat, now)
+		if got := state.View().Configured; got != before {
+			t.Errorf("%v confirmed the configuration", beat)
+		}
+	}
+}
+
+func TestSilentAddressesAreForgotten(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	if table.add(self, now) || !table.add("a", now) || table.add("a", now) {
+		t.Error("addresses are added wrongly")
+	}
+	if got := len(table.targets(now)); got != 1 {
+		t.Errorf("%d targets", got)
+	}
+	if got := len(table.targets(now.Add(2 * addressLife))); got != 0 {
+		t.Errorf("%d targets after a long silence", got)
+	}
+}
--- /dev/null
+++ b/internal/selection/selection_test.go
@@ -0,0 +1,133 @@
+package selection
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var limits = Limits{Rate: 50_000, SlotShare: 0.8, MemoryShare: 0.9}
+
+func engines(n int) []Engine {
+	list := make([]Engine, n)
+	for i := range list {
+		list[i] = Engine{ID: fmt.Sprintf("i-%d", i), Slots: 64, MemoryCapacity: 500_000}
+	}
+	return list
+}
+
+// Symptom: the longest prompts of a kind are never served.
+// Events: something always waits at every engine.
+// Cause: a prompt's own length counted against the bound of what waits.
+func TestLongPromptIsNotRefusedForItsLength(t *testing.T) {
+	list := engines(2)
+	for i := range list {
+		list[i].Running, list[i].Pending = 5, 5_000
+	}
+	demand := Demand{Affinity: 1, Own: 50_000, Budget: 400 * time.Millisecond}
+	if choice, ok := Model(list, demand, limits); !ok || !choice.Fits {
+		t.Errorf("it is refused: %+v", choice)
+	}
+}
+
+func TestEngineWithTooMuchAheadIsNotChosen(t *testing.T) {
+	list := engines(2)
+	for i := range list {
+		list[i].Running, list[i].Pending = 5, 30_000
+	}
+	if choice, _ := Model(list, Demand{Own: 100, Budget: 400 * time.Millisecond}, limits); choice.Fits {
+		t.Error("0.6 s of prompts are ahead, 0.4 s are allowed")
+	}
+}
+
+func TestMemoryAndSlotsAreBounds(t *testing.T) {
+	for name, change := range map[string]func(*Engine){
+		"memory": func(e *Engine) { e.Running, e.Memory = 40, 449_000 },
+		"slots":  func(e *Engine) { e.Running = 51 },
+	} {
+		list := engines(2)
+		for i := range list {
+			change(&list[i])
+		}
+		if choice, _ := Model(list, Demand{Own: 2_000, Budget: time.Second}, limits); choice.Fits {
+			t.Errorf("%s: a full engine takes a request", name)
+		}
+	}
+}
+
+// An idle engine never refuses, whatever the request: capacity would stand
+// idle while work waits.
+func TestIdleEngineTakesAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		demand := Demand{
+			Affinity: rapid.Uint64().Draw(t, "key"),
+			Shared:   rapid.Float64Range(0, 1e6).Draw(t, "shared"),
+			Own:      rapid.Float64Range(0, 1e6).Draw(t, "own"),
+			Output:   rapid.Float64Range(0, 1e6).Draw(t, "output"),
+		}
+		list := engines(rapid.IntRange(1, 8).Draw(t, "engines"))
+		if choice, ok := Model(list, demand, limits); !ok || !choice.Fits {
+			t.Fatalf("%+v is refused", demand)
+		}
+	})
+}
+
+// When an engine goes, only the keys that it had move.
+func TestFewKeysMoveWhenAnEngineGoes(t *testing.T) {
+	list := engines(10)
+	for key := range uint64(2000) {
+		before := rank(list, mix(key))[0]
+		after := rank(list[:9], mix(key))[0]
+		if before != 9 && before != after {
+			t.Fatalf("key %d moved from engine %d to %d though both stayed", key, before, after)
+		}
+	}
+}
+
+func TestKeysAreSpreadEvenly(t *testing.T) {
+	list := engines(10)
+	counts := make([]int, len(list))
+	for key := range uint64(10_000) {
+		counts[rank(list, mix(key))[0]]++
+	}
+	for engine, count := range counts {
+		if count < 850 || count > 1150 {
+			t.Errorf("engine %d has %d of 10,000 keys, want about 1,000", engine, count)
+		}
+	}
+}
+
+func TestAffinityYieldsToWork(t *testing.T) {
+	list := engines(2)
+	demand := Demand{Affinity: 7, Shared: 5_000, Own: 1_000, Budget: time.Second}
+	preferred, _ := Model(list, demand, limits)
+	list[preferred.Index].Running, list[preferred.Index].Pending = 3, 4_000
+	if choice, _ := Model(list, demand, limits); choice.Index != preferred.Index {
+		t.Error("reading 5,000 shared tokens again is dearer than waiting for 4,000")
+	}
+	list[preferred.Index].Pending = 8_000
+	if choice, _ := Model(list, demand, limits); choice.Index == preferred.Index {
+		t.Error("waiting for 8,000 tokens is dearer than reading 5,000 again")
+	}
+}
+
+func TestPlainPrefersTheLeastOccupied(t *testing.T) {
+	servers := []Server{{Running: 3, Slots: 6, Near: true}, {Running: 1, Slots: 6}, {Running: 2, Slots: 6, Near: true}}
+	if got := Plain(servers, 0); got != 1 {
+		t.Errorf("server %d", got)
+	}
+	if got := Plain(nil, 0); got != -1 {
+		t.Errorf("server %d of none", got)
+	}
+}
+
+func TestPlainPrefersItsZoneAmongEquals(t *testing.T) {
+	servers := []Server{{Slots: 6}, {Slots: 6, Near: true}, {Slots: 6}}
+	for offset := range 3 {
+		if got := Plain(servers, offset); got != 1 {
+			t.Errorf("offset %d: server %d", offset, got)
+		}
+	}
+}
