--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -36,10 +36,9 @@
 
 // State is the newest View. Its methods may be called concurrently.
 type State struct {
-	mu       sync.Mutex // held by writers
-	view     atomic.Pointer[View]
-	changed  chan struct{} // closed and replaced at each change of content
-	onChange func(before, after *View)
+	mu      sync.Mutex // held by writers
+	view    atomic.Pointer[View]
+	changed chan struct{} // closed and replaced at each change of content
 }
 
 // NewState returns a state in which nothing is known.
