--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -19,10 +19,12 @@
 	BudgetShare float64
 	SlotShare   float64 // part of an engine's slots that is used
 	MemoryShare float64 // part of an engine's memory that requests may fill
-	// CapacityFactor is how much more than the stated capacity the accounts
-	// share. Parts that engines keep cost less than they count.
-	CapacityFactor float64
-	RetryAfter     time.Duration // told to callers that are refused
+	// SurplusShare is the part of the budget for requests of accounts that
+	// have had their share.
+	SurplusShare float64
+	// SurplusMost is how many times its share an account may get at most.
+	SurplusMost float64
+	RetryAfter  time.Duration // told to callers that are refused
 }
 
 // placement is a request's place at a backend server.
@@ -31,6 +33,9 @@
 	load    BackendLoad
 	pending float64 // prompt tokens waiting there, this request's included
 	model   bool
+	// holder is the address of an engine that probably keeps shared parts
+	// which the chosen one lacks, "" for none.
+	holder fleet.Address
 }
 
 // admission decides which request is sent where. Its methods may be called
@@ -128,15 +133,27 @@
 	now := boottime.Now()
 	limits := view.Index.Configuration.Limits
 	cost := request.Prompt.Cost()
-	if !again && !a.inShare(request, cost, limits.TokensPerSecond, now) {
+	standing := a.standing(request, cost, limits.TokensPerSecond, now)
+	tier := "in"
+	if standing > 1 {
+		tier = "over"
+	}
+	if !again && standing > a.settings.get().Admission.SurplusMost {
+		dbgCount("share")
 		return nil, a.refuse(ReasonShare)
 	}
 	engines := a.engines(view, request.Service, usable)
 	demand := a.demand(request)
+	if standing > 1 {
+		demand.Budget = time.Duration(float64(demand.Budget) * a.settings.get().Admission.SurplusShare)
+	}
 	choice, ok := selection.Model(engines, demand, a.limits(view, request.Service, limits))
 	if !ok || !choice.Fits {
+		dbgCount(tier + "-busy")
+		dbgCount(tier + "-busy-" + choice.Why)
 		return nil, a.refuse(ReasonBusy)
 	}
+	dbgCount(tier + "-sent")
 	placed := &placement{
 		backend: usable[choice.Index],
 		load: BackendLoad{
@@ -147,6 +164,9 @@
 		pending: engines[choice.Index].Pending + choice.Tokens,
 		model:   true,
 	}
+	if choice.Holder != choice.Index && a.canFetch(view, request.Service) {
+		placed.holder = usable[choice.Holder].Address
+	}
 	a.loads.begin(placed.backend.ID, placed.load)
 	if request.Account != nil {
 		a.mu.Lock()
@@ -156,13 +176,14 @@
 	return placed, nil
 }
 
-func (a *admission) inShare(request *Request, cost, capacity float64, now boottime.Instant) bool {
+// standing returns how much of its share the request's account will have got.
+func (a *admission) standing(request *Request, cost, capacity float64, now boottime.Instant) float64 {
 	if request.Account == nil {
-		return true
+		return 0
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.ledger.Allowed(request.Account.Name, cost, capacity*a.settings.get().Admission.CapacityFactor, now)
+	return a.ledger.Standing(request.Account.Name, cost, capacity, now)
 }
 
 func (a *admission) demand(request *Request) selection.Demand {
@@ -211,13 +232,29 @@
 	if count := len(view.ByService[service]); limits.TokensPerSecond > 0 && count > 0 {
 		assumed = limits.TokensPerSecond / float64(count)
 	}
+	fetchShare := 1.0
+	if a.canFetch(view, service) {
+		fetchShare = fetchCost
+	}
 	return selection.Limits{
+		FetchShare:  fetchShare,
 		Rate:        a.loads.rate(service, assumed),
 		SlotShare:   a.settings.get().Admission.SlotShare,
 		MemoryShare: a.settings.get().Admission.MemoryShare,
 	}
 }
 
+// fetchCost is what fetching a token from another engine costs, in parts of
+// reading it: it takes the engine next to no time, but the users pay for it.
+const fetchCost = 0.15
+
+// canFetch tells whether engines of the service fetch prompt parts from each
+// other.
+func (a *admission) canFetch(view *knowledge.View, service fleet.Service) bool {
+	settings := view.Index.Service(service)
+	return settings != nil && settings.Fetches
+}
+
 // began notes the first event of a placed request after the time since it was
 // sent.
 func (a *admission) began(placed *placement, service fleet.Service, took time.Duration) {
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -62,11 +62,12 @@
 
 // AdmissionSection holds what is sent to model engines.
 type AdmissionSection struct {
-	BudgetShare    float64       `key:"budget_share" default:"0.5" min:"0.01" max:"1" doc:"Part of a route's target latency within which an engine must have read the prompts ahead of a request and its own."`
-	SlotShare      float64       `key:"slot_share" default:"0.8" min:"0.05" max:"1" doc:"Part of an engine's slots that is used."`
-	MemoryShare    float64       `key:"memory_share" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's memory that requests may fill."`
-	CapacityFactor float64       `key:"capacity_factor" default:"1.6" min:"0.1" doc:"How much more than the stated capacity the accounts share."`
-	RetryAfter     time.Duration `key:"retry_after" default:"300ms" min:"10ms" doc:"Time to come back that refused callers are told."`
+	BudgetShare  float64       `key:"budget_share" default:"0.5" min:"0.01" max:"1" doc:"Part of a route's target latency within which an engine must have read the prompts ahead of a request and its own."`
+	SlotShare    float64       `key:"slot_share" default:"0.8" min:"0.05" max:"1" doc:"Part of an engine's slots that is used."`
+	MemoryShare  float64       `key:"memory_share" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's memory that requests may fill."`
+	SurplusShare float64       `key:"surplus_share" default:"0.3" min:"0" max:"1" doc:"Part of that time for accounts that have had their share."`
+	SurplusMost  float64       `key:"surplus_most" default:"3" min:"1" doc:"How many times its share an account may get at most."`
+	RetryAfter   time.Duration `key:"retry_after" default:"300ms" min:"10ms" doc:"Time to come back that refused callers are told."`
 }
 
 const (
@@ -120,11 +121,12 @@
 			Window: c.Bounds.RetryWindow,
 		},
 		Admission: AdmissionSettings{
-			BudgetShare:    c.Admission.BudgetShare,
-			SlotShare:      c.Admission.SlotShare,
-			MemoryShare:    c.Admission.MemoryShare,
-			CapacityFactor: c.Admission.CapacityFactor,
-			RetryAfter:     c.Admission.RetryAfter,
+			BudgetShare:  c.Admission.BudgetShare,
+			SlotShare:    c.Admission.SlotShare,
+			MemoryShare:  c.Admission.MemoryShare,
+			SurplusShare: c.Admission.SurplusShare,
+			SurplusMost:  c.Admission.SurplusMost,
+			RetryAfter:   c.Admission.RetryAfter,
 		},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
@@ -28,6 +29,9 @@
 	Left    time.Duration // until the backend server may give up
 	// LastEvent is the id of the last event that was handed out.
 	LastEvent string
+	// Holder is the address of an engine from which the backend server fetches
+	// prompt parts that it lacks, "" for none.
+	Holder fleet.Address
 }
 
 // Reply is what a backend server says of an answer in its header.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -70,6 +70,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.handler.pool.Run(ctx) })
 	group.Go(func() error { return m.handler.records.Run(ctx) })
+	go m.handler.admission.dbgLoop()
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error {
 		if err := m.entry.run(ctx, m.options.Callers); err != nil {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -177,6 +177,7 @@
 		Backend:   placed.backend,
 		Left:      r.request.Left(now),
 		LastEvent: r.stream.lastEvent,
+		Holder:    placed.holder,
 	}
 	if forward.LastEvent == "" {
 		forward.LastEvent = r.request.LastEvent
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -62,6 +62,7 @@
 	Slots          int    // requests that a model engine runs at once, 0 if unknown
 	KVCapacity     int    // tokens that a model engine's memory holds, 0 for plain services
 	EventTokens    int    // most tokens in one event of a stream
+	Fetches        bool   // engines fetch kept prompt parts from each other
 	HealthPath     string // not asked at present: answers show the health
 }
 
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -33,15 +33,22 @@
 	// MemoryShare is the part of the memory that requests may fill. When it
 	// runs out, an engine drops a running request and reads it again.
 	MemoryShare float64
+	// FetchShare is what fetching shared parts from another engine costs, in
+	// parts of reading them. 1 where engines can't fetch.
+	FetchShare float64
 }
 
 // Choice is an engine chosen for a request.
 type Choice struct {
 	Index int // of the engine in the list of candidates
+	// Holder is the index of the engine that the key prefers, which probably
+	// keeps the shared parts.
+	Holder int
 	// Tokens are the prompt tokens that the engine is expected to read.
 	Tokens float64
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
+	Why    string
 }
 
 // candidates is how many engines are considered for a key. More would share a
@@ -55,7 +62,7 @@
 	ranked := rank(engines, demand.Affinity)
 	for place, index := range ranked {
 		choice := evaluate(engines[index], demand, limits, place == 0)
-		choice.Index = index
+		choice.Index, choice.Holder = index, ranked[0]
 		if !ok || better(choice, best) {
 			best, ok = choice, true
 		}
@@ -74,7 +81,7 @@
 func evaluate(engine Engine, demand Demand, limits Limits, preferred bool) Choice {
 	tokens := demand.Own
 	if !preferred {
-		tokens += demand.Shared
+		tokens += demand.Shared * limits.FetchShare
 	}
 	rate := max(limits.Rate, 1)
 	ahead := time.Duration(engine.Pending / rate * float64(time.Second))
@@ -85,6 +92,15 @@
 	choice.Fits = ahead <= demand.Budget &&
 		slotFree(engine, limits) &&
 		memoryFree(engine, demand, limits)
+	if ahead > demand.Budget {
+		choice.Why += "A"
+	}
+	if !slotFree(engine, limits) {
+		choice.Why += "S"
+	}
+	if !memoryFree(engine, demand, limits) {
+		choice.Why += "M"
+	}
 	// An idle engine takes any request: refusing it would leave capacity
 	// unused.
 	if engine.Running == 0 {
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -118,17 +118,18 @@
 // sums of the accounts as they are.
 const levelLife = 50 * time.Millisecond
 
-// Allowed tells whether the account may use the tokens, when the fleet has
-// capacity tokens a second for all accounts.
-func (l *Ledger) Allowed(account fleet.Account, tokens, capacity float64, now boottime.Instant) bool {
+// Standing returns how much of its share the account will have got with the
+// tokens, when the fleet has capacity tokens a second for all accounts: up to 1
+// it stays within its share. It is 0 while nobody has to share.
+func (l *Ledger) Standing(account fleet.Account, tokens, capacity float64, now boottime.Instant) float64 {
 	if capacity <= 0 {
-		return true
+		return 0
 	}
 	if l.levelAt == 0 || now.Sub(l.levelAt) > levelLife {
 		l.level = l.computeLevel(capacity, now)
 		l.levelAt = now
 	}
-	return l.total(account, now).Got+tokens/2 <= l.level
+	return (l.total(account, now).Got + tokens/2) / l.level
 }
 
 // Level returns the greatest sum that an account may have got at present.
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -61,11 +61,11 @@
 		for range 100 {
 			now = now.Add(100 * time.Millisecond)
 			ledger.Asked("large", flood/10, now)
-			if ledger.Allowed("large", flood/10, capacity, now) {
+			if ledger.Standing("large", flood/10, capacity, now) <= 1 {
 				ledger.Got("large", flood/10, now)
 			}
 			ledger.Asked("small", 40, now)
-			if !ledger.Allowed("small", 40, capacity, now) {
+			if ledger.Standing("small", 40, capacity, now) > 1 {
 				t.Fatalf("the small account is refused at level %v", ledger.Level())
 			}
 			ledger.Got("small", 40, now)
@@ -80,14 +80,14 @@
 	ledger := NewLedger()
 	ledger.SetOther("other", map[fleet.Account]Use{"large": {Asked: 10_000, Got: 4_000}, "small": {Asked: 1500, Got: 500}}, start)
 	ledger.Asked("large", 1000, start)
-	if ledger.Allowed("large", 1000, 1000, start) {
+	if ledger.Standing("large", 1000, 1000, start) <= 1 {
 		t.Error("the account has got more than its share elsewhere")
 	}
-	if !ledger.Allowed("small", 100, 1000, start) {
+	if ledger.Standing("small", 100, 1000, start) > 1 {
 		t.Error("the other account has not")
 	}
 	ledger.RemoveOther("other")
-	if !ledger.Allowed("large", 1000, 1000, start.Add(time.Second)) {
+	if ledger.Standing("large", 1000, 1000, start.Add(time.Second)) > 1 {
 		t.Error("a lost router still counts")
 	}
 }
