--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -24,7 +24,10 @@
 	SurplusShare float64
 	// SurplusMost is how many times its share an account may get at most.
 	SurplusMost float64
-	RetryAfter  time.Duration // told to callers that are refused
+	// RetryShare is the part of a route's target latency after which refused
+	// callers are told to come back. Their time counts from their first try,
+	// so what is left must suffice for an answer.
+	RetryShare float64
 }
 
 // placement is a request's place at a backend server.
@@ -76,7 +79,7 @@
 func (a *admission) place(request *Request, view *knowledge.View, excluded map[string]bool) (*placement, *Refusal) {
 	usable := a.usable(view, request.Service, excluded)
 	if len(usable) == 0 {
-		return nil, a.refuse(ReasonNoBackend)
+		return nil, a.refuse(request, ReasonNoBackend)
 	}
 	if request.Prompt.Tokens > 0 {
 		return a.placeModel(request, view, usable, len(excluded) > 0)
@@ -84,8 +87,18 @@
 	return a.placePlain(usable), nil
 }
 
-func (a *admission) refuse(reason Reason) *Refusal {
-	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.settings.get().Admission.RetryAfter}
+func (a *admission) refuse(request *Request, reason Reason) *Refusal {
+	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.retryAfter(request)}
+}
+
+// leastRetry is the shortest time to come back: below it, callers would come
+// back before anything has changed.
+const leastRetry = 50 * time.Millisecond
+
+// retryAfter returns the time to come back for a request that has not run.
+func (a *admission) retryAfter(request *Request) time.Duration {
+	share := a.settings.get().Admission.RetryShare
+	return max(time.Duration(float64(request.Route.TargetLatency)*share), leastRetry)
 }
 
 // usable returns the backend servers of the service that may take a request.
@@ -140,7 +153,7 @@
 	}
 	if !again && standing > a.settings.get().Admission.SurplusMost {
 		dbgCount("share")
-		return nil, a.refuse(ReasonShare)
+		return nil, a.refuse(request, ReasonShare)
 	}
 	engines := a.engines(view, request.Service, usable)
 	demand := a.demand(request)
@@ -151,7 +164,7 @@
 	if !ok || !choice.Fits {
 		dbgCount(tier + "-busy")
 		dbgCount(tier + "-busy-" + choice.Why)
-		return nil, a.refuse(ReasonBusy)
+		return nil, a.refuse(request, ReasonBusy)
 	}
 	dbgCount(tier + "-sent")
 	placed := &placement{
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -62,12 +62,12 @@
 
 // AdmissionSection holds what is sent to model engines.
 type AdmissionSection struct {
-	BudgetShare  float64       `key:"budget_share" default:"0.5" min:"0.01" max:"1" doc:"Part of a route's target latency within which an engine must have read the prompts ahead of a request and its own."`
-	SlotShare    float64       `key:"slot_share" default:"0.8" min:"0.05" max:"1" doc:"Part of an engine's slots that is used."`
-	MemoryShare  float64       `key:"memory_share" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's memory that requests may fill."`
-	SurplusShare float64       `key:"surplus_share" default:"0.3" min:"0" max:"1" doc:"Part of that time for accounts that have had their share."`
-	SurplusMost  float64       `key:"surplus_most" default:"3" min:"1" doc:"How many times its share an account may get at most."`
-	RetryAfter   time.Duration `key:"retry_after" default:"300ms" min:"10ms" doc:"Time to come back that refused callers are told."`
+	BudgetShare  float64 `key:"budget_share" default:"0.8" min:"0.01" max:"1" doc:"Part of a route's target latency within which an engine must have read the prompts ahead of a request and its own."`
+	SlotShare    float64 `key:"slot_share" default:"0.8" min:"0.05" max:"1" doc:"Part of an engine's slots that is used."`
+	MemoryShare  float64 `key:"memory_share" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's memory that requests may fill."`
+	SurplusShare float64 `key:"surplus_share" default:"0.6" min:"0" max:"1" doc:"Part of that time for accounts that have had their share."`
+	SurplusMost  float64 `key:"surplus_most" default:"3" min:"1" doc:"How many times its share an account may get at most."`
+	RetryShare   float64 `key:"retry_share" default:"0.35" min:"0.01" max:"1" doc:"Part of a route's target latency after which refused callers are told to come back."`
 }
 
 const (
@@ -115,6 +115,7 @@
 			Keyed: time.Duration(float64(c.Bounds.Revoke) * keyedShare),
 			Final: time.Duration(float64(c.Bounds.Apply) * finalShare),
 		},
+		Revoke: c.Bounds.Revoke,
 		Budget: BudgetSettings{
 			Ratio:  c.Bounds.RetryRatio,
 			Extra:  c.Bounds.RetryExtra,
@@ -126,7 +127,7 @@
 			MemoryShare:  c.Admission.MemoryShare,
 			SurplusShare: c.Admission.SurplusShare,
 			SurplusMost:  c.Admission.SurplusMost,
-			RetryAfter:   c.Admission.RetryAfter,
+			RetryShare:   c.Admission.RetryShare,
 		},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -14,6 +14,7 @@
 type routers int
 
 func (routers) Load(string) BackendLoad { return BackendLoad{} }
+func (routers) InContact() bool         { return true }
 func (r routers) Routers() int          { return int(r) }
 
 func knownView(configured boottime.Instant) *knowledge.View {
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -21,6 +21,7 @@
 type noPeers struct{}
 
 func (noPeers) Load(string) BackendLoad { return BackendLoad{} }
+func (noPeers) InContact() bool         { return false }
 func (noPeers) Routers() int            { return 1 }
 
 // plainDialect takes requests as they are.
@@ -46,7 +47,7 @@
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	manager := NewManager(Options{
-		Settings:    Settings{Admission: AdmissionSettings{RetryAfter: time.Second}},
+		Settings:    Settings{Admission: AdmissionSettings{RetryShare: 0.5}},
 		Callers:     fleet.Address(address),
 		Connections: connections,
 		Grace:       3 * time.Second,
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -20,6 +20,7 @@
 // Settings are the settings of a gate.
 type Settings struct {
 	Freshness Freshness
+	Revoke    time.Duration // from the withdrawal of a key until no request with it runs
 	Budget    BudgetSettings
 	Admission AdmissionSettings
 	// BodyMemory bounds the bytes of all requests that are held at once.
@@ -53,12 +54,13 @@
 	metrics   *metrics
 	bodies    atomic.Int64 // bytes of the requests held
 	crowded   func() bool  // whether callers hold too many connections open
+	isolated  atomic.Bool  // whether callers are served better elsewhere
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
-	if h.crowded() {
+	if h.crowded() || h.isolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.state.View()
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -33,6 +33,8 @@
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
+	// InContact tells whether the store answers another router.
+	InContact() bool
 }
 
 const (
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -72,6 +73,7 @@
 	group.Go(func() error { return m.handler.records.Run(ctx) })
 	go m.handler.admission.dbgLoop()
 	group.Go(func() error { return m.follow(ctx) })
+	group.Go(func() error { return m.watchReadiness(ctx) })
 	group.Go(func() error {
 		if err := m.entry.run(ctx, m.options.Callers); err != nil {
 			return err
@@ -105,10 +107,54 @@
 	}
 	m.logBackends(before, view)
 	m.handler.admission.loads.keep(view.Backends)
-	if view.Ready() && m.options.Readiness.NotReady() != "" {
+}
+
+const (
+	// readinessInterval is the pause between two looks at the readiness.
+	readinessInterval = 100 * time.Millisecond
+	// contactShare is the part of the bound for withdrawn keys after which a
+	// router that the store does not answer leaves the callers to others.
+	contactShare = 0.5
+)
+
+// watchReadiness tells the balancer whether to send connections here, until
+// the context ends.
+func (m *Manager) watchReadiness(ctx context.Context) error {
+	ready := false
+	ticker := time.NewTicker(readinessInterval)
+	defer ticker.Stop()
+	for {
+		view := m.options.State.View()
+		isolated := m.isolated(view)
+		m.handler.isolated.Store(isolated)
+		if now := view.Ready() && !isolated; now != ready {
+			ready = now
+			m.setReady(ready)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// isolated tells whether the store answers others but not this router. What it
+// knows comes from the others then, who serve its callers better: they hear of
+// a withdrawn key or a new route first. Skammtur scale-2, with two of five
+// routers cut off, lost a tenth of its worth without this.
+func (m *Manager) isolated(view *knowledge.View) bool {
+	most := time.Duration(float64(m.handler.settings.get().Revoke) * contactShare)
+	return boottime.Now().Sub(view.Contact) > most && m.options.Peers.InContact()
+}
+
+func (m *Manager) setReady(ready bool) {
+	if ready {
 		m.options.Readiness.SetReady()
-		event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": true})
+	} else {
+		m.options.Readiness.SetNotReady("the store answers other routers only")
 	}
+	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": ready})
 }
 
 func (m *Manager) logBackends(before, view *knowledge.View) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -97,7 +97,7 @@
 	return Refusal{
 		Status:     http.StatusServiceUnavailable,
 		Reason:     ReasonDeclined,
-		RetryAfter: r.handler.settings.get().Admission.RetryAfter,
+		RetryAfter: r.handler.admission.retryAfter(r.request),
 	}
 }
 
@@ -133,7 +133,7 @@
 	return Refusal{
 		Status:     http.StatusServiceUnavailable,
 		Reason:     ReasonLate,
-		RetryAfter: r.handler.settings.get().Admission.RetryAfter,
+		RetryAfter: r.handler.admission.retryAfter(r.request),
 	}
 }
 
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -2,9 +2,12 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -18,6 +21,17 @@
 	for _, group := range v.ByService {
 		slices.SortFunc(group, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
 	}
+	v.Digest = digest(backends)
+}
+
+// digest returns a value that lists with the same entries share.
+func digest(backends map[string]*Backend) uint64 {
+	sum := uint64(len(backends))
+	for id, backend := range backends {
+		entry := fmt.Sprintf("%s %s %s %t", id, backend.Service, backend.Address, backend.Leaving)
+		sum += xxhash.Sum64String(entry) // the order does not matter
+	}
+	return sum
 }
 
 func cloneBackends(backends map[string]*Backend) map[string]*Backend {
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -16,8 +16,12 @@
 	// newest, as the platform's store said.
 	Configured boottime.Instant
 
+	// Contact is when the store last answered a call of this process's own.
+	Contact boottime.Instant
+
 	Backends  map[string]*Backend          // by ID
 	ByService map[fleet.Service][]*Backend // in the order of their IDs
+	Digest    uint64                       // of the list of backend servers, to compare it with another router's
 	Revision  uint64                       // of the list of backend servers
 	Listed    boottime.Instant             // a moment at which the list was complete
 	Absent    map[string]boottime.Instant  // when a listed backend server was first missed
@@ -114,6 +118,14 @@
 // after an outage: several times the pause between two lists.
 const outageAge = 3 * time.Second
 
+// SetContact tells that the store answered this process at the moment.
+func (s *State) SetContact(at boottime.Instant) {
+	s.update(func(view *View) bool {
+		view.Contact = max(view.Contact, at)
+		return false
+	})
+}
+
 // SetBackends takes a whole list that was complete at the moment confirmed. A
 // list of an older revision than the known one is ignored.
 func (s *State) SetBackends(backends []Backend, revision uint64, confirmed boottime.Instant) {
@@ -189,11 +201,11 @@
 	})
 }
 
-// ConfirmBackends tells that a peer knew the same or a newer revision to be
-// complete at the moment.
-func (s *State) ConfirmBackends(revision uint64, confirmed boottime.Instant) {
+// ConfirmBackends tells that another router's list with the digest was complete
+// at the moment.
+func (s *State) ConfirmBackends(digest uint64, confirmed boottime.Instant) {
 	s.update(func(view *View) bool {
-		if view.Listed != 0 && view.Revision >= revision {
+		if view.Listed != 0 && view.Digest == digest && len(view.Absent) == 0 {
 			view.Listed = max(view.Listed, confirmed)
 		}
 		return false
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -183,7 +183,7 @@
 		m.options.State.ConfirmConfiguration(beat.Version, echo.Add(-time.Duration(beat.ConfigAge)))
 	}
 	if beat.ListAge >= 0 {
-		m.options.State.ConfirmBackends(beat.Revision, echo.Add(-time.Duration(beat.ListAge)))
+		m.options.State.ConfirmBackends(beat.Digest, echo.Add(-time.Duration(beat.ListAge)))
 	}
 }
 
@@ -231,8 +231,9 @@
 		Clock:       int64(now),
 		Version:     view.Version(),
 		ConfigAge:   age(view.Configured, now),
-		Revision:    view.Revision,
+		Digest:      view.Digest,
 		ListAge:     age(view.Listed, now),
+		ContactAge:  age(view.Contact, now),
 		Broken:      m.takeBroken(),
 		Routers:     lo.Map(m.heard(now), func(address fleet.Address, _ int) string { return string(address) }),
 	}
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -27,8 +27,8 @@
 	pullPause = 200 * time.Millisecond
 	// listAge is the age from which the list of backend servers is taken from
 	// a router whose list is fresher by listGain. A router that the store
-	// reaches renews its list within about a second.
-	listAge  = 1300 * time.Millisecond
+	// reaches renews its list within one and a half seconds.
+	listAge  = 1600 * time.Millisecond
 	listGain = 500 * time.Millisecond
 	// headerTimeout bounds the wait for a call's header.
 	headerTimeout = time.Second
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -32,7 +32,7 @@
 	heard       boottime.Instant // when it came, 0 for never
 	tried       boottime.Instant // when the address became known
 	loads       map[uint64]gate.BackendLoad
-	leaving     bool
+	contact     boottime.Instant // when the store answered it, 0 for never
 }
 
 // table holds what is known of the other routers.
@@ -68,6 +68,23 @@
 	return max(t.most, 1)
 }
 
+// contactAge is the age up to which a router counts as one that the store
+// answers. Routers call it every one and a half seconds at least.
+const contactAge = 2200 * time.Millisecond
+
+// InContact implements gate.Peers.
+func (t *table) InContact() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := boottime.Now()
+	for _, peer := range t.peers {
+		if peer.heard != 0 && peer.contact != 0 && now.Sub(peer.contact) < contactAge {
+			return true
+		}
+	}
+	return false
+}
+
 // add makes an address known. It returns false when it was known.
 func (t *table) add(address fleet.Address, now boottime.Instant) bool {
 	t.mu.Lock()
@@ -119,7 +136,9 @@
 	}
 	appeared = known.heard == 0
 	known.incarnation, known.clock, known.heard = beat.Incarnation, beat.Clock, now
-	known.leaving = beat.Leaving
+	if beat.ContactAge >= 0 {
+		known.contact = now.Add(-time.Duration(beat.ContactAge))
+	}
 	t.replaceLoads(known, beat.Loads)
 	t.count(now)
 	return true, appeared
