--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -39,6 +40,8 @@
 	// holder is the address of an engine that probably keeps shared parts
 	// which the chosen one lacks, "" for none.
 	holder fleet.Address
+	// part is the key of the shared part that the engine reads, 0 for none.
+	part uint64
 }
 
 // admission decides which request is sent where. Its methods may be called
@@ -49,6 +52,8 @@
 	loads    *loads
 	peers    Peers
 
+	reading *reading
+
 	mu     sync.Mutex
 	ledger *shares.Ledger
 	turn   int
@@ -59,6 +64,7 @@
 		settings: settings,
 		zone:     zone,
 		loads:    newLoads(),
+		reading:  newReading(),
 		peers:    peers,
 		ledger:   shares.NewLedger(),
 	}
@@ -181,6 +187,10 @@
 		placed.holder = usable[choice.Holder].Address
 	}
 	a.loads.begin(placed.backend.ID, placed.load)
+	if demand.Shared >= readingLeast {
+		placed.part = demand.Affinity
+		a.reading.begin(placed.part)
+	}
 	if request.Account != nil {
 		a.mu.Lock()
 		a.ledger.Got(request.Account.Name, cost, now)
@@ -274,12 +284,31 @@
 	if !placed.model || placed.load.Pending == 0 {
 		return
 	}
+	a.endReading(placed)
 	a.loads.first(placed.backend.ID, service, placed.load.Pending, placed.pending, took)
 	placed.load.Pending = 0
 }
 
+func (a *admission) endReading(placed *placement) {
+	if placed.part != 0 {
+		a.reading.end(placed.part)
+		placed.part = 0
+	}
+}
+
+// awaitPart waits a little while another request has the shared part of this
+// one read.
+func (a *admission) awaitPart(ctx context.Context, request *Request) {
+	if request.Prompt.SharedTokens() < readingLeast {
+		return
+	}
+	most := time.Duration(float64(request.Route.TargetLatency) * readingShare)
+	a.reading.await(ctx, selection.Key(request.Prompt.SharedPart()), most)
+}
+
 // ended counts a placed request out. ran is false when it did not run.
 func (a *admission) ended(request *Request, placed *placement, ran bool) {
+	a.endReading(placed)
 	a.loads.end(placed.backend.ID, placed.load)
 	if ran || !placed.model || request.Account == nil {
 		return
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -44,6 +44,16 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ledger.RemoveOther(string(router))
+	a.reading.removeOther(router)
+}
+
+// Reading returns the keys of the prompt parts that engines read for requests
+// of this router.
+func (m *Manager) Reading() []uint64 { return m.handler.admission.reading.list() }
+
+// SetReading takes those of another router.
+func (m *Manager) SetReading(router fleet.Address, parts []uint64) {
+	m.handler.admission.reading.setOther(router, parts)
 }
 
 // HeardBroken takes a fingerprint from another router.
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -35,6 +35,11 @@
 	Uses() map[fleet.Account]shares.Use
 	// Loads returns what runs at backend servers, by their ids' hashes.
 	Loads() map[uint64]gate.BackendLoad
+	// Reading returns the keys of the prompt parts that engines read for
+	// requests of this router.
+	Reading() []uint64
+	// SetReading takes those of another router.
+	SetReading(router fleet.Address, parts []uint64)
 	// TakeBroken returns the fingerprints of requests that broke a backend
 	// server here since the last call.
 	TakeBroken() []uint64
@@ -164,6 +169,7 @@
 		uses[fleet.Account(use.Account)] = shares.Use{Asked: float64(use.Asked), Got: float64(use.Got)}
 	}
 	m.local.SetUses(router, uses)
+	m.local.SetReading(router, beat.Reading)
 	for _, fingerprint := range beat.Broken {
 		m.local.HeardBroken(router, fingerprint)
 	}
@@ -234,6 +240,7 @@
 		Digest:      view.Digest,
 		ListAge:     age(view.Listed, now),
 		ContactAge:  age(view.Contact, now),
+		Reading:     m.local.Reading(),
 		Broken:      m.takeBroken(),
 		Routers:     lo.Map(m.heard(now), func(address fleet.Address, _ int) string { return string(address) }),
 	}
