--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -183,8 +183,10 @@
 		pending: engines[choice.Index].Pending + choice.Tokens,
 		model:   true,
 	}
-	if choice.Holder != choice.Index && a.canFetch(view, request.Service) {
-		placed.holder = usable[choice.Holder].Address
+	if holder := a.holder(request, engines, choice); holder >= 0 && a.canFetch(view, request.Service) {
+		placed.holder = usable[holder].Address
+		dbgCount("second")
+		dbgSum("second-tokens", int(demand.Shared))
 	}
 	a.loads.begin(placed.backend.ID, placed.load)
 	if demand.Shared >= readingLeast {
@@ -269,7 +271,7 @@
 
 // fetchCost is what fetching a token from another engine costs, in parts of
 // reading it: it takes the engine next to no time, but the users pay for it.
-const fetchCost = 0.15
+const fetchCost = 2
 
 // canFetch tells whether engines of the service fetch prompt parts from each
 // other.
@@ -278,6 +280,25 @@
 	return settings != nil && settings.Fetches
 }
 
+// holder returns the index of the engine that probably keeps more of the
+// prompt than the chosen one, or -1. The engine that the last shared part
+// prefers keeps all shared parts; where that one is chosen, the engine that the
+// first part prefers keeps that part before any other does.
+func (a *admission) holder(request *Request, engines []selection.Engine, choice selection.Choice) int {
+	if choice.Holder != choice.Index {
+		return choice.Holder
+	}
+	parts := request.Prompt.Parts
+	if len(parts) < 3 {
+		return -1
+	}
+	first := selection.Preferred(engines, selection.Key(parts[0].ID))
+	if first == choice.Index {
+		return -1
+	}
+	return first
+}
+
 // began notes the first event of a placed request after the time since it was
 // sent.
 func (a *admission) began(placed *placement, service fleet.Service, took time.Duration) {
--- a/internal/gate/zz_debug.go
+++ b/internal/gate/zz_debug.go
@@ -45,3 +45,5 @@
 		fmt.Println("DBG", ks, "engines", n, "run", run, "pend", int(pend), "mem", int(mem), "rate", rates)
 	}
 }
+
+func dbgSum(k string, n int) { dbg.Lock(); dbg.n[k] += n; dbg.Unlock() }
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -121,6 +121,15 @@
 	return engine.Memory+needed <= engine.MemoryCapacity*limits.MemoryShare
 }
 
+// Preferred returns the index of the engine that the key prefers, or -1.
+func Preferred(engines []Engine, key uint64) int {
+	ranked := rank(engines, key)
+	if len(ranked) == 0 {
+		return -1
+	}
+	return ranked[0]
+}
+
 // rank returns the indexes of the engines that the key prefers most.
 func rank(engines []Engine, key uint64) []int {
 	var first, second = -1, -1
