--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -70,7 +71,8 @@
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			// What callers send wrong is their matter and would flood the log.
-			ErrorLog: log.New(io.Discard, "", 0),
+			ErrorLog:    log.New(io.Discard, "", 0),
+			ConnContext: withCallerConn,
 			// OPTIONS * is a request like any other.
 			DisableGeneralOptionsHandler: true,
 		},
@@ -175,6 +177,15 @@
 	once sync.Once
 }
 
+// SyscallConn implements syscall.Conn.
+func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("no connection of the system's")
+	}
+	return conn.SyscallConn()
+}
+
 // Close implements net.Conn.
 func (c *countedConn) Close() error {
 	c.once.Do(func() { <-c.open })
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -55,12 +55,13 @@
 	bodies    atomic.Int64 // bytes of the requests held
 	crowded   func() bool  // whether callers hold too many connections open
 	isolated  atomic.Bool  // whether callers are served better elsewhere
+	lag       *lagMeter
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
-	if h.crowded() || h.isolated.Load() {
+	if h.crowded() || h.isolated.Load() || h.lag.overloaded.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.state.View()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -54,6 +54,7 @@
 		suspects:  newSuspects(),
 		records:   newRecords(options.Logger, options.State),
 		metrics:   newMetrics(options.Registerer),
+		lag:       &lagMeter{},
 	}
 	entry := newEntry(h, options.Connections)
 	h.crowded = entry.crowded
@@ -73,6 +74,7 @@
 	group.Go(func() error { return m.handler.records.Run(ctx) })
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.watchReadiness(ctx) })
+	group.Go(func() error { return m.handler.lag.run(ctx) })
 	group.Go(func() error {
 		if err := m.entry.run(ctx, m.options.Callers); err != nil {
 			return err
@@ -119,16 +121,16 @@
 // watchReadiness tells the balancer whether to send connections here, until
 // the context ends.
 func (m *Manager) watchReadiness(ctx context.Context) error {
-	ready := false
+	reason := reasonUnknown
 	ticker := time.NewTicker(readinessInterval)
 	defer ticker.Stop()
 	for {
 		view := m.options.State.View()
 		isolated := m.isolated(view)
 		m.handler.isolated.Store(isolated)
-		if now := view.Ready() && !isolated; now != ready {
-			ready = now
-			m.setReady(ready)
+		if now := m.notReady(view, isolated); now != reason {
+			reason = now
+			m.setReady(reason)
 		}
 		select {
 		case <-ctx.Done():
@@ -147,13 +149,33 @@
 	return boottime.Now().Sub(view.Contact) > most && m.options.Peers.InContact()
 }
 
-func (m *Manager) setReady(ready bool) {
-	if ready {
+// The reasons why a router takes no connections.
+const (
+	reasonUnknown    = "no configuration or list of backend servers is known"
+	reasonIsolated   = "the store answers other routers only"
+	reasonOverloaded = "requests wait too long for the processor"
+)
+
+// notReady returns why the balancer should send no connections, or "".
+func (m *Manager) notReady(view *knowledge.View, isolated bool) string {
+	switch {
+	case !view.Ready():
+		return reasonUnknown
+	case isolated:
+		return reasonIsolated
+	case m.handler.lag.overloaded.Load():
+		return reasonOverloaded
+	}
+	return ""
+}
+
+func (m *Manager) setReady(reason string) {
+	if reason == "" {
 		m.options.Readiness.SetReady()
 	} else {
-		m.options.Readiness.SetNotReady("the store answers other routers only")
+		m.options.Readiness.SetNotReady(reason)
 	}
-	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": ready})
+	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": reason == "", "reason": reason})
 }
 
 func (m *Manager) logBackends(before, view *knowledge.View) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -142,6 +142,11 @@
 // answer on.
 func (r *run) send(ctx context.Context, placed *placement) verdict {
 	h := r.handler
+	if callerLeft(ctx) {
+		h.admission.ended(r.request, placed, false)
+		h.records.callerGone(r.request)
+		return verdictDone
+	}
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(placed, sent))
 	if err != nil {
