Send beats by turns, so that a large fleet costs no more and nobody seems lost

Cause: with 300 routers a beat carried all addresses and echoes, and came every 3 s while a router counted as lost after 1.5 s (test fails before).

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/samber/lo"
@@ -53,12 +54,15 @@
 }
 
 const (
-	// beatInterval is the pause between two beats to a router in a small
-	// fleet. Shares and loads of other routers are older by about half of it.
+	// beatInterval is the pause between two rounds of beats.
 	beatInterval = 100 * time.Millisecond
-	// beatBudget bounds the beats that a router sends in a second, so that a
-	// large fleet costs each of its routers no more than a middling one.
-	beatBudget = 100
+	// beatsPerRound bounds the beats of one round, so that a large fleet costs
+	// each of its routers no more than a middling one. In a larger fleet each
+	// router hears from the others more rarely.
+	beatsPerRound = 10
+	// routersPerBeat is how many addresses of other routers a beat carries.
+	// They are drawn, so all become known within some beats.
+	routersPerBeat = 8
 	// directoryInterval is the pause between two looks into the directory.
 	directoryInterval = 3 * time.Second
 	// beatMost is the size of the largest datagram.
@@ -206,25 +210,36 @@
 
 // send sends beats until the context ends.
 func (m *Manager) send(ctx context.Context) error {
-	for {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
 		now := boottime.Now()
 		for _, lost := range m.expire(now) {
 			event.GatePeerLost.Log(m.options.Logger, logrus.Fields{"peer": lost})
 			m.local.RemoveUses(lost)
 		}
-		targets := m.targets(now)
-		m.sendBeats(targets, now)
-		interval := max(beatInterval, time.Duration(len(targets))*time.Second/beatBudget)
+		m.sendBeats(turn(m.targets(now), round), now)
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(interval):
+		case <-ticker.C:
 		}
 	}
 }
 
+// turn returns the targets of a round. All have their turn in as few rounds as
+// the bound allows.
+func turn(targets []fleet.Address, round int) []fleet.Address {
+	rounds := (len(targets) + beatsPerRound - 1) / beatsPerRound
+	if rounds <= 1 {
+		return targets
+	}
+	slices.Sort(targets)
+	return lo.Filter(targets, func(_ fleet.Address, index int) bool { return index%rounds == round%rounds })
+}
+
 func (m *Manager) sendBeats(targets []fleet.Address, now boottime.Instant) {
-	data, err := proto.Marshal(m.beat(now))
+	data, err := proto.Marshal(m.beat(targets, now))
 	if err != nil {
 		panic(err) // only text that is no UTF-8 can't be encoded
 	}
@@ -238,13 +253,14 @@
 	}
 }
 
-func (m *Manager) beat(now boottime.Instant) *peeringpb.Beat {
+// beat returns what is told to the targets.
+func (m *Manager) beat(targets []fleet.Address, now boottime.Instant) *peeringpb.Beat {
 	view := m.options.State.View()
 	beat := &peeringpb.Beat{
 		Address:     string(m.options.Address),
 		Incarnation: m.options.Incarnation,
 		Clock:       int64(now),
-		Echoes:      m.echoes(),
+		Echoes:      m.echoes(targets),
 		Version:     view.Version(),
 		ConfigAge:   age(view.Configured, now),
 		Digest:      view.Digest,
@@ -252,7 +268,7 @@
 		ContactAge:  age(view.Contact, now),
 		Reading:     m.local.Reading(),
 		Broken:      m.takeBroken(),
-		Routers:     lo.Map(m.heard(now), func(address fleet.Address, _ int) string { return string(address) }),
+		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
 	for account, use := range m.local.Uses() {
 		beat.Uses = append(beat.Uses, &peeringpb.AccountUse{Account: string(account), Asked: float32(use.Asked), Got: float32(use.Got)})
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -1,12 +1,14 @@
 package peering
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
@@ -134,3 +136,37 @@
 		t.Errorf("%d targets after a long silence", got)
 	}
 }
+
+// Symptom: in a large fleet routers take each other for lost, and each uses the
+// whole fleet's budgets.
+// Events: there are more routers than a round of beats reaches.
+// Cause: a router counted as heard for a fixed time.
+func TestRoutersOfALargeFleetAreHeard(t *testing.T) {
+	const size = 350
+	now := boottime.Now()
+	table := newTable(self)
+	var targets []fleet.Address
+	for i := range size {
+		address := fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
+		targets = append(targets, fleet.Address(address))
+		table.take(beatOf(address, 1, 1), now)
+	}
+	reached := make(map[fleet.Address]int)
+	rounds := size / beatsPerRound
+	for round := range rounds {
+		chosen := turn(targets, round)
+		if len(chosen) > beatsPerRound {
+			t.Fatalf("%d beats in a round", len(chosen))
+		}
+		for _, address := range chosen {
+			reached[address]++
+		}
+	}
+	if len(reached) != size {
+		t.Errorf("%d of %d routers had a turn", len(reached), size)
+	}
+	later := now.Add(time.Duration(2*rounds) * beatInterval)
+	if lost := table.expire(later); len(lost) != 0 {
+		t.Errorf("%d routers are lost after two missed beats", len(lost))
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -13,9 +13,11 @@
 )
 
 const (
-	// heardLife is how long after its last beat a router counts as heard:
-	// several beats, so that lost datagrams don't make it vanish.
-	heardLife = 1500 * time.Millisecond
+	// heardLife is how long after its last beat a router counts as heard at
+	// least, and heardRounds how many of its turns: several, so that lost
+	// datagrams don't make it vanish.
+	heardLife   = 1500 * time.Millisecond
+	heardRounds = 4
 	// countLife is how long the greatest number of routers is remembered. A
 	// router that is cut off must not take the others' part of a budget, as
 	// they still use it.
@@ -85,6 +87,13 @@
 	return false
 }
 
+// life returns how long after its last beat a router counts as heard. It grows
+// with the fleet, as the turns get rarer.
+func (t *table) life() time.Duration {
+	rounds := len(t.peers)/beatsPerRound + 1
+	return max(heardLife, time.Duration(rounds*heardRounds)*beatInterval)
+}
+
 // add makes an address known. It returns false when it was known.
 func (t *table) add(address fleet.Address, now boottime.Instant) bool {
 	t.mu.Lock()
@@ -111,13 +120,13 @@
 	return targets
 }
 
-// echoes returns the newest clocks of the routers that are heard.
-func (t *table) echoes() []*peeringpb.Echo {
+// echoes returns the newest clocks of those routers that are heard.
+func (t *table) echoes(routers []fleet.Address) []*peeringpb.Echo {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var echoes []*peeringpb.Echo
-	for _, peer := range t.peers {
-		if peer.heard != 0 {
+	for _, router := range routers {
+		if peer := t.peers[router]; peer != nil && peer.heard != 0 {
 			echoes = append(echoes, &peeringpb.Echo{Router: hashOf(peer.address), Clock: peer.clock})
 		}
 	}
@@ -183,7 +192,7 @@
 func (t *table) count(now boottime.Instant) {
 	heard := 1
 	for _, peer := range t.peers {
-		if peer.heard != 0 && now.Sub(peer.heard) < heardLife {
+		if peer.heard != 0 && now.Sub(peer.heard) < t.life() {
 			heard++
 		}
 	}
@@ -198,7 +207,7 @@
 	defer t.mu.Unlock()
 	var lost []fleet.Address
 	for address, peer := range t.peers {
-		if peer.heard == 0 || now.Sub(peer.heard) < heardLife {
+		if peer.heard == 0 || now.Sub(peer.heard) < t.life() {
 			continue
 		}
 		t.subtract(peer)
@@ -217,7 +226,7 @@
 	defer t.mu.Unlock()
 	var addresses []fleet.Address
 	for address, peer := range t.peers {
-		if peer.heard != 0 && now.Sub(peer.heard) < heardLife {
+		if peer.heard != 0 && now.Sub(peer.heard) < t.life() {
 			addresses = append(addresses, address)
 		}
 	}
