--- a/cmd/bluebell-dev/main.go
+++ b/cmd/bluebell-dev/main.go
@@ -1,7 +1,8 @@
 // Command bluebell-dev runs a whole fleet in one process on loopback, for a
-// first try: the platform, a router, two agents with model engines and one
-// with a plain service, two client accounts and a sample settings tree. It
-// prints a curl line that works, and ends with Ctrl-C. Nothing is kept.
+// first try: a stand-in of the users' platform, two model engines, a plain
+// service and a gate. With --agents it runs the product's own interface
+// instead: a router, agents, two client accounts and a sample settings tree. It
+// prints curl lines that work, and ends with Ctrl-C. Nothing is kept.
 package main
 
 import (
@@ -21,6 +22,7 @@
 
 type options struct {
 	Callers  string `long:"callers" value-name:"IP:PORT" description:"address for callers; a free port of 127.0.0.1 by default"`
+	Agents   bool   `long:"agents" description:"run the product's own interface, with a router, agents and a settings tree"`
 	LogLevel string `long:"log-level" default:"warning" choice:"debug" choice:"info" choice:"warning" choice:"error" description:"least level of log records on standard error"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
@@ -52,6 +54,9 @@
 		return err
 	}
 	logger := daemon.NewLogger(daemon.LogSection{Level: o.LogLevel, Format: "text"}, stderr)
+	if !o.Agents {
+		return runPlatformSample(ctx, callers, logger, stdout)
+	}
 	sample, err := newSample(callers, logger)
 	if err != nil {
 		return err
--- a/cmd/bluebell-dev/main_test.go
+++ b/cmd/bluebell-dev/main_test.go
@@ -22,16 +22,26 @@
 	return n, err
 }
 
-// TestFirstTry starts the whole fleet. The welcome text comes only once a call
-// of each service has been answered.
+// TestFirstTry starts each of the fleets. The welcome text comes only once calls
+// have been answered.
 func TestFirstTry(t *testing.T) {
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	out := &stopWriter{stop: stop}
-	if err := run(ctx, options{LogLevel: "error"}, out, io.Discard); err != nil {
-		t.Fatal(err)
-	}
-	if !strings.Contains(out.String(), "curl -s http://127.0.0.1:") {
-		t.Errorf("no curl line in\n%s", out)
+	for name, test := range map[string]struct {
+		options options
+		want    string
+	}{
+		"platform": {options{LogLevel: "error"}, "curl -sN http://127.0.0.1:"},
+		"agents":   {options{LogLevel: "error", Agents: true}, "curl -s http://127.0.0.1:"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(context.Background())
+			defer stop()
+			out := &stopWriter{stop: stop}
+			if err := run(ctx, test.options, out, io.Discard); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(out.String(), test.want) {
+				t.Errorf("no curl line in\n%s", out)
+			}
+		})
 	}
 }
--- a/cmd/bluebell-gate/main.go
+++ b/cmd/bluebell-gate/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/do/v2"
 
+	"github.com/bluebellchute/bluebellchute/cmd/internal/gatewiring"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 )
@@ -34,13 +35,8 @@
 	debug.SetGCPercent(gcPercent)
 	logger := daemon.NewLogger(config.Log, daemon.NewAsyncWriter(os.Stdout)).WithField("node", config.Node.Name)
 	injector := do.New()
-	wire(injector, config, logger)
-	do.ProvideValue(injector, &daemon.Reloader{
-		Path:   verdict.Config,
-		Logger: logger,
-		Fresh:  func() any { return new(gate.Config) },
-	})
-	service, err := do.Invoke[*service](injector)
+	gatewiring.Wire(injector, config, verdict.Config, logger)
+	service, err := do.Invoke[*gatewiring.Service](injector)
 	if err != nil {
 		logger.WithError(err).Error("wiring")
 		return daemon.ExitFailed
--- a/cmd/bluebell-gate/wire.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -1,4 +1,5 @@
-package main
+// Package gatewiring puts the parts of a gate together.
+package gatewiring
 
 import (
 	"context"
@@ -17,8 +18,9 @@
 	"github.com/bluebellchute/bluebellchute/platform"
 )
 
-// wire provides the parts of a gate.
-func wire(injector do.Injector, config *gate.Config, logger logrus.FieldLogger) {
+// Wire provides the parts of a gate. path names its settings file, which is read
+// again when it changes; "" for none.
+func Wire(injector do.Injector, config *gate.Config, path string, logger logrus.FieldLogger) {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector())
 	do.ProvideValue(injector, config)
@@ -29,6 +31,11 @@
 	do.ProvideValue(injector, platform.NewStore(config.Store.Address))
 	do.Provide(injector, newPeering)
 	do.Provide(injector, newGate)
+	do.ProvideValue(injector, &daemon.Reloader{
+		Path:   path,
+		Logger: logger,
+		Fresh:  func() any { return new(gate.Config) },
+	})
 	do.Provide(injector, newService)
 }
 
@@ -68,8 +75,8 @@
 	return manager, nil
 }
 
-// service runs all parts of a gate.
-type service struct {
+// Service runs all parts of a gate.
+type Service struct {
 	config    *gate.Config
 	gate      *gate.Manager
 	peers     *peering.Manager
@@ -79,12 +86,12 @@
 	reloader  *daemon.Reloader
 }
 
-func newService(injector do.Injector) (*service, error) {
+func newService(injector do.Injector) (*Service, error) {
 	config := do.MustInvoke[*gate.Config](injector)
 	manager := do.MustInvoke[*gate.Manager](injector)
 	reloader := do.MustInvoke[*daemon.Reloader](injector)
 	reloader.Apply = func(config any) { manager.ApplyConfig(config.(*gate.Config).Settings()) }
-	return &service{
+	return &Service{
 		config: config,
 		gate:   manager,
 		peers:  do.MustInvoke[*peering.Manager](injector),
@@ -101,9 +108,11 @@
 }
 
 // Run implements daemon.Service.
-func (s *service) Run(ctx context.Context) error {
+func (s *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.reloader.Run(ctx) })
+	if s.reloader.Path != "" {
+		group.Go(func() error { return s.reloader.Run(ctx) })
+	}
 	group.Go(func() error { return s.follower.Run(ctx) })
 	group.Go(func() error { return s.peers.Run(ctx) })
 	group.Go(func() error { return s.gate.Run(ctx) })
@@ -117,4 +126,4 @@
 }
 
 // Drain implements daemon.Service.
-func (s *service) Drain(ctx context.Context) error { return s.gate.Drain(ctx) }
+func (s *Service) Drain(ctx context.Context) error { return s.gate.Drain(ctx) }
--- /dev/null
+++ b/internal/emulator/engine_test.go
@@ -0,0 +1,119 @@
+package emulator
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// finish steps the engine until it is idle and returns the time taken.
+func finish(e *Engine) time.Duration {
+	total := time.Duration(0)
+	for {
+		took := e.Step()
+		if took == 0 {
+			return total
+		}
+		total += took
+	}
+}
+
+func prompt(tokens int, shared ...Part) []Part {
+	return append(append([]Part(nil), shared...), Part{ID: "own", Tokens: tokens})
+}
+
+func TestEventsComeInOrderAndEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := NewEngine(DefaultConfig())
+		count := rapid.IntRange(1, 100).Draw(t, "requests")
+		ended := 0
+		for range count {
+			next := 1
+			e.Add(&Request{
+				Parts:  prompt(rapid.IntRange(1, 30_000).Draw(t, "tokens")),
+				Output: rapid.IntRange(1, 200).Draw(t, "output"),
+				Event: func(number int, last bool) {
+					if number != next {
+						t.Fatalf("event %d, want %d", number, next)
+					}
+					next++
+					if last {
+						ended++
+					}
+				},
+			})
+		}
+		finish(e)
+		if ended != count || e.memory != 0 {
+			t.Fatalf("%d of %d ended, %d tokens are left in memory", ended, count, e.memory)
+		}
+	})
+}
+
+func TestKeptPartIsNotReadAgain(t *testing.T) {
+	e := NewEngine(DefaultConfig())
+	shared := Part{ID: "shared", Tokens: 5000}
+	for _, own := range []string{"a", "b"} {
+		e.Add(&Request{Parts: []Part{shared, {ID: own, Tokens: 100}}, Output: 1, Event: func(int, bool) {}})
+		finish(e)
+	}
+	if e.Read != 5200 || e.Kept != 5000 {
+		t.Errorf("%d tokens read, %d kept", e.Read, e.Kept)
+	}
+}
+
+// Two requests that come before the part is read both have it read.
+func TestPartIsReadTwiceWhenRequestsOverlap(t *testing.T) {
+	e := NewEngine(DefaultConfig())
+	shared := Part{ID: "shared", Tokens: 5000}
+	for _, own := range []string{"a", "b"} {
+		e.Add(&Request{Parts: []Part{shared, {ID: own, Tokens: 100}}, Output: 1, Event: func(int, bool) {}})
+	}
+	finish(e)
+	if e.Read != 10_200 {
+		t.Errorf("%d tokens read", e.Read)
+	}
+}
+
+func TestLeastRecentlyUsedPartsYield(t *testing.T) {
+	config := DefaultConfig()
+	config.Memory = 10_000
+	e := NewEngine(config)
+	for _, id := range []string{"a", "b", "a", "c", "a"} {
+		e.Add(&Request{Parts: []Part{{ID: id, Tokens: 4000}}, Output: 1, Event: func(int, bool) {}})
+		finish(e)
+	}
+	if e.Read != 12_000 || e.Kept != 8000 {
+		t.Errorf("%d tokens read, %d kept", e.Read, e.Kept)
+	}
+}
+
+func TestCancelledRequestFreesItsPlace(t *testing.T) {
+	config := DefaultConfig()
+	config.Slots = 1
+	e := NewEngine(config)
+	first := &Request{Parts: prompt(10), Output: 1000, Event: func(int, bool) {}}
+	e.Add(first)
+	e.Step()
+	ended := false
+	e.Add(&Request{Parts: prompt(10), Output: 1, Event: func(_ int, last bool) { ended = last }})
+	first.Cancel()
+	finish(e)
+	if !ended || e.memory != 0 {
+		t.Errorf("the next request ended: %t; %d tokens in memory", ended, e.memory)
+	}
+}
+
+func TestMoreRunningRequestsSlowEachToken(t *testing.T) {
+	took := func(count int) time.Duration {
+		e := NewEngine(DefaultConfig())
+		for range count {
+			e.Add(&Request{Parts: prompt(1), Output: 100, Event: func(int, bool) {}})
+		}
+		return finish(e)
+	}
+	if one, many := took(1), took(40); many < 3*one/2 {
+		t.Errorf("%v alone, %v with 40", one, many)
+	}
+}
