--- a/cmd/bluebell-dev/platform.go
+++ b/cmd/bluebell-dev/platform.go
@@ -44,7 +44,7 @@
 		if err := awaitAnswer(ctx, sample, callers); err != nil {
 			return err
 		}
-		_, err := io.WriteString(out, sample.Welcome(callers))
+		_, err := fmt.Fprint(out, sample.Welcome(callers))
 		return err
 	})
 	if err := group.Wait(); err != nil && !errors.Is(err, context.Canceled) {
