--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"sync"
 	"time"
@@ -158,6 +159,7 @@
 	}
 	engines := a.engines(view, request.Service, usable)
 	demand := a.demand(request)
+	demand.Budget = time.Duration(float64(demand.Budget) * urgency(view.Index.Rank(request.Service, request.Route, request.Account)))
 	if standing > 1 {
 		demand.Budget = time.Duration(float64(demand.Budget) * a.settings.get().Admission.SurplusShare)
 	}
@@ -191,6 +193,20 @@
 	return placed, nil
 }
 
+const (
+	// rankShare is the part of the budget that each less urgent priority has
+	// of the next more urgent one's, so that a less urgent request is refused
+	// first. Budgets of 0.8 and 1 serve as well (docs/SHARES.md).
+	rankShare = 0.85
+	// leastUrgency bounds the parts of many priorities, so that none starves.
+	leastUrgency = 0.5
+)
+
+// urgency returns the part of the budget for requests of a rank.
+func urgency(rank int) float64 {
+	return max(math.Pow(rankShare, float64(rank)), leastUrgency)
+}
+
 // standing returns how much of its share the request's account will have got.
 func (a *admission) standing(request *Request, cost, capacity float64, now boottime.Instant) float64 {
 	if request.Account == nil {
--- a/internal/knowledge/index.go
+++ b/internal/knowledge/index.go
@@ -14,6 +14,7 @@
 	hosts         map[string][]*Route // longest prefix first
 	keys          map[string]*Account
 	services      map[fleet.Service]*ServiceSettings
+	priorities    map[fleet.Service][]int // in use at a service, the most urgent first
 }
 
 // NewIndex prepares a configuration. The configuration must not change any
@@ -24,6 +25,7 @@
 		hosts:         make(map[string][]*Route),
 		keys:          make(map[string]*Account),
 		services:      make(map[fleet.Service]*ServiceSettings),
+		priorities:    prioritiesOf(configuration),
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -74,6 +76,44 @@
 // Service returns the settings of a service, or nil.
 func (x *Index) Service(name fleet.Service) *ServiceSettings { return x.services[name] }
 
+// Rank returns how many priorities in use at the service are more urgent than
+// the request's: that of its account, or of its route where the account has
+// none.
+func (x *Index) Rank(service fleet.Service, route *Route, account *Account) int {
+	priority := route.Priority
+	if account != nil && account.Priority != nil {
+		priority = *account.Priority
+	}
+	rank, _ := slices.BinarySearch(x.priorities[service], priority)
+	return rank
+}
+
+// prioritiesOf returns the priorities that requests may have at each service.
+func prioritiesOf(configuration *Configuration) map[fleet.Service][]int {
+	priorities := make(map[fleet.Service][]int)
+	for _, route := range configuration.Routes {
+		for _, destination := range route.Destinations {
+			known := append(priorities[destination.Service], route.Priority)
+			if !route.Public {
+				known = append(known, accountPriorities(configuration)...)
+			}
+			slices.Sort(known)
+			priorities[destination.Service] = slices.Compact(known)
+		}
+	}
+	return priorities
+}
+
+func accountPriorities(configuration *Configuration) []int {
+	var priorities []int
+	for _, account := range configuration.Accounts {
+		if account.Priority != nil {
+			priorities = append(priorities, *account.Priority)
+		}
+	}
+	return priorities
+}
+
 // Destination returns the service that takes a request of the route. point in
 // [0, 1) picks among several by their weights.
 func (r *Route) Destination(point float64) (fleet.Service, bool) {
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -36,6 +36,33 @@
 	}
 }
 
+func TestAccountsPriorityGoesBeforeTheRoutes(t *testing.T) {
+	urgent, usual := 0, 1
+	index := NewIndex(&Configuration{
+		Routes: []Route{
+			{PathPrefix: "/a/", Priority: 1, Destinations: []Destination{{Service: "s", Weight: 1}}},
+			{PathPrefix: "/b/", Priority: 4, Destinations: []Destination{{Service: "s", Weight: 1}}},
+		},
+		Accounts: []Account{{Name: "urgent", Priority: &urgent}, {Name: "usual", Priority: &usual}, {Name: "none"}},
+	})
+	routes, accounts := index.Configuration.Routes, index.Configuration.Accounts
+	for _, test := range []struct {
+		route   *Route
+		account *Account
+		want    int
+	}{
+		{&routes[1], &accounts[0], 0},
+		{&routes[1], &accounts[1], 1},
+		{&routes[0], &accounts[2], 1},
+		{&routes[1], &accounts[2], 2},
+		{&routes[1], nil, 2},
+	} {
+		if got := index.Rank("s", test.route, test.account); got != test.want {
+			t.Errorf("%s of %+v: rank %d, want %d", test.route.PathPrefix, test.account, got, test.want)
+		}
+	}
+}
+
 func TestDestinationsByWeight(t *testing.T) {
 	route := Route{Destinations: []Destination{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
 	for point, want := range map[float64]string{0: "a", 0.89: "a", 0.91: "b", 0.999999: "b"} {
