--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -39,7 +40,8 @@
 	listener net.Listener
 	current  *generation
 	all      []*generation
-	draining bool
+
+	draining atomic.Bool
 }
 
 // generation is a server with the limits of one configuration.
@@ -77,9 +79,6 @@
 			DisableGeneralOptionsHandler: true,
 		},
 	}
-	if e.draining {
-		next.server.SetKeepAlivesEnabled(false)
-	}
 	e.current = next
 	e.all = append(e.all, next)
 	go func() { _ = next.server.Serve(next.conns) }() // ends with the listener only
@@ -127,6 +126,9 @@
 // its next answer.
 const crowdedShare = 0.4
 
+// closing tells whether a connection is to be closed after its answer.
+func (e *entry) closing() bool { return e.draining.Load() || e.crowded() }
+
 // crowded tells whether callers hold so many connections open that the rest
 // may not suffice. Callers that come back after a refusal open a new connection
 // each time and leave it open; once none can be accepted any more, requests
@@ -135,16 +137,11 @@
 	return float64(len(e.open)) > float64(cap(e.open))*crowdedShare
 }
 
-// beginDrain closes idle connections and lets the others end with their
-// answer.
-func (e *entry) beginDrain() {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.draining = true
-	for _, generation := range e.all {
-		generation.server.SetKeepAlivesEnabled(false)
-	}
-}
+// beginDrain lets each connection end with its next answer. Idle ones stay open
+// until the end: closing them now would cut a request whose head has been read
+// and that the server does not count as begun yet, with a busy processor one in
+// several hundred.
+func (e *entry) beginDrain() { e.draining.Store(true) }
 
 func (e *entry) stopAccepting() {
 	e.mu.Lock()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -53,7 +53,7 @@
 	records   *records
 	metrics   *metrics
 	bodies    atomic.Int64 // bytes of the requests held
-	crowded   func() bool  // whether callers hold too many connections open
+	closing   func() bool  // whether connections are to be closed after their answers
 	isolated  atomic.Bool  // whether callers are served better elsewhere
 	lag       *lagMeter
 }
@@ -62,7 +62,7 @@
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
 	busy := h.lag.busy(received)
-	if busy || h.crowded() || h.isolated.Load() {
+	if busy || h.closing() || h.isolated.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.state.View()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -57,7 +57,7 @@
 		lag:       &lagMeter{},
 	}
 	entry := newEntry(h, options.Connections)
-	h.crowded = entry.crowded
+	h.closing = entry.closing
 	return &Manager{options: options, handler: h, entry: entry}
 }
 
