--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -33,8 +33,9 @@
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
-	// InContact tells whether the store answers another router.
-	InContact() bool
+	// Contact returns when the store last answered another router, 0 if it
+	// answers none at present.
+	Contact() boottime.Instant
 }
 
 const (
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -113,6 +113,9 @@
 const (
 	// readinessInterval is the pause between two looks at the readiness.
 	readinessInterval = 100 * time.Millisecond
+	// isolatedRounds is how many looks in a row must find the router isolated.
+	// After an outage of the store some routers reach it sooner than others.
+	isolatedRounds = 8
 	// contactShare is the part of the bound for withdrawn keys after which a
 	// router that the store does not answer leaves the callers to others.
 	contactShare = 0.5
@@ -122,11 +125,16 @@
 // the context ends.
 func (m *Manager) watchReadiness(ctx context.Context) error {
 	reason := reasonUnknown
+	isolatedFor := 0 // rounds
 	ticker := time.NewTicker(readinessInterval)
 	defer ticker.Stop()
 	for {
 		view := m.options.State.View()
-		isolated := m.isolated(view)
+		isolatedFor++
+		if !m.isolated(view) {
+			isolatedFor = 0
+		}
+		isolated := isolatedFor >= isolatedRounds
 		m.handler.isolated.Store(isolated)
 		if now := m.notReady(view, isolated); now != reason {
 			reason = now
@@ -144,9 +152,13 @@
 // knows comes from the others then, who serve its callers better: they hear of
 // a withdrawn key or a new route first. Worth of Skammtur's second day of high
 // load, on which two of five routers are cut off: 0.52 without this, 0.63 with.
+//
+// When the store answers nobody, last contacts still differ by as much as the
+// routers' calls lie apart, so another's must be newer by the whole time.
 func (m *Manager) isolated(view *knowledge.View) bool {
 	most := time.Duration(float64(m.handler.settings.get().Revoke) * contactShare)
-	return boottime.Now().Sub(view.Contact) > most && m.options.Peers.InContact()
+	others := m.options.Peers.Contact()
+	return others != 0 && others.Sub(view.Contact) > most
 }
 
 // The reasons why a router takes no connections.
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -70,21 +70,22 @@
 	return max(t.most, 1)
 }
 
-// contactAge is the age up to which a router counts as one that the store
-// answers. Routers call it every one and a half seconds at least.
+// contactAge is the age up to which another router's contact counts. Routers
+// call the store every one and a half seconds at least.
 const contactAge = 2200 * time.Millisecond
 
-// InContact implements gate.Peers.
-func (t *table) InContact() bool {
+// Contact implements gate.Peers.
+func (t *table) Contact() boottime.Instant {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := boottime.Now()
+	var newest boottime.Instant
 	for _, peer := range t.peers {
-		if peer.heard != 0 && peer.contact != 0 && now.Sub(peer.contact) < contactAge {
-			return true
+		if peer.heard != 0 && now.Sub(peer.contact) < contactAge {
+			newest = max(newest, peer.contact)
 		}
 	}
-	return false
+	return newest
 }
 
 // life returns how long after its last beat a router counts as heard. It grows
