Filter headers and check answers in one place; drop fields that nothing reads

Read of the whole change: the loop over headers that are passed on stood four times (now fleet.EndToEnd), the check of a success twice (now Reply.sound); conn.used, conn.idleSince, Pool.Opened, backendState.lastError and three fields of knowledge.ServiceSettings were written and never read. Behaviour is the same.

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -37,8 +37,6 @@
 	// usableUntil is the moment from which the peer may close the idle
 	// connection.
 	usableUntil boottime.Instant
-	idleSince   boottime.Instant
-	used        bool // has carried an answer before
 }
 
 func newDialer() *net.Dialer {
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -35,7 +35,6 @@
 	dialer *net.Dialer
 	mu     sync.Mutex
 	hosts  map[fleet.Address]*host
-	opened uint64
 }
 
 // host holds the connections to one address.
@@ -65,13 +64,6 @@
 	}
 }
 
-// Opened returns the number of connections opened so far.
-func (p *Pool) Opened() uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.opened
-}
-
 // Open returns the number of connections to the address.
 func (p *Pool) Open(address fleet.Address) int {
 	p.mu.Lock()
@@ -157,7 +149,6 @@
 		return false
 	}
 	known.open++
-	p.opened++
 	return true
 }
 
@@ -178,9 +169,7 @@
 	if stated > 0 {
 		life = time.Duration(float64(stated) * statedIdleShare)
 	}
-	c.idleSince = boottime.Now()
-	c.usableUntil = c.idleSince.Add(life)
-	c.used = true
+	c.usableUntil = boottime.Now().Add(life)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
--- a/internal/fleet/header.go
+++ b/internal/fleet/header.go
@@ -1,6 +1,9 @@
 package fleet
 
-import "strings"
+import (
+	"net/http"
+	"strings"
+)
 
 // HopByHop tells whether an HTTP header concerns one connection only, so that
 // neither router nor agent may pass it on. The two headers that every client
@@ -14,3 +17,15 @@
 	}
 	return false
 }
+
+// EndToEnd returns the headers that are passed on. Their values are shared with
+// the given ones.
+func EndToEnd(header http.Header) http.Header {
+	passed := make(http.Header, len(header))
+	for name, values := range header {
+		if !HopByHop(name) {
+			passed[name] = values
+		}
+	}
+	return passed
+}
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -45,3 +45,9 @@
 	Replaced bool
 	Encoded  bool // the body isn't the one that the backend server made
 }
+
+// sound tells whether a success with this header is the backend server's own
+// whole answer to the request.
+func (r Reply) sound(request *Request) bool {
+	return r.Signed && !r.Encoded && r.ID == request.ID
+}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -60,12 +60,11 @@
 
 // backendState is what a router has seen of one backend server.
 type backendState struct {
-	load      BackendLoad
-	failures  float64 // share of recent requests that failed, decayed
-	shunned   boottime.Instant
-	latency   float64 // seconds, decayed average
-	lastUsed  boottime.Instant
-	lastError string
+	load     BackendLoad
+	failures float64 // share of recent requests that failed, decayed
+	shunned  boottime.Instant
+	latency  float64 // seconds, decayed average
+	lastUsed boottime.Instant
 }
 
 // engineModel is what a router has learned of the engines of one service.
@@ -179,11 +178,10 @@
 
 // broken notes that no connection to the backend server could be opened or
 // that one broke.
-func (l *loads) broken(id string, reason string) {
+func (l *loads) broken(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	state := l.state(id)
-	state.lastError = reason
 	state.shunned = boottime.Now().Add(brokenShun)
 }
 
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strings"
 
@@ -34,7 +35,7 @@
 // on: one that breaks off can then be made again by another backend server.
 func (r *run) relayStream(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) verdict {
 	h := r.handler
-	if !reply.Signed || reply.Encoded || reply.ID != r.request.ID {
+	if !reply.sound(r.request) {
 		h.records.badAnswer(r.request, placed.backend, answer.Status)
 		h.admission.loads.answered(placed.backend.ID, false, 0)
 		return verdictBroken
@@ -99,12 +100,7 @@
 		return
 	}
 	r.stream.started = true
-	header := r.writer.Header()
-	for name, values := range answer.Header {
-		if !fleet.HopByHop(name) {
-			header[name] = values
-		}
-	}
+	maps.Copy(r.writer.Header(), fleet.EndToEnd(answer.Header))
 	r.writer.WriteHeader(answer.Status)
 }
 
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 
@@ -42,7 +43,7 @@
 	took := boottime.Now().Sub(sent)
 	r.handler.admission.began(placed, r.request.Service, took)
 	success := answer.Status < http.StatusMultipleChoices
-	sound := success && reply.Signed && !reply.Encoded && reply.ID == r.request.ID
+	sound := success && reply.sound(r.request)
 	r.handler.admission.loads.answered(placed.backend.ID, sound, took)
 	if success && !sound {
 		r.handler.records.badAnswer(r.request, placed.backend, answer.Status)
@@ -64,12 +65,7 @@
 // headerOf returns the header for the caller. A status that promises that the
 // request did not run is changed by deliver, so it may not be signed.
 func (r *run) headerOf(answer *backendconn.Answer, reply Reply) http.Header {
-	header := make(http.Header, len(answer.Header))
-	for name, values := range answer.Header {
-		if !fleet.HopByHop(name) {
-			header[name] = values
-		}
-	}
+	header := fleet.EndToEnd(answer.Header)
 	if promisesNotRun(answer.Status) || !reply.Signed {
 		r.handler.dialect.Unsign(header)
 	}
@@ -96,9 +92,7 @@
 		status = http.StatusBadGateway
 	}
 	header := r.writer.Header()
-	for name, values := range whole.header {
-		header[name] = values
-	}
+	maps.Copy(header, whole.header)
 	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
 	r.writer.WriteHeader(status)
 	_, err := r.writer.Write(whole.body)
@@ -110,11 +104,7 @@
 // and then the rest.
 func (r *run) relayLong(ctx context.Context, answer *backendconn.Answer, read []byte) verdict {
 	header := r.writer.Header()
-	for name, values := range answer.Header {
-		if !fleet.HopByHop(name) {
-			header[name] = values
-		}
-	}
+	maps.Copy(header, fleet.EndToEnd(answer.Header))
 	if answer.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -159,7 +159,7 @@
 		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
 		h.admission.ended(r.request, placed, false)
 		if reply.Replaced {
-			h.admission.loads.broken(placed.backend.ID, "replaced")
+			h.admission.loads.broken(placed.backend.ID)
 		}
 		r.readRest(answer)
 		return verdictDeclined
@@ -234,7 +234,7 @@
 	if unsent {
 		r.connects++
 		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) {
-			h.admission.loads.broken(placed.backend.ID, err.Error())
+			h.admission.loads.broken(placed.backend.ID)
 		}
 		return verdictUnsent
 	}
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -58,12 +58,9 @@
 // ServiceSettings holds the settings of one service.
 type ServiceSettings struct {
 	Name           fleet.Service
-	MaxConnections int    // of one backend server, over all callers
-	Slots          int    // requests that a model engine runs at once, 0 if unknown
-	KVCapacity     int    // tokens that a model engine's memory holds, 0 for plain services
-	EventTokens    int    // most tokens in one event of a stream
-	Fetches        bool   // engines fetch kept prompt parts from each other
-	HealthPath     string // not asked at present: answers show the health
+	MaxConnections int  // of one backend server, over all callers
+	KVCapacity     int  // tokens that a model engine's memory holds, 0 for plain services
+	Fetches        bool // engines fetch kept prompt parts from each other
 }
 
 // Account is a client account with its keys.
