Check long answers for untrue promises too

Cause: an answer over 1 MB was handed on with its status and mark unchecked, so a 503 of a backend server that had run the request read as a promise that it had not, and callers would repeat it. Change: the same header and status mapping as for answers that are held; such answers count in the metrics too. Test: TestPromiseOfALongAnswerIsNotHandedOn, failing before.

--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -50,7 +50,7 @@
 		return verdictBroken
 	}
 	if body.Len() == wholeMost {
-		return r.relayLong(ctx, answer, body.Bytes())
+		return r.relayLong(ctx, answer, reply, body.Bytes())
 	}
 	whole := &wholeAnswer{status: answer.Status, header: r.headerOf(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
@@ -63,7 +63,7 @@
 }
 
 // headerOf returns the header for the caller. A status that promises that the
-// request did not run is changed by deliver, so it may not be signed.
+// request did not run is changed by handedStatus, so it may not be signed.
 func (r *run) headerOf(answer *backendconn.Answer, reply Reply) http.Header {
 	header := fleet.EndToEnd(answer.Header)
 	if promisesNotRun(answer.Status) || !reply.Signed {
@@ -83,14 +83,19 @@
 	return false
 }
 
-// deliver hands a whole answer to the caller.
-func (r *run) deliver(whole *wholeAnswer) {
-	status := whole.status
+// handedStatus returns the status for the caller. When the status promises that
+// the request did not run, but the backend server did not say that it refused
+// the request, the promise could be untrue.
+func handedStatus(status int) int {
 	if promisesNotRun(status) {
-		// The backend server did not say that it refused the request, so the
-		// promise could be untrue.
-		status = http.StatusBadGateway
+		return http.StatusBadGateway
 	}
+	return status
+}
+
+// deliver hands a whole answer to the caller.
+func (r *run) deliver(whole *wholeAnswer) {
+	status := handedStatus(whole.status)
 	header := r.writer.Header()
 	maps.Copy(header, whole.header)
 	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
@@ -102,14 +107,15 @@
 
 // relayLong hands on an answer that is too long to be held: what has been read
 // and then the rest.
-func (r *run) relayLong(ctx context.Context, answer *backendconn.Answer, read []byte) verdict {
+func (r *run) relayLong(ctx context.Context, answer *backendconn.Answer, reply Reply, read []byte) verdict {
+	status := handedStatus(answer.Status)
 	header := r.writer.Header()
-	maps.Copy(header, fleet.EndToEnd(answer.Header))
+	maps.Copy(header, r.headerOf(answer, reply))
 	if answer.Length >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	r.stream.started = true
-	r.writer.WriteHeader(answer.Status)
+	r.writer.WriteHeader(status)
 	_, err := r.writer.Write(read)
 	if err == nil {
 		_, err = io.Copy(r.writer, answer)
@@ -117,7 +123,8 @@
 	if err != nil {
 		r.giveUp(ctx, Refusal{})
 	}
-	r.handler.records.answered(r.request, answer.Status, r.sends, nil)
+	r.handler.records.answered(r.request, status, r.sends, nil)
+	r.handler.metrics.answered(status)
 	return verdictDone
 }
 
