--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/samber/do/v2"
@@ -134,6 +135,22 @@
 			<-s.draining
 			signals <- syscall.SIGINT
 		}, ErrForced},
+		{"interrupt after a repeated signal", func(s *fakeService, signals chan<- os.Signal) {
+			signals <- syscall.SIGTERM
+			<-s.draining
+			signals <- syscall.SIGTERM
+			signals <- syscall.SIGINT
+		}, ErrForced},
+		// Symptom: requests in progress are cut at a planned stop.
+		// Events: SIGTERM comes twice.
+		// Cause: any second signal ended the process at once.
+		{"repeated signal", func(s *fakeService, signals chan<- os.Signal) {
+			signals <- syscall.SIGTERM
+			<-s.draining
+			signals <- syscall.SIGTERM
+			time.Sleep(20 * time.Millisecond)
+			s.drained <- nil
+		}, nil},
 		{"run fails", func(s *fakeService, _ chan<- os.Signal) { s.failed <- failure }, failure},
 		{"run fails while draining", func(s *fakeService, signals chan<- os.Signal) {
 			signals <- syscall.SIGTERM
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"os"
+	"syscall"
 
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
@@ -10,9 +11,9 @@
 	"github.com/bluebellchute/bluebellchute/internal/event"
 )
 
-// ErrForced tells that a second signal ended the process before its work in
+// ErrForced tells that an interrupt ended the process before its work in
 // progress was done.
-var ErrForced = errors.New("stopped at once by a second signal")
+var ErrForced = errors.New("stopped at once by an interrupt")
 
 // Service is what a daemon does.
 type Service interface {
@@ -25,7 +26,9 @@
 }
 
 // Run runs the service until it fails or a signal comes. The first signal
-// drains the service and stops it; the second ends it at once.
+// drains the service and stops it. A SIGINT after that ends it at once; a
+// SIGTERM does not: a supervisor may repeat it, and requests in progress must
+// not be cut before the time that it grants is over.
 func Run(ctx context.Context, service Service, signals <-chan os.Signal, logger logrus.FieldLogger) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -39,20 +42,41 @@
 	case received := <-signals:
 		event.Draining.Log(logger, logrus.Fields{"signal": received.String()})
 	}
-	if err := drain(ctx, service, signals, ended, logger); err != nil {
+	interrupts := interruptsOf(ctx, signals)
+	if err := drain(ctx, service, interrupts, ended, logger); err != nil {
 		return err
 	}
 	cancel()
 	select {
 	case err := <-ended:
 		return err
-	case <-signals:
+	case <-interrupts:
 		return forced(logger)
 	}
 }
 
+// interruptsOf passes on the interrupts among the signals until the context
+// ends.
+func interruptsOf(ctx context.Context, signals <-chan os.Signal) <-chan os.Signal {
+	interrupts := make(chan os.Signal, 1)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case received := <-signals:
+				if received == syscall.SIGINT {
+					interrupts <- received
+					return
+				}
+			}
+		}
+	}()
+	return interrupts
+}
+
 // drain waits until the service has drained, has failed, or is told again.
-func drain(ctx context.Context, service Service, signals <-chan os.Signal, ended chan error, logger logrus.FieldLogger) error {
+func drain(ctx context.Context, service Service, interrupts <-chan os.Signal, ended chan error, logger logrus.FieldLogger) error {
 	drained := make(chan error, 1)
 	go func() { drained <- service.Drain(ctx) }()
 	select {
@@ -64,7 +88,7 @@
 	case err := <-ended:
 		// A service that has ended can't finish its work any more.
 		return errors.Wrap(err, "ended while draining")
-	case <-signals:
+	case <-interrupts:
 		return forced(logger)
 	}
 }
