--- a/internal/pathtest/proof_test.go
+++ b/internal/pathtest/proof_test.go
@@ -34,7 +34,7 @@
 func testNames(t *testing.T) map[string]bool {
 	t.Helper()
 	var files []string
-	for _, pattern := range []string{"../*/*_test.go", "../../platform/*_test.go"} {
+	for _, pattern := range []string{"../*/*_test.go", "../../platform/*_test.go", "../../platform/*/*_test.go"} {
 		found, err := filepath.Glob(pattern)
 		if err != nil {
 			t.Fatal(err)
