--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -60,6 +60,7 @@
 	peers := do.MustInvoke[*peering.Manager](injector)
 	manager := gate.NewManager(gate.Options{
 		Settings:    config.Settings(),
+		VM:          config.Node.Name,
 		Callers:     config.Listen.Callers,
 		Zone:        config.Node.Zone,
 		Connections: config.VM.Connections(),
--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -44,6 +44,12 @@
 			{"add", "Create a client account and print its API key", &accountAdd{}},
 			{"rotate-key", "Add an API key, or drop the older ones", &accountRotateKey{}},
 			{"disable", "Refuse a client account's calls", &accountDisable{}},
+			{"uses", "Show what accounts asked and got of late at all routers", &accountUses{}},
+		}},
+		{"router", "See to the routers on the platform", []entry{
+			{"list", "Show the routers", &routerList{}},
+			{"drain", "Let a router leave new callers to the others", &routerDrain{}},
+			{"orders", "Show who gave which order to a router, when and why", &routerOrders{}},
 		}},
 	}
 }
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -285,3 +285,37 @@
 	_, err := conn.Read(make([]byte, 1))
 	return err == nil
 }
+
+// Symptom: callers are refused while an operator empties a router.
+// Events: the order to drain comes; the balancer has not heard yet.
+// Cause: a drained router refused what still came.
+func TestDrainedRouterServesWhatComes(t *testing.T) {
+	manager, address := listeningGate(t, 10)
+	manager.options.State.SetConfiguration(knownView(boottime.Now()).Index.Configuration, boottime.Now())
+	manager.options.State.SetBackends(nil, 1, boottime.Now())
+	manager.ApplyConfig(Settings{Freshness: Freshness{Keyed: time.Minute, Final: time.Minute}})
+	manager.SetDrained(true, "ada", "new kernel")
+	awaitReason(t, manager, reasonDrained)
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	answer := ask(t, conn)
+	if answer.StatusCode != http.StatusNotFound || !answer.Close {
+		t.Errorf("status %d, closing %v; want the answer to an unknown route, and the connection's end", answer.StatusCode, answer.Close)
+	}
+	manager.SetDrained(false, "ada", "")
+	awaitReason(t, manager, "")
+}
+
+func awaitReason(t *testing.T, manager *Manager, want string) {
+	t.Helper()
+	for range 200 {
+		if manager.options.Readiness.NotReady() == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("not ready for %q, want %q", manager.options.Readiness.NotReady(), want)
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -55,13 +55,14 @@
 	bodies    atomic.Int64 // bytes of the requests held
 	closing   func() bool  // whether connections are to be closed after their answers
 	isolated  atomic.Bool  // whether callers are served better elsewhere
+	drained   atomic.Bool  // whether an operator wants callers to go elsewhere
 	lag       *lagMeter
 }
 
 // ServeHTTP implements http.Handler.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
-	if h.lag.busy(received) || h.closing() || h.isolated.Load() {
+	if h.lag.busy(received) || h.closing() || h.isolated.Load() || h.drained.Load() {
 		w.Header().Set("Connection", "close")
 	}
 	view := h.state.View()
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -2,8 +2,10 @@
 
 import (
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -60,3 +62,39 @@
 func (m *Manager) HeardBroken(router fleet.Address, fingerprint uint64) {
 	m.handler.suspects.heard(router, fingerprint)
 }
+
+// Status is what a router tells operators of itself.
+type Status struct {
+	VM       string
+	Zone     fleet.Zone
+	NotReady string // why the balancer should send no callers, "" if it should
+	Running  int    // requests at backend servers
+}
+
+// Status returns what operators want to know.
+func (m *Manager) Status() Status {
+	return Status{
+		VM:       m.options.VM,
+		Zone:     m.options.Zone,
+		NotReady: m.options.Readiness.NotReady(),
+		Running:  m.running(),
+	}
+}
+
+// SetDrained carries out an operator's order. The balancer sends new callers
+// elsewhere while the router is drained, and those that are connected are told
+// to connect anew; what comes all the same is served. It returns the requests
+// in progress.
+func (m *Manager) SetDrained(drained bool, operator, reason string) int {
+	m.handler.drained.Store(drained)
+	event.GateDrained.Log(m.options.Logger, logrus.Fields{"drained": drained, "operator": operator, "reason": reason})
+	return m.running()
+}
+
+func (m *Manager) running() int {
+	running := 0
+	for _, load := range m.handler.admission.loads.snapshot() {
+		running += load.Running
+	}
+	return running
+}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -22,6 +22,7 @@
 // Options hold what a Manager needs.
 type Options struct {
 	Settings    Settings
+	VM          string        // its name
 	Callers     fleet.Address // the callers' interface
 	Zone        fleet.Zone
 	Connections int           // most callers' connections at once
@@ -169,6 +170,7 @@
 	reasonUnknown    = "no configuration or list of backend servers is known"
 	reasonIsolated   = "the store answers other routers only"
 	reasonOverloaded = "requests wait too long for the processor"
+	reasonDrained    = "drained by an operator"
 )
 
 // notReady returns why the balancer should send no connections, or "".
@@ -176,6 +178,8 @@
 	switch {
 	case !view.Ready():
 		return reasonUnknown
+	case m.handler.drained.Load():
+		return reasonDrained
 	case isolated:
 		return reasonIsolated
 	case m.handler.lag.busy(boottime.Now()):
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -51,6 +51,11 @@
 	// HeardBroken takes a fingerprint from another router. It may come more
 	// than once.
 	HeardBroken(router fleet.Address, fingerprint uint64)
+	// Status returns what operators want to know of this router.
+	Status() gate.Status
+	// SetDrained carries out an operator's order to leave new callers to
+	// others, or to take them again. It returns the requests in progress.
+	SetDrained(drained bool, operator, reason string) int
 }
 
 const (
@@ -129,7 +134,7 @@
 	group.Go(func() error { return m.receive(ctx) })
 	group.Go(func() error { return m.send(ctx) })
 	group.Go(func() error { return m.register(ctx) })
-	group.Go(func() error { return serveKnowledge(ctx, m.options.Address, m.options.State) })
+	group.Go(func() error { return m.serveCalls(ctx) })
 	return group.Wait()
 }
 
@@ -271,9 +276,7 @@
 		Broken:      m.takeBroken(),
 		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
-	for account, use := range m.local.Uses() {
-		beat.Uses = append(beat.Uses, &peeringpb.AccountUse{Account: string(account), Asked: float32(use.Asked), Got: float32(use.Got)})
-	}
+	beat.Uses = encodeUses(m.local.Uses())
 	for backend, load := range m.local.Loads() {
 		beat.Loads = append(beat.Loads, &peeringpb.Load{
 			Backend: backend,
@@ -285,6 +288,14 @@
 	return beat
 }
 
+func encodeUses(uses map[fleet.Account]shares.Use) []*peeringpb.AccountUse {
+	encoded := make([]*peeringpb.AccountUse, 0, len(uses))
+	for account, use := range uses {
+		encoded = append(encoded, &peeringpb.AccountUse{Account: string(account), Asked: float32(use.Asked), Got: float32(use.Got)})
+	}
+	return encoded
+}
+
 // age returns nanoseconds, negative when the moment is unknown.
 func age(since, now boottime.Instant) int64 {
 	if since == 0 {
--- a/internal/peering/peeringpb/peering.twirp.go
+++ b/internal/peering/peeringpb/peering.twirp.go
@@ -525,6 +525,783 @@
 	return baseServicePath(s.pathPrefix, "bluebell.peering", "Knowledge")
 }
 
+// ===================
+// Operation Interface
+// ===================
+
+// Operation is served by each router to operators.
+type Operation interface {
+	// Status tells what the router knows and does.
+	Status(context.Context, *StatusRequest) (*StatusReply, error)
+
+	// Drain lets the router leave new callers to others, or take them again. It
+	// lasts until the process ends.
+	Drain(context.Context, *DrainRequest) (*DrainReply, error)
+}
+
+// =========================
+// Operation Protobuf Client
+// =========================
+
+type operationProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperationProtobufClient creates a Protobuf client that implements the Operation interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewOperationProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operation {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "bluebell.peering", "Operation")
+	urls := [2]string{
+		serviceURL + "Status",
+		serviceURL + "Drain",
+	}
+
+	return &operationProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operationProtobufClient) Status(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebell.peering")
+	ctx = ctxsetters.WithServiceName(ctx, "Operation")
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	caller := c.callStatus
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StatusRequest) (*StatusReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return c.callStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operationProtobufClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
+	out := new(StatusReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operationProtobufClient) Drain(ctx context.Context, in *DrainRequest) (*DrainReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebell.peering")
+	ctx = ctxsetters.WithServiceName(ctx, "Operation")
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	caller := c.callDrain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DrainRequest) (*DrainReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return c.callDrain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operationProtobufClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainReply, error) {
+	out := new(DrainReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Operation JSON Client
+// =====================
+
+type operationJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewOperationJSONClient creates a JSON client that implements the Operation interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewOperationJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Operation {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "bluebell.peering", "Operation")
+	urls := [2]string{
+		serviceURL + "Status",
+		serviceURL + "Drain",
+	}
+
+	return &operationJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *operationJSONClient) Status(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebell.peering")
+	ctx = ctxsetters.WithServiceName(ctx, "Operation")
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	caller := c.callStatus
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StatusRequest) (*StatusReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return c.callStatus(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operationJSONClient) callStatus(ctx context.Context, in *StatusRequest) (*StatusReply, error) {
+	out := new(StatusReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *operationJSONClient) Drain(ctx context.Context, in *DrainRequest) (*DrainReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "bluebell.peering")
+	ctx = ctxsetters.WithServiceName(ctx, "Operation")
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	caller := c.callDrain
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *DrainRequest) (*DrainReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return c.callDrain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *operationJSONClient) callDrain(ctx context.Context, in *DrainRequest) (*DrainReply, error) {
+	out := new(DrainReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ========================
+// Operation Server Handler
+// ========================
+
+type operationServer struct {
+	Operation
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewOperationServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewOperationServer(svc Operation, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &operationServer{
+		Operation:        svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *operationServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *operationServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// OperationPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const OperationPathPrefix = "/twirp/bluebell.peering.Operation/"
+
+func (s *operationServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "bluebell.peering")
+	ctx = ctxsetters.WithServiceName(ctx, "Operation")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "bluebell.peering.Operation" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Status":
+		s.serveStatus(ctx, resp, req)
+		return
+	case "Drain":
+		s.serveDrain(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *operationServer) serveStatus(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveStatusJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveStatusProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operationServer) serveStatusJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operation.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Operation.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusReply and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operationServer) serveStatusProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Status")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StatusRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operation.Status
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StatusRequest) (*StatusReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StatusRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StatusRequest) when calling interceptor")
+					}
+					return s.Operation.Status(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StatusReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StatusReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StatusReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StatusReply and nil error while calling Status. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operationServer) serveDrain(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDrainJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDrainProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *operationServer) serveDrainJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DrainRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Operation.Drain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrainRequest) (*DrainReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return s.Operation.Drain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrainReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrainReply and nil error while calling Drain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operationServer) serveDrainProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Drain")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DrainRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Operation.Drain
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrainRequest) (*DrainReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrainRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrainRequest) when calling interceptor")
+					}
+					return s.Operation.Drain(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrainReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrainReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrainReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrainReply and nil error while calling Drain. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *operationServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *operationServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *operationServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "bluebell.peering", "Operation")
+}
+
 // =====
 // Utils
 // =====
@@ -1091,41 +1868,53 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 569 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x7c, 0x94, 0xd1, 0x6e, 0xd3, 0x3e,
-	0x14, 0xc6, 0x95, 0x26, 0xcd, 0xda, 0xd3, 0xf5, 0xff, 0x9f, 0x2c, 0x34, 0x99, 0xc1, 0x44, 0x54,
-	0x71, 0xd1, 0x0b, 0xd4, 0xa1, 0xc1, 0x0b, 0x74, 0x13, 0x57, 0x20, 0x40, 0x96, 0xb8, 0xe1, 0x06,
-	0x39, 0xce, 0x21, 0x8d, 0xea, 0xd9, 0xc5, 0x76, 0x86, 0xf6, 0x70, 0x3c, 0x0a, 0xef, 0x82, 0x6c,
-	0x27, 0x5b, 0xba, 0x69, 0xbb, 0x6a, 0x7f, 0xc7, 0xf6, 0x77, 0xce, 0x67, 0x7f, 0x2d, 0xcc, 0x77,
-	0x88, 0xa6, 0x51, 0xf5, 0x6a, 0x67, 0xb4, 0xd3, 0xe4, 0xa8, 0x94, 0x2d, 0x96, 0x28, 0xe5, 0xaa,
-	0xab, 0x2f, 0xfe, 0xa6, 0x90, 0x5d, 0x20, 0x77, 0x84, 0xc2, 0x01, 0xaf, 0x2a, 0x83, 0xd6, 0xd2,
-	0xa4, 0x48, 0x96, 0x53, 0xd6, 0x23, 0x29, 0x60, 0xd6, 0x28, 0xc1, 0x8d, 0xe2, 0xae, 0xd1, 0x8a,
-	0x8e, 0x8a, 0x64, 0x99, 0xb3, 0x61, 0x89, 0x3c, 0x83, 0xb1, 0x90, 0x5a, 0x6c, 0x69, 0x5a, 0x24,
-	0xcb, 0x94, 0x45, 0x20, 0x2b, 0xc8, 0x51, 0x6c, 0x34, 0x5a, 0x9a, 0x15, 0xe9, 0x72, 0x76, 0x7e,
-	0xbc, 0xba, 0xdf, 0x7d, 0xf5, 0x41, 0x6c, 0x34, 0xeb, 0x76, 0xf9, 0x09, 0xae, 0xd1, 0x58, 0xdf,
-	0x63, 0x5c, 0x24, 0xcb, 0x8c, 0xf5, 0x48, 0x4e, 0x01, 0x84, 0x56, 0x3f, 0x9b, 0xfa, 0x07, 0xaf,
-	0x91, 0xe6, 0xa1, 0xc9, 0x34, 0x56, 0xd6, 0x35, 0x92, 0x63, 0xc8, 0xab, 0xa6, 0x46, 0xeb, 0xe8,
-	0x41, 0x98, 0xad, 0x23, 0x72, 0x02, 0x13, 0x83, 0xd7, 0x4d, 0x50, 0xfc, 0x3f, 0x28, 0xde, 0x32,
-	0x79, 0x0e, 0x13, 0xd9, 0x58, 0x17, 0x04, 0x27, 0x41, 0xf0, 0xc0, 0xb3, 0x97, 0x7b, 0x0b, 0x59,
-	0x6b, 0xd1, 0xd2, 0x69, 0x98, 0xfa, 0xe5, 0xc3, 0xa9, 0xd7, 0x42, 0xe8, 0x56, 0xb9, 0x6f, 0x16,
-	0x59, 0xd8, 0x49, 0xde, 0xc0, 0x58, 0x6a, 0x5e, 0x59, 0x0a, 0x8f, 0x19, 0xfd, 0xa4, 0x79, 0xc5,
-	0xe2, 0x26, 0x3f, 0x6e, 0x69, 0xf4, 0x16, 0x15, 0x9d, 0x15, 0xa9, 0x1f, 0x37, 0x92, 0xf7, 0x6f,
-	0x74, 0xeb, 0xd0, 0x58, 0x7a, 0x58, 0xa4, 0xfe, 0x05, 0x3a, 0x0c, 0x2b, 0xc8, 0xab, 0x46, 0xd5,
-	0xf4, 0xbf, 0x70, 0xa4, 0x47, 0xf2, 0x0a, 0x66, 0x42, 0x2b, 0xc7, 0x45, 0x74, 0x32, 0x0f, 0x4e,
-	0xa0, 0x2b, 0xad, 0x6b, 0x5c, 0xbc, 0x87, 0xcc, 0x5f, 0xb2, 0x6f, 0x1a, 0xd5, 0xc2, 0xeb, 0xe6,
-	0xac, 0xa3, 0xbb, 0xa7, 0x1b, 0x0d, 0x9e, 0x6e, 0xf1, 0x19, 0xe0, 0xce, 0x64, 0x88, 0x46, 0xa4,
-	0xdb, 0x68, 0x44, 0xf4, 0xa7, 0xb9, 0xdd, 0x62, 0x15, 0x4e, 0x8f, 0x58, 0x04, 0x72, 0x04, 0x69,
-	0xad, 0x5d, 0x08, 0xc3, 0x88, 0xf9, 0xaf, 0x0b, 0x09, 0x99, 0xbf, 0x01, 0xaf, 0x54, 0x72, 0xb1,
-	0x45, 0x55, 0x75, 0x63, 0xf4, 0x18, 0x2c, 0xb6, 0x4a, 0x79, 0x8b, 0x5e, 0x6b, 0xce, 0x7a, 0xf4,
-	0x2b, 0x3b, 0x54, 0xc1, 0x7c, 0x54, 0xec, 0xd1, 0x7b, 0xba, 0xc2, 0x2b, 0x6d, 0x6e, 0x68, 0x16,
-	0x16, 0x3a, 0x5a, 0x5c, 0xc2, 0xec, 0x6b, 0x2b, 0x25, 0xc3, 0x5f, 0xad, 0x8f, 0xc1, 0x20, 0x57,
-	0xc9, 0x7e, 0xae, 0x86, 0x01, 0x19, 0xed, 0x07, 0x64, 0xf1, 0x27, 0x81, 0x69, 0x54, 0xd9, 0xc9,
-	0x1b, 0xf2, 0x1a, 0xe6, 0x31, 0x6f, 0xad, 0x89, 0xbf, 0x02, 0xaf, 0x74, 0xc8, 0xf6, 0x8b, 0xc3,
-	0x4e, 0xa3, 0xa7, 0x12, 0x9c, 0xde, 0x4f, 0xf0, 0x09, 0x4c, 0xba, 0x8b, 0xb0, 0xc1, 0xcb, 0x21,
-	0xbb, 0xe5, 0xbd, 0x21, 0xc7, 0x4f, 0xa4, 0x38, 0xdf, 0x4b, 0xf1, 0xf9, 0x17, 0x98, 0x7e, 0x54,
-	0xfa, 0xb7, 0xc4, 0xaa, 0x46, 0x72, 0x01, 0x99, 0xf7, 0x42, 0x4e, 0x1f, 0x26, 0x73, 0x70, 0x53,
-	0x27, 0x2f, 0x1e, 0x5b, 0xde, 0xc9, 0x9b, 0x8b, 0xcb, 0xef, 0xeb, 0xba, 0x71, 0x9b, 0xb6, 0x5c,
-	0x09, 0x7d, 0x75, 0xd6, 0x6f, 0x14, 0x9b, 0xd6, 0xe1, 0x3d, 0x6a, 0x94, 0x43, 0xa3, 0xb8, 0x3c,
-	0xeb, 0x44, 0xfa, 0xcf, 0x5d, 0x59, 0xe6, 0xe1, 0x7f, 0xe8, 0xdd, 0xbf, 0x00, 0x00, 0x00, 0xff,
-	0xff, 0x0f, 0x6c, 0x5d, 0xfb, 0x98, 0x04, 0x00, 0x00,
+	// 764 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xdb, 0x36,
+	0x18, 0x85, 0x7e, 0xac, 0x48, 0x9f, 0xed, 0x24, 0x20, 0x86, 0x40, 0x73, 0x92, 0x45, 0x10, 0x86,
+	0xc1, 0x17, 0x83, 0x33, 0x64, 0x7b, 0x01, 0x27, 0x0b, 0x30, 0x60, 0xc3, 0x52, 0xb0, 0x68, 0x2f,
+	0x7a, 0x13, 0xd0, 0x12, 0x23, 0x0b, 0xa6, 0x49, 0x55, 0xa2, 0x1c, 0xb8, 0xcf, 0xd2, 0xcb, 0xbe,
+	0x46, 0x1f, 0xa5, 0xef, 0x52, 0x90, 0xa2, 0x1c, 0x39, 0x86, 0x8d, 0x5e, 0x59, 0x87, 0x3f, 0x87,
+	0xe7, 0x7c, 0xdf, 0xf9, 0x60, 0x18, 0x16, 0x94, 0x96, 0x39, 0xcf, 0x26, 0x45, 0x29, 0xa4, 0x40,
+	0xa7, 0x33, 0x56, 0xd3, 0x19, 0x65, 0x6c, 0x62, 0xd6, 0xe3, 0x6f, 0x0e, 0xb8, 0xb7, 0x94, 0x48,
+	0x14, 0xc2, 0x11, 0x49, 0xd3, 0x92, 0x56, 0x55, 0x68, 0x45, 0xd6, 0x38, 0xc0, 0x2d, 0x44, 0x11,
+	0xf4, 0x73, 0x9e, 0x90, 0x92, 0x13, 0x99, 0x0b, 0x1e, 0xda, 0x91, 0x35, 0xf6, 0x70, 0x77, 0x09,
+	0xfd, 0x04, 0xbd, 0x84, 0x89, 0x64, 0x11, 0x3a, 0x91, 0x35, 0x76, 0x70, 0x03, 0xd0, 0x04, 0x3c,
+	0x9a, 0xcc, 0x05, 0xad, 0x42, 0x37, 0x72, 0xc6, 0xfd, 0x9b, 0xb3, 0xc9, 0xeb, 0xd7, 0x27, 0xf7,
+	0xc9, 0x5c, 0x60, 0x73, 0x4a, 0x29, 0x58, 0xd1, 0xb2, 0x52, 0x6f, 0xf4, 0x22, 0x6b, 0xec, 0xe2,
+	0x16, 0xa2, 0x4b, 0x80, 0x44, 0xf0, 0xa7, 0x3c, 0x7b, 0x24, 0x19, 0x0d, 0x3d, 0xfd, 0x48, 0xd0,
+	0xac, 0x4c, 0x33, 0x8a, 0xce, 0xc0, 0x4b, 0xf3, 0x8c, 0x56, 0x32, 0x3c, 0xd2, 0xda, 0x0c, 0x42,
+	0x23, 0xf0, 0x4b, 0xba, 0xca, 0x35, 0xe3, 0x89, 0x66, 0xdc, 0x60, 0xf4, 0x33, 0xf8, 0x2c, 0xaf,
+	0xa4, 0x26, 0xf4, 0x35, 0xe1, 0x91, 0xc2, 0x8a, 0xee, 0x0f, 0x70, 0xeb, 0x8a, 0x56, 0x61, 0xa0,
+	0x55, 0x5f, 0xec, 0xaa, 0x9e, 0x26, 0x89, 0xa8, 0xb9, 0x7c, 0x57, 0x51, 0xac, 0x4f, 0xa2, 0xdf,
+	0xa1, 0xc7, 0x04, 0x49, 0xab, 0x10, 0xf6, 0x19, 0xfd, 0x4f, 0x90, 0x14, 0x37, 0x87, 0x94, 0xdc,
+	0x59, 0x29, 0x16, 0x94, 0x87, 0xfd, 0xc8, 0x51, 0x72, 0x1b, 0xa4, 0xfc, 0x97, 0xa2, 0x96, 0xb4,
+	0xac, 0xc2, 0x41, 0xe4, 0xa8, 0x0e, 0x18, 0xa8, 0x77, 0x28, 0x49, 0x73, 0x9e, 0x85, 0xc7, 0xfa,
+	0x4a, 0x0b, 0xd1, 0x15, 0xf4, 0x13, 0xc1, 0x25, 0x49, 0x1a, 0x27, 0x43, 0xed, 0x04, 0xcc, 0xd2,
+	0x34, 0xa3, 0xf1, 0x5f, 0xe0, 0xaa, 0x22, 0xab, 0x47, 0x1b, 0x36, 0xdd, 0x5d, 0x0f, 0x1b, 0xf4,
+	0xd2, 0x3a, 0xbb, 0xd3, 0xba, 0xf8, 0x7f, 0x80, 0x17, 0x93, 0x3a, 0x1a, 0x0d, 0xda, 0x44, 0xa3,
+	0x81, 0xea, 0x36, 0xa9, 0x16, 0x34, 0xd5, 0xb7, 0x6d, 0xdc, 0x00, 0x74, 0x0a, 0x4e, 0x26, 0xa4,
+	0x0e, 0x83, 0x8d, 0xd5, 0x67, 0xcc, 0xc0, 0x55, 0x15, 0x50, 0x4c, 0x33, 0x92, 0x2c, 0x28, 0x4f,
+	0x8d, 0x8c, 0x16, 0x6a, 0x8b, 0x35, 0xe7, 0xca, 0xa2, 0xe2, 0x1a, 0xe2, 0x16, 0xaa, 0x9d, 0x82,
+	0x72, 0x6d, 0xbe, 0x61, 0x6c, 0xa1, 0xf2, 0xb4, 0xa4, 0x4b, 0x51, 0xae, 0x43, 0x57, 0x6f, 0x18,
+	0x14, 0xdf, 0x41, 0xff, 0x4d, 0xcd, 0x18, 0xa6, 0x1f, 0x6b, 0x15, 0x83, 0x4e, 0xae, 0xac, 0xed,
+	0x5c, 0x75, 0x03, 0x62, 0x6f, 0x07, 0x24, 0xfe, 0x6a, 0x41, 0xd0, 0xb0, 0x14, 0x6c, 0x8d, 0x7e,
+	0x85, 0x61, 0x93, 0xb7, 0xba, 0x6c, 0xa6, 0x40, 0x31, 0x0d, 0xf0, 0xf6, 0x62, 0xf7, 0x25, 0xfb,
+	0x50, 0x82, 0x9d, 0xd7, 0x09, 0x1e, 0x81, 0x6f, 0x0a, 0x51, 0x69, 0x2f, 0x03, 0xbc, 0xc1, 0x5b,
+	0x22, 0x7b, 0x07, 0x52, 0xec, 0x6d, 0xa5, 0x38, 0x3e, 0x81, 0xe1, 0x5b, 0x49, 0x64, 0x5d, 0x99,
+	0x32, 0xc4, 0x5f, 0x6c, 0xe8, 0xb7, 0x2b, 0xca, 0xd2, 0x31, 0xd8, 0xab, 0xa5, 0x69, 0xa8, 0xbd,
+	0x5a, 0x22, 0x04, 0xee, 0x27, 0xc1, 0xa9, 0x56, 0x1e, 0x60, 0xfd, 0xdd, 0x35, 0xe4, 0x1c, 0x32,
+	0xe4, 0x1e, 0x32, 0xd4, 0xd3, 0xfd, 0x7c, 0x31, 0xb4, 0x5f, 0x34, 0x3a, 0x87, 0x80, 0x0b, 0xf9,
+	0xa8, 0xd2, 0xbd, 0xd6, 0xc3, 0x1c, 0x60, 0x9f, 0x0b, 0x89, 0x15, 0xee, 0x46, 0xc4, 0xdf, 0x89,
+	0xc8, 0x93, 0x60, 0x4c, 0x3c, 0xab, 0xa1, 0xb5, 0xc6, 0x3e, 0x6e, 0xe1, 0x66, 0x96, 0xe1, 0x47,
+	0x67, 0x39, 0x7e, 0x0f, 0x83, 0xbf, 0x4b, 0x92, 0xf3, 0x36, 0x3d, 0x08, 0xdc, 0x9a, 0xa7, 0x42,
+	0x17, 0xca, 0xc7, 0xfa, 0x5b, 0xb9, 0x13, 0x05, 0x2d, 0x89, 0x14, 0xa5, 0x29, 0xd7, 0x06, 0xeb,
+	0x41, 0xa3, 0xa4, 0x32, 0x15, 0x0b, 0xb0, 0x41, 0xf1, 0x6f, 0x00, 0x86, 0x57, 0x15, 0xbf, 0xe3,
+	0xc5, 0xda, 0xf2, 0x72, 0xf3, 0x00, 0xc1, 0xbf, 0x5c, 0x3c, 0x33, 0x9a, 0x66, 0x14, 0xdd, 0x82,
+	0xab, 0x32, 0x88, 0x2e, 0x77, 0x85, 0x77, 0x12, 0x3e, 0x3a, 0xdf, 0xb7, 0x5d, 0xb0, 0xf5, 0xcd,
+	0x67, 0x0b, 0x82, 0x07, 0xad, 0x4e, 0xf5, 0xed, 0x1f, 0xf0, 0x9a, 0x10, 0xa0, 0xab, 0xdd, 0x4b,
+	0x5b, 0x81, 0x19, 0x5d, 0xee, 0x3f, 0xa0, 0x2c, 0xdc, 0x43, 0x4f, 0x1b, 0x42, 0xbf, 0xec, 0x9e,
+	0xeb, 0x56, 0x70, 0x74, 0xb1, 0x77, 0xbf, 0x60, 0xeb, 0xdb, 0xbb, 0x0f, 0xd3, 0x2c, 0x97, 0xf3,
+	0x7a, 0x36, 0x49, 0xc4, 0xf2, 0xba, 0x3d, 0x99, 0xcc, 0x6b, 0x49, 0x5f, 0xa1, 0x9c, 0x4b, 0x5a,
+	0x72, 0xc2, 0xae, 0x0d, 0x4b, 0xfb, 0x5b, 0xcc, 0x66, 0x9e, 0xfe, 0x7b, 0xfb, 0xf3, 0x7b, 0x00,
+	0x00, 0x00, 0xff, 0xff, 0x56, 0x19, 0x07, 0x9e, 0xef, 0x06, 0x00, 0x00,
 }
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -156,16 +156,17 @@
 	return backends
 }
 
-// serveKnowledge answers calls at the address until the context ends.
-func serveKnowledge(ctx context.Context, address fleet.Address, state *knowledge.State) error {
+// serveCalls answers other routers and operators until the context ends.
+func (m *Manager) serveCalls(ctx context.Context) error {
+	address := m.options.Address
 	listener, err := net.Listen("tcp", string(address))
 	if err != nil {
 		return fleet.Wrap(err, fleet.StepSpread, address)
 	}
-	server := &http.Server{
-		Handler:           peeringpb.NewKnowledgeServer(&server{state: state}),
-		ReadHeaderTimeout: headerTimeout,
-	}
+	mux := http.NewServeMux()
+	mux.Handle(peeringpb.KnowledgePathPrefix, peeringpb.NewKnowledgeServer(&server{state: m.options.State}))
+	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(&operation{manager: m}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // calls are repeated elsewhere
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
