Records tell what decided, and which backend server failed

Cause: 2102 lacked the inputs, 2101 the backend server, and a failure of a backend server's own left no record when another one was tried. Change: inputs in 2101 and 2102, 2109 for each such failure. Test: TestRecordsTellWhatDecided.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -23,5 +23,6 @@
 	GateReloaded     = Event{2118, logrus.InfoLevel, "settings file read again"}
 	GateReloadFailed = Event{2119, logrus.ErrorLevel, "settings file can't be used, the former settings stay"}
 	GateStoreError   = Event{2120, logrus.WarnLevel, "call to the store failed"}
+	GateFailed       = Event{2109, logrus.InfoLevel, "backend server answered with a failure of its own"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -43,7 +43,8 @@
 	// which the chosen one lacks, "" for none.
 	holder fleet.Address
 	// part is the key of the shared part that the engine reads, 0 for none.
-	part uint64
+	part   uint64
+	inputs Inputs
 }
 
 // admission decides which request is sent where. Its methods may be called
@@ -156,7 +157,9 @@
 	cost := request.Prompt.Cost()
 	standing := a.standing(request, cost, limits.TokensPerSecond, now)
 	if !again && rand.Float64() >= a.surplusOdds(request, view, standing) {
-		return nil, a.refuse(request, ReasonShare)
+		refusal := a.refuse(request, ReasonShare)
+		refusal.Inputs.Standing = standing
+		return nil, refusal
 	}
 	engines := a.engines(view, request.Service, usable)
 	demand := a.demand(request)
@@ -165,8 +168,17 @@
 		demand.Budget = time.Duration(float64(demand.Budget) * a.settings.get().Admission.SurplusShare)
 	}
 	choice, ok := selection.Model(engines, demand, a.limits(view, request.Service, limits))
+	inputs := Inputs{
+		Backend:  usable[choice.Index].ID,
+		Standing: standing,
+		Ahead:    choice.Ahead,
+		Budget:   demand.Budget,
+		Shared:   choice.Holder == choice.Index,
+	}
 	if !ok || !choice.Fits {
-		return nil, a.refuse(request, ReasonBusy)
+		refusal := a.refuse(request, ReasonBusy)
+		refusal.Inputs = inputs
+		return nil, refusal
 	}
 	placed := &placement{
 		backend: usable[choice.Index],
@@ -177,6 +189,7 @@
 		},
 		pending: engines[choice.Index].Pending + choice.Tokens,
 		model:   true,
+		inputs:  inputs,
 	}
 	if holder := a.holder(request, engines, choice); holder >= 0 && a.canFetch(view, request.Service) {
 		placed.holder = usable[holder].Address
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -14,6 +14,16 @@
 	Status     int
 	Reason     Reason
 	RetryAfter time.Duration // 0 for none
+	Inputs     Inputs        // zero where none decided
+}
+
+// Inputs are what decided on the place of a request, for the records.
+type Inputs struct {
+	Backend  string        // the best choice, "" if none was looked at
+	Standing float64       // of the account, in parts of its share
+	Ahead    time.Duration // until the engine has read the prompts ahead
+	Budget   time.Duration // for that
+	Shared   bool          // the engine is the one that its shared parts prefer
 }
 
 // Reason names why a request was refused. Logs and metrics carry it.
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -84,11 +85,27 @@
 }
 
 func (r *records) refused(request *Request, refusal Refusal) {
-	r.write(r.failures, event.GateRefused, request, logrus.Fields{
+	fields := logrus.Fields{
 		"reason":         refusal.Reason,
 		"status":         refusal.Status,
 		"retry_after_ms": refusal.RetryAfter.Milliseconds(),
-	})
+	}
+	addInputs(fields, refusal.Inputs)
+	r.write(r.failures, event.GateRefused, request, fields)
+}
+
+// addInputs adds what decided on the place of a request.
+func addInputs(fields logrus.Fields, inputs Inputs) {
+	if inputs.Standing > 0 {
+		fields["standing"] = math.Round(inputs.Standing*100) / 100
+	}
+	if inputs.Budget == 0 {
+		return
+	}
+	fields["backend"] = inputs.Backend
+	fields["ahead_ms"] = inputs.Ahead.Milliseconds()
+	fields["budget_ms"] = inputs.Budget.Milliseconds()
+	fields["shared"] = inputs.Shared
 }
 
 func (r *records) declined(request *Request, backend *knowledge.Backend, status int, replaced bool) {
@@ -107,6 +124,10 @@
 	r.write(r.failures, event.GateBadAnswer, request, logrus.Fields{"backend": backend.ID, "status": status})
 }
 
+func (r *records) failed(request *Request, backend *knowledge.Backend, status int) {
+	r.write(r.failures, event.GateFailed, request, logrus.Fields{"backend": backend.ID, "status": status})
+}
+
 func (r *records) brokeOff(request *Request, sends int) {
 	r.write(r.failures, event.GateBrokeOff, request, logrus.Fields{"sends": sends})
 }
@@ -115,9 +136,11 @@
 	r.write(r.answers, event.GateCallerGone, request, logrus.Fields{})
 }
 
-func (r *records) answered(request *Request, status, sends int, err error) {
+func (r *records) answered(request *Request, placed *placement, status, sends int, err error) {
 	limiter := r.answers
 	fields := logrus.Fields{"status": status, "sends": sends}
+	addInputs(fields, placed.inputs)
+	fields["backend"] = placed.backend.ID
 	if status >= 500 || sends > 1 {
 		limiter = r.failures
 	}
--- /dev/null
+++ b/internal/gate/records_test.go
@@ -0,0 +1,33 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Symptom: from the id of a refused request its cause can't be told.
+// Events: a router refuses, or a backend server fails a request.
+// Cause: the record named neither what decided nor the backend server.
+func TestRecordsTellWhatDecided(t *testing.T) {
+	logger, hook := test.NewNullLogger()
+	records := newRecords(logger, knowledge.NewState())
+	inputs := Inputs{Backend: "i-1", Standing: 1.234, Ahead: 900 * time.Millisecond, Budget: 600 * time.Millisecond}
+	records.refused(&Request{ID: "a"}, Refusal{Status: 503, Reason: ReasonBusy, Inputs: inputs})
+	records.failed(&Request{ID: "b"}, &knowledge.Backend{ID: "i-2"}, 500)
+	records.answered(&Request{ID: "b"}, &placement{backend: &knowledge.Backend{ID: "i-3"}}, 500, 2, nil)
+	for i, want := range []map[string]any{
+		{"request": "a", "backend": "i-1", "standing": 1.23, "ahead_ms": int64(900), "budget_ms": int64(600)},
+		{"request": "b", "backend": "i-2", "status": 500},
+		{"request": "b", "backend": "i-3", "sends": 2},
+	} {
+		for name, value := range want {
+			if got := hook.AllEntries()[i].Data[name]; got != value {
+				t.Errorf("record %d: %s is %v, want %v", i, name, got, value)
+			}
+		}
+	}
+}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -114,7 +114,7 @@
 		}
 	}
 	r.handler.admission.loads.answered(placed.backend.ID, true, 0)
-	r.handler.records.answered(r.request, answer.Status, r.sends, nil)
+	r.handler.records.answered(r.request, placed, answer.Status, r.sends, nil)
 	r.handler.metrics.answered(answer.Status)
 	return verdictDone
 }
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -23,6 +23,7 @@
 
 // wholeAnswer is an answer that has been read to its end.
 type wholeAnswer struct {
+	placed *placement
 	status int
 	header http.Header
 	body   []byte
@@ -50,11 +51,12 @@
 		return verdictBroken
 	}
 	if body.Len() == wholeMost {
-		return r.relayLong(ctx, answer, reply, body.Bytes())
+		return r.relayLong(ctx, placed, answer, reply, body.Bytes())
 	}
-	whole := &wholeAnswer{status: answer.Status, header: r.headerOf(answer, reply), body: body.Bytes()}
+	whole := &wholeAnswer{placed: placed, status: answer.Status, header: r.headerOf(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
 		// Another backend server may do better; if not, this is the answer.
+		r.handler.records.failed(r.request, placed.backend, answer.Status)
 		r.saved = whole
 		return verdictFailed
 	}
@@ -101,13 +103,13 @@
 	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
 	r.writer.WriteHeader(status)
 	_, err := r.writer.Write(whole.body)
-	r.handler.records.answered(r.request, status, r.sends, err)
+	r.handler.records.answered(r.request, whole.placed, status, r.sends, err)
 	r.handler.metrics.answered(status)
 }
 
 // relayLong hands on an answer that is too long to be held: what has been read
 // and then the rest.
-func (r *run) relayLong(ctx context.Context, answer *backendconn.Answer, reply Reply, read []byte) verdict {
+func (r *run) relayLong(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, read []byte) verdict {
 	status := handedStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.headerOf(answer, reply))
@@ -123,7 +125,7 @@
 	if err != nil {
 		r.giveUp(ctx, Refusal{})
 	}
-	r.handler.records.answered(r.request, status, r.sends, nil)
+	r.handler.records.answered(r.request, placed, status, r.sends, nil)
 	r.handler.metrics.answered(status)
 	return verdictDone
 }
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -46,6 +46,7 @@
 	Holder int
 	// Tokens are the prompt tokens that the engine is expected to read.
 	Tokens float64
+	Ahead  time.Duration // expected until the prompts ahead are read
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
 }
@@ -85,7 +86,7 @@
 	rate := max(limits.Rate, 1)
 	ahead := time.Duration(engine.Pending / rate * float64(time.Second))
 	own := time.Duration(tokens / rate * float64(time.Second))
-	choice := Choice{Tokens: tokens, Wait: ahead + own}
+	choice := Choice{Tokens: tokens, Ahead: ahead, Wait: ahead + own}
 	// The request's own length does not count: with it, long prompts would be
 	// refused whenever anything else waits.
 	choice.Fits = ahead <= demand.Budget &&
