--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -28,6 +28,9 @@
 	// Routers returns the addresses of all routers that have registered, the
 	// departed ones included.
 	Routers(ctx context.Context) ([]fleet.Address, error)
+	// Remove removes the entry of a router that Routers has returned. A router
+	// that is there after all registers again.
+	Remove(ctx context.Context, address fleet.Address) error
 }
 
 // Local is the router's own part in what beats carry.
@@ -70,6 +73,9 @@
 	routersPerBeat = 8
 	// directoryInterval is the pause between two looks into the directory.
 	directoryInterval = 3 * time.Second
+	// announceAfter is the number of lists in a row without this router after
+	// which it registers again.
+	announceAfter = 3
 	// beatMost is the size of the largest datagram.
 	beatMost = 60 << 10
 	// brokenRepeats is how many beats carry a fingerprint, as some get lost.
@@ -323,18 +329,19 @@
 
 // register announces this router and looks for others until the context ends.
 func (m *Manager) register(ctx context.Context) error {
-	announced := false
+	missing := announceAfter // lists in a row that lack this router
 	for {
-		if !announced {
+		if missing >= announceAfter {
 			err := m.options.Directory.Announce(ctx, m.options.Address)
-			announced = err == nil
 			m.logFailure(ctx, err)
+			if err == nil {
+				missing = 0
+			}
 		}
 		addresses, err := m.options.Directory.Routers(ctx)
 		m.logFailure(ctx, err)
-		now := boottime.Now()
-		for _, address := range addresses {
-			m.add(address, now)
+		if err == nil {
+			missing = m.takeDirectory(ctx, addresses, missing)
 		}
 		select {
 		case <-ctx.Done():
@@ -344,6 +351,24 @@
 	}
 }
 
+// takeDirectory takes a list of the routers and returns how many in a row have
+// lacked this one. The list may be seconds old, so one that does means nothing.
+func (m *Manager) takeDirectory(ctx context.Context, addresses []fleet.Address, missing int) int {
+	now := boottime.Now()
+	for _, address := range addresses {
+		m.add(address, now)
+	}
+	if m.Follows() {
+		for _, gone := range m.gone(addresses, now) {
+			m.logFailure(ctx, m.options.Directory.Remove(ctx, gone))
+		}
+	}
+	if slices.Contains(addresses, m.options.Address) {
+		return 0
+	}
+	return missing + 1
+}
+
 func (m *Manager) logFailure(ctx context.Context, err error) {
 	if err == nil || ctx.Err() != nil {
 		return
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -1,12 +1,14 @@
 package peering
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -210,3 +212,60 @@
 		t.Errorf("%d follow after the loss of those that did, want %d", len(next), followersMost)
 	}
 }
+
+// Symptom: the directory grows with each VM that is replaced.
+// Events: routers end for good.
+// Cause: nobody removed their entries.
+func TestEntriesOfRoutersThatAreGone(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self)
+	table.take(beatOf("alive", 1, 1), now)
+	entries := []fleet.Address{self, "alive", "gone"}
+	if got := table.gone(entries, now); len(got) != 0 {
+		t.Errorf("%v may go at once", got)
+	}
+	if got := table.gone(entries, now.Add(entryLife/2)); len(got) != 0 {
+		t.Errorf("%v may go early", got)
+	}
+	if got := table.gone(entries, now.Add(entryLife+time.Second)); !slices.Equal(got, []fleet.Address{"gone"}) {
+		t.Errorf("%v may go, want the one that is gone", got)
+	}
+	table.take(beatOf("gone", 1, 1), now)
+	if got := table.gone(entries, now.Add(2*entryLife)); len(got) != 0 {
+		t.Errorf("%v may go though it is heard again", got)
+	}
+}
+
+// fakeDirectory lists what it is told.
+type fakeDirectory struct {
+	listed    []fleet.Address
+	announced int
+	removed   []fleet.Address
+}
+
+func (d *fakeDirectory) Announce(context.Context, fleet.Address) error { d.announced++; return nil }
+func (d *fakeDirectory) Routers(context.Context) ([]fleet.Address, error) {
+	return d.listed, nil
+}
+func (d *fakeDirectory) Remove(_ context.Context, address fleet.Address) error {
+	d.removed = append(d.removed, address)
+	return nil
+}
+
+// Symptom: a router stays unknown to new ones.
+// Events: it is cut off for so long that its entry is removed, and comes back.
+// Cause: it registered only once.
+func TestRouterWithoutEntryRegistersAgain(t *testing.T) {
+	directory := &fakeDirectory{listed: []fleet.Address{self}}
+	manager := NewManager(Options{Address: self, Directory: directory, State: knowledge.NewState(), Logger: logrus.New()})
+	missing := manager.takeDirectory(t.Context(), directory.listed, 2)
+	if missing != 0 {
+		t.Errorf("%d lists lack a router that is listed", missing)
+	}
+	for range announceAfter {
+		missing = manager.takeDirectory(t.Context(), nil, missing)
+	}
+	if missing < announceAfter {
+		t.Errorf("a router that is not listed does not register again after %d lists", missing)
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -24,6 +24,11 @@
 	countLife = time.Minute
 	// addressLife is how long an address is tried from which nothing came.
 	addressLife = 2 * time.Minute
+	// entryLife is how long the entry of a router that nobody hears stays in the
+	// directory. VMs are replaced many times a day, and their entries would
+	// gather for good. It is longer than partitions last, as those who are cut
+	// off find each other by the entries.
+	entryLife = 30 * time.Minute
 )
 
 // peer is another router.
@@ -46,6 +51,7 @@
 	sums   map[uint64]gate.BackendLoad // over the peers that are heard, by hash of the backend server's id
 	most   int                         // greatest number of routers of late
 	mostAt boottime.Instant
+	silent map[fleet.Address]boottime.Instant // since when an entry's router is not heard
 }
 
 func newTable(self fleet.Address) *table {
@@ -53,6 +59,8 @@
 		self:  self,
 		peers: make(map[fleet.Address]*peer),
 		sums:  make(map[uint64]gate.BackendLoad),
+
+		silent: make(map[fleet.Address]boottime.Instant),
 	}
 }
 
@@ -112,6 +120,31 @@
 	return before < followersMost
 }
 
+// gone returns the routers among those with entries that have not been heard
+// for so long that their entries may go.
+func (t *table) gone(entries []fleet.Address, now boottime.Instant) []fleet.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	since := make(map[fleet.Address]boottime.Instant)
+	var gone []fleet.Address
+	for _, address := range entries {
+		peer := t.peers[address]
+		if address == t.self || (peer != nil && peer.heard != 0) {
+			continue
+		}
+		began, known := t.silent[address]
+		if !known {
+			began = now
+		}
+		since[address] = began
+		if now.Sub(began) > entryLife {
+			gone = append(gone, address)
+		}
+	}
+	t.silent = since
+	return gone
+}
+
 // life returns how long after its last beat a router counts as heard. It grows
 // with the fleet, as the turns get rarer.
 func (t *table) life() time.Duration {
