--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -18,7 +18,7 @@
 )
 
 // routerCallTimeout bounds one call to a router: entries of routers that are
-// gone stay in the store.
+// gone stay in the store for a while.
 const routerCallTimeout = 2 * time.Second
 
 // store returns the operators' part of the platform's store.
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -75,7 +75,7 @@
 	return interrupts
 }
 
-// drain waits until the service has drained, has failed, or is told again.
+// drain waits until the service has drained or has failed, or an interrupt comes.
 func drain(ctx context.Context, service Service, interrupts <-chan os.Signal, ended chan error, logger logrus.FieldLogger) error {
 	drained := make(chan error, 1)
 	go func() { drained <- service.Drain(ctx) }()
--- /dev/null
+++ b/internal/peering/serve.go
@@ -0,0 +1,81 @@
+package peering
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+)
+
+// headerTimeout bounds the wait for a call's header.
+const headerTimeout = time.Second
+
+// server answers the calls of other routers.
+type server struct {
+	state *knowledge.State
+}
+
+// Pull implements peeringpb.Knowledge.
+func (s *server) Pull(_ context.Context, request *peeringpb.PullRequest) (*peeringpb.PullReply, error) {
+	view := s.state.View()
+	if !view.Ready() {
+		return nil, twirp.NewError(twirp.Unavailable, "nothing is known yet")
+	}
+	now := boottime.Now()
+	reply := &peeringpb.PullReply{
+		Version:   view.Version(),
+		ConfigAge: age(view.Configured, now),
+		Revision:  view.Revision,
+		ListAge:   age(view.Listed, now),
+	}
+	var err error
+	if view.Version() > request.Version {
+		if reply.Configuration, err = json.Marshal(view.Index.Configuration); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+	}
+	if reply.Backends, err = json.Marshal(listed(view)); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return reply, nil
+}
+
+// listed returns the backend servers but for those that are only kept because
+// they may come back.
+func listed(view *knowledge.View) []knowledge.Backend {
+	backends := make([]knowledge.Backend, 0, len(view.Backends))
+	for id, backend := range view.Backends {
+		if _, absent := view.Absent[id]; !absent {
+			backends = append(backends, *backend)
+		}
+	}
+	return backends
+}
+
+// serveCalls answers other routers and operators until the context ends.
+func (m *Manager) serveCalls(ctx context.Context) error {
+	address := m.options.Address
+	listener, err := net.Listen("tcp", string(address))
+	if err != nil {
+		return fleet.Wrap(err, fleet.StepSpread, address)
+	}
+	mux := http.NewServeMux()
+	mux.Handle(peeringpb.KnowledgePathPrefix, peeringpb.NewKnowledgeServer(&server{state: m.options.State}))
+	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(&operation{manager: m}))
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // calls are repeated elsewhere
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return fleet.Wrap(err, fleet.StepSpread, address)
+	}
+	return nil
+}
