Pull a list of backend servers only when it differs; drop unread fields

PullRequest.revision was carried and not read, so each pull for a fresher age carried the whole list. A router with the same revision gets its age alone, but for one that misses entries, which needs the list to know that they are gone. Test: TestPullOfTheSameListConfirmsIt.

--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -35,7 +35,6 @@
 // Prompt describes a request for a model. Its zero value stands for a request
 // to a plain service.
 type Prompt struct {
-	Model     string
 	Tokens    int // of the prompt
 	MaxOutput int // most tokens to be generated
 	// ExpectedOutput is the caller's guess of the tokens to be generated, 0
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -269,3 +269,30 @@
 		t.Errorf("a router that is not listed does not register again after %d lists", missing)
 	}
 }
+
+// A router that has the same list is told its age alone.
+func TestPullOfTheSameListConfirmsIt(t *testing.T) {
+	told, asking := knowledge.NewState(), knowledge.NewState()
+	backends := []knowledge.Backend{{ID: "i", Service: "s"}}
+	now := boottime.Now()
+	for _, state := range []*knowledge.State{told, asking} {
+		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
+	}
+	told.SetBackends(backends, 7, now)
+	asking.SetBackends(backends, 7, now.Add(-time.Second))
+	reply, err := (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{Version: 1, Revision: 7})
+	if err != nil || len(reply.Backends) != 0 {
+		t.Fatalf("reply with %d bytes of backend servers, error %v", len(reply.Backends), err)
+	}
+	puller := newPuller(asking, logrus.New())
+	if err := puller.apply(reply, boottime.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if age := boottime.Now().Sub(asking.View().Listed); age > 500*time.Millisecond {
+		t.Errorf("the list counts as %v old", age)
+	}
+	reply, err = (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{Version: 1, Revision: 6})
+	if err != nil || len(reply.Backends) == 0 {
+		t.Errorf("a router with another revision got no list, error %v", err)
+	}
+}
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -73,7 +73,11 @@
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
 	asked := boottime.Now()
 	client := peeringpb.NewKnowledgeProtobufClient("http://"+string(router), p.client)
-	reply, err := client.Pull(ctx, &peeringpb.PullRequest{Version: view.Version(), Revision: view.Revision})
+	revision := view.Revision
+	if len(view.Absent) > 0 {
+		revision = 0 // a whole list tells whether those that are missed are gone
+	}
+	reply, err := client.Pull(ctx, &peeringpb.PullRequest{Version: view.Version(), Revision: revision})
 	if err == nil {
 		err = p.apply(reply, asked)
 	}
@@ -94,6 +98,10 @@
 		}
 		p.state.SetConfiguration(&configuration, confirmedAt(asked, reply.ConfigAge))
 	}
+	if view := p.state.View(); len(reply.Backends) == 0 && reply.Revision == view.Revision {
+		// The same revision means the same list, of which only the age is new.
+		p.state.ConfirmBackends(view.Digest, confirmedAt(asked, reply.ListAge))
+	}
 	if len(reply.Backends) > 0 {
 		var backends []knowledge.Backend
 		if err := json.Unmarshal(reply.Backends, &backends); err != nil {
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -43,8 +43,10 @@
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
-	if reply.Backends, err = json.Marshal(listed(view)); err != nil {
-		return nil, twirp.InternalErrorWith(err)
+	if view.Revision != request.Revision {
+		if reply.Backends, err = json.Marshal(listed(view)); err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
 	}
 	return reply, nil
 }
