--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -296,3 +296,27 @@
 		t.Errorf("a router with another revision got no list, error %v", err)
 	}
 }
+
+// Symptom: bytes between routers grow with the square of the fleet.
+// Events: a backend server joins a long list.
+// Cause: each router that does not follow the store took the whole list.
+func TestAllFollowTheStoreWithALongList(t *testing.T) {
+	state := knowledge.NewState()
+	manager := NewManager(Options{Address: self, State: state, Logger: logrus.New()})
+	now := boottime.Now()
+	for i := range 50 {
+		manager.take(beatOf(fmt.Sprintf("10.0.1.%d:1", i), 1, 1), now)
+	}
+	backends := make([]knowledge.Backend, pulledMost+1)
+	for i := range backends {
+		backends[i].ID = fmt.Sprint(i)
+	}
+	state.SetBackends(backends, 1, now)
+	if !manager.Follows() {
+		t.Error("a router does not follow a long list itself")
+	}
+	state.SetBackends(backends[:1], 2, now)
+	if manager.Follows() != manager.table.Follows() {
+		t.Error("a short list is not left to those that follow")
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -103,8 +103,9 @@
 // follow, 0.021 with eight, 0.015 with four.
 const followersMost = 5
 
-// Follows implements gate.Peers: the routers that are heard and this one are
-// ordered by the hashes of their addresses, and the first ones follow. Routers
+// Follows tells whether this router is among those that follow the store: the
+// routers that are heard and this one are ordered by the hashes of their
+// addresses, and the first ones follow. Routers
 // that don't hear each other may differ about it; then more follow.
 func (t *table) Follows() bool {
 	t.mu.Lock()
