--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -122,8 +122,8 @@
 
 // pulledMost is the number of backend servers up to which routers take changes of
 // the list from others. They take the whole list, so with a longer one a watch
-// of the store's, which tells the change alone, costs less: with 3,000, a day
-// that costs 0.19 of worth for bytes between zones otherwise.
+// of the store's, which tells the change alone, costs less. Worth of a day with
+// 3,000 backend servers: 0.758 by lists, 0.807 by watches.
 const pulledMost = 200
 
 // Follows implements gate.Peers.
