Apply a settings file only once it is whole

Cause: TestHangupReadsTheFileAgain failed once beside busy processes ("info" applied, want "error"). The test's writer truncates the file before it writes, and the reload read it in between: an empty file is valid where no key is required, and the defaults were applied. A gate's file could be caught the same way without its later sections. Ruled out: load as the cause by itself; the new test shows it every time. Change: the file is read until two reads 20 ms apart agree. Test: TestHalfWrittenFileIsNotApplied, failing before.

--- a/internal/daemon/reload.go
+++ b/internal/daemon/reload.go
@@ -50,9 +50,35 @@
 	}
 }
 
+const (
+	// settlePause is the pause between two reads of the file that must agree.
+	settlePause = 20 * time.Millisecond
+	// settleReads bounds them; a file that never settles is read as it is.
+	settleReads = 10
+)
+
+// settled returns the content of the file once two reads agree. Whoever writes
+// it truncates it first: a file caught half written may be valid without the
+// keys that are still to come, and their defaults would be applied.
+func (r *Reloader) settled() ([]byte, error) {
+	content, err := os.ReadFile(r.Path)
+	for range settleReads {
+		if err != nil {
+			return nil, err
+		}
+		time.Sleep(settlePause)
+		before := content
+		content, err = os.ReadFile(r.Path)
+		if bytes.Equal(before, content) {
+			break
+		}
+	}
+	return content, err
+}
+
 // read applies the file when it has changed, or when it was asked to.
 func (r *Reloader) read(asked bool) {
-	content, err := os.ReadFile(r.Path)
+	content, err := r.settled()
 	if err != nil {
 		event.GateReloadFailed.Log(r.Logger, logrus.Fields{"error": err.Error()})
 		return
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -66,6 +66,36 @@
 	}
 }
 
+// Symptom: settings fall back to their defaults for a second.
+// Events: the settings file is written while the process reads it.
+// Cause: the file was caught between its truncation and its new content.
+func TestHalfWrittenFileIsNotApplied(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "gate.ini")
+	if err := os.WriteFile(path, nil, 0o600); err != nil { // truncated
+		t.Fatal(err)
+	}
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	var applied []string
+	reloader := &Reloader{
+		Path:   path,
+		Logger: logger,
+		Fresh:  func() any { return new(reloadConfig) },
+		Apply:  func(config any) { applied = append(applied, config.(*reloadConfig).Log.Level) },
+	}
+	written := make(chan error, 1)
+	time.AfterFunc(settlePause/4, func() {
+		written <- os.WriteFile(path, []byte("[log]\nlevel = error\n"), 0o600)
+	})
+	reloader.read(true)
+	if err := <-written; err != nil {
+		t.Fatal(err)
+	}
+	if len(applied) != 1 || applied[0] != "error" {
+		t.Errorf("applied %q, want the whole file alone", applied)
+	}
+}
+
 // blockedWriter never returns from a write.
 type blockedWriter struct{}
 
