Let one piece of code serve where the change had written it twice

Left: gate.placeModel is long; parts of durations are reckoned in eight places beside platform's `share`.

--- a/internal/ctl/drain.go
+++ b/internal/ctl/drain.go
@@ -10,7 +10,7 @@
 // drain lets the backend server of one agent take no new work.
 type drain struct {
 	base
-	Operator   string `long:"operator" env:"BLUEBELL_OPERATOR" description:"Who gives the order; without it the user's login name."`
+	who
 	Reason     string `long:"reason" description:"Why, for the agent's log."`
 	Undo       bool   `long:"undo" description:"Take new work again."`
 	Positional struct {
@@ -35,7 +35,7 @@
 	address := fleet.Address(c.Positional.Node)
 	reply, err := nodes.Drain(ctx, address, &rpc.DrainRequest{
 		Undo:     c.Undo,
-		Operator: editOptions{Operator: c.Operator}.operator(),
+		Operator: c.operator(),
 		Reason:   c.Reason,
 	})
 	if err != nil {
--- a/internal/ctl/edit.go
+++ b/internal/ctl/edit.go
@@ -10,15 +10,12 @@
 	"github.com/bluebellchute/bluebellchute/internal/settings"
 )
 
-// editOptions are the flags of all commands that edit the settings.
-type editOptions struct {
-	Operator string  `long:"operator" env:"BLUEBELL_OPERATOR" description:"Who makes the edit; without it the user's login name."`
-	Reason   string  `long:"reason" description:"Why, for the history."`
-	Expect   *uint64 `long:"expect-revision" value-name:"N" description:"Refuse the edit unless the tree is at this revision."`
-	DryRun   bool    `long:"dry-run" description:"Check the edit and show it, but don't send it."`
+// who is the flag of all commands that change something.
+type who struct {
+	Operator string `long:"operator" env:"BLUEBELL_OPERATOR" description:"Who gives the order; without it the user's login name."`
 }
 
-func (o editOptions) operator() string {
+func (o who) operator() string {
 	if o.Operator != "" {
 		return o.Operator
 	}
@@ -28,6 +25,14 @@
 	return "unknown"
 }
 
+// editOptions are the flags of all commands that edit the settings.
+type editOptions struct {
+	who
+	Reason string  `long:"reason" description:"Why, for the history."`
+	Expect *uint64 `long:"expect-revision" value-name:"N" description:"Refuse the edit unless the tree is at this revision."`
+	DryRun bool    `long:"dry-run" description:"Check the edit and show it, but don't send it."`
+}
+
 // planner works out an edit's changes from the tree as it is now.
 type planner func(tree *settings.Tree) ([]settings.Change, error)
 
--- a/internal/ctl/exit.go
+++ b/internal/ctl/exit.go
@@ -32,6 +32,14 @@
 	return &exitError{status: ExitUsage, cause: errors.Errorf(format, args...)}
 }
 
+// incomplete returns an error when some of those that were asked were silent.
+func incomplete(silent, asked int, what string) error {
+	if silent == 0 {
+		return nil
+	}
+	return &exitError{status: ExitIncomplete, cause: errors.Errorf("%d of %d %s don't answer", silent, asked, what)}
+}
+
 // statusOf returns the exit status for an error.
 func statusOf(err error) int {
 	var exit *exitError
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -113,13 +113,10 @@
 	return "ready"
 }
 
-// incomplete returns an error when some routers did not answer.
-func incomplete(reports []routerReport) error {
+// silentRouters returns an error when some routers did not answer.
+func silentRouters(reports []routerReport) error {
 	silent := lo.CountBy(reports, func(r routerReport) bool { return r.Error != "" })
-	if silent == 0 {
-		return nil
-	}
-	return &exitError{status: ExitIncomplete, cause: errors.Errorf("%d of %d routers don't answer", silent, len(reports))}
+	return incomplete(silent, len(reports), "routers")
 }
 
 // routerList shows the routers.
@@ -143,7 +140,7 @@
 	if err := s.show(reports, people); err != nil {
 		return err
 	}
-	return incomplete(reports)
+	return silentRouters(reports)
 }
 
 // accountUse is what an account asked and got of late at all routers.
@@ -174,7 +171,7 @@
 	if err := s.show(uses, people); err != nil {
 		return err
 	}
-	return incomplete(reports)
+	return silentRouters(reports)
 }
 
 // sumUses returns the accounts' uses over all routers, the greatest first.
@@ -204,7 +201,7 @@
 // routerDrain lets a router leave new callers to the others.
 type routerDrain struct {
 	base
-	Operator   string `long:"operator" env:"BLUEBELL_OPERATOR" description:"Who gives the order; without it the user's login name."`
+	who
 	Reason     string `long:"reason" description:"Why, for the audit trail."`
 	Undo       bool   `long:"undo" description:"Take new callers again."`
 	Positional struct {
@@ -222,7 +219,7 @@
 		return err
 	}
 	order := platform.Order{
-		Operator: editOptions{Operator: c.Operator}.operator(),
+		Operator: c.operator(),
 		Reason:   c.Reason,
 		Action:   lo.Ternary(c.Undo, "undrain", "drain"),
 		Router:   fleet.Address(c.Positional.Router),
--- a/internal/ctl/status.go
+++ b/internal/ctl/status.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/pkg/errors"
 	"github.com/samber/lo"
 )
 
@@ -33,10 +32,8 @@
 	if err := s.show(reports, people); err != nil {
 		return err
 	}
-	if silent := lo.CountBy(reports, func(r nodeReport) bool { return r.Error != "" }); silent > 0 {
-		return &exitError{status: ExitIncomplete, cause: errors.Errorf("%d of %d nodes don't answer", silent, len(reports))}
-	}
-	return nil
+	silent := lo.CountBy(reports, func(r nodeReport) bool { return r.Error != "" })
+	return incomplete(silent, len(reports), "nodes")
 }
 
 func (r nodeReport) state() string {
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -3,22 +3,17 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
 	"net/http"
-	"time"
 
-	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
 
-// headerTimeout bounds the wait for a call's header.
-const headerTimeout = time.Second
-
 // server answers the calls of other routers.
 type server struct {
 	state *knowledge.State
@@ -65,19 +60,8 @@
 
 // serveCalls answers other routers and operators until the context ends.
 func (m *Manager) serveCalls(ctx context.Context) error {
-	address := m.options.Address
-	listener, err := net.Listen("tcp", string(address))
-	if err != nil {
-		return fleet.Wrap(err, fleet.StepSpread, address)
-	}
 	mux := http.NewServeMux()
 	mux.Handle(peeringpb.KnowledgePathPrefix, peeringpb.NewKnowledgeServer(&server{state: m.options.State}))
 	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(&operation{manager: m}))
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() { _ = server.Close() }) // calls are repeated elsewhere
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return fleet.Wrap(err, fleet.StepSpread, address)
-	}
-	return nil
+	return daemon.Serve(ctx, m.options.Address, fleet.StepSpread, mux)
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -114,7 +114,7 @@
 	own := hashOf(t.self)
 	before := 0
 	for address, peer := range t.peers {
-		if peer.heard != 0 && now.Sub(peer.heard) < t.life() && hashOf(address) < own {
+		if t.hears(peer, now) && hashOf(address) < own {
 			before++
 		}
 	}
@@ -153,6 +153,11 @@
 	return max(heardLife, time.Duration(rounds*heardRounds)*beatInterval)
 }
 
+// hears tells whether a router counts as heard.
+func (t *table) hears(peer *peer, now boottime.Instant) bool {
+	return peer.heard != 0 && now.Sub(peer.heard) < t.life()
+}
+
 // add makes an address known. It returns false when it was known.
 func (t *table) add(address fleet.Address, now boottime.Instant) bool {
 	t.mu.Lock()
@@ -251,7 +256,7 @@
 func (t *table) count(now boottime.Instant) {
 	heard := 1
 	for _, peer := range t.peers {
-		if peer.heard != 0 && now.Sub(peer.heard) < t.life() {
+		if t.hears(peer, now) {
 			heard++
 		}
 	}
@@ -266,7 +271,7 @@
 	defer t.mu.Unlock()
 	var lost []fleet.Address
 	for address, peer := range t.peers {
-		if peer.heard == 0 || now.Sub(peer.heard) < t.life() {
+		if peer.heard == 0 || t.hears(peer, now) {
 			continue
 		}
 		t.subtract(peer)
@@ -285,7 +290,7 @@
 	defer t.mu.Unlock()
 	var addresses []fleet.Address
 	for address, peer := range t.peers {
-		if peer.heard != 0 && now.Sub(peer.heard) < t.life() {
+		if t.hears(peer, now) {
 			addresses = append(addresses, address)
 		}
 	}
