Let spoiled entries name no backend server, and see a start under an old id

Cause 1: the list of backend servers was given up at the first entry that did not decode, so one entry of another writer left a router without any backend server; an entry without address or with an unknown state was used as ready. Now each object of an answer is decoded by itself; one that is not whole is logged once with its name and names nothing, the others hold. The same for entries of routers, audit records and lists handed on by other routers.

Cause 2: the id was taken for the incarnation. A backend server that starts again under its id now has a new incarnation by its born field: loads (own and other routers'), failures, shunning and latency go by incarnation, kept connections are closed, and news of an older start never replace a newer one, by a change or by a list. Entries of today's platform often leave born out, so a missing one tells nothing; one of another type spoils the entry.

Ruled out: requiring version, cold_remaining_ms and born. Nothing is decided by them, and a deployment that leaves one out would have no backend server at all.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -41,17 +41,14 @@
 
 func newPeering(injector do.Injector) (*peering.Manager, error) {
 	config := do.MustInvoke[*gate.Config](injector)
+	logger := do.MustInvoke[logrus.FieldLogger](injector)
 	return peering.NewManager(peering.Options{
 		Address:     config.Listen.Peers,
 		Seeds:       config.Peers.Seeds,
 		Incarnation: uint64(time.Now().UnixNano()),
-		Directory: &platform.Directory{
-			Store: do.MustInvoke[*platform.Store](injector),
-			Node:  config.Node.Name,
-			Zone:  config.Node.Zone,
-		},
-		State:  do.MustInvoke[*knowledge.State](injector),
-		Logger: do.MustInvoke[logrus.FieldLogger](injector),
+		Directory:   platform.NewDirectory(do.MustInvoke[*platform.Store](injector), config.Node.Name, config.Node.Zone, logger),
+		State:       do.MustInvoke[*knowledge.State](injector),
+		Logger:      logger,
 	}), nil
 }
 
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -335,3 +335,28 @@
 		}
 	}
 }
+
+// Symptom: a request is lost though its backend server lives.
+// Events: the backend server crashes behind a partition and starts again; the
+// connections of before can't be told from sound ones.
+// Cause: they were kept.
+func TestForgottenConnectionsAreNotUsedAgain(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for request := readRequest(reader); request != nil; request = readRequest(reader) {
+			io.WriteString(conn, answer(request.Header.Get("Id"), "whole"))
+		}
+	})
+	pool := NewPool()
+	for _, id := range []string{"1", "2"} {
+		if _, err := exchange(t, pool, server.address, ask(id)); err != nil {
+			t.Fatal(err)
+		}
+		pool.Forget(server.address)
+		if open := pool.Open(server.address); open != 0 {
+			t.Errorf("%d connections are kept", open)
+		}
+	}
+	if got := server.conns.Load(); got != 2 {
+		t.Errorf("%d connections were opened, want 2", got)
+	}
+}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -74,10 +74,25 @@
 	return 0
 }
 
-func (p *Pool) closeIdle(expired func(*conn) bool) {
+// Forget closes the idle connections to an address. A backend server that
+// crashed and started again there knows nothing of them, and behind a partition
+// it could not say so: a request sent on one would be lost.
+func (p *Pool) Forget(address fleet.Address) {
+	p.closeIdleAt(address, func(*conn) bool { return true })
+}
+
+// anyAddress stands for all addresses in closeIdleAt.
+const anyAddress fleet.Address = ""
+
+func (p *Pool) closeIdle(expired func(*conn) bool) { p.closeIdleAt(anyAddress, expired) }
+
+func (p *Pool) closeIdleAt(wanted fleet.Address, expired func(*conn) bool) {
 	var closing []*conn
 	p.mu.Lock()
 	for address, host := range p.hosts {
+		if wanted != anyAddress && wanted != address {
+			continue
+		}
 		kept := host.idle[:0]
 		for _, c := range host.idle {
 			if expired(c) {
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -12,6 +12,8 @@
 	"github.com/samber/lo"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/platform"
@@ -26,7 +28,9 @@
 	if s.options.Store == "" {
 		return platform.Operators{}, usageErrorf("name the store with --store or BLUEBELL_STORE")
 	}
-	return platform.Operators{Store: platform.NewStore(fleet.Address(s.options.Store))}, nil
+	logger := logrus.New()
+	logger.SetOutput(s.Stderr)
+	return platform.Operators{Store: platform.NewStore(fleet.Address(s.options.Store)), Logger: logger}, nil
 }
 
 // routerAt returns the operators' interface of a router.
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -24,5 +24,7 @@
 	GateReloadFailed = Event{2119, logrus.ErrorLevel, "settings file can't be used, the former settings stay"}
 	GateStoreError   = Event{2120, logrus.WarnLevel, "call to the store failed"}
 	GateFailed       = Event{2109, logrus.InfoLevel, "backend server answered with a failure of its own"}
+	GateSpoiled      = Event{2122, logrus.WarnLevel, "entry in the store can't be used"}
+	GateReborn       = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -119,7 +119,7 @@
 		if backend.Leaving || excluded[backend.ID] {
 			continue
 		}
-		if _, absent := view.Absent[backend.ID]; absent || a.loads.shunnedNow(backend.ID, now) {
+		if _, absent := view.Absent[backend.ID]; absent || a.loads.shunnedNow(backend.Incarnation, now) {
 			shunned = append(shunned, backend)
 			continue
 		}
@@ -134,9 +134,9 @@
 func (a *admission) placePlain(usable []*knowledge.Backend) *placement {
 	servers := make([]selection.Server, len(usable))
 	for i, backend := range usable {
-		load, latency := a.loads.get(backend.ID)
+		load, latency := a.loads.get(backend.Incarnation)
 		servers[i] = selection.Server{
-			Running: load.Running + a.peers.Load(backend.ID).Running,
+			Running: load.Running + a.peers.Load(backend.Incarnation).Running,
 			Slots:   backend.Slots,
 			Near:    backend.Zone == a.zone,
 			Latency: latency,
@@ -147,7 +147,7 @@
 	turn := a.turn
 	a.mu.Unlock()
 	placed := &placement{backend: usable[selection.Plain(servers, turn)], load: BackendLoad{Running: 1}}
-	a.loads.begin(placed.backend.ID, placed.load)
+	a.loads.begin(placed.backend.Incarnation, placed.load)
 	return placed
 }
 
@@ -194,7 +194,7 @@
 	if holder := a.holder(request, engines, choice); holder >= 0 && a.canFetch(view, request.Service) {
 		placed.holder = usable[holder].Address
 	}
-	a.loads.begin(placed.backend.ID, placed.load)
+	a.loads.begin(placed.backend.Incarnation, placed.load)
 	if demand.Shared >= readingLeast {
 		placed.part = demand.Affinity
 		a.reading.begin(placed.part)
@@ -262,8 +262,8 @@
 	}
 	engines := make([]selection.Engine, len(usable))
 	for i, backend := range usable {
-		own, _ := a.loads.get(backend.ID)
-		load := own.Add(a.peers.Load(backend.ID))
+		own, _ := a.loads.get(backend.Incarnation)
+		load := own.Add(a.peers.Load(backend.Incarnation))
 		engines[i] = selection.Engine{
 			ID:             backend.ID,
 			Running:        load.Running,
@@ -333,7 +333,7 @@
 		return
 	}
 	a.endReading(placed)
-	a.loads.first(placed.backend.ID, service, placed.load.Pending, placed.pending, took)
+	a.loads.first(placed.backend.Incarnation, service, placed.load.Pending, placed.pending, took)
 	placed.load.Pending = 0
 }
 
@@ -357,7 +357,7 @@
 // ended counts a placed request out. ran is false when it did not run.
 func (a *admission) ended(request *Request, placed *placement, ran bool) {
 	a.endReading(placed)
-	a.loads.end(placed.backend.ID, placed.load)
+	a.loads.end(placed.backend.Incarnation, placed.load)
 	if ran || !placed.model || request.Account == nil {
 		return
 	}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -28,8 +28,9 @@
 // Peers tells what the other routers have at backend servers and how many
 // routers there are.
 type Peers interface {
-	// Load returns the sum over all other routers that are heard.
-	Load(backend string) BackendLoad
+	// Load returns the sum over all other routers that are heard, for an
+	// incarnation of a backend server.
+	Load(incarnation string) BackendLoad
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
@@ -85,8 +86,9 @@
 	modelPrior = 0.5
 )
 
-// loads is the table of backend servers. Its methods may be called
-// concurrently.
+// loads is the table of backend servers by their incarnations: one that starts
+// again under its id holds nothing of what the one before held, and what failed
+// there says nothing of it. Its methods may be called concurrently.
 type loads struct {
 	mu       sync.Mutex
 	backends map[string]*backendState
@@ -221,12 +223,16 @@
 }
 
 // keep forgets backend servers that are no longer listed.
-func (l *loads) keep(listed map[string]*knowledge.Backend) {
+func (l *loads) keep(backends map[string]*knowledge.Backend) {
+	listed := make(map[string]bool, len(backends))
+	for _, backend := range backends {
+		listed[backend.Incarnation] = true
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := boottime.Now()
 	for id, state := range l.backends {
-		if listed[id] == nil && state.load.Running <= 0 && now.Sub(state.lastUsed) > loadLife {
+		if !listed[id] && state.load.Running <= 0 && now.Sub(state.lastUsed) > loadLife {
 			delete(l.backends, id)
 		}
 	}
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -18,7 +18,8 @@
 	return a.ledger.Own(boottime.Now())
 }
 
-// Loads returns what runs at backend servers, by the hashes of their ids.
+// Loads returns what runs at backend servers, by the hashes of their
+// incarnations.
 func (m *Manager) Loads() map[uint64]BackendLoad {
 	loaded := m.handler.admission.loads.snapshot()
 	hashed := make(map[uint64]BackendLoad, len(loaded))
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -108,6 +108,7 @@
 		event.GateVersion.Log(m.options.Logger, logrus.Fields{"version": view.Version(), "before": before.Version()})
 	}
 	m.logBackends(before, view)
+	m.forgetDead(before, view)
 	m.handler.admission.loads.keep(view.Backends)
 }
 
@@ -197,6 +198,19 @@
 	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": reason == "", "reason": reason})
 }
 
+// forgetDead closes the connections to backend servers that have started again
+// under their ids.
+func (m *Manager) forgetDead(before, view *knowledge.View) {
+	for id, backend := range view.Backends {
+		known := before.Backends[id]
+		if known == nil || known.Incarnation == backend.Incarnation {
+			continue
+		}
+		m.handler.pool.Forget(known.Address)
+		event.GateReborn.Log(m.options.Logger, logrus.Fields{"backend": id, "born": backend.Born})
+	}
+}
+
 func (m *Manager) logBackends(before, view *knowledge.View) {
 	added, removed := lo.Difference(lo.Keys(view.Backends), lo.Keys(before.Backends))
 	var leaving []string
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -37,7 +37,7 @@
 	h := r.handler
 	if !reply.sound(r.request) {
 		h.records.badAnswer(r.request, placed.backend, answer.Status)
-		h.admission.loads.answered(placed.backend.ID, false, 0)
+		h.admission.loads.answered(placed.backend.Incarnation, false, 0)
 		return verdictBroken
 	}
 	buffer := make([]byte, streamBuffer)
@@ -113,7 +113,7 @@
 			return r.callerGone()
 		}
 	}
-	r.handler.admission.loads.answered(placed.backend.ID, true, 0)
+	r.handler.admission.loads.answered(placed.backend.Incarnation, true, 0)
 	r.handler.records.answered(r.request, placed, answer.Status, r.sends, nil)
 	r.handler.metrics.answered(answer.Status)
 	return verdictDone
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -45,7 +45,7 @@
 	r.handler.admission.began(placed, r.request.Service, took)
 	success := answer.Status < http.StatusMultipleChoices
 	sound := success && reply.sound(r.request)
-	r.handler.admission.loads.answered(placed.backend.ID, sound, took)
+	r.handler.admission.loads.answered(placed.backend.Incarnation, sound, took)
 	if success && !sound {
 		r.handler.records.badAnswer(r.request, placed.backend, answer.Status)
 		return verdictBroken
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -159,7 +159,7 @@
 		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
 		h.admission.ended(r.request, placed, false)
 		if reply.Replaced {
-			h.admission.loads.broken(placed.backend.ID)
+			h.admission.loads.broken(placed.backend.Incarnation)
 		}
 		r.readRest(answer)
 		return verdictDeclined
@@ -216,7 +216,7 @@
 	peers := r.handler.admission.peers
 	most := float64(service.MaxConnections) * connectionShare
 	even := most / float64(max(peers.Routers(), 1))
-	left := most - float64(peers.Load(backend.ID).Running)
+	left := most - float64(peers.Load(backend.Incarnation).Running)
 	return max(int(even), int(left), 1)
 }
 
@@ -234,7 +234,7 @@
 	if unsent {
 		r.connects++
 		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) {
-			h.admission.loads.broken(placed.backend.ID)
+			h.admission.loads.broken(placed.backend.Incarnation)
 		}
 		return verdictUnsent
 	}
@@ -251,5 +251,5 @@
 		return
 	}
 	r.handler.suspects.broke(r.request.Fingerprint)
-	r.handler.admission.loads.answered(placed.backend.ID, false, 0)
+	r.handler.admission.loads.answered(placed.backend.Incarnation, false, 0)
 }
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -28,12 +29,35 @@
 func digest(backends map[string]*Backend) uint64 {
 	sum := uint64(len(backends))
 	for id, backend := range backends {
-		entry := fmt.Sprintf("%s %s %s %t", id, backend.Service, backend.Address, backend.Leaving)
+		entry := fmt.Sprintf("%s %d %s %s %t", id, backend.Born, backend.Service, backend.Address, backend.Leaving)
 		sum += xxhash.Sum64String(entry) // the order does not matter
 	}
 	return sum
 }
 
+// newest returns what holds of a backend server when told comes after known,
+// which may be nil. What an incarnation wrote last may reach the store after the
+// first word of the next one; it must not bring the dead one back.
+func newest(known, told *Backend) *Backend {
+	if known != nil {
+		if told.Born == 0 {
+			told.Born = known.Born // nothing is told of a new start
+		}
+		if told.Born < known.Born {
+			return known
+		}
+	}
+	told.Incarnation = incarnation(told.ID, told.Born)
+	return told
+}
+
+func incarnation(id string, born int64) string {
+	if born == 0 {
+		return id
+	}
+	return id + "@" + strconv.FormatInt(born, 10)
+}
+
 func cloneBackends(backends map[string]*Backend) map[string]*Backend {
 	return maps.Clone(backends)
 }
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -170,3 +170,30 @@
 		t.Error("a backend server that leaves came back by an older list")
 	}
 }
+
+// Symptom: a backend server that crashed is taken for alive, or one that is
+// back for leaving.
+// Events: news of two incarnations under one id come in any order, by changes
+// and by lists, some of which don't tell when it started.
+// Cause: the newest message won, not the newest incarnation.
+func TestIncarnationsNeverFall(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		state := NewState()
+		state.SetBackends(nil, 1, boottime.Now())
+		newest := int64(0)
+		for revision := range uint64(rapid.IntRange(1, 20).Draw(t, "news")) {
+			born := rapid.Int64Range(0, 4).Draw(t, "born")
+			told := Backend{ID: "a", Born: born, Slots: int(born)}
+			if rapid.Bool().Draw(t, "list") {
+				state.SetBackends([]Backend{told}, revision+2, boottime.Now())
+			} else {
+				state.SetBackend(told, revision+2)
+			}
+			newest = max(newest, born)
+			got := state.View().Backends["a"]
+			if got.Born != newest || got.Incarnation != incarnation("a", newest) {
+				t.Fatalf("%+v is in force, want start %d", got, newest)
+			}
+		}
+	})
+}
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -136,7 +136,7 @@
 		now := boottime.Now()
 		listed := make(map[string]*Backend, len(backends))
 		for i := range backends {
-			listed[backends[i].ID] = &backends[i]
+			listed[backends[i].ID] = newest(view.Backends[backends[i].ID], &backends[i])
 		}
 		absent := make(map[string]boottime.Instant)
 		afterOutage := view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
@@ -174,7 +174,7 @@
 			return false
 		}
 		backends := cloneBackends(view.Backends)
-		backends[backend.ID] = &backend
+		backends[backend.ID] = newest(view.Backends[backend.ID], &backend)
 		view.setBackends(backends)
 		return true
 	})
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -82,10 +82,20 @@
 
 // Backend is one incarnation of a backend server.
 type Backend struct {
-	ID      string
-	Service fleet.Service
-	Address fleet.Address
-	Zone    fleet.Zone
-	Slots   int
-	Leaving bool // takes no new request
+	ID string
+	// Born is when the backend server started, in Unix milliseconds, 0 if it
+	// does not tell. One that crashed may start again under its ID.
+	Born int64
+	// Incarnation tells this start from the others of the same ID. A State sets
+	// it.
+	Incarnation string
+	Service     fleet.Service
+	Address     fleet.Address
+	Zone        fleet.Zone
+	Slots       int
+	Leaving     bool // takes no new request
 }
+
+// Whole tells whether the entry names a backend server that requests could be
+// sent to.
+func (b *Backend) Whole() bool { return b.ID != "" && b.Service != "" && b.Address != "" }
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -37,7 +37,7 @@
 type Local interface {
 	// Uses returns what each account asked and got here.
 	Uses() map[fleet.Account]shares.Use
-	// Loads returns what runs at backend servers, by their ids' hashes.
+	// Loads returns what runs at backend servers, by their incarnations' hashes.
 	Loads() map[uint64]gate.BackendLoad
 	// Reading returns the keys of the prompt parts that engines read for
 	// requests of this router.
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"testing"
 	"time"
@@ -273,7 +274,7 @@
 // A router that has the same list is told its age alone.
 func TestPullOfTheSameListConfirmsIt(t *testing.T) {
 	told, asking := knowledge.NewState(), knowledge.NewState()
-	backends := []knowledge.Backend{{ID: "i", Service: "s"}}
+	backends := []knowledge.Backend{{ID: "i", Service: "s", Address: "10.0.0.1:1"}}
 	now := boottime.Now()
 	for _, state := range []*knowledge.State{told, asking} {
 		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
@@ -320,3 +321,21 @@
 		t.Error("a short list is not left to those that follow")
 	}
 }
+
+// Symptom: a router that the store does not reach has no backend server.
+// Events: a router of another version hands on a list with one entry that this
+// one can't read, and others that name nothing.
+// Cause: the list was given up at the first entry that could not be decoded.
+func TestSpoiledEntryOfARouterLeavesTheOthers(t *testing.T) {
+	state := knowledge.NewState()
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	puller := newPuller(state, logger)
+	list := `[{"ID":7},{"ID":"b"},"text",null,{"ID":"i","Service":"s","Address":"10.0.0.1:1"}]`
+	if err := puller.apply(&peeringpb.PullReply{Backends: []byte(list), Revision: 3}, boottime.Now()); err != nil {
+		t.Fatal(err)
+	}
+	if view := state.View(); len(view.Backends) != 1 || view.Backends["i"] == nil {
+		t.Errorf("known: %v", view.Backends)
+	}
+}
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -103,8 +104,8 @@
 		p.state.ConfirmBackends(view.Digest, confirmedAt(asked, reply.ListAge))
 	}
 	if len(reply.Backends) > 0 {
-		var backends []knowledge.Backend
-		if err := json.Unmarshal(reply.Backends, &backends); err != nil {
+		backends, err := p.decodeBackends(reply.Backends)
+		if err != nil {
 			return err
 		}
 		p.state.SetBackends(backends, reply.Revision, confirmedAt(asked, reply.ListAge))
@@ -112,6 +113,32 @@
 	return nil
 }
 
+// decodeBackends decodes a list of another router, which may run another version
+// of the program. An entry that can't be used does not take the others with it.
+func (p *puller) decodeBackends(encoded []byte) ([]knowledge.Backend, error) {
+	var entries []json.RawMessage
+	if err := json.Unmarshal(encoded, &entries); err != nil {
+		return nil, err
+	}
+	backends := make([]knowledge.Backend, 0, len(entries))
+	for _, entry := range entries {
+		var backend knowledge.Backend
+		err := json.Unmarshal(entry, &backend)
+		if err == nil && !backend.Whole() {
+			err = errNotWhole
+		}
+		if err != nil {
+			event.GateSpoiled.Log(p.logger, logrus.Fields{"kind": "peer", "name": backend.ID, "error": err.Error()})
+			continue
+		}
+		backends = append(backends, backend)
+	}
+	return backends, nil
+}
+
+// errNotWhole tells that an entry of another router names no backend server.
+var errNotWhole = errors.New("an entry without id, service or address")
+
 // confirmedAt returns the moment of a confirmation of the given age, as told
 // in answer to a call. The age counts from the call: the answer may be late.
 func confirmedAt(asked boottime.Instant, age int64) boottime.Instant {
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -48,7 +48,7 @@
 
 	mu     sync.Mutex
 	peers  map[fleet.Address]*peer
-	sums   map[uint64]gate.BackendLoad // over the peers that are heard, by hash of the backend server's id
+	sums   map[uint64]gate.BackendLoad // over the peers that are heard, by hash of the backend server's incarnation
 	most   int                         // greatest number of routers of late
 	mostAt boottime.Instant
 	silent map[fleet.Address]boottime.Instant // since when an entry's router is not heard
@@ -65,10 +65,10 @@
 }
 
 // Load implements gate.Peers.
-func (t *table) Load(backend string) gate.BackendLoad {
+func (t *table) Load(incarnation string) gate.BackendLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sums[xxhash.Sum64String(backend)]
+	return t.sums[xxhash.Sum64String(incarnation)]
 }
 
 // Routers implements gate.Peers. It returns the greatest number of late.
