--- a/internal/emulator/prediction_test.go
+++ b/internal/emulator/prediction_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bluebellchute/bluebellchute/internal/emulator"
 	"github.com/bluebellchute/bluebellchute/internal/selection"
 )
@@ -79,6 +81,7 @@
 	engines  []*emulator.Engine
 	stepping []bool
 	loads    []selection.Engine
+	hashes   []uint64                  // of the engines' ids
 	events   []func(now time.Duration) // of the step that is made
 
 	asked, inTime, sent float64 // prompt tokens
@@ -88,7 +91,8 @@
 	f := &modelFleet{policy: p, random: rand.New(rand.NewPCG(seed, 1))}
 	for i := range modelEngines {
 		f.engines = append(f.engines, emulator.NewEngine(emulator.DefaultConfig()))
-		f.loads = append(f.loads, selection.Engine{ID: fmt.Sprint("i-", i), Slots: 64, MemoryCapacity: 580_000})
+		f.hashes = append(f.hashes, selection.Key(fmt.Sprint("i-", i)))
+		f.loads = append(f.loads, selection.Engine{Slots: 64, MemoryCapacity: 580_000})
 	}
 	f.stepping = make([]bool, modelEngines)
 	for i := range kinds {
@@ -129,31 +133,33 @@
 	size := float64(k.first + k.second + own)
 	f.asked += size
 	demand := selection.Demand{
-		Affinity: selection.Key(parts[0].ID + parts[1].ID),
-		Shared:   float64(k.first + k.second),
-		Own:      float64(own),
-		Output:   float64(k.output),
-		Budget:   time.Duration(float64(k.target) * f.policy.budget),
+		Shared: float64(k.first + k.second),
+		Own:    float64(own),
+		Output: float64(k.output),
+		Budget: time.Duration(float64(k.target) * f.policy.budget),
 	}
 	limits := selection.Limits{Rate: modelRate, SlotShare: 0.8, MemoryShare: 0.9, SecondPenalty: f.policy.penalty}
-	choice := selection.Model(f.loads, demand, limits)
+	key := selection.Key(parts[0].ID + parts[1].ID)
+	ranked := selection.Rank(f.hashes, func(hash uint64) uint64 { return hash }, key)
+	candidates := lo.Map(ranked, func(index, _ int) selection.Engine { return f.loads[index] })
+	choice := selection.Model(candidates, demand, limits)
 	if !choice.Fits {
 		return
 	}
 	f.sent += size
-	f.send(choice, parts, k, size, now)
+	f.send(ranked[choice.Place], choice.Tokens, parts, k, size, now)
 }
 
-func (f *modelFleet) send(choice selection.Choice, parts []emulator.Part, k *kind, size float64, now time.Duration) {
-	load := &f.loads[choice.Index]
+func (f *modelFleet) send(index int, tokens float64, parts []emulator.Part, k *kind, size float64, now time.Duration) {
+	load := &f.loads[index]
 	load.Running++
-	load.Pending += choice.Tokens
+	load.Pending += tokens
 	load.Memory += size + float64(k.output)
 	request := &emulator.Request{Parts: parts, Output: k.output}
 	request.Event = func(number int, last bool) {
 		f.events = append(f.events, func(at time.Duration) {
 			if number == 1 {
-				load.Pending -= choice.Tokens
+				load.Pending -= tokens
 				if at-now <= k.target {
 					f.inTime += size
 				}
@@ -164,9 +170,9 @@
 			}
 		})
 	}
-	f.engines[choice.Index].Add(request)
-	if !f.stepping[choice.Index] {
-		f.step(choice.Index, now)
+	f.engines[index].Add(request)
+	if !f.stepping[index] {
+		f.step(index, now)
 	}
 }
 
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -92,14 +92,18 @@
 // usable returns the backend servers of the service that may take a request.
 // Shunned ones are among them only when there is no other.
 func (a *admission) usable(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
-	now := boottime.Now()
-	var sound, shunned []*knowledge.Backend
-	for _, backend := range view.ByService[service] {
-		if backend.Leaving || excluded[backend.ID] {
+	serving := view.Serving[service]
+	shunned := a.loads.shunnedNow(boottime.Now())
+	if len(excluded)+len(view.Absent)+len(shunned) == 0 {
+		return serving
+	}
+	var sound, last []*knowledge.Backend
+	for _, backend := range serving {
+		if excluded[backend.ID] {
 			continue
 		}
-		if _, absent := view.Absent[backend.ID]; absent || a.loads.shunnedNow(backend.Incarnation, now) {
-			shunned = append(shunned, backend)
+		if _, absent := view.Absent[backend.ID]; absent || shunned[backend.Incarnation] {
+			last = append(last, backend)
 			continue
 		}
 		sound = append(sound, backend)
@@ -107,7 +111,7 @@
 	if len(sound) > 0 {
 		return sound
 	}
-	return shunned
+	return last
 }
 
 func (a *admission) placePlain(usable []*knowledge.Backend) *placement {
@@ -115,7 +119,7 @@
 	for i, backend := range usable {
 		load, latency := a.loads.get(backend.Incarnation)
 		servers[i] = selection.Server{
-			Running: load.Running + a.peers.Load(backend.Incarnation).Running,
+			Running: load.Running + a.peers.Load(backend.IncarnationHash).Running,
 			Slots:   backend.Slots,
 			Near:    backend.Zone == a.zone,
 			Latency: latency,
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -13,7 +13,7 @@
 // routers is a fleet of so many routers.
 type routers int
 
-func (routers) Load(string) BackendLoad   { return BackendLoad{} }
+func (routers) Load(uint64) BackendLoad   { return BackendLoad{} }
 func (routers) Contact() boottime.Instant { return boottime.Now() }
 func (routers) Follows() bool             { return true }
 func (r routers) Routers() int            { return int(r) }
@@ -148,16 +148,16 @@
 	for range 10 {
 		loads.answered("i", false, 0)
 	}
-	if !loads.shunnedNow("i", now) {
+	if !loads.shunnedNow(now)["i"] {
 		t.Error("it is not shunned")
 	}
-	if loads.shunnedNow("i", now.Add(2*shunTime)) {
+	if loads.shunnedNow(now.Add(2 * shunTime))["i"] {
 		t.Error("it is never tried again")
 	}
 	for i := range 50 {
 		loads.answered("j", i%7 != 0, time.Millisecond)
 	}
-	if loads.shunnedNow("j", now) {
+	if loads.shunnedNow(now)["j"] {
 		t.Error("a seventh of failures is usual for some services")
 	}
 }
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -30,8 +30,8 @@
 // routers there are.
 type Peers interface {
 	// Load returns the sum over all other routers that are heard, for an
-	// incarnation of a backend server.
-	Load(incarnation string) BackendLoad
+	// incarnation of a backend server by its hash.
+	Load(incarnation uint64) BackendLoad
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
@@ -67,7 +67,6 @@
 type backendState struct {
 	load     BackendLoad
 	failures float64 // share of recent requests that failed, decayed
-	shunned  boottime.Instant
 	latency  float64 // seconds, decayed average
 	lastUsed boottime.Instant
 }
@@ -94,12 +93,14 @@
 type loads struct {
 	mu       sync.Mutex
 	backends map[string]*backendState
+	shunned  map[string]boottime.Instant // until when they get no requests
 	models   map[fleet.Service]*engineModel
 }
 
 func newLoads() *loads {
 	return &loads{
 		backends: make(map[string]*backendState),
+		shunned:  make(map[string]boottime.Instant),
 		models:   make(map[fleet.Service]*engineModel),
 	}
 }
@@ -199,7 +200,7 @@
 		// Half of the memory goes, so that one good answer after the pause
 		// clears the backend server and one bad one shuns it again.
 		state.failures = shunShare * (1 - failureMemory)
-		state.shunned = boottime.Now().Add(shunTime)
+		l.shunned[id] = boottime.Now().Add(shunTime)
 	}
 }
 
@@ -208,16 +209,25 @@
 func (l *loads) broken(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state := l.state(id)
-	state.shunned = boottime.Now().Add(brokenShun)
+	l.shunned[id] = boottime.Now().Add(brokenShun)
 }
 
-// shunnedNow tells whether the backend server gets no requests at present.
-func (l *loads) shunnedNow(id string, now boottime.Instant) bool {
+// shunnedNow returns the backend servers that get no requests at present.
+func (l *loads) shunnedNow(now boottime.Instant) map[string]bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state := l.backends[id]
-	return state != nil && now < state.shunned
+	if len(l.shunned) == 0 {
+		return nil
+	}
+	shunned := make(map[string]bool, len(l.shunned))
+	for id, until := range l.shunned {
+		if now >= until {
+			delete(l.shunned, id)
+			continue
+		}
+		shunned[id] = true
+	}
+	return shunned
 }
 
 // get returns the router's own load at a backend server and its latency.
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -20,36 +20,42 @@
 		return nil, a.refuseModel(request, tier, Inputs{Tier: tier, Standing: facts.Standing.Got})
 	}
 	bounds := a.policy().Bounds(tier, facts)
-	engines := a.engines(view, request.Service, usable)
+	shared := selection.Key(request.Prompt.SharedPart())
+	ranked := selection.Rank(usable, idHash, shared)
+	engines := a.engines(view, request.Service, usable, ranked)
 	demand := a.demand(request, bounds)
 	choice := selection.Model(engines, demand, a.limits(view, request.Service, bounds))
+	chosen := ranked[choice.Place]
 	inputs := Inputs{
 		Tier:     tier,
-		Backend:  usable[choice.Index].ID,
+		Backend:  usable[chosen].ID,
 		Standing: facts.Standing.Got,
 		Ahead:    choice.Ahead,
 		Budget:   demand.Budget,
-		Shared:   choice.Holder == choice.Index,
+		Shared:   choice.Place == 0,
 	}
 	if !choice.Fits {
 		return nil, a.refuseModel(request, tier, inputs)
 	}
 	placed := &placement{
-		backend: usable[choice.Index],
+		backend: usable[chosen],
 		load: BackendLoad{
 			Running: 1,
 			Pending: choice.Tokens,
 			Memory:  demand.Own + demand.Shared + demand.Output,
 		},
-		pending: engines[choice.Index].Pending + choice.Tokens,
+		pending: engines[choice.Place].Pending + choice.Tokens,
 		model:   true,
 		counted: tier != policy.TierIdle && request.Account != nil,
 		inputs:  inputs,
 	}
-	if holder := a.holder(request, engines, choice); holder >= 0 && a.canFetch(view, request.Service) {
-		placed.holder = usable[holder].Address
+	if a.canFetch(view, request.Service) {
+		placed.holder = holder(request, usable, ranked, choice)
 	}
-	a.enter(request, placed, demand, now)
+	if demand.Shared >= readingLeast {
+		placed.part = shared
+	}
+	a.enter(request, placed, now)
 	return placed, nil
 }
 
@@ -91,10 +97,9 @@
 }
 
 // enter counts a placed request in.
-func (a *admission) enter(request *Request, placed *placement, demand selection.Demand, now boottime.Instant) {
+func (a *admission) enter(request *Request, placed *placement, now boottime.Instant) {
 	a.loads.begin(placed.backend.Incarnation, placed.load)
-	if demand.Shared >= readingLeast {
-		placed.part = demand.Affinity
+	if placed.part != 0 {
 		a.reading.begin(placed.part)
 	}
 	if !placed.counted {
@@ -113,26 +118,26 @@
 		output = min(output, prompt.ExpectedOutput)
 	}
 	return selection.Demand{
-		Affinity: selection.Key(prompt.SharedPart()),
-		Shared:   shared,
-		Own:      max(float64(prompt.Tokens)-shared, 0),
-		Output:   float64(output),
-		Budget:   bounds.Budget,
-		Whole:    bounds.Whole,
+		Shared: shared,
+		Own:    max(float64(prompt.Tokens)-shared, 0),
+		Output: float64(output),
+		Budget: bounds.Budget,
+		Whole:  bounds.Whole,
 	}
 }
 
-func (a *admission) engines(view *knowledge.View, service fleet.Service, usable []*knowledge.Backend) []selection.Engine {
+// engines returns the candidates among the usable backend servers.
+func (a *admission) engines(view *knowledge.View, service fleet.Service, usable []*knowledge.Backend, ranked []int) []selection.Engine {
 	capacity := 0.0
 	if settings := view.Index.Service(service); settings != nil {
 		capacity = float64(settings.KVCapacity)
 	}
-	engines := make([]selection.Engine, len(usable))
-	for i, backend := range usable {
+	engines := make([]selection.Engine, len(ranked))
+	for place, index := range ranked {
+		backend := usable[index]
 		own, _ := a.loads.get(backend.Incarnation)
-		load := own.Add(a.peers.Load(backend.Incarnation))
-		engines[i] = selection.Engine{
-			ID:             backend.ID,
+		load := own.Add(a.peers.Load(backend.IncarnationHash))
+		engines[place] = selection.Engine{
 			Running:        load.Running,
 			Slots:          backend.Slots,
 			Pending:        load.Pending,
@@ -143,6 +148,8 @@
 	return engines
 }
 
+func idHash(backend *knowledge.Backend) uint64 { return backend.IDHash }
+
 // assumedRate is the prompt tokens that an engine reads in a second before
 // anything is known of it, when no capacity is stated either.
 const assumedRate = 20_000
@@ -168,21 +175,21 @@
 	return a.policy().Fetch && settings != nil && settings.Fetches
 }
 
-// holder returns the index of the engine that probably keeps more of the
-// prompt than the chosen one, or -1. The engine that the last shared part
-// prefers keeps all shared parts; where that one is chosen, the engine that the
-// first part prefers keeps that part before any other does.
-func (a *admission) holder(request *Request, engines []selection.Engine, choice selection.Choice) int {
-	if choice.Holder != choice.Index {
-		return choice.Holder
+// holder returns the address of the engine that probably keeps more of the
+// prompt than the chosen one, or "". The engine that the last shared part prefers
+// keeps all shared parts; where that one is chosen, the engine that the first
+// part prefers keeps that part before any other does.
+func holder(request *Request, usable []*knowledge.Backend, ranked []int, choice selection.Choice) fleet.Address {
+	if choice.Place > 0 {
+		return usable[ranked[0]].Address
 	}
 	parts := request.Prompt.Parts
 	if len(parts) < 3 {
-		return -1
+		return ""
 	}
-	first := selection.Preferred(engines, selection.Key(parts[0].ID))
-	if first == choice.Index {
-		return -1
+	first := selection.Rank(usable, idHash, selection.Key(parts[0].ID))[0]
+	if first == ranked[0] {
+		return ""
 	}
-	return first
+	return usable[first].Address
 }
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -216,7 +216,7 @@
 	peers := r.handler.admission.peers
 	most := float64(service.MaxConnections) * connectionShare
 	even := most / float64(max(peers.Routers(), 1))
-	left := most - float64(peers.Load(backend.Incarnation).Running)
+	left := most - float64(peers.Load(backend.IncarnationHash).Running)
 	return max(int(even), int(left), 1)
 }
 
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -8,6 +8,7 @@
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
@@ -16,11 +17,13 @@
 func (v *View) setBackends(backends map[string]*Backend) {
 	v.Backends = backends
 	v.ByService = make(map[fleet.Service][]*Backend)
+	v.Serving = make(map[fleet.Service][]*Backend)
 	for _, backend := range backends {
 		v.ByService[backend.Service] = append(v.ByService[backend.Service], backend)
 	}
-	for _, group := range v.ByService {
+	for service, group := range v.ByService {
 		slices.SortFunc(group, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
+		v.Serving[service] = lo.Filter(group, func(backend *Backend, _ int) bool { return !backend.Leaving })
 	}
 	v.Digest = digest(backends)
 }
@@ -48,6 +51,8 @@
 		}
 	}
 	told.Incarnation = incarnation(told.ID, told.Born)
+	told.IncarnationHash = xxhash.Sum64String(told.Incarnation)
+	told.IDHash = xxhash.Sum64String(told.ID)
 	return told
 }
 
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -21,6 +21,7 @@
 
 	Backends  map[string]*Backend          // by ID
 	ByService map[fleet.Service][]*Backend // in the order of their IDs
+	Serving   map[fleet.Service][]*Backend // those that don't leave
 	Digest    uint64                       // of the list of backend servers, to compare it with another router's
 	Revision  uint64                       // of the list of backend servers
 	Listed    boottime.Instant             // a moment at which the list was complete
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -87,14 +87,17 @@
 	// Born is when the backend server started, in Unix milliseconds, 0 if it
 	// does not tell. One that crashed may start again under its ID.
 	Born int64
-	// Incarnation tells this start from the others of the same ID. A State sets
-	// it.
-	Incarnation string
-	Service     fleet.Service
-	Address     fleet.Address
-	Zone        fleet.Zone
-	Slots       int
-	Leaving     bool // takes no new request
+	// Incarnation tells this start from the others of the same ID.
+	// IncarnationHash and IDHash spare each request the hashing of a whole list.
+	// A State sets the three.
+	Incarnation     string
+	IncarnationHash uint64
+	IDHash          uint64
+	Service         fleet.Service
+	Address         fleet.Address
+	Zone            fleet.Zone
+	Slots           int
+	Leaving         bool // takes no new request
 }
 
 // Whole tells whether the entry names a backend server that requests could be
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -36,11 +36,11 @@
 	table := newTable(self)
 	table.take(beatOf("a", 1, 1, loadOf("i", 3, 100)), now)
 	table.take(beatOf("b", 1, 1, loadOf("i", 2, 50)), now)
-	if got := table.Load("i"); got.Running != 5 || got.Pending != 150 {
+	if got := table.Load(xxhash.Sum64String("i")); got.Running != 5 || got.Pending != 150 {
 		t.Errorf("%+v of two routers", got)
 	}
 	table.take(beatOf("a", 1, 2, loadOf("j", 1, 1)), now)
-	if got := table.Load("i"); got.Running != 2 || got.Pending != 50 {
+	if got := table.Load(xxhash.Sum64String("i")); got.Running != 2 || got.Pending != 50 {
 		t.Errorf("%+v after one has none", got)
 	}
 }
@@ -54,7 +54,7 @@
 			t.Errorf("%v was taken", late)
 		}
 	}
-	if got := table.Load("i").Running; got != 3 {
+	if got := table.Load(xxhash.Sum64String("i")).Running; got != 3 {
 		t.Errorf("%d running", got)
 	}
 }
@@ -72,7 +72,7 @@
 	if lost := table.expire(now.Add(heardLife)); len(lost) != 1 {
 		t.Fatalf("lost: %v", lost)
 	}
-	if got := table.Load("i"); got.Running != 0 {
+	if got := table.Load(xxhash.Sum64String("i")); got.Running != 0 {
 		t.Errorf("%+v is left of it", got)
 	}
 }
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -65,10 +65,10 @@
 }
 
 // Load implements gate.Peers.
-func (t *table) Load(incarnation string) gate.BackendLoad {
+func (t *table) Load(incarnation uint64) gate.BackendLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sums[xxhash.Sum64String(incarnation)]
+	return t.sums[incarnation]
 }
 
 // Routers implements gate.Peers. It returns the greatest number of late.
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -4,7 +4,6 @@
 
 // Engine is a model engine as a candidate for one request.
 type Engine struct {
-	ID      string
 	Running int     // requests at it, of all routers
 	Slots   int     // requests that it runs at once, 0 if unknown
 	Pending float64 // prompt tokens sent to it whose first event has not come
@@ -15,12 +14,11 @@
 
 // Demand is what one request asks of an engine.
 type Demand struct {
-	Affinity uint64        // key of the prompt part that other requests share
-	Shared   float64       // tokens of the parts that other requests share
-	Own      float64       // tokens of the parts that it does not share
-	Output   float64       // tokens that it is expected to generate
-	Budget   time.Duration // for the prompts ahead of this one
-	Whole    bool          // whether its own prompt counts in the budget
+	Shared float64       // tokens of the parts that other requests share
+	Own    float64       // tokens of the parts that it does not share
+	Output float64       // tokens that it is expected to generate
+	Budget time.Duration // for the prompts ahead of this one
+	Whole  bool          // whether its own prompt counts in the budget
 }
 
 // Limits bound what is sent to an engine.
@@ -46,30 +44,22 @@
 
 // Choice is an engine chosen for a request.
 type Choice struct {
-	Index int // of the engine in the list of candidates
-	// Holder is the index of the engine that the key prefers, which probably
-	// keeps the shared parts.
-	Holder int
-	// Tokens are the prompt tokens that the engine is expected to read.
-	Tokens float64
+	Place  int           // of the engine among the candidates
+	Tokens float64       // prompt tokens that the engine is expected to read
 	Ahead  time.Duration // expected until the prompts ahead are read
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
 }
 
-// candidates is how many engines are considered for a key. More would share a
-// prompt part among more engines, and each of them reads it anew.
-const candidates = 2
-
-// Model chooses an engine for the demand: the one that the key prefers, or the
-// next one when the first is so much busier that reading the shared parts
-// there again is quicker. There must be an engine.
-func Model(engines []Engine, demand Demand, limits Limits) Choice {
-	ranked := rank(engines, demand.Affinity)
+// Model chooses an engine for the demand among those that Rank names, in its
+// order: the one that the key prefers, or the next one when the first is so much
+// busier that reading the shared parts there again is quicker. There must be a
+// candidate.
+func Model(ranked []Engine, demand Demand, limits Limits) Choice {
 	var best Choice
-	for place, index := range ranked {
-		choice := evaluate(engines[index], demand, limits, place == 0)
-		choice.Index, choice.Holder = index, ranked[0]
+	for place, engine := range ranked {
+		choice := evaluate(engine, demand, limits, place == 0)
+		choice.Place = place
 		if place == 0 || better(choice, best) {
 			best = choice
 		}
@@ -122,36 +112,3 @@
 	needed := demand.Own + demand.Shared + demand.Output
 	return engine.Memory+needed <= engine.MemoryCapacity*limits.MemoryShare
 }
-
-// Preferred returns the index of the engine that the key prefers, or -1.
-func Preferred(engines []Engine, key uint64) int {
-	ranked := rank(engines, key)
-	if len(ranked) == 0 {
-		return -1
-	}
-	return ranked[0]
-}
-
-// rank returns the indexes of the engines that the key prefers most.
-func rank(engines []Engine, key uint64) []int {
-	var first, second = -1, -1
-	var firstWeight, secondWeight uint64
-	for i := range engines {
-		weight := Weight(key, engines[i].ID)
-		switch {
-		case first < 0 || weight > firstWeight:
-			second, secondWeight = first, firstWeight
-			first, firstWeight = i, weight
-		case second < 0 || weight > secondWeight:
-			second, secondWeight = i, weight
-		}
-	}
-	ranked := make([]int, 0, candidates)
-	if first >= 0 {
-		ranked = append(ranked, first)
-	}
-	if second >= 0 {
-		ranked = append(ranked, second)
-	}
-	return ranked
-}
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -13,11 +13,22 @@
 func engines(n int) []Engine {
 	list := make([]Engine, n)
 	for i := range list {
-		list[i] = Engine{ID: fmt.Sprintf("i-%d", i), Slots: 64, MemoryCapacity: 500_000}
+		list[i] = Engine{Slots: 64, MemoryCapacity: 500_000}
 	}
 	return list
 }
 
+// hashes returns the hashes of so many engines' ids.
+func hashes(n int) []uint64 {
+	list := make([]uint64, n)
+	for i := range list {
+		list[i] = Key(fmt.Sprintf("i-%d", i))
+	}
+	return list
+}
+
+func same(hash uint64) uint64 { return hash }
+
 // Symptom: the longest prompts of a kind are never served.
 // Events: something always waits at every engine.
 // Cause: a prompt's own length counted against the bound of what waits.
@@ -26,7 +37,7 @@
 	for i := range list {
 		list[i].Running, list[i].Pending = 5, 5_000
 	}
-	demand := Demand{Affinity: 1, Own: 50_000, Budget: 400 * time.Millisecond}
+	demand := Demand{Own: 50_000, Budget: 400 * time.Millisecond}
 	if choice := Model(list, demand, limits); !choice.Fits {
 		t.Errorf("it is refused: %+v", choice)
 	}
@@ -62,10 +73,9 @@
 func TestIdleEngineTakesAnything(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		demand := Demand{
-			Affinity: rapid.Uint64().Draw(t, "key"),
-			Shared:   rapid.Float64Range(0, 1e6).Draw(t, "shared"),
-			Own:      rapid.Float64Range(0, 1e6).Draw(t, "own"),
-			Output:   rapid.Float64Range(0, 1e6).Draw(t, "output"),
+			Shared: rapid.Float64Range(0, 1e6).Draw(t, "shared"),
+			Own:    rapid.Float64Range(0, 1e6).Draw(t, "own"),
+			Output: rapid.Float64Range(0, 1e6).Draw(t, "output"),
 		}
 		list := engines(rapid.IntRange(1, 8).Draw(t, "engines"))
 		if choice := Model(list, demand, limits); !choice.Fits {
@@ -76,10 +86,10 @@
 
 // When an engine goes, only the keys that it had move.
 func TestFewKeysMoveWhenAnEngineGoes(t *testing.T) {
-	list := engines(10)
+	list := hashes(10)
 	for key := range uint64(2000) {
-		before := rank(list, mix(key))[0]
-		after := rank(list[:9], mix(key))[0]
+		before := Rank(list, same, mix(key))[0]
+		after := Rank(list[:9], same, mix(key))[0]
 		if before != 9 && before != after {
 			t.Fatalf("key %d moved from engine %d to %d though both stayed", key, before, after)
 		}
@@ -87,10 +97,10 @@
 }
 
 func TestKeysAreSpreadEvenly(t *testing.T) {
-	list := engines(10)
+	list := hashes(10)
 	counts := make([]int, len(list))
 	for key := range uint64(10_000) {
-		counts[rank(list, mix(key))[0]]++
+		counts[Rank(list, same, mix(key))[0]]++
 	}
 	for engine, count := range counts {
 		if count < 850 || count > 1150 {
@@ -101,14 +111,16 @@
 
 func TestAffinityYieldsToWork(t *testing.T) {
 	list := engines(2)
-	demand := Demand{Affinity: 7, Shared: 5_000, Own: 1_000, Budget: time.Second}
-	preferred := Model(list, demand, limits)
-	list[preferred.Index].Running, list[preferred.Index].Pending = 3, 4_000
-	if choice := Model(list, demand, limits); choice.Index != preferred.Index {
+	demand := Demand{Shared: 5_000, Own: 1_000, Budget: time.Second}
+	if choice := Model(list, demand, limits); choice.Place != 0 {
+		t.Fatalf("place %d among idle engines", choice.Place)
+	}
+	list[0].Running, list[0].Pending = 3, 4_000
+	if choice := Model(list, demand, limits); choice.Place != 0 {
 		t.Error("reading 5,000 shared tokens again is dearer than waiting for 4,000")
 	}
-	list[preferred.Index].Pending = 8_000
-	if choice := Model(list, demand, limits); choice.Index == preferred.Index {
+	list[0].Pending = 8_000
+	if choice := Model(list, demand, limits); choice.Place == 0 {
 		t.Error("waiting for 8,000 tokens is dearer than reading 5,000 again")
 	}
 }
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -41,6 +41,12 @@
 	return math.Exp(-passed.Seconds() / memory.Seconds())
 }
 
+// told are the sums of another router as they were at the moment.
+type told struct {
+	uses map[fleet.Account]Use
+	at   boottime.Instant
+}
+
 // forgotten is the sum below which an account is dropped from the table, far
 // below one request.
 const forgotten = 1
@@ -48,7 +54,12 @@
 // Ledger holds the sums of all accounts. It is not safe for concurrent use.
 type Ledger struct {
 	own    map[fleet.Account]*sum
-	others map[string]map[fleet.Account]sum // by router
+	others map[string]told // by router
+
+	// rest are the sums of the other routers together as of restAt, so that a
+	// request does not add up hundreds of routers.
+	rest   map[fleet.Account]Use
+	restAt boottime.Instant
 
 	level    float64
 	shortage float64
@@ -63,7 +74,8 @@
 func NewLedger() *Ledger {
 	return &Ledger{
 		own:    make(map[fleet.Account]*sum),
-		others: make(map[string]map[fleet.Account]sum),
+		others: make(map[string]told),
+		rest:   make(map[fleet.Account]Use),
 	}
 }
 
@@ -107,13 +119,10 @@
 	return uses
 }
 
-// SetOther takes the sums of another router as they were at the moment.
+// SetOther takes the sums of another router as they were at the moment. They
+// must not change any more.
 func (l *Ledger) SetOther(router string, uses map[fleet.Account]Use, at boottime.Instant) {
-	sums := make(map[fleet.Account]sum, len(uses))
-	for account, use := range uses {
-		sums[account] = sum{use: use, at: at}
-	}
-	l.others[router] = sums
+	l.others[router] = told{uses: uses, at: at}
 }
 
 // RemoveOther forgets a router that is no longer heard.
@@ -149,11 +158,19 @@
 func (l *Ledger) computeLevel(stated float64, now boottime.Instant) {
 	asked := make([]float64, 0, len(l.own))
 	got := 0.0
-	for account := range l.accounts() {
-		total := l.total(account, now)
+	l.sumOthers(now)
+	note := func(total Use) {
 		asked = append(asked, total.Asked)
 		got += total.Got
 	}
+	for account := range l.rest {
+		note(l.total(account, now))
+	}
+	for account := range l.own {
+		if _, noted := l.rest[account]; !noted {
+			note(l.total(account, now))
+		}
+	}
 	capacity := stated * memory.Seconds()
 	shortage := 0.0
 	if l.Observe {
@@ -181,34 +198,33 @@
 	return math.Inf(1)
 }
 
-func (l *Ledger) accounts() map[fleet.Account]bool {
-	known := make(map[fleet.Account]bool, len(l.own))
-	for account := range l.own {
-		known[account] = true
-	}
-	for _, sums := range l.others {
-		for account := range sums {
-			known[account] = true
+// sumOthers adds up the sums of the other routers.
+func (l *Ledger) sumOthers(now boottime.Instant) {
+	clear(l.rest)
+	l.restAt = now
+	for _, told := range l.others {
+		factor := decayFactor(now.Sub(told.at))
+		for account, use := range told.uses {
+			known := l.rest[account]
+			known.Asked += use.Asked * factor
+			known.Got += use.Got * factor
+			l.rest[account] = known
 		}
 	}
-	return known
 }
 
-// Total returns what the account asked and got at all routers.
+// total returns what the account asked and got at all routers. What others tell
+// counts from the next level on.
 func (l *Ledger) total(account fleet.Account, now boottime.Instant) Use {
 	var total Use
 	if entry := l.own[account]; entry != nil {
 		entry.decay(now)
 		total = entry.use
 	}
-	for _, sums := range l.others {
-		entry, ok := sums[account]
-		if !ok {
-			continue
-		}
-		entry.decay(now)
-		total.Asked += entry.use.Asked
-		total.Got += entry.use.Got
+	if rest, ok := l.rest[account]; ok {
+		factor := decayFactor(now.Sub(l.restAt))
+		total.Asked += rest.Asked * factor
+		total.Got += rest.Got * factor
 	}
 	return total
 }
