--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -74,9 +74,9 @@
 	SurplusMost     float64 `key:"surplus_most" default:"2" min:"1" doc:"How many times its share an account may get before it gets only what is idle."`
 	SurplusExponent float64 `key:"surplus_exponent" default:"3" min:"0" max:"10" doc:"How much a longer target latency lowers the odds beyond the share; 0: all alike."`
 
-	IdleShare  float64 `key:"idle_share" default:"0.1" min:"0" max:"1" doc:"Part of the shortest target latency within which an engine must have read what is ahead and the prompt itself, for requests that take only what is idle."`
-	IdleSlots  float64 `key:"idle_slots" default:"0.3" min:"0" max:"1" doc:"Part of an engine's slots up to which such requests are let in; 0: never."`
-	IdleMemory float64 `key:"idle_memory" default:"0.3" min:"0" max:"1" doc:"Part of an engine's memory up to which they are let in."`
+	IdleShare  float64 `key:"idle_share" default:"0.08" min:"0" max:"1" doc:"Part of the shortest target latency within which an engine must have read what is ahead and the prompt itself, for requests that take only what is idle."`
+	IdleSlots  float64 `key:"idle_slots" default:"0.25" min:"0" max:"1" doc:"Part of an engine's slots up to which such requests are let in; 0: never."`
+	IdleMemory float64 `key:"idle_memory" default:"0.25" min:"0" max:"1" doc:"Part of an engine's memory up to which they are let in."`
 
 	LeastHeadroom    float64 `key:"least_headroom" default:"0.2" min:"0.01" max:"1" doc:"How far late answers lower the times above at most; 1: not at all."`
 	ObservedCapacity bool    `key:"observed_capacity" default:"true" doc:"Divide what engines take when that is less than the stated capacity."`
