--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -24,8 +23,6 @@
 	// holder is the address of an engine that probably keeps shared parts
 	// which the chosen one lacks, "" for none.
 	holder fleet.Address
-	// part is the key of the shared part that the engine reads, 0 for none.
-	part   uint64
 	inputs Inputs
 }
 
@@ -37,8 +34,6 @@
 	loads    *loads
 	peers    Peers
 
-	reading *reading
-
 	mu     sync.Mutex
 	ledger *shares.Ledger
 	turn   int
@@ -49,7 +44,6 @@
 		settings: settings,
 		zone:     zone,
 		loads:    newLoads(),
-		reading:  newReading(),
 		peers:    peers,
 		ledger:   shares.NewLedger(),
 	}
@@ -140,7 +134,6 @@
 	if !placed.model || placed.load.Pending == 0 {
 		return
 	}
-	a.endReading(placed)
 	a.loads.first(placed.backend.Incarnation, service, placed.load.Pending, placed.pending, took)
 	placed.load.Pending = 0
 }
@@ -149,26 +142,8 @@
 // event or a later one missed what the route promises.
 func (a *admission) delivered(service fleet.Service, late bool) { a.loads.noteLate(service, late) }
 
-func (a *admission) endReading(placed *placement) {
-	if placed.part != 0 {
-		a.reading.end(placed.part)
-		placed.part = 0
-	}
-}
-
-// awaitPart waits a little while another request has the shared part of this
-// one read.
-func (a *admission) awaitPart(ctx context.Context, request *Request) {
-	most := time.Duration(float64(request.Route.TargetLatency) * a.policy().ReadingShare)
-	if most == 0 || request.Prompt.SharedTokens() < readingLeast {
-		return
-	}
-	a.reading.await(ctx, selection.Key(request.Prompt.SharedPart()), most)
-}
-
 // ended counts a placed request out. ran is false when it did not run.
 func (a *admission) ended(request *Request, placed *placement, ran bool) {
-	a.endReading(placed)
 	a.loads.end(placed.backend.Incarnation, placed.load)
 	if ran || !placed.counted {
 		return
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -80,7 +80,6 @@
 
 	LeastHeadroom    float64 `key:"least_headroom" default:"0.2" min:"0.01" max:"1" doc:"How far late answers lower the times above at most; 1: not at all."`
 	ObservedCapacity bool    `key:"observed_capacity" default:"true" doc:"Divide what engines take when that is less than the stated capacity."`
-	ReadingShare     float64 `key:"reading_share" default:"0.2" min:"0" max:"1" doc:"Part of a route's target latency for which a request waits while its shared part is being read; 0: not at all."`
 	Fetch            bool    `key:"fetch" default:"true" doc:"Let engines fetch kept prompt parts from each other."`
 	SecondPenalty    float64 `key:"second_penalty" default:"2" min:"0" max:"100" doc:"What reading the shared parts counts at an engine that does not keep them."`
 	RetryShare       float64 `key:"retry_share" default:"0.35" min:"0.01" max:"1" doc:"Part of a route's target latency after which refused callers are told to come back."`
@@ -156,7 +155,6 @@
 
 			LeastHeadroom:    c.Admission.LeastHeadroom,
 			ObservedCapacity: c.Admission.ObservedCapacity,
-			ReadingShare:     c.Admission.ReadingShare,
 			Fetch:            c.Admission.Fetch,
 			SecondPenalty:    c.Admission.SecondPenalty,
 			RetryShare:       c.Admission.RetryShare,
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -31,7 +31,7 @@
 type Peers interface {
 	// Load returns the sum over all other routers that are heard, for an
 	// incarnation of a backend server by its hash.
-	Load(incarnation uint64) BackendLoad
+	Load(incarnation uint32) BackendLoad
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -1,12 +1,12 @@
 package gate
 
 import (
-	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
 
@@ -20,11 +20,11 @@
 
 // Loads returns what runs at backend servers, by the hashes of their
 // incarnations.
-func (m *Manager) Loads() map[uint64]BackendLoad {
+func (m *Manager) Loads() map[uint32]BackendLoad {
 	loaded := m.handler.admission.loads.snapshot()
-	hashed := make(map[uint64]BackendLoad, len(loaded))
+	hashed := make(map[uint32]BackendLoad, len(loaded))
 	for id, load := range loaded {
-		hashed[xxhash.Sum64String(id)] = load
+		hashed[knowledge.IncarnationHash(id)] = load
 	}
 	return hashed
 }
@@ -47,16 +47,6 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ledger.RemoveOther(string(router))
-	a.reading.removeOther(router)
-}
-
-// Reading returns the keys of the prompt parts that engines read for requests
-// of this router.
-func (m *Manager) Reading() []uint64 { return m.handler.admission.reading.list() }
-
-// SetReading takes those of another router.
-func (m *Manager) SetReading(router fleet.Address, parts []uint64) {
-	m.handler.admission.reading.setOther(router, parts)
 }
 
 // HeardBroken takes a fingerprint from another router.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -50,7 +50,6 @@
 // either answers, counts a send towards the route's bound, or counts a
 // connection towards its own.
 func (r *run) loop(ctx context.Context) {
-	r.handler.admission.awaitPart(ctx, r.request)
 	for {
 		view := r.handler.state.View()
 		placed, refusal := r.handler.admission.place(r.request, view, r.excluded)
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -51,11 +51,18 @@
 		}
 	}
 	told.Incarnation = incarnation(told.ID, told.Born)
-	told.IncarnationHash = xxhash.Sum64String(told.Incarnation)
+	told.IncarnationHash = IncarnationHash(told.Incarnation)
 	told.IDHash = xxhash.Sum64String(told.ID)
 	return told
 }
 
+// IncarnationHash returns the name by which routers tell each other of an
+// incarnation. Half of a hash keeps their messages short; should two incarnations
+// share one, each counts the other's load as well.
+func IncarnationHash(incarnation string) uint32 {
+	return uint32(xxhash.Sum64String(incarnation))
+}
+
 func incarnation(id string, born int64) string {
 	if born == 0 {
 		return id
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -91,7 +91,7 @@
 	// IncarnationHash and IDHash spare each request the hashing of a whole list.
 	// A State sets the three.
 	Incarnation     string
-	IncarnationHash uint64
+	IncarnationHash uint32
 	IDHash          uint64
 	Service         fleet.Service
 	Address         fleet.Address
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -38,12 +38,7 @@
 	// Uses returns what each account asked and got here.
 	Uses() map[fleet.Account]shares.Use
 	// Loads returns what runs at backend servers, by their incarnations' hashes.
-	Loads() map[uint64]gate.BackendLoad
-	// Reading returns the keys of the prompt parts that engines read for
-	// requests of this router.
-	Reading() []uint64
-	// SetReading takes those of another router.
-	SetReading(router fleet.Address, parts []uint64)
+	Loads() map[uint32]gate.BackendLoad
 	// TakeBroken returns the fingerprints of requests that broke a backend
 	// server here since the last call.
 	TakeBroken() []uint64
@@ -190,12 +185,7 @@
 	for _, address := range beat.Routers {
 		m.add(fleet.Address(address), now)
 	}
-	uses := make(map[fleet.Account]shares.Use, len(beat.Uses))
-	for _, use := range beat.Uses {
-		uses[fleet.Account(use.Account)] = shares.Use{Asked: float64(use.Asked), Got: float64(use.Got)}
-	}
-	m.local.SetUses(router, uses)
-	m.local.SetReading(router, beat.Reading)
+	m.local.SetUses(router, decodeUses(beat.Uses))
 	for _, fingerprint := range beat.Broken {
 		m.local.HeardBroken(router, fingerprint)
 	}
@@ -207,7 +197,7 @@
 // beat after this router's clock showed the echo, so ages count from there: a
 // beat may have waited in the socket while this process stood still.
 func (m *Manager) confirm(beat *peeringpb.Beat, now boottime.Instant) {
-	echo := echoIn(beat, m.options.Address)
+	echo := boottime.Instant(echoIn(beat, m.options.Address))
 	if echo < m.started || echo > now {
 		return
 	}
@@ -219,17 +209,6 @@
 	}
 }
 
-// echoIn returns the clock of the router that the beat echoes, 0 for none.
-func echoIn(beat *peeringpb.Beat, router fleet.Address) boottime.Instant {
-	hash := hashOf(router)
-	for _, echo := range beat.Echoes {
-		if echo.Router == hash {
-			return boottime.Instant(echo.Clock)
-		}
-	}
-	return 0
-}
-
 // send sends beats until the context ends.
 func (m *Manager) send(ctx context.Context) error {
 	ticker := time.NewTicker(beatInterval)
@@ -289,30 +268,14 @@
 		Revision:    view.Revision,
 		ListAge:     age(view.Listed, now),
 		ContactAge:  age(view.Contact, now),
-		Reading:     m.local.Reading(),
 		Broken:      m.takeBroken(),
 		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
 	beat.Uses = encodeUses(m.local.Uses())
-	for backend, load := range m.local.Loads() {
-		beat.Loads = append(beat.Loads, &peeringpb.Load{
-			Backend: backend,
-			Running: uint32(max(load.Running, 0)),
-			Pending: float32(load.Pending),
-			Memory:  float32(load.Memory),
-		})
-	}
+	beat.Loads = encodeLoads(m.local.Loads())
 	return beat
 }
 
-func encodeUses(uses map[fleet.Account]shares.Use) []*peeringpb.AccountUse {
-	encoded := make([]*peeringpb.AccountUse, 0, len(uses))
-	for account, use := range uses {
-		encoded = append(encoded, &peeringpb.AccountUse{Account: string(account), Asked: float32(use.Asked), Got: float32(use.Got)})
-	}
-	return encoded
-}
-
 // age returns nanoseconds, negative when the moment is unknown.
 func age(since, now boottime.Instant) int64 {
 	if since == 0 {
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -38,7 +38,7 @@
 	clock       int64            // the newest of the peer's clocks that came
 	heard       boottime.Instant // when it came, 0 for never
 	tried       boottime.Instant // when the address became known
-	loads       map[uint64]gate.BackendLoad
+	loads       map[uint32]gate.BackendLoad
 	contact     boottime.Instant // when the store answered it, 0 for never
 }
 
@@ -48,7 +48,7 @@
 
 	mu     sync.Mutex
 	peers  map[fleet.Address]*peer
-	sums   map[uint64]gate.BackendLoad // over the peers that are heard, by hash of the backend server's incarnation
+	sums   map[uint32]gate.BackendLoad // over the peers that are heard, by hash of the backend server's incarnation
 	most   int                         // greatest number of routers of late
 	mostAt boottime.Instant
 	silent map[fleet.Address]boottime.Instant // since when an entry's router is not heard
@@ -58,14 +58,14 @@
 	return &table{
 		self:  self,
 		peers: make(map[fleet.Address]*peer),
-		sums:  make(map[uint64]gate.BackendLoad),
+		sums:  make(map[uint32]gate.BackendLoad),
 
 		silent: make(map[fleet.Address]boottime.Instant),
 	}
 }
 
 // Load implements gate.Peers.
-func (t *table) Load(incarnation uint64) gate.BackendLoad {
+func (t *table) Load(incarnation uint32) gate.BackendLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.sums[incarnation]
@@ -185,13 +185,14 @@
 }
 
 // echoes returns the newest clocks of those routers that are heard.
-func (t *table) echoes(routers []fleet.Address) []*peeringpb.Echo {
+func (t *table) echoes(routers []fleet.Address) *peeringpb.Echoes {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var echoes []*peeringpb.Echo
+	echoes := &peeringpb.Echoes{}
 	for _, router := range routers {
 		if peer := t.peers[router]; peer != nil && peer.heard != 0 {
-			echoes = append(echoes, &peeringpb.Echo{Router: hashOf(peer.address), Clock: peer.clock})
+			echoes.Router = append(echoes.Router, hashOf(peer.address))
+			echoes.Clock = append(echoes.Clock, peer.clock)
 		}
 	}
 	return echoes
@@ -221,22 +222,16 @@
 	if beat.ContactAge >= 0 {
 		known.contact = now.Add(-time.Duration(beat.ContactAge))
 	}
-	t.replaceLoads(known, beat.Loads)
+	t.replaceLoads(known, decodeLoads(beat.Loads))
 	t.count(now)
 	return true, appeared
 }
 
-func (t *table) replaceLoads(known *peer, loads []*peeringpb.Load) {
+func (t *table) replaceLoads(known *peer, loads map[uint32]gate.BackendLoad) {
 	t.subtract(known)
-	known.loads = make(map[uint64]gate.BackendLoad, len(loads))
-	for _, load := range loads {
-		value := gate.BackendLoad{
-			Running: int(load.Running),
-			Pending: float64(load.Pending),
-			Memory:  float64(load.Memory),
-		}
-		known.loads[load.Backend] = value
-		t.sums[load.Backend] = t.sums[load.Backend].Add(value)
+	known.loads = loads
+	for backend, load := range loads {
+		t.sums[backend] = t.sums[backend].Add(load)
 	}
 }
 
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -38,9 +38,6 @@
 	// ObservedCapacity tells to divide what the engines take when that is less
 	// than the stated capacity.
 	ObservedCapacity bool
-	// ReadingShare is the part of a route's target latency for which a request
-	// waits while its shared part is being read; 0 turns that off.
-	ReadingShare float64
 	// Fetch tells to name an engine from which kept prompt parts are fetched.
 	Fetch bool
 	// SecondPenalty is what the shared parts count at an engine that does not
