Count what becomes of requests each second; bluebellctl losses and explain

Cause: records of single requests are a sample, so nobody could say from the logs what was asked, owed and lost.

Found by it: in the first second engines counted as short by 0.69, because what accounts got had just begun to add up; 61 callers were refused as busy. Sums are now divided by the part that has come together (TestStartIsNoShortage failed first).

--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -60,6 +60,8 @@
 		{"rollout", "Wait until a revision is in force at all nodes", &rollout{}},
 		{"status", "Show the nodes of the fleet", &status{}},
 		{"drain", "Let a backend server take no new work", &drain{}},
+		{"losses", "Tell from routers' logs what callers asked, were owed and got", &lossesCommand{}},
+		{"explain", "Print one request's records, with what its routers believed", &explain{}},
 	}
 }
 
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -25,6 +25,7 @@
 	GateStoreError   = Event{2120, logrus.WarnLevel, "call to the store failed"}
 	GateFailed       = Event{2109, logrus.InfoLevel, "backend server answered with a failure of its own"}
 	GateSpoiled      = Event{2122, logrus.WarnLevel, "entry in the store can't be used"}
+	GateTally        = Event{2124, logrus.InfoLevel, "requests of the last second"}
 	GateReborn       = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -1,10 +1,13 @@
 package gate
 
 import (
+	"math"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
@@ -152,3 +155,19 @@
 	defer a.mu.Unlock()
 	a.ledger.Returned(request.Account.Name, request.Prompt.Cost(), boottime.Now())
 }
+
+// inputs returns what decisions on requests for models rest on at the moment,
+// for the records.
+func (a *admission) inputs(view *knowledge.View) logrus.Fields {
+	fields := logrus.Fields{"headroom": a.loads.headrooms()}
+	if view.Index != nil {
+		fields["capacity"] = view.Index.Configuration.Limits.TokensPerSecond
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	fields["shortage"] = a.ledger.Shortage()
+	if level := a.ledger.Level(); !math.IsInf(level, 1) {
+		fields["level"] = level
+	}
+	return fields
+}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -158,6 +158,17 @@
 	return l.model(service).headroom.Part(least)
 }
 
+// headrooms returns the headroom of each service.
+func (l *loads) headrooms() map[fleet.Service]float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	parts := make(map[fleet.Service]float64, len(l.models))
+	for service, model := range l.models {
+		parts[service] = model.headroom.Part(0)
+	}
+	return parts
+}
+
 // rate returns how many prompt tokens an engine of the service reads in a
 // second, as observed; assumed is the figure before any observation.
 func (l *loads) rate(service fleet.Service, assumed float64) float64 {
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -45,15 +45,16 @@
 // NewManager returns a gate that takes no requests yet.
 func NewManager(options Options) *Manager {
 	settings := newCurrentSettings(options.Settings)
+	admission := newAdmission(settings, options.Zone, options.Peers)
 	h := &handler{
 		settings:  settings,
 		dialect:   options.Dialect,
 		state:     options.State,
 		pool:      backendconn.NewPool(),
-		admission: newAdmission(settings, options.Zone, options.Peers),
+		admission: admission,
 		budget:    newRetryBudget(settings, options.Peers),
 		suspects:  newSuspects(),
-		records:   newRecords(options.Logger, options.State),
+		records:   newRecords(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
 		metrics:   newMetrics(options.Registerer),
 		lag:       newLagMeter(),
 	}
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -27,6 +28,9 @@
 	answersBurst     = 10
 	// leftOutInterval is the pause between two records of what was left out.
 	leftOutInterval = 5 * time.Second
+	// tallyInterval is the pause between two records of counts. One costs some
+	// fifty microseconds of a core.
+	tallyInterval = time.Second
 )
 
 // records writes what was decided on requests, within bounds.
@@ -36,10 +40,15 @@
 	failures *rate.Limiter
 	answers  *rate.Limiter
 	leftOut  atomic.Int64
+	tally    *tally
+	// inputs returns what the decisions of the moment rest on.
+	inputs func() logrus.Fields
 }
 
-func newRecords(logger logrus.FieldLogger, state *knowledge.State) *records {
+func newRecords(logger logrus.FieldLogger, state *knowledge.State, inputs func() logrus.Fields) *records {
 	return &records{
+		tally:    newTally(),
+		inputs:   inputs,
 		logger:   logger,
 		state:    state,
 		failures: rate.NewLimiter(failuresPerSecond, failuresBurst),
@@ -51,10 +60,14 @@
 func (r *records) Run(ctx context.Context) error {
 	ticker := time.NewTicker(leftOutInterval)
 	defer ticker.Stop()
+	tallies := time.NewTicker(tallyInterval)
+	defer tallies.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-tallies.C:
+			r.tally.write(r.logger, r.inputs())
 		case <-ticker.C:
 			if count := r.leftOut.Swap(0); count > 0 {
 				event.GateLeftOut.Log(r.logger, logrus.Fields{"count": count})
@@ -86,6 +99,7 @@
 }
 
 func (r *records) refused(request *Request, refusal Refusal) {
+	r.tally.refused(request, refusal.Reason)
 	fields := logrus.Fields{
 		"reason":         refusal.Reason,
 		"status":         refusal.Status,
@@ -133,16 +147,19 @@
 }
 
 func (r *records) brokeOff(request *Request, sends int) {
+	r.tally.answered(request, false, false)
 	r.write(r.failures, event.GateBrokeOff, request, logrus.Fields{"sends": sends})
 }
 
 func (r *records) callerGone(request *Request) {
+	r.tally.ended(request, func(route *RouteTally) { route.Left++ })
 	r.write(r.answers, event.GateCallerGone, request, logrus.Fields{})
 }
 
-func (r *records) answered(request *Request, placed *placement, status, sends int, err error) {
+func (r *records) answered(request *Request, placed *placement, status, sends int, late bool, err error) {
+	r.tally.answered(request, status < http.StatusMultipleChoices && err == nil, late)
 	limiter := r.answers
-	fields := logrus.Fields{"status": status, "sends": sends}
+	fields := logrus.Fields{"status": status, "sends": sends, "late": late}
 	addInputs(fields, placed.inputs)
 	fields["backend"] = placed.backend.ID
 	if status >= 500 || sends > 1 {
--- a/internal/gate/records_test.go
+++ b/internal/gate/records_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
@@ -14,11 +15,11 @@
 // Cause: the record named neither what decided nor the backend server.
 func TestRecordsTellWhatDecided(t *testing.T) {
 	logger, hook := test.NewNullLogger()
-	records := newRecords(logger, knowledge.NewState())
+	records := newRecords(logger, knowledge.NewState(), func() logrus.Fields { return logrus.Fields{} })
 	inputs := Inputs{Backend: "i-1", Standing: 1.234, Ahead: 900 * time.Millisecond, Budget: 600 * time.Millisecond}
 	records.refused(&Request{ID: "a"}, Refusal{Status: 503, Reason: ReasonBusy, Inputs: inputs})
 	records.failed(&Request{ID: "b"}, &knowledge.Backend{ID: "i-2"}, 500)
-	records.answered(&Request{ID: "b"}, &placement{backend: &knowledge.Backend{ID: "i-3"}}, 500, 2, nil)
+	records.answered(&Request{ID: "b"}, &placement{backend: &knowledge.Backend{ID: "i-3"}}, 500, 2, false, nil)
 	for i, want := range []map[string]any{
 		{"request": "a", "backend": "i-1", "standing": 1.23, "ahead_ms": int64(900), "budget_ms": int64(600)},
 		{"request": "b", "backend": "i-2", "status": 500},
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -58,7 +58,7 @@
 		}
 		if err == io.EOF {
 			h.admission.delivered(r.request.Service, pace.late)
-			return r.endStream(placed, answer, partial)
+			return r.endStream(placed, answer, partial, pace.late)
 		}
 		if err == nil && len(partial) > eventMost {
 			err = errEventTooLong
@@ -105,7 +105,7 @@
 }
 
 // endStream ends a stream that its backend server has ended whole.
-func (r *run) endStream(placed *placement, answer *backendconn.Answer, rest []byte) verdict {
+func (r *run) endStream(placed *placement, answer *backendconn.Answer, rest []byte, late bool) verdict {
 	r.startStream(answer)
 	if len(rest) > 0 {
 		// Bytes after the last event belong to the body as well.
@@ -114,7 +114,7 @@
 		}
 	}
 	r.handler.admission.loads.answered(placed.backend.Incarnation, true, 0)
-	r.handler.records.answered(r.request, placed, answer.Status, r.sends, nil)
+	r.handler.records.answered(r.request, placed, answer.Status, r.sends, late, nil)
 	r.handler.metrics.answered(answer.Status)
 	return verdictDone
 }
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -64,6 +64,12 @@
 	return verdictDone
 }
 
+// late tells whether an answer that is whole now misses its route's target.
+func (r *run) late() bool {
+	target := r.request.Route.TargetLatency
+	return target > 0 && boottime.Now().Sub(r.request.Received) > target
+}
+
 // headerOf returns the header for the caller. A status that promises that the
 // request did not run is changed by handedStatus, so it may not be signed.
 func (r *run) headerOf(answer *backendconn.Answer, reply Reply) http.Header {
@@ -103,7 +109,7 @@
 	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
 	r.writer.WriteHeader(status)
 	_, err := r.writer.Write(whole.body)
-	r.handler.records.answered(r.request, whole.placed, status, r.sends, err)
+	r.handler.records.answered(r.request, whole.placed, status, r.sends, r.late(), err)
 	r.handler.metrics.answered(status)
 }
 
@@ -125,7 +131,7 @@
 	if err != nil {
 		r.giveUp(ctx, Refusal{})
 	}
-	r.handler.records.answered(r.request, placed, status, r.sends, nil)
+	r.handler.records.answered(r.request, placed, status, r.sends, r.late(), nil)
 	r.handler.metrics.answered(status)
 	return verdictDone
 }
--- /dev/null
+++ b/internal/gate/tally.go
@@ -0,0 +1,154 @@
+package gate
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// tallyAccounts bounds the accounts of one record, those that asked most. The
+// others are summed up, so that a record stays small with thousands of them.
+const tallyAccounts = 40
+
+// otherAccounts stands for those beyond the bound.
+const otherAccounts fleet.Account = "(others)"
+
+// RouteTally counts what became of the requests of one route that ended in a
+// second.
+type RouteTally struct {
+	InTime  int            `json:"in_time,omitempty"`
+	Late    int            `json:"late,omitempty"`
+	Failed  int            `json:"failed,omitempty"`
+	Left    int            `json:"left,omitempty"` // callers that left
+	Refused map[Reason]int `json:"refused,omitempty"`
+}
+
+// AccountTally counts the tokens that an account asked for in a second, and
+// those of its requests that were answered in it.
+type AccountTally struct {
+	Account fleet.Account `json:"account"`
+	Asked   int64         `json:"asked"`
+	Served  int64         `json:"served"`
+}
+
+// tally counts requests until it is written. Records of single requests are a
+// sample when there are many; this one misses none, whatever the load. Its
+// methods may be called concurrently.
+type tally struct {
+	mu       sync.Mutex
+	routes   map[string]*RouteTally
+	accounts map[fleet.Account]*AccountTally
+}
+
+func newTally() *tally {
+	t := &tally{}
+	t.reset()
+	return t
+}
+
+func (t *tally) reset() {
+	t.routes = make(map[string]*RouteTally)
+	t.accounts = make(map[fleet.Account]*AccountTally)
+}
+
+// asked counts a request that has arrived.
+func (t *tally) asked(request *Request) {
+	if request.Account == nil || request.Prompt.Tokens == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.account(request.Account.Name).Asked += int64(request.Prompt.Cost())
+}
+
+// ended counts the end of a request.
+func (t *tally) ended(request *Request, note func(route *RouteTally)) {
+	name := ""
+	if request != nil && request.Route != nil {
+		name = request.Route.Name
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	route := t.routes[name]
+	if route == nil {
+		route = &RouteTally{}
+		t.routes[name] = route
+	}
+	note(route)
+}
+
+// answered counts an answer.
+func (t *tally) answered(request *Request, success, late bool) {
+	t.ended(request, func(route *RouteTally) {
+		switch {
+		case !success:
+			route.Failed++
+		case late:
+			route.Late++
+		default:
+			route.InTime++
+		}
+		if success && request.Account != nil && request.Prompt.Tokens > 0 {
+			t.account(request.Account.Name).Served += int64(request.Prompt.Cost())
+		}
+	})
+}
+
+// refused counts a refusal.
+func (t *tally) refused(request *Request, reason Reason) {
+	t.ended(request, func(route *RouteTally) {
+		if route.Refused == nil {
+			route.Refused = make(map[Reason]int)
+		}
+		route.Refused[reason]++
+	})
+}
+
+func (t *tally) account(name fleet.Account) *AccountTally {
+	known := t.accounts[name]
+	if known == nil {
+		known = &AccountTally{Account: name}
+		t.accounts[name] = known
+	}
+	return known
+}
+
+// write writes what was counted since the last call, with what the decisions
+// rested on, and counts anew.
+func (t *tally) write(logger logrus.FieldLogger, fields logrus.Fields) {
+	t.mu.Lock()
+	routes, accounts := t.routes, t.accounts
+	t.reset()
+	t.mu.Unlock()
+	if len(routes)+len(accounts) == 0 {
+		return
+	}
+	fields["routes"] = routes
+	fields["accounts"] = largest(accounts)
+	event.GateTally.Log(logger, fields)
+}
+
+// largest returns the accounts that asked most, and the others in one sum.
+func largest(accounts map[fleet.Account]*AccountTally) []AccountTally {
+	all := make([]AccountTally, 0, len(accounts))
+	for _, account := range accounts {
+		all = append(all, *account)
+	}
+	slices.SortFunc(all, func(a, b AccountTally) int {
+		return cmp.Or(cmp.Compare(b.Asked, a.Asked), cmp.Compare(a.Account, b.Account))
+	})
+	if len(all) <= tallyAccounts {
+		return all
+	}
+	rest := AccountTally{Account: otherAccounts}
+	for _, account := range all[tallyAccounts:] {
+		rest.Asked += account.Asked
+		rest.Served += account.Served
+	}
+	return append(all[:tallyAccounts], rest)
+}
--- a/internal/shares/capacity.go
+++ b/internal/shares/capacity.go
@@ -1,5 +1,7 @@
 package shares
 
+import "time"
+
 // The load that this file answers: the engines do less than the operator has
 // stated, because they are slow, few, or busy with long prompts, while accounts
 // ask for more than there is. Shares of the stated capacity are then more than
@@ -20,6 +22,17 @@
 	wholeShortage = 0.3
 )
 
+// leastFilled bounds what a sum is divided by that has hardly begun.
+const leastFilled = 0.2
+
+// filled returns the part of a decaying sum that has come together after the
+// time. At a start the sums are small because they have just begun, not because
+// engines take little: taken as they are, they made callers of the first second
+// be refused as if engines were short by 0.69.
+func filled(passed time.Duration) float64 {
+	return max(1-decayFactor(passed), leastFilled)
+}
+
 // observed returns the capacity to divide, and how short the engines are of the
 // stated one, from 0 to 1. Both capacities and got are sums of the same span.
 //
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -64,6 +64,7 @@
 	level    float64
 	shortage float64
 	levelAt  boottime.Instant
+	began    boottime.Instant // when the first account asked
 
 	// Observe tells to divide what the engines take when that is less than the
 	// stated capacity.
@@ -81,6 +82,9 @@
 
 // Asked counts a request that a caller of the account made.
 func (l *Ledger) Asked(account fleet.Account, tokens float64, now boottime.Instant) {
+	if l.began == 0 {
+		l.began = now
+	}
 	l.at(account, now).use.Asked += tokens
 }
 
@@ -174,7 +178,7 @@
 	capacity := stated * memory.Seconds()
 	shortage := 0.0
 	if l.Observe {
-		capacity, shortage = observed(capacity, got)
+		capacity, shortage = observed(capacity, got/filled(now.Sub(l.began)))
 	}
 	l.level = WaterLevel(asked, capacity)
 	if math.IsInf(l.level, 1) {
--- a/internal/shares/shares_test.go
+++ b/internal/shares/shares_test.go
@@ -171,3 +171,22 @@
 		t.Errorf("shortage %v after the engines took all they were given", ledger.Shortage())
 	}
 }
+
+// Symptom: callers of the first second are refused though the engines have room.
+// Events: a fleet starts and is asked for more than its capacity at once.
+// Cause: what accounts got was small because it had just begun, and was taken
+// for what the engines can do.
+func TestStartIsNoShortage(t *testing.T) {
+	ledger := NewLedger()
+	ledger.Observe = true
+	now := start
+	for range 10 {
+		now = now.Add(50 * time.Millisecond)
+		ledger.Asked("a", 150, now)
+		ledger.Got("a", 45, now)
+		ledger.Standing("a", 50, 1000, now)
+		if ledger.Shortage() > 0.2 {
+			t.Fatalf("shortage %v after %v", ledger.Shortage(), now.Sub(start))
+		}
+	}
+}
