--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -139,26 +139,31 @@
 			Extra:  c.Bounds.RetryExtra,
 			Window: c.Bounds.RetryWindow,
 		},
-		Admission: policy.Settings{
-			BudgetShare: c.Admission.BudgetShare,
-			SlotShare:   c.Admission.SlotShare,
-			MemoryShare: c.Admission.MemoryShare,
-			RankShare:   c.Admission.RankShare,
-
-			SurplusShare:    c.Admission.SurplusShare,
-			SurplusMost:     c.Admission.SurplusMost,
-			SurplusExponent: c.Admission.SurplusExponent,
-
-			IdleShare:  c.Admission.IdleShare,
-			IdleSlots:  c.Admission.IdleSlots,
-			IdleMemory: c.Admission.IdleMemory,
-
-			LeastHeadroom:    c.Admission.LeastHeadroom,
-			ObservedCapacity: c.Admission.ObservedCapacity,
-			Fetch:            c.Admission.Fetch,
-			SecondPenalty:    c.Admission.SecondPenalty,
-			RetryShare:       c.Admission.RetryShare,
-		},
+		Admission:  c.Admission.Policy(),
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
 }
+
+// Policy returns what the section says of what is sent to model engines.
+func (s AdmissionSection) Policy() policy.Settings {
+	return policy.Settings{
+		BudgetShare: s.BudgetShare,
+		SlotShare:   s.SlotShare,
+		MemoryShare: s.MemoryShare,
+		RankShare:   s.RankShare,
+
+		SurplusShare:    s.SurplusShare,
+		SurplusMost:     s.SurplusMost,
+		SurplusExponent: s.SurplusExponent,
+
+		IdleShare:  s.IdleShare,
+		IdleSlots:  s.IdleSlots,
+		IdleMemory: s.IdleMemory,
+
+		LeastHeadroom:    s.LeastHeadroom,
+		ObservedCapacity: s.ObservedCapacity,
+		Fetch:            s.Fetch,
+		SecondPenalty:    s.SecondPenalty,
+		RetryShare:       s.RetryShare,
+	}
+}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -73,20 +73,10 @@
 
 // engineModel is what a router has learned of the engines of one service.
 type engineModel struct {
-	tokens   float64 // decayed sum of prompt tokens of requests that have begun
-	seconds  float64 // decayed sum of the time that they took to begin
+	rate     policy.ReadRate
 	headroom policy.Headroom
 }
 
-const (
-	// modelMemory is the weight of the past at each observation of an engine.
-	// Some hundred observations, a second or two under load, are remembered.
-	modelMemory = 0.99
-	// modelPrior is the weight in seconds of the figure that is assumed before
-	// anything was observed.
-	modelPrior = 0.5
-)
-
 // loads is the table of backend servers by their incarnations: one that starts
 // again under its id holds nothing of what the one before held, and what failed
 // there says nothing of it. Its methods may be called concurrently.
@@ -129,9 +119,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state(id).load.Pending -= own
-	model := l.model(service)
-	model.tokens = model.tokens*modelMemory + pending
-	model.seconds = model.seconds*modelMemory + took.Seconds()
+	l.model(service).rate.Note(pending, took)
 }
 
 // model returns what was learned of the service's engines.
@@ -174,11 +162,7 @@
 func (l *loads) rate(service fleet.Service, assumed float64) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	model := l.models[service]
-	if model == nil {
-		return assumed
-	}
-	return (model.tokens + assumed*modelPrior) / (model.seconds + modelPrior)
+	return l.model(service).rate.Rate(assumed)
 }
 
 // end counts a request out at a backend server.
--- a/internal/inifile/layout.go
+++ b/internal/inifile/layout.go
@@ -61,16 +61,18 @@
 	return section{name: base, doc: field.Tag.Get("doc"), repeated: repeated, value: value}
 }
 
-// keysOf lists the keys of one section's struct.
+// keysOf lists the keys of one section's struct. An embedded struct lends its own.
 func keysOf(structure reflect.Value) []key {
 	var keys []key
 	for i := range structure.NumField() {
 		field := structure.Type().Field(i)
 		name, tagged := field.Tag.Lookup("key")
-		if !tagged {
-			continue
+		switch {
+		case tagged:
+			keys = append(keys, newKey(name, field.Tag, structure.Field(i)))
+		case field.Anonymous && field.Type.Kind() == reflect.Struct:
+			keys = append(keys, keysOf(structure.Field(i))...)
 		}
-		keys = append(keys, newKey(name, field.Tag, structure.Field(i)))
 	}
 	return keys
 }
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -63,3 +63,15 @@
 func share(d time.Duration, part float64) time.Duration {
 	return time.Duration(float64(d) * part)
 }
+
+// Defaults returns the settings that serve, as docs/POLICY.md shows.
+func Defaults() Settings {
+	return Settings{
+		BudgetShare: 1, SlotShare: 0.8, MemoryShare: 0.9, RankShare: 0.85,
+		SurplusShare: 0.6, SurplusMost: 2, SurplusExponent: 3,
+		IdleShare: 0.08, IdleSlots: 0.25, IdleMemory: 0.25,
+		LeastHeadroom: 0.2, ObservedCapacity: true,
+		Fetch: true, SecondPenalty: 2,
+		RetryShare: 0.35,
+	}
+}
