--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/emulator"
+	"github.com/bluebellchute/bluebellchute/internal/inifile"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
 )
 
@@ -80,3 +81,15 @@
 		}
 	}
 }
+
+// The settings that tests and the lab take for granted are those of a gate whose
+// file says nothing.
+func TestDefaultsAreThoseOfTheFile(t *testing.T) {
+	var config Config
+	if err := inifile.Parse("test", []byte("[policy.plain]\n"), &config); err != nil {
+		t.Fatal(err)
+	}
+	if got := config.Policies[0].Policy(); got != policy.Defaults() {
+		t.Errorf("file %+v, defaults %+v", got, policy.Defaults())
+	}
+}
