A placement carries its tier; plain counter in the lab

Found on reading the change once more: the accounting of a placed request went by Inputs, which are for the records, and the lab counted its progress by the length of a channel. Behaviour is the same.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -38,7 +38,8 @@
 // The kernel serves this clock by a system call only, several hundred
 // nanoseconds each, and every request reads it some twenty times. Time of day
 // and monotonic clock are read without one, and together they show when the
-// machine has been suspended. Nanoseconds a reading before and after: 269, 106 (BenchmarkRead, BenchmarkNow).
+// machine has been suspended. Nanoseconds a reading before and after: 269, 106
+// (BenchmarkRead, BenchmarkNow).
 func Now() Instant {
 	now := time.Now()
 	steady := int64(now.Sub(start))
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -22,6 +22,7 @@
 	load    BackendLoad
 	pending float64 // prompt tokens waiting there, this request's included
 	model   bool
+	tier    policy.Tier // which of its account's sums the request counts in
 	// holder is the address of an engine that probably keeps shared parts
 	// which the chosen one lacks, "" for none.
 	holder fleet.Address
@@ -152,7 +153,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if placed.inputs.Tier == policy.TierIdle {
+	if placed.tier == policy.TierIdle {
 		a.ledger.ReturnedIdle(request.Account.Name, request.Prompt.Cost(), boottime.Now())
 		return
 	}
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -45,6 +45,7 @@
 		},
 		pending: engines[choice.Place].Pending + choice.Tokens,
 		model:   true,
+		tier:    tier,
 		inputs:  inputs,
 	}
 	if a.canFetch(view, request.Service) {
@@ -100,7 +101,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if placed.inputs.Tier == policy.TierIdle {
+	if placed.tier == policy.TierIdle {
 		a.ledger.GotIdle(request.Account.Name, request.Prompt.Cost(), now)
 		return
 	}
--- a/internal/lab/experiment.go
+++ b/internal/lab/experiment.go
@@ -5,6 +5,7 @@
 	"context"
 	"runtime"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,15 +61,14 @@
 	results := make([][]Result, config.Experiment.Deployments)
 	group, ctx := errgroup.WithContext(ctx)
 	group.SetLimit(cmp.Or(config.Experiment.Workers, runtime.NumCPU()))
-	done := make(chan struct{}, len(results))
+	var done atomic.Int64
 	for i := range results {
 		group.Go(func() error {
 			if ctx.Err() != nil {
 				return ctx.Err()
 			}
 			results[i] = playAll(config, uint64(config.Experiment.First+i))
-			done <- struct{}{}
-			progress(len(done))
+			progress(int(done.Add(1)))
 			return nil
 		})
 	}
