Never hand a test the same free port twice

Cause: freePort closes a port before the next is looked for, and the kernel may name the same one again; load is not needed for it.

--- a/internal/pathtest/live_test.go
+++ b/internal/pathtest/live_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -95,14 +96,28 @@
 	return &live{t: t, ctx: ctx, cancel: cancel, view: tree(t), logger: logger}
 }
 
-// freePort returns a loopback address that nobody listens on.
+// handedOut are the ports that freePort has named. A port is free again once it
+// was looked for, so the kernel may name the same one to the next who asks, and a
+// process would get one port for two purposes.
+var handedOut sync.Map
+
+// freePort returns a loopback address that nobody listens on, another one each
+// time.
 func freePort(t testing.TB) fleet.Address {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	t.Helper()
+	for {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := fleet.Address(listener.Addr().String())
+		if err := listener.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if _, known := handedOut.LoadOrStore(address, true); !known {
+			return address
+		}
 	}
-	defer listener.Close()
-	return fleet.Address(listener.Addr().String())
 }
 
 func (l *live) run(name string, service interface{ Run(context.Context) error }) {
@@ -260,3 +275,18 @@
 		})
 	}
 }
+
+// Symptom: a router refuses to start, as its data port is its control port.
+// Events: two free ports are looked for one after the other.
+// Cause: the first was closed before the second was looked for, so the kernel
+// could name the same one again.
+func TestFreePortsDiffer(t *testing.T) {
+	seen := make(map[fleet.Address]bool)
+	for range 2000 {
+		address := freePort(t)
+		if seen[address] {
+			t.Fatalf("%s was handed out twice", address)
+		}
+		seen[address] = true
+	}
+}
