bluebellctl losses leaves out records that can't be read, and counts them

TestSpoiledRecordsAreLeftOutAndCounted failed first (cannot unmarshal number). Records that a kill has cut are counted as well now.

--- a/internal/ctl/losses.go
+++ b/internal/ctl/losses.go
@@ -19,23 +19,27 @@
 	Logs []string `positional-arg-name:"LOG" required:"1" description:"A log of one or several routers, - for standard input."`
 }
 
-// read hands each record of the logs to take.
+// read hands each record of the logs to take. It tells of those that can't be read.
 func (l logFiles) read(s *session, take func(record losses.Record) error) error {
 	for _, name := range l.Logs {
-		if err := readLog(s, name, take); err != nil {
+		spoiled, err := readLog(s, name, take)
+		if err != nil {
 			return errors.WithMessage(err, name)
 		}
+		if spoiled > 0 {
+			fmt.Fprintf(s.Stderr, "%s: %d records could not be read and are left out\n", name, spoiled)
+		}
 	}
 	return nil
 }
 
-func readLog(s *session, name string, take func(record losses.Record) error) error {
+func readLog(s *session, name string, take func(record losses.Record) error) (spoiled int, err error) {
 	if name == "-" {
 		return losses.Read(s.Stdin, take)
 	}
 	file, err := os.Open(name)
 	if err != nil {
-		return errors.WithStack(err)
+		return 0, errors.WithStack(err)
 	}
 	defer file.Close()
 	return losses.Read(file, take)
--- a/internal/losses/read.go
+++ b/internal/losses/read.go
@@ -25,26 +25,27 @@
 // lineMost bounds one line of a log.
 const lineMost = 1 << 20
 
-// Read calls take for each record of a log. Whatever stands before a record on
-// its line is passed over, as tools that gather logs put times and names there;
-// lines without a record are passed over as well.
-func Read(log io.Reader, take func(record Record) error) error {
+// eventMark is in every record, also in one that a kill has cut.
+var eventMark = []byte(`"event":`)
+
+// Read calls take for each record of a log and returns how many could not be read:
+// the end of a log that a kill has cut is one, and take tells of others by an
+// error. They are left out. Whatever stands before a record on its line is passed
+// over, as tools that gather logs put times and names there; lines without a record
+// are passed over as well.
+func Read(log io.Reader, take func(record Record) error) (spoiled int, err error) {
 	scanner := bufio.NewScanner(log)
 	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), lineMost)
 	for scanner.Scan() {
 		start := bytes.IndexByte(scanner.Bytes(), '{')
-		if start < 0 {
+		if start < 0 || !bytes.Contains(scanner.Bytes(), eventMark) {
 			continue
 		}
 		raw := bytes.Clone(scanner.Bytes()[start:])
-		var record Record
-		if err := json.Unmarshal(raw, &record); err != nil || record.Event == 0 {
-			continue // not a record of ours
-		}
-		record.Raw = raw
-		if err := take(record); err != nil {
-			return err
+		record := Record{Raw: raw}
+		if json.Unmarshal(raw, &record) != nil || take(record) != nil {
+			spoiled++
 		}
 	}
-	return errors.WithStack(scanner.Err())
+	return spoiled, errors.WithStack(scanner.Err())
 }
