--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -76,11 +76,24 @@
 	}
 }
 
+// allows tells whether a record is written, and counts it when it is left out.
+func (r *records) allows(limiter *rate.Limiter) bool {
+	if limiter.Allow() {
+		return true
+	}
+	r.leftOut.Add(1)
+	return false
+}
+
+// write writes a record that the limiter allows.
 func (r *records) write(limiter *rate.Limiter, which event.Event, request *Request, fields logrus.Fields) {
-	if !limiter.Allow() {
-		r.leftOut.Add(1)
-		return
+	if r.allows(limiter) {
+		r.put(which, request, fields)
 	}
+}
+
+// put writes a record.
+func (r *records) put(which event.Event, request *Request, fields logrus.Fields) {
 	if request != nil {
 		fields["request"] = request.ID
 		fields["service"] = request.Service
@@ -100,13 +113,16 @@
 
 func (r *records) refused(request *Request, refusal Refusal) {
 	r.tally.refused(request, refusal.Reason)
+	if !r.allows(r.failures) {
+		return // a flood of refusals builds no records that are then left out
+	}
 	fields := logrus.Fields{
 		"reason":         refusal.Reason,
 		"status":         refusal.Status,
 		"retry_after_ms": refusal.RetryAfter.Milliseconds(),
 	}
 	addInputs(fields, refusal.Inputs)
-	r.write(r.failures, event.GateRefused, request, fields)
+	r.put(event.GateRefused, request, fields)
 }
 
 // addInputs adds what decided on the place of a request.
@@ -159,14 +175,17 @@
 func (r *records) answered(request *Request, placed *placement, status, sends int, late bool, err error) {
 	r.tally.answered(request, status < http.StatusMultipleChoices && err == nil, late)
 	limiter := r.answers
+	if status >= http.StatusInternalServerError || sends > 1 {
+		limiter = r.failures
+	}
+	if !r.allows(limiter) {
+		return
+	}
 	fields := logrus.Fields{"status": status, "sends": sends, "late": late}
 	addInputs(fields, placed.inputs)
 	fields["backend"] = placed.backend.ID
-	if status >= 500 || sends > 1 {
-		limiter = r.failures
-	}
 	if err != nil {
 		fields["error"] = err.Error()
 	}
-	r.write(limiter, event.GateAnswered, request, fields)
+	r.put(event.GateAnswered, request, fields)
 }
