An overloaded router resets connections, cuts what is owed last, blames no engine

Change: - while requests in hand do not get on, nothing listens at the callers' address: the kernel resets connections at no cost to the process, and the caller tries another router at once instead of waiting a second to be accepted. The balancer hears of it, and it listens again when the lag is below 10 ms. - of what is taken, requests beyond their accounts' shares are cut first. - late answers count against engines only while the router's own processor keeps up.

--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -62,6 +62,16 @@
 	a.ledger.Asked(request.Account.Name, request.Prompt.Cost(), boottime.Now())
 }
 
+// owed tells whether the request's account has had less than its share. Requests
+// to plain services are, as they take none of what is shared.
+func (a *admission) owed(request *Request, view *knowledge.View) bool {
+	if request.Prompt.Tokens == 0 {
+		return true
+	}
+	standing := a.standing(request, view.Index.Configuration.Limits.TokensPerSecond, boottime.Now())
+	return standing.Got <= 1
+}
+
 // shut notes that a request was turned away for another reason than what its
 // engines can do: what accounts get meanwhile says nothing of the engines.
 func (a *admission) shut(request *Request) {
@@ -154,7 +164,9 @@
 }
 
 // delivered notes the end of a stream that came whole. late tells that its first
-// event or a later one missed what the route promises.
+// event or a later one missed what the route promises. It is not called while the
+// router's own processor may have made the answer late: that says nothing of the
+// engines, and lower budgets would refuse requests whose engines have room.
 func (a *admission) delivered(service fleet.Service, late bool) { a.loads.noteLate(service, late) }
 
 // ended counts a placed request out. ran is false when it did not run.
@@ -183,7 +195,7 @@
 	defer a.mu.Unlock()
 	fields["shortage"] = a.ledger.Shortage()
 	if level := a.ledger.Level(); !math.IsInf(level, 1) {
-		fields["level"] = level
+		fields["share_level"] = level // "level" is the record's own
 	}
 	return fields
 }
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -30,12 +30,22 @@
 // descriptors.
 const acceptPause = 20 * time.Millisecond
 
+// processor tells whether the router's processor bears more callers.
+type processor interface {
+	// standing tells whether requests in hand do not get on.
+	standing() bool
+	// shed notes that callers are turned away for it.
+	shed()
+	// relieved tells whether requests get on without a wait again.
+	relieved() bool
+}
+
 // entry accepts callers' connections. Each connection keeps the limits that
 // were in force when it was opened.
 type entry struct {
 	handler http.Handler
 	open    chan struct{} // holds a token for each open connection
-	stands  func() bool   // whether requests in hand do not get on
+	load    processor
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -43,6 +53,7 @@
 	all      []*generation
 
 	draining atomic.Bool
+	stopped  atomic.Bool // no connections are accepted any more
 }
 
 // generation is a server with the limits of one configuration.
@@ -52,8 +63,8 @@
 	conns  *handedListener
 }
 
-func newEntry(handler http.Handler, connections int, stands func() bool) *entry {
-	e := &entry{handler: handler, open: make(chan struct{}, connections), stands: stands}
+func newEntry(handler http.Handler, connections int, load processor) *entry {
+	e := &entry{handler: handler, open: make(chan struct{}, connections), load: load}
 	e.apply(defaultLimits)
 	return e
 }
@@ -91,23 +102,55 @@
 
 // run accepts connections at the address until the context ends or the entry
 // is closed.
+//
+// While requests in hand do not get on, nothing listens there. A refusal with its
+// connection costs a small VM so much that more callers than it can refuse bring
+// everything to a standstill for as long as they come. A connection that is reset
+// by the kernel costs it nothing, and its caller tries another router at once; one
+// that waits to be accepted is given up only after a second.
 func (e *entry) run(ctx context.Context, address fleet.Address) error {
+	for ctx.Err() == nil && !e.stopped.Load() {
+		listener, err := e.listen(ctx, address)
+		if err != nil {
+			return fleet.Wrap(err, fleet.StepAccept, address)
+		}
+		e.accept(ctx, listener)
+		_ = listener.Close() // it may be closed already
+		e.awaitRelief(ctx)
+	}
+	return nil
+}
+
+func (e *entry) listen(ctx context.Context, address fleet.Address) (net.Listener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2}}
 	listener, err := config.Listen(ctx, "tcp", string(address))
 	if err != nil {
-		return fleet.Wrap(err, fleet.StepAccept, address)
+		return nil, err
 	}
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.listener = listener
-	e.mu.Unlock()
-	stop := context.AfterFunc(ctx, e.stopAccepting)
-	defer stop()
+	if e.stopped.Load() {
+		_ = listener.Close() // stopAccepting came first
+	}
+	return listener, nil
+}
+
+// accept accepts connections until the listener is closed, the context ends or
+// requests in hand do not get on.
+func (e *entry) accept(ctx context.Context, listener net.Listener) {
+	defer context.AfterFunc(ctx, e.stopAccepting)()
 	for {
 		e.open <- struct{}{}
-		e.awaitTurn(ctx)
+		if e.load.standing() {
+			<-e.open
+			e.load.shed()
+			return
+		}
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			return nil
+			<-e.open
+			return
 		}
 		if err != nil {
 			<-e.open
@@ -121,16 +164,13 @@
 	}
 }
 
-// standsPause is the pause between two looks at whether requests get on.
-const standsPause = 2 * time.Millisecond
+// reliefPause is the pause between two looks at whether requests get on.
+const reliefPause = 5 * time.Millisecond
 
-// awaitTurn waits until the requests in hand get on again. A refusal costs a
-// small VM so much that more callers than it can refuse bring everything to a
-// standstill for as long as they come. Those that are not accepted cost it
-// nothing; they soon try another router.
-func (e *entry) awaitTurn(ctx context.Context) {
-	for ctx.Err() == nil && e.stands() {
-		time.Sleep(standsPause)
+// awaitRelief waits until requests in hand get on without a wait.
+func (e *entry) awaitRelief(ctx context.Context) {
+	for ctx.Err() == nil && !e.stopped.Load() && !e.load.relieved() {
+		time.Sleep(reliefPause)
 	}
 }
 
@@ -161,6 +201,7 @@
 func (e *entry) stopAccepting() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stopped.Store(true)
 	if e.listener != nil {
 		_ = e.listener.Close() // there is no use for it any more
 	}
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -38,6 +38,9 @@
 	shareCut   = 0.8
 	shareLeast = 0.3
 	shareRise  = 0.01
+	// cutOwed is the share down to which only requests beyond the shares are
+	// cut.
+	cutOwed = 0.5
 	// relievedAfter is the least time in between. The balancer needs two
 	// seconds to notice either.
 	relievedAfter = 3 * time.Second
@@ -58,9 +61,10 @@
 // one small VM to the next.
 type lagMeter struct {
 	overloaded atomic.Bool
-	taken      atomic.Uint64 // share of requests that are taken, as bits of a float64
-	yielded    atomic.Int64  // boot-time clock at the yield that is not over yet, 0 for none
-	average    time.Duration
+	taken      atomic.Uint64    // share of requests that are taken, as bits of a float64
+	yielded    atomic.Int64     // boot-time clock at the yield that is not over yet, 0 for none
+	average    atomic.Int64     // of the lag, nanoseconds
+	shedAt     atomic.Int64     // boot-time clock when callers were turned away last
 	since      boottime.Instant // when the overload was noticed last
 }
 
@@ -96,13 +100,19 @@
 // note takes one measurement.
 func (m *lagMeter) note(lag time.Duration, now boottime.Instant) {
 	lag = min(lag, lagMost)
-	m.average += time.Duration(lagMemory * float64(lag-m.average))
+	average := time.Duration(m.average.Load())
+	average += time.Duration(lagMemory * float64(lag-average))
+	m.average.Store(int64(average))
+	if shedAt := boottime.Instant(m.shedAt.Load()); shedAt > m.since {
+		m.since = shedAt
+		m.overloaded.Store(true)
+	}
 	switch {
-	case m.average > overloadedFrom:
+	case average > overloadedFrom:
 		m.since = now
 		m.overloaded.Store(true)
 		m.setShare(max(m.share()*shareCut, shareLeast))
-	case m.average < relievedAt:
+	case average < relievedAt:
 		m.setShare(min(m.share()+shareRise, 1))
 		if now.Sub(m.since) > relievedAfter {
 			m.overloaded.Store(false)
@@ -122,7 +132,25 @@
 // standing is stands at this moment.
 func (m *lagMeter) standing() bool { return m.stands(boottime.Now()) }
 
-// takes tells whether a request is taken. drawn is uniform in [0, 1).
-func (m *lagMeter) takes(now boottime.Instant, drawn float64) bool {
-	return !m.stands(now) && drawn < m.share()
+// takes tells whether a request is taken. drawn is uniform in [0, 1). What goes
+// beyond the shares is cut first, and what is owed only once nothing else is
+// taken any more: a flood from one account must not cost others what is theirs.
+func (m *lagMeter) takes(now boottime.Instant, owed bool, drawn float64) bool {
+	if m.stands(now) {
+		return false
+	}
+	share := m.share()
+	if owed {
+		return drawn < share/cutOwed
+	}
+	return drawn < (share-cutOwed)/(1-cutOwed)
+}
+
+// shed notes that callers are turned away because of the lag: the balancer has to
+// hear of it.
+func (m *lagMeter) shed() { m.shedAt.Store(int64(boottime.Now())) }
+
+// relieved tells whether requests wait for their turn no more.
+func (m *lagMeter) relieved() bool {
+	return time.Duration(m.average.Load()) < relievedAt && !m.standing()
 }
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -58,7 +58,7 @@
 		metrics:   newMetrics(options.Registerer),
 		lag:       newLagMeter(),
 	}
-	entry := newEntry(h, options.Connections, h.lag.standing)
+	entry := newEntry(h, options.Connections, h.lag)
 	h.closing = entry.closing
 	return &Manager{options: options, handler: h, entry: entry}
 }
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -57,7 +57,9 @@
 			}
 		}
 		if err == io.EOF {
-			h.admission.delivered(r.request.Service, pace.late)
+			if !h.lag.busy(boottime.Now()) {
+				h.admission.delivered(r.request.Service, pace.late)
+			}
 			return r.endStream(placed, answer, partial, pace.late)
 		}
 		if err == nil && len(partial) > eventMost {
