--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -44,6 +44,7 @@
 	logger := do.MustInvoke[logrus.FieldLogger](injector)
 	return peering.NewManager(peering.Options{
 		Address:     config.Listen.Peers,
+		Zone:        config.Node.Zone,
 		Seeds:       config.Peers.Seeds,
 		Incarnation: uint64(time.Now().UnixNano()),
 		Directory:   platform.NewDirectory(do.MustInvoke[*platform.Store](injector), config.Node.Name, config.Node.Zone, logger),
@@ -97,7 +98,7 @@
 			do.MustInvoke[*platform.Store](injector),
 			do.MustInvoke[*knowledge.State](injector),
 			platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke},
-			do.MustInvoke[*peering.Manager](injector).Follows,
+			do.MustInvoke[*peering.Manager](injector),
 			do.MustInvoke[logrus.FieldLogger](injector),
 		),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -7,7 +7,6 @@
 	"slices"
 	"time"
 
-	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -57,29 +56,24 @@
 }
 
 const (
-	// beatInterval is the pause between two rounds of beats.
-	beatInterval = 100 * time.Millisecond
-	// beatsPerRound bounds the beats of one round, so that a large fleet costs
-	// each of its routers no more than a middling one. In a larger fleet each
-	// router hears from the others more rarely.
-	beatsPerRound = 10
-	// routersPerBeat is how many addresses of other routers a beat carries.
-	// They are drawn, so all become known within some beats.
-	routersPerBeat = 8
-	// directoryInterval is the pause between two looks into the directory.
-	directoryInterval = 3 * time.Second
+	// startInterval is the pause between the first startLooks looks into the
+	// directory, in which all routers of a fleet that starts have registered. A
+	// router that comes later finds the others there and tells them.
+	startInterval = 3 * time.Second
+	startLooks    = 3
+	// directoryInterval is the pause between later looks. They only find routers
+	// that were cut off for longer than their addresses are tried, so it is well
+	// below addressLife.
+	directoryInterval = 30 * time.Second
 	// announceAfter is the number of lists in a row without this router after
 	// which it registers again.
 	announceAfter = 3
-	// beatMost is the size of the largest datagram.
-	beatMost = 60 << 10
-	// brokenRepeats is how many beats carry a fingerprint, as some get lost.
-	brokenRepeats = 3
 )
 
 // Options hold what a Manager needs.
 type Options struct {
 	Address     fleet.Address // of the peering port, datagrams and calls
+	Zone        fleet.Zone
 	Seeds       []fleet.Address
 	Incarnation uint64
 	Directory   Directory
@@ -93,21 +87,15 @@
 	options Options
 	local   Local
 	started boottime.Instant
-	socket  *net.UDPConn
+	deliver func(data []byte, target fleet.Address)
 	puller  *puller
 	broken  []brokenEntry
 }
 
-// brokenEntry is a fingerprint that some more beats carry.
-type brokenEntry struct {
-	fingerprint uint64
-	left        int
-}
-
 // NewManager returns a manager that is silent until Run.
 func NewManager(options Options) *Manager {
-	m := &Manager{table: newTable(options.Address), options: options, started: boottime.Now()}
-	m.puller = newPuller(options.State, options.Logger)
+	m := &Manager{table: newTable(options.Address, options.Zone), options: options, started: boottime.Now()}
+	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
 		m.add(seed, now)
@@ -139,11 +127,11 @@
 	if err != nil {
 		return fleet.Wrap(err, fleet.StepSpread, m.options.Address)
 	}
-	m.socket = socket
+	m.deliver = overSocket(socket)
 	stop := context.AfterFunc(ctx, func() { _ = socket.Close() }) // ends receive
 	defer stop()
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return m.receive(ctx) })
+	group.Go(func() error { return m.receive(ctx, socket) })
 	group.Go(func() error { return m.send(ctx) })
 	group.Go(func() error { return m.register(ctx) })
 	group.Go(func() error { return m.serveCalls(ctx) })
@@ -151,10 +139,10 @@
 }
 
 // receive takes beats until the socket is closed.
-func (m *Manager) receive(ctx context.Context) error {
+func (m *Manager) receive(ctx context.Context, socket *net.UDPConn) error {
 	buffer := make([]byte, beatMost)
 	for {
-		n, _, err := m.socket.ReadFromUDPAddrPort(buffer)
+		n, _, err := socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -168,12 +156,11 @@
 		if err := proto.Unmarshal(buffer[:n], &beat); err != nil {
 			continue // not from a router
 		}
-		m.takeBeat(ctx, &beat)
+		m.takeBeat(ctx, &beat, boottime.Now())
 	}
 }
 
-func (m *Manager) takeBeat(ctx context.Context, beat *peeringpb.Beat) {
-	now := boottime.Now()
+func (m *Manager) takeBeat(ctx context.Context, beat *peeringpb.Beat, now boottime.Instant) {
 	taken, appeared := m.take(beat, now)
 	if !taken {
 		return
@@ -185,12 +172,15 @@
 	for _, address := range beat.Routers {
 		m.add(fleet.Address(address), now)
 	}
-	m.local.SetUses(router, decodeUses(beat.Uses))
+	m.local.SetUses(router, m.uses(router))
+	if beat.Sums != nil {
+		m.local.SetUses(elsewhere, m.refreshOthers(now))
+	}
 	for _, fingerprint := range beat.Broken {
 		m.local.HeardBroken(router, fingerprint)
 	}
 	m.confirm(beat, now)
-	m.puller.consider(ctx, router, beat, now)
+	m.puller.consider(ctx, router, beat, m.alone(now), now)
 }
 
 // confirm takes the freshness of what both routers know. The peer sent the
@@ -209,102 +199,10 @@
 	}
 }
 
-// send sends beats until the context ends.
-func (m *Manager) send(ctx context.Context) error {
-	ticker := time.NewTicker(beatInterval)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
-		now := boottime.Now()
-		for _, lost := range m.expire(now) {
-			event.GatePeerLost.Log(m.options.Logger, logrus.Fields{"peer": lost})
-			m.local.RemoveUses(lost)
-		}
-		m.sendBeats(turn(m.targets(now), round), now)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
-// turn returns the targets of a round. All have their turn in as few rounds as
-// the bound allows.
-func turn(targets []fleet.Address, round int) []fleet.Address {
-	rounds := (len(targets) + beatsPerRound - 1) / beatsPerRound
-	if rounds <= 1 {
-		return targets
-	}
-	slices.Sort(targets)
-	return lo.Filter(targets, func(_ fleet.Address, index int) bool { return index%rounds == round%rounds })
-}
-
-func (m *Manager) sendBeats(targets []fleet.Address, now boottime.Instant) {
-	data, err := proto.Marshal(m.beat(targets, now))
-	if err != nil {
-		panic(err) // only text that is no UTF-8 can't be encoded
-	}
-	for _, target := range targets {
-		address, err := netip.ParseAddrPort(string(target))
-		if err != nil {
-			continue // a directory entry that is no address
-		}
-		// A router that can't be reached is noticed by its silence.
-		_, _ = m.socket.WriteToUDPAddrPort(data, address)
-	}
-}
-
-// beat returns what is told to the targets.
-func (m *Manager) beat(targets []fleet.Address, now boottime.Instant) *peeringpb.Beat {
-	view := m.options.State.View()
-	beat := &peeringpb.Beat{
-		Address:     string(m.options.Address),
-		Incarnation: m.options.Incarnation,
-		Clock:       int64(now),
-		Echoes:      m.echoes(targets),
-		Version:     view.Version(),
-		ConfigAge:   age(view.Configured, now),
-		Digest:      view.Digest,
-		Revision:    view.Revision,
-		ListAge:     age(view.Listed, now),
-		ContactAge:  age(view.Contact, now),
-		Broken:      m.takeBroken(),
-		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
-	}
-	beat.Uses = encodeUses(m.local.Uses())
-	beat.Loads = encodeLoads(m.local.Loads())
-	return beat
-}
-
-// age returns nanoseconds, negative when the moment is unknown.
-func age(since, now boottime.Instant) int64 {
-	if since == 0 {
-		return -1
-	}
-	return int64(now.Sub(since))
-}
-
-func (m *Manager) takeBroken() []uint64 {
-	for _, fingerprint := range m.local.TakeBroken() {
-		m.broken = append(m.broken, brokenEntry{fingerprint: fingerprint, left: brokenRepeats})
-	}
-	var carried []uint64
-	kept := m.broken[:0]
-	for _, entry := range m.broken {
-		carried = append(carried, entry.fingerprint)
-		entry.left--
-		if entry.left > 0 {
-			kept = append(kept, entry)
-		}
-	}
-	m.broken = kept
-	return carried
-}
-
 // register announces this router and looks for others until the context ends.
 func (m *Manager) register(ctx context.Context) error {
 	missing := announceAfter // lists in a row that lack this router
-	for {
+	for look := 1; ; look++ {
 		if missing >= announceAfter {
 			err := m.options.Directory.Announce(ctx, m.options.Address)
 			m.logFailure(ctx, err)
@@ -320,11 +218,20 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-time.After(directoryInterval):
+		case <-time.After(lookPause(look, len(m.heard(boottime.Now())))):
 		}
 	}
 }
 
+// lookPause returns the pause after so many looks into the directory. A router that
+// hears nobody goes on as at the start.
+func lookPause(looks, heard int) time.Duration {
+	if looks < startLooks || heard == 0 {
+		return startInterval
+	}
+	return directoryInterval
+}
+
 // takeDirectory takes a list of the routers and returns how many in a row have
 // lacked this one. The list may be seconds old, so one that does means nothing.
 func (m *Manager) takeDirectory(ctx context.Context, addresses []fleet.Address, missing int) int {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -117,7 +117,7 @@
 
 func TestLoadsAreSummedAndReplaced(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	table.take(beatOf("a", 1, 1, loadOf("i", 3, 96)), now)
 	table.take(beatOf("b", 1, 1, loadOf("i", 2, 48)), now)
 	if got := table.Load(knowledge.IncarnationHash("i")); got.Running != 5 || got.Pending != 144 {
@@ -131,7 +131,7 @@
 
 func TestLateBeatIsIgnored(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	table.take(beatOf("a", 2, 10, loadOf("i", 3, 0)), now)
 	for _, late := range []*peeringpb.Beat{beatOf("a", 2, 9), beatOf("a", 1, 99), beatOf(self, 1, 1)} {
 		if taken, _ := table.take(late, now); taken {
@@ -148,7 +148,7 @@
 // Cause: its last beat counted for good.
 func TestLostRoutersLoadsGo(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	table.take(beatOf("a", 1, 1, loadOf("i", 3, 100)), now)
 	if lost := table.expire(now.Add(heardLife / 2)); len(lost) != 0 {
 		t.Fatalf("lost too early: %v", lost)
@@ -166,7 +166,7 @@
 // Cause: each took itself for the only one and the whole budget for its own.
 func TestRoutersThatAreCutOffStillCount(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	for _, address := range []string{"a", "b", "c"} {
 		table.take(beatOf(address, 1, 1), now)
 	}
@@ -213,7 +213,7 @@
 
 func TestSilentAddressesAreForgotten(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	if table.add(self, now) || !table.add("a", now) || table.add("a", now) {
 		t.Error("addresses are added wrongly")
 	}
@@ -232,7 +232,7 @@
 func TestRoutersOfALargeFleetAreHeard(t *testing.T) {
 	const size = 350
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	var targets []fleet.Address
 	for i := range size {
 		address := fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
@@ -240,10 +240,10 @@
 		table.take(beatOf(address, 1, 1), now)
 	}
 	reached := make(map[fleet.Address]int)
-	rounds := size / beatsPerRound
-	for round := range rounds {
-		chosen := turn(targets, round)
-		if len(chosen) > beatsPerRound {
+	turns := rounds(size, farBeats)
+	for round := range turns {
+		chosen := turn(targets, round, farBeats)
+		if len(chosen) > farBeats {
 			t.Fatalf("%d beats in a round", len(chosen))
 		}
 		for _, address := range chosen {
@@ -253,7 +253,7 @@
 	if len(reached) != size {
 		t.Errorf("%d of %d routers had a turn", len(reached), size)
 	}
-	later := now.Add(time.Duration(2*rounds) * beatInterval)
+	later := now.Add(time.Duration(2*turns) * beatInterval)
 	if lost := table.expire(later); len(lost) != 0 {
 		t.Errorf("%d routers are lost after two missed beats", len(lost))
 	}
@@ -266,7 +266,7 @@
 	const fleetSize = 40
 	tables := make([]*table, fleetSize)
 	for i := range tables {
-		tables[i] = newTable(fleet.Address(fmt.Sprintf("10.0.0.%d:1", i+1)))
+		tables[i] = newTable(fleet.Address(fmt.Sprintf("10.0.0.%d:1", i+1)), "")
 	}
 	now := boottime.Now()
 	hear := func(alive []*table) (following []*table) {
@@ -303,7 +303,7 @@
 // Cause: nobody removed their entries.
 func TestEntriesOfRoutersThatAreGone(t *testing.T) {
 	now := boottime.Now()
-	table := newTable(self)
+	table := newTable(self, "")
 	table.take(beatOf("alive", 1, 1), now)
 	entries := []fleet.Address{self, "alive", "gone"}
 	if got := table.gone(entries, now); len(got) != 0 {
@@ -369,7 +369,7 @@
 	if err != nil || len(reply.Backends) != 0 {
 		t.Fatalf("reply with %d bytes of backend servers, error %v", len(reply.Backends), err)
 	}
-	puller := newPuller(asking, logrus.New())
+	puller := newPuller(asking, "", logrus.New())
 	if err := puller.apply(reply, boottime.Now()); err != nil {
 		t.Fatal(err)
 	}
@@ -414,7 +414,7 @@
 	state := knowledge.NewState()
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	puller := newPuller(state, logger)
+	puller := newPuller(state, "", logger)
 	list := `[{"ID":7},{"ID":"b"},"text",null,{"ID":"i","Service":"s","Address":"10.0.0.1:1"}]`
 	if err := puller.apply(&peeringpb.PullReply{Backends: []byte(list), Revision: 3}, boottime.Now()); err != nil {
 		t.Fatal(err)
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -29,6 +30,10 @@
 	// reaches renews its list within one and a half seconds.
 	listAge  = 1600 * time.Millisecond
 	listGain = 500 * time.Millisecond
+	// farPause bounds how long a router waits for one of its own availability zone
+	// to have what another zone's has. Each waits for a part of it that is drawn, so
+	// one of a zone takes a change across and the others take it from that one.
+	farPause = 400 * time.Millisecond
 )
 
 // puller takes knowledge from other routers.
@@ -38,13 +43,19 @@
 	client *http.Client
 	busy   atomic.Bool
 	next   atomic.Int64 // boot-time clock
+
+	zone     fleet.Zone
+	patience time.Duration    // this router's part of farPause
+	behind   boottime.Instant // since when another router has newer, 0 for not
 }
 
-func newPuller(state *knowledge.State, logger logrus.FieldLogger) *puller {
+func newPuller(state *knowledge.State, zone fleet.Zone, logger logrus.FieldLogger) *puller {
 	dialer := &net.Dialer{Timeout: pullTimeout}
 	return &puller{
-		state:  state,
-		logger: logger,
+		state:    state,
+		logger:   logger,
+		zone:     zone,
+		patience: rand.N(farPause),
 		client: &http.Client{
 			Timeout:   pullTimeout,
 			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
@@ -52,8 +63,9 @@
 	}
 }
 
-// consider takes knowledge from the router of the beat when it has newer.
-func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, now boottime.Instant) {
+// consider takes knowledge from the router of the beat when it has newer. alone
+// tells that no other router of this zone is heard.
+func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, alone bool, now boottime.Instant) {
 	view := p.state.View()
 	newer := beat.Version > view.Version() || (beat.Revision > view.Revision && beat.Digest != view.Digest)
 	own := now.Sub(view.Listed)
@@ -61,6 +73,10 @@
 	if !newer && !fresher {
 		return
 	}
+	hasty := alone || !view.Ready() || fleet.Zone(beat.Zone) == p.zone
+	if !hasty && !p.waited(now) {
+		return
+	}
 	if now < boottime.Instant(p.next.Load()) || !p.busy.CompareAndSwap(false, true) {
 		return
 	}
@@ -71,6 +87,14 @@
 	}()
 }
 
+// waited tells whether this router has been behind for its part of farPause.
+func (p *puller) waited(now boottime.Instant) bool {
+	if p.behind == 0 || now.Sub(p.behind) > 2*farPause {
+		p.behind = now // of another change than the last time
+	}
+	return now.Sub(p.behind) >= p.patience
+}
+
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
 	asked := boottime.Now()
 	client := peeringpb.NewKnowledgeProtobufClient("http://"+string(router), p.client)
--- /dev/null
+++ b/internal/peering/send.go
@@ -0,0 +1,193 @@
+package peering
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/event"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+)
+
+const (
+	// beatInterval is the pause between two rounds of beats.
+	beatInterval = 100 * time.Millisecond
+	// smallFleet is the number of other routers up to which each tells all of them
+	// everything in each round.
+	smallFleet = 10
+	// zoneBeats bounds the beats of one round to routers of the own availability
+	// zone, and farBeats those to others, so that a large fleet costs each of its
+	// routers no more than a middling one. In a larger fleet each router hears from
+	// the others more rarely.
+	zoneBeats = 16
+	farBeats  = 6
+	// routersPerBeat is how many addresses of other routers a beat carries.
+	// They are drawn, so all become known within some beats.
+	routersPerBeat = 3
+	// beatMost is the size of the largest datagram.
+	beatMost = 60 << 10
+	// brokenRepeats is how many beats tell a router of a fingerprint, as some get
+	// lost.
+	brokenRepeats = 3
+)
+
+// brokenEntry is a fingerprint that some more rounds of beats carry.
+type brokenEntry struct {
+	fingerprint uint64
+	left        int
+}
+
+// send sends beats until the context ends.
+func (m *Manager) send(ctx context.Context) error {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		now := boottime.Now()
+		for _, lost := range m.expire(now) {
+			event.GatePeerLost.Log(m.options.Logger, logrus.Fields{"peer": lost})
+			m.local.RemoveUses(lost)
+		}
+		m.local.SetUses(elsewhere, m.refreshOthers(now))
+		m.sendRound(round, now)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// sendRound sends the beats of one round.
+func (m *Manager) sendRound(round int, now boottime.Instant) {
+	targets := m.targets(now)
+	common := m.common(now, len(targets))
+	own := use{loads: m.local.Loads(), uses: m.local.Uses(), at: now}
+	if len(targets) <= smallFleet {
+		m.sendBeats(targets, common, own, nil)
+		return
+	}
+	same, others := m.zoneTargets(targets)
+	others = turn(others, round, farBeats)
+	if !m.summing(now) {
+		m.sendBeats(turn(same, round, zoneBeats), common, own, nil)
+		m.sendBeats(others, common, use{}, nil)
+		return
+	}
+	handedOn, covered := m.others(now)
+	m.sendBeats(turn(same, round, zoneBeats), common, own, encodeSums(handedOn, covered))
+	summers := m.sumTargets(round, now)
+	m.sendBeats(lo.Without(others, summers...), common, use{}, nil)
+	m.sendBeats(summers, common, use{}, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}))
+}
+
+// sumTargets returns where the sums of this zone go in a round.
+func (m *Manager) sumTargets(round int, now boottime.Instant) []fleet.Address {
+	var targets []fleet.Address
+	for _, summers := range m.summers(now) {
+		if round%standbyRounds != 0 {
+			summers = summers[:1]
+		}
+		targets = append(targets, summers...)
+	}
+	return targets
+}
+
+// rounds returns in how many rounds all targets have their turn.
+func rounds(targets, perRound int) int { return max((targets+perRound-1)/perRound, 1) }
+
+// turn returns the targets of a round. All have their turn in as few rounds as
+// the bound allows.
+func turn(targets []fleet.Address, round, perRound int) []fleet.Address {
+	all := rounds(len(targets), perRound)
+	if all == 1 {
+		return targets
+	}
+	slices.Sort(targets)
+	return lo.Filter(targets, func(_ fleet.Address, index int) bool { return index%all == round%all })
+}
+
+// sendBeats sends to the targets what all are told, what this router uses and the
+// sums of whole zones, nil for none.
+func (m *Manager) sendBeats(targets []fleet.Address, common *peeringpb.Beat, own use, summed *peeringpb.Sums) {
+	if len(targets) == 0 {
+		return
+	}
+	beat := proto.CloneOf(common)
+	beat.Echoes = m.echoes(targets)
+	beat.Uses = encodeUses(own.uses)
+	beat.Loads = encodeLoads(own.loads)
+	beat.Sums = summed
+	data, err := proto.Marshal(beat)
+	if err != nil {
+		panic(err) // only text that is no UTF-8 can't be encoded
+	}
+	for _, target := range targets {
+		m.deliver(data, target)
+	}
+}
+
+// overSocket returns what sends datagrams by the socket.
+func overSocket(socket *net.UDPConn) func(data []byte, target fleet.Address) {
+	return func(data []byte, target fleet.Address) {
+		address, err := netip.ParseAddrPort(string(target))
+		if err != nil {
+			return // a directory entry that is no address
+		}
+		// A router that can't be reached is noticed by its silence.
+		_, _ = socket.WriteToUDPAddrPort(data, address)
+	}
+}
+
+// common returns what all routers are told in a round, of so many.
+func (m *Manager) common(now boottime.Instant, targets int) *peeringpb.Beat {
+	view := m.options.State.View()
+	return &peeringpb.Beat{
+		Address:     string(m.options.Address),
+		Zone:        string(m.options.Zone),
+		Incarnation: m.options.Incarnation,
+		Clock:       int64(now),
+		Version:     view.Version(),
+		ConfigAge:   age(view.Configured, now),
+		Digest:      view.Digest,
+		Revision:    view.Revision,
+		ListAge:     age(view.Listed, now),
+		ContactAge:  age(view.Contact, now),
+		Broken:      m.takeBroken(rounds(targets, farBeats)),
+		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
+	}
+}
+
+// age returns nanoseconds, negative when the moment is unknown.
+func age(since, now boottime.Instant) int64 {
+	if since == 0 {
+		return -1
+	}
+	return int64(now.Sub(since))
+}
+
+// takeBroken returns the fingerprints that the beats of this round carry. They go
+// on until each router has had its turn several times, in so many rounds each.
+func (m *Manager) takeBroken(rounds int) []uint64 {
+	for _, fingerprint := range m.local.TakeBroken() {
+		m.broken = append(m.broken, brokenEntry{fingerprint: fingerprint, left: brokenRepeats * rounds})
+	}
+	var carried []uint64
+	kept := m.broken[:0]
+	for _, entry := range m.broken {
+		carried = append(carried, entry.fingerprint)
+		entry.left--
+		if entry.left > 0 {
+			kept = append(kept, entry)
+		}
+	}
+	m.broken = kept
+	return carried
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -38,27 +39,35 @@
 	clock       int64            // the newest of the peer's clocks that came
 	heard       boottime.Instant // when it came, 0 for never
 	tried       boottime.Instant // when the address became known
-	loads       map[uint32]gate.BackendLoad
+	zone        fleet.Zone       // "" if it does not tell
+	use         use              // as it told last
 	contact     boottime.Instant // when the store answered it, 0 for never
 }
 
 // table holds what is known of the other routers.
 type table struct {
 	self fleet.Address
+	zone fleet.Zone
 
-	mu     sync.Mutex
-	peers  map[fleet.Address]*peer
-	sums   map[uint32]gate.BackendLoad // over the peers that are heard, by hash of the backend server's incarnation
-	most   int                         // greatest number of routers of late
-	mostAt boottime.Instant
-	silent map[fleet.Address]boottime.Instant // since when an entry's router is not heard
+	mu    sync.Mutex
+	peers map[fleet.Address]*peer
+	sums  map[uint32]gate.BackendLoad // over the peers that are heard, by hash of the backend server's incarnation
+	told  map[fleet.Address]*sums     // of other zones, by the router that told it
+	// otherLoads are the loads of the zones that told covers.
+	otherLoads map[uint32]gate.BackendLoad
+	covered    []fleet.Zone
+	most       int // greatest number of routers of late
+	mostAt     boottime.Instant
+	silent     map[fleet.Address]boottime.Instant // since when an entry's router is not heard
 }
 
-func newTable(self fleet.Address) *table {
+func newTable(self fleet.Address, zone fleet.Zone) *table {
 	return &table{
 		self:  self,
+		zone:  zone,
 		peers: make(map[fleet.Address]*peer),
 		sums:  make(map[uint32]gate.BackendLoad),
+		told:  make(map[fleet.Address]*sums),
 
 		silent: make(map[fleet.Address]boottime.Instant),
 	}
@@ -68,7 +77,7 @@
 func (t *table) Load(incarnation uint32) gate.BackendLoad {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sums[incarnation]
+	return t.sums[incarnation].Add(t.otherLoads[incarnation])
 }
 
 // Routers implements gate.Peers. It returns the greatest number of late.
@@ -103,11 +112,14 @@
 // follow, 0.021 with eight, 0.015 with four.
 const followersMost = 5
 
-// Follows tells whether this router is among those that follow the store: the
-// routers that are heard and this one are ordered by the hashes of their
-// addresses, and the first ones follow. Routers
-// that don't hear each other may differ about it; then more follow.
-func (t *table) Follows() bool {
+// Follows tells whether this router is among those that follow the store, the first
+// ones of those that are heard. Routers that don't hear each other may differ about
+// it; then more follow.
+func (t *table) Follows() bool { return t.Place() < followersMost }
+
+// Place returns how many of the routers that are heard come before this one by the
+// hashes of their addresses.
+func (t *table) Place() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := boottime.Now()
@@ -118,7 +130,7 @@
 			before++
 		}
 	}
-	return before < followersMost
+	return before
 }
 
 // gone returns the routers among those with entries that have not been heard
@@ -149,7 +161,7 @@
 // life returns how long after its last beat a router counts as heard. It grows
 // with the fleet, as the turns get rarer.
 func (t *table) life() time.Duration {
-	rounds := len(t.peers)/beatsPerRound + 1
+	rounds := len(t.peers)/farBeats + 1
 	return max(heardLife, time.Duration(rounds*heardRounds)*beatInterval)
 }
 
@@ -222,21 +234,28 @@
 	if beat.ContactAge >= 0 {
 		known.contact = now.Add(-time.Duration(beat.ContactAge))
 	}
-	t.replaceLoads(known, decodeLoads(beat.Loads))
+	known.zone = fleet.Zone(beat.Zone)
+	t.replaceUse(known, use{loads: decodeLoads(beat.Loads), uses: decodeUses(beat.Uses), at: now})
+	t.takeSums(decodeSums(beat.Sums, now), address)
 	t.count(now)
 	return true, appeared
 }
 
-func (t *table) replaceLoads(known *peer, loads map[uint32]gate.BackendLoad) {
+// replaceUse takes what a router uses. It counts nothing where its zone's sums are
+// told, which hold it already.
+func (t *table) replaceUse(known *peer, told use) {
 	t.subtract(known)
-	known.loads = loads
-	for backend, load := range loads {
+	if slices.Contains(t.covered, known.zone) {
+		told = use{}
+	}
+	known.use = told
+	for backend, load := range told.loads {
 		t.sums[backend] = t.sums[backend].Add(load)
 	}
 }
 
 func (t *table) subtract(known *peer) {
-	for backend, load := range known.loads {
+	for backend, load := range known.use.loads {
 		rest := t.sums[backend].Add(gate.BackendLoad{Running: -load.Running, Pending: -load.Pending, Memory: -load.Memory})
 		if rest.Running <= 0 {
 			delete(t.sums, backend)
@@ -244,7 +263,7 @@
 		}
 		t.sums[backend] = rest
 	}
-	known.loads = nil
+	known.use = use{}
 }
 
 // count notes the number of routers heard.
@@ -270,6 +289,7 @@
 			continue
 		}
 		t.subtract(peer)
+		delete(t.told, address)
 		peer.heard = 0
 		peer.clock = 0
 		peer.tried = now
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -22,6 +22,17 @@
 	Idle float64
 }
 
+// Add returns the sum of two uses.
+func (u Use) Add(other Use) Use {
+	return Use{Asked: u.Asked + other.Asked, Got: u.Got + other.Got, Idle: u.Idle + other.Idle}
+}
+
+// After returns what is left of the use when the time has passed.
+func (u Use) After(passed time.Duration) Use {
+	factor := decayFactor(passed)
+	return Use{Asked: u.Asked * factor, Got: u.Got * factor, Idle: u.Idle * factor}
+}
+
 // memory is the time constant of the decay. It is shorter than the users'
 // window of shares, so that an account that was quiet gets its share at once.
 const memory = 2 * time.Second
@@ -33,10 +44,7 @@
 }
 
 func (s *sum) decay(now boottime.Instant) {
-	factor := decayFactor(now.Sub(s.at))
-	s.use.Asked *= factor
-	s.use.Got *= factor
-	s.use.Idle *= factor
+	s.use = s.use.After(now.Sub(s.at))
 	s.at = now
 }
 
@@ -242,13 +250,9 @@
 	clear(l.rest)
 	l.restAt = now
 	for _, told := range l.others {
-		factor := decayFactor(now.Sub(told.at))
+		passed := now.Sub(told.at)
 		for account, use := range told.uses {
-			known := l.rest[account]
-			known.Asked += use.Asked * factor
-			known.Got += use.Got * factor
-			known.Idle += use.Idle * factor
-			l.rest[account] = known
+			l.rest[account] = l.rest[account].Add(use.After(passed))
 		}
 	}
 }
@@ -262,10 +266,7 @@
 		total = entry.use
 	}
 	if rest, ok := l.rest[account]; ok {
-		factor := decayFactor(now.Sub(l.restAt))
-		total.Asked += rest.Asked * factor
-		total.Got += rest.Got * factor
-		total.Idle += rest.Idle * factor
+		total = total.Add(rest.After(now.Sub(l.restAt)))
 	}
 	return total
 }
