--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -26,6 +26,7 @@
 	GateFailed       = Event{2109, logrus.InfoLevel, "backend server answered with a failure of its own"}
 	GateSpoiled      = Event{2122, logrus.WarnLevel, "entry in the store can't be used"}
 	GateTally        = Event{2124, logrus.InfoLevel, "requests of the last second"}
+	GateTurnedAway   = Event{2125, logrus.WarnLevel, "connections were turned away"}
 	GateReborn       = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
@@ -38,6 +39,8 @@
 	shed()
 	// relieved tells whether requests get on without a wait again.
 	relieved() bool
+	// relief notes for how long callers were turned away.
+	relief(turnedAway time.Duration)
 }
 
 // entry accepts callers' connections. Each connection keeps the limits that
@@ -116,7 +119,10 @@
 		}
 		e.accept(ctx, listener)
 		_ = listener.Close() // it may be closed already
-		e.awaitRelief(ctx)
+		shut := boottime.Now()
+		if e.awaitRelief(ctx) {
+			e.load.relief(boottime.Now().Sub(shut))
+		}
 	}
 	return nil
 }
@@ -167,11 +173,16 @@
 // reliefPause is the pause between two looks at whether requests get on.
 const reliefPause = 5 * time.Millisecond
 
-// awaitRelief waits until requests in hand get on without a wait.
-func (e *entry) awaitRelief(ctx context.Context) {
-	for ctx.Err() == nil && !e.stopped.Load() && !e.load.relieved() {
+// awaitRelief waits until requests in hand get on without a wait. It returns false
+// when the entry is closed.
+func (e *entry) awaitRelief(ctx context.Context) bool {
+	for !e.load.relieved() {
+		if ctx.Err() != nil || e.stopped.Load() {
+			return false
+		}
 		time.Sleep(reliefPause)
 	}
+	return ctx.Err() == nil && !e.stopped.Load()
 }
 
 // callerKeepAlive finds callers that vanished without closing.
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -237,14 +237,17 @@
 
 // fakeProcessor stands still or not as a test says.
 type fakeProcessor struct {
-	stands atomic.Bool
-	sheds  atomic.Int64
+	stands  atomic.Bool
+	sheds   atomic.Int64
+	reliefs atomic.Int64
 }
 
 func (p *fakeProcessor) standing() bool { return p.stands.Load() }
 func (p *fakeProcessor) shed()          { p.sheds.Add(1) }
 func (p *fakeProcessor) relieved() bool { return !p.stands.Load() }
 
+func (p *fakeProcessor) relief(time.Duration) { p.reliefs.Add(1) }
+
 // Symptom: requests in hand are late, and callers wait for a second to find that
 // a router does not serve them.
 // Events: one small VM gets more callers than it can even refuse.
@@ -278,6 +281,9 @@
 	if !answersWithin(t, dial(t, address), time.Second) {
 		t.Error("a caller is not served after the standstill")
 	}
+	if load.reliefs.Load() != 1 {
+		t.Errorf("%d reliefs are told, want one", load.reliefs.Load())
+	}
 }
 
 // Symptom: a router that is told to stop while it turns callers away goes on to
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -7,7 +7,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/event"
 )
 
 const (
@@ -60,6 +64,9 @@
 // gets less than half its share for as long as the balancer sends them from
 // one small VM to the next.
 type lagMeter struct {
+	logger     logrus.FieldLogger
+	turnedAway prometheus.Counter // seconds
+
 	overloaded atomic.Bool
 	taken      atomic.Uint64    // share of requests that are taken, as bits of a float64
 	yielded    atomic.Int64     // boot-time clock at the yield that is not over yet, 0 for none
@@ -68,8 +75,15 @@
 	since      boottime.Instant // when the overload was noticed last
 }
 
-func newLagMeter() *lagMeter {
-	m := &lagMeter{}
+func newLagMeter(logger logrus.FieldLogger, registerer prometheus.Registerer) *lagMeter {
+	m := &lagMeter{
+		logger: logger,
+		turnedAway: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bluebell_gate_turned_away_seconds_total",
+			Help: "Time in which connections of callers were turned away because the processor was busy.",
+		}),
+	}
+	registerer.MustRegister(m.turnedAway)
 	m.setShare(1)
 	return m
 }
@@ -150,6 +164,12 @@
 // hear of it.
 func (m *lagMeter) shed() { m.shedAt.Store(int64(boottime.Now())) }
 
+// relief notes that connections are taken again.
+func (m *lagMeter) relief(turnedAway time.Duration) {
+	m.turnedAway.Add(turnedAway.Seconds())
+	event.GateTurnedAway.Log(m.logger, logrus.Fields{"duration_ms": turnedAway.Milliseconds()})
+}
+
 // relieved tells whether requests wait for their turn no more.
 func (m *lagMeter) relieved() bool {
 	return time.Duration(m.average.Load()) < relievedAt && !m.standing()
--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -9,9 +10,18 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
+func testLagMeter() *lagMeter {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return newLagMeter(logger, prometheus.NewRegistry())
+}
+
 // notes gives the meter so many looks of the lag and returns the time after.
 func notes(m *lagMeter, count int, lag time.Duration, now boottime.Instant) boottime.Instant {
 	for range count {
@@ -25,7 +35,7 @@
 // Events: one router gets several times the callers of the others.
 // Cause: nothing told the balancer that its processor is the bottleneck.
 func TestOverloadIsNoticedAndEnds(t *testing.T) {
-	m := newLagMeter()
+	m := testLagMeter()
 	now := notes(m, 20, 150*time.Millisecond, boottime.Now())
 	if !m.overloaded.Load() {
 		t.Fatal("goroutines run 150ms late and nobody notices")
@@ -44,7 +54,7 @@
 // Events: the processor is busy with new requests.
 // Cause: the wait that is not over yet was not seen.
 func TestLongWaitIsNoticedBeforeItEnds(t *testing.T) {
-	m := newLagMeter()
+	m := testLagMeter()
 	now := boottime.Now()
 	m.yielded.Store(int64(now))
 	if m.busy(now.Add(pendingFrom / 2)) {
@@ -59,7 +69,7 @@
 // Events: all its callers come to one small VM, and from it to the next.
 // Cause: an overloaded router took nothing at all for seconds.
 func TestOverloadedRouterTakesWhatItCan(t *testing.T) {
-	m := newLagMeter()
+	m := testLagMeter()
 	now := notes(m, 200, 150*time.Millisecond, boottime.Now())
 	if m.share() != shareLeast || m.takes(now, false, 0) || !m.takes(now, true, 0) {
 		t.Errorf("the share of requests taken is %v after a long overload, want the least, all of it for what is owed", m.share())
@@ -79,7 +89,7 @@
 // Events: the large account's flood overloads the router.
 // Cause: what to refuse was drawn without a look at shares.
 func TestFloodIsCutBeforeWhatIsOwed(t *testing.T) {
-	m := newLagMeter()
+	m := testLagMeter()
 	now := boottime.Now()
 	for _, share := range []float64{1, 0.8, 0.5} {
 		m.setShare(share)
@@ -130,7 +140,7 @@
 }
 
 func TestOneStandstillIsNoOverload(t *testing.T) {
-	m := newLagMeter()
+	m := testLagMeter()
 	now := notes(m, 20, 0, boottime.Now())
 	notes(m, 1, 5*time.Second, now)
 	if m.overloaded.Load() {
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -56,7 +56,7 @@
 		suspects:  newSuspects(),
 		records:   newRecords(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
 		metrics:   newMetrics(options.Registerer),
-		lag:       newLagMeter(),
+		lag:       newLagMeter(options.Logger, options.Registerer),
 	}
 	entry := newEntry(h, options.Connections, h.lag)
 	h.closing = entry.closing
