Two beats a round to other zones, six of routers that lead; zones in the directory

Change: routers that follow the store or sum their zone send six, the others two; rounds that carry a fingerprint ten. Sums go each round to the router that told its zone's last, not only to the first by hash, so a successor is served at once though its predecessor is forgotten later. The directory tells zones with addresses, so that neighbours are known at a start. Routers of the own zone are forgotten by their own turns.

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -4,9 +4,9 @@
 	"context"
 	"net"
 	"net/netip"
-	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
@@ -24,9 +24,9 @@
 type Directory interface {
 	// Announce registers the router under its name.
 	Announce(ctx context.Context, address fleet.Address) error
-	// Routers returns the addresses of all routers that have registered, the
-	// departed ones included.
-	Routers(ctx context.Context) ([]fleet.Address, error)
+	// Routers returns the availability zones of all routers that have registered,
+	// the departed ones included, by their addresses.
+	Routers(ctx context.Context) (map[fleet.Address]fleet.Zone, error)
 	// Remove removes the entry of a router that Routers has returned. A router
 	// that is there after all registers again.
 	Remove(ctx context.Context, address fleet.Address) error
@@ -98,7 +98,7 @@
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
-		m.add(seed, now)
+		m.add(seed, zoneUnknown, now)
 	}
 	return m
 }
@@ -170,7 +170,7 @@
 		event.GatePeerHeard.Log(m.options.Logger, logrus.Fields{"peer": router})
 	}
 	for _, address := range beat.Routers {
-		m.add(fleet.Address(address), now)
+		m.add(fleet.Address(address), zoneUnknown, now)
 	}
 	m.local.SetUses(router, m.uses(router))
 	if beat.Sums != nil {
@@ -210,10 +210,10 @@
 				missing = 0
 			}
 		}
-		addresses, err := m.options.Directory.Routers(ctx)
+		zones, err := m.options.Directory.Routers(ctx)
 		m.logFailure(ctx, err)
 		if err == nil {
-			missing = m.takeDirectory(ctx, addresses, missing)
+			missing = m.takeDirectory(ctx, zones, missing)
 		}
 		select {
 		case <-ctx.Done():
@@ -234,17 +234,17 @@
 
 // takeDirectory takes a list of the routers and returns how many in a row have
 // lacked this one. The list may be seconds old, so one that does means nothing.
-func (m *Manager) takeDirectory(ctx context.Context, addresses []fleet.Address, missing int) int {
+func (m *Manager) takeDirectory(ctx context.Context, zones map[fleet.Address]fleet.Zone, missing int) int {
 	now := boottime.Now()
-	for _, address := range addresses {
-		m.add(address, now)
+	for address, zone := range zones {
+		m.add(address, zone, now)
 	}
 	if m.Follows() {
-		for _, gone := range m.gone(addresses, now) {
+		for _, gone := range m.gone(lo.Keys(zones), now) {
 			m.logFailure(ctx, m.options.Directory.Remove(ctx, gone))
 		}
 	}
-	if slices.Contains(addresses, m.options.Address) {
+	if _, listed := zones[m.options.Address]; listed {
 		return 0
 	}
 	return missing + 1
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -214,7 +214,7 @@
 func TestSilentAddressesAreForgotten(t *testing.T) {
 	now := boottime.Now()
 	table := newTable(self, "")
-	if table.add(self, now) || !table.add("a", now) || table.add("a", now) {
+	if table.add(self, "", now) || !table.add("a", "", now) || table.add("a", "", now) {
 		t.Error("addresses are added wrongly")
 	}
 	if got := len(table.targets(now)); got != 1 {
@@ -232,7 +232,7 @@
 func TestRoutersOfALargeFleetAreHeard(t *testing.T) {
 	const size = 350
 	now := boottime.Now()
-	table := newTable(self, "")
+	table := newTable(self, "here")
 	var targets []fleet.Address
 	for i := range size {
 		address := fmt.Sprintf("10.0.%d.%d:1", i/250, i%250)
@@ -323,13 +323,13 @@
 
 // fakeDirectory lists what it is told.
 type fakeDirectory struct {
-	listed    []fleet.Address
+	listed    map[fleet.Address]fleet.Zone
 	announced int
 	removed   []fleet.Address
 }
 
 func (d *fakeDirectory) Announce(context.Context, fleet.Address) error { d.announced++; return nil }
-func (d *fakeDirectory) Routers(context.Context) ([]fleet.Address, error) {
+func (d *fakeDirectory) Routers(context.Context) (map[fleet.Address]fleet.Zone, error) {
 	return d.listed, nil
 }
 func (d *fakeDirectory) Remove(_ context.Context, address fleet.Address) error {
@@ -341,7 +341,7 @@
 // Events: it is cut off for so long that its entry is removed, and comes back.
 // Cause: it registered only once.
 func TestRouterWithoutEntryRegistersAgain(t *testing.T) {
-	directory := &fakeDirectory{listed: []fleet.Address{self}}
+	directory := &fakeDirectory{listed: map[fleet.Address]fleet.Zone{self: "z"}}
 	manager := NewManager(Options{Address: self, Directory: directory, State: knowledge.NewState(), Logger: logrus.New()})
 	missing := manager.takeDirectory(t.Context(), directory.listed, 2)
 	if missing != 0 {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -28,10 +28,16 @@
 	// routers no more than a middling one. In a larger fleet each router hears from
 	// the others more rarely.
 	zoneBeats = 16
-	farBeats  = 6
+	farBeats  = 2
+	// leadBeats are those of a router that follows the store or sums its zone: what
+	// it knows is fresher than what others do.
+	leadBeats = 6
+	// urgentBeats are those of a round that carries a fingerprint: until all have
+	// heard of it, the request goes on breaking backend servers.
+	urgentBeats = 10
 	// routersPerBeat is how many addresses of other routers a beat carries.
 	// They are drawn, so all become known within some beats.
-	routersPerBeat = 3
+	routersPerBeat = 2
 	// beatMost is the size of the largest datagram.
 	beatMost = 60 << 10
 	// brokenRepeats is how many beats tell a router of a fingerprint, as some get
@@ -75,27 +81,45 @@
 		return
 	}
 	same, others := m.zoneTargets(targets)
-	others = turn(others, round, farBeats)
+	same = turn(same, round, zoneBeats)
 	if !m.summing(now) {
-		m.sendBeats(turn(same, round, zoneBeats), common, own, nil)
-		m.sendBeats(others, common, use{}, nil)
+		m.sendBeats(same, common, own, nil)
+		m.sendBeats(turn(others, round, m.farBeats(m.table.Follows())), common, use{}, nil)
 		return
 	}
 	handedOn, covered := m.others(now)
-	m.sendBeats(turn(same, round, zoneBeats), common, own, encodeSums(handedOn, covered))
+	m.sendBeats(same, common, own, encodeSums(handedOn, covered))
 	summers := m.sumTargets(round, now)
+	others = turn(others, round, m.farBeats(true))
 	m.sendBeats(lo.Without(others, summers...), common, use{}, nil)
 	m.sendBeats(summers, common, use{}, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}))
 }
 
-// sumTargets returns where the sums of this zone go in a round.
+// farBeats returns how many beats of a round go to other zones. leads tells that
+// this router follows the store or sums its zone.
+func (m *Manager) farBeats(leads bool) int {
+	switch {
+	case len(m.broken) > 0:
+		return urgentBeats
+	case leads:
+		return leadBeats
+	}
+	return farBeats
+}
+
+// sumTargets returns where the sums of this zone go in a round: to the routers that
+// sum the other zones, and now and then to those that would step in.
 func (m *Manager) sumTargets(round int, now boottime.Instant) []fleet.Address {
 	var targets []fleet.Address
-	for _, summers := range m.summers(now) {
-		if round%standbyRounds != 0 {
-			summers = summers[:1]
+	for zone, summers := range m.summers(now) {
+		acting := summers[0]
+		if told := m.summerOf(zone, now); told != "" {
+			acting = told
+		}
+		targets = append(targets, acting)
+		if round%standbyRounds == 0 {
+			targets = append(targets, lo.Without(summers, acting)...)
 		}
-		targets = append(targets, summers...)
 	}
 	return targets
 }
@@ -160,7 +184,7 @@
 		Revision:    view.Revision,
 		ListAge:     age(view.Listed, now),
 		ContactAge:  age(view.Contact, now),
-		Broken:      m.takeBroken(rounds(targets, farBeats)),
+		Broken:      m.takeBroken(rounds(targets, urgentBeats)),
 		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
 }
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -210,7 +210,7 @@
 	defer t.mu.Unlock()
 	byZone := make(map[fleet.Zone][]fleet.Address)
 	for address, peer := range t.peers {
-		if peer.zone != "" && peer.zone != t.zone && t.hears(peer, now) {
+		if peer.zone != zoneUnknown && peer.zone != t.zone && t.hears(peer, now) {
 			byZone[peer.zone] = append(byZone[peer.zone], address)
 		}
 	}
@@ -221,13 +221,28 @@
 	return byZone
 }
 
+// summerOf returns the router that told the sums of a zone alone last, "" if none
+// did lately.
+func (t *table) summerOf(zone fleet.Zone, now boottime.Instant) fleet.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var newest boottime.Instant
+	var summer fleet.Address
+	for from, told := range t.told {
+		if len(told.zones) == 1 && told.zones[0] == zone && told.at > newest && now.Sub(told.at) <= sumsLife {
+			newest, summer = told.at, from
+		}
+	}
+	return summer
+}
+
 // zoneTargets divides the targets into routers of this zone and others. Routers
 // whose zone is not known yet are among the others.
 func (t *table) zoneTargets(targets []fleet.Address) (same, others []fleet.Address) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, address := range targets {
-		if peer := t.peers[address]; peer != nil && peer.zone != "" && peer.zone == t.zone {
+		if peer := t.peers[address]; peer != nil && peer.zone != zoneUnknown && peer.zone == t.zone {
 			same = append(same, address)
 			continue
 		}
--- a/internal/peering/sums_test.go
+++ b/internal/peering/sums_test.go
@@ -106,7 +106,7 @@
 	}
 	for _, address := range f.addresses() {
 		for _, other := range f.addresses() {
-			f.routers[address].add(other, f.now)
+			f.routers[address].add(other, f.routers[other].options.Zone, f.now)
 		}
 	}
 	return f
@@ -198,7 +198,7 @@
 			delete(f.locals, address)
 		}
 	}
-	f.play(rounds(70, farBeats)*heardRounds + silentTurns + standbyRounds)
+	f.play(int(heardLife/beatInterval) + silentTurns)
 	f.check("after the loss of a summing router")
 }
 
@@ -276,7 +276,7 @@
 	f.play(settled)
 	const print = 99
 	f.locals["10.0.2.3:1"].broken = []uint64{print}
-	f.play(brokenRepeats * rounds(70, farBeats))
+	f.play(brokenRepeats * rounds(70, urgentBeats))
 	for address, local := range f.locals {
 		if address != "10.0.2.3:1" && !slices.Contains(local.told, print) {
 			t.Errorf("%s was not told", address)
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -39,7 +39,7 @@
 	clock       int64            // the newest of the peer's clocks that came
 	heard       boottime.Instant // when it came, 0 for never
 	tried       boottime.Instant // when the address became known
-	zone        fleet.Zone       // "" if it does not tell
+	zone        fleet.Zone       // zoneUnknown until it is told
 	use         use              // as it told last
 	contact     boottime.Instant // when the store answered it, 0 for never
 }
@@ -56,6 +56,7 @@
 	// otherLoads are the loads of the zones that told covers.
 	otherLoads map[uint32]gate.BackendLoad
 	covered    []fleet.Zone
+	inZone     int // routers of this zone that are known
 	most       int // greatest number of routers of late
 	mostAt     boottime.Instant
 	silent     map[fleet.Address]boottime.Instant // since when an entry's router is not heard
@@ -160,24 +161,39 @@
 
 // life returns how long after its last beat a router counts as heard. It grows
 // with the fleet, as the turns get rarer.
-func (t *table) life() time.Duration {
-	rounds := len(t.peers)/farBeats + 1
-	return max(heardLife, time.Duration(rounds*heardRounds)*beatInterval)
+func (t *table) life(peer *peer) time.Duration {
+	turns := 1
+	switch {
+	case peer.zone == t.zone:
+		turns = rounds(t.inZone, zoneBeats)
+	case len(t.peers) > smallFleet:
+		turns = rounds(len(t.peers), farBeats)
+	}
+	return max(heardLife, time.Duration(turns*heardRounds)*beatInterval)
 }
 
 // hears tells whether a router counts as heard.
 func (t *table) hears(peer *peer, now boottime.Instant) bool {
-	return peer.heard != 0 && now.Sub(peer.heard) < t.life()
+	return peer.heard != 0 && now.Sub(peer.heard) < t.life(peer)
 }
 
+// zoneUnknown stands for the zone of a router that is known by its address alone.
+const zoneUnknown fleet.Zone = ""
+
 // add makes an address known. It returns false when it was known.
-func (t *table) add(address fleet.Address, now boottime.Instant) bool {
+func (t *table) add(address fleet.Address, zone fleet.Zone, now boottime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if address == t.self || t.peers[address] != nil {
+	if address == t.self {
 		return false
 	}
-	t.peers[address] = &peer{address: address, tried: now}
+	if known := t.peers[address]; known != nil {
+		if known.zone == zoneUnknown {
+			known.zone = zone
+		}
+		return false
+	}
+	t.peers[address] = &peer{address: address, zone: zone, tried: now}
 	return true
 }
 
@@ -186,12 +202,16 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	targets := make([]fleet.Address, 0, len(t.peers))
+	t.inZone = 0
 	for address, peer := range t.peers {
 		if now.Sub(max(peer.heard, peer.tried)) > addressLife {
 			delete(t.peers, address)
 			continue
 		}
 		targets = append(targets, address)
+		if peer.zone == t.zone {
+			t.inZone++
+		}
 	}
 	return targets
 }
