--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -382,6 +382,34 @@
 	}
 }
 
+// Symptom: a fleet that was killed is not ready for many seconds.
+// Events: all routers call the store at once, and it turns most calls away; some get
+// the configuration, others the list of backend servers.
+// Cause: only a router that had both told anything.
+func TestRouterTellsWhatItKnowsSoFar(t *testing.T) {
+	configured, listed, asking := knowledge.NewState(), knowledge.NewState(), knowledge.NewState()
+	now := boottime.Now()
+	configured.SetConfiguration(&knowledge.Configuration{Version: 4}, now)
+	listed.SetBackends([]knowledge.Backend{{ID: "i", Service: "s", Address: "10.0.0.1:1"}}, 7, now)
+	puller := newPuller(asking, "", logrus.New())
+	for _, told := range []*knowledge.State{configured, listed} {
+		reply, err := (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := puller.apply(reply, boottime.Now()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	view := asking.View()
+	if !view.Ready() || view.Version() != 4 || len(view.Backends) != 1 || view.Listed > boottime.Now() {
+		t.Errorf("version %d, %d backend servers, listed %v", view.Version(), len(view.Backends), view.Listed)
+	}
+	if _, err := (&server{state: knowledge.NewState()}).Pull(t.Context(), &peeringpb.PullRequest{}); err == nil {
+		t.Error("a router that knows nothing answers")
+	}
+}
+
 // Symptom: bytes between routers grow with the square of the fleet.
 // Events: a backend server joins a long list.
 // Cause: each router that does not follow the store took the whole list.
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -123,6 +123,9 @@
 		}
 		p.state.SetConfiguration(&configuration, confirmedAt(asked, reply.ConfigAge))
 	}
+	if reply.ListAge < 0 {
+		return nil // it has no list yet
+	}
 	if view := p.state.View(); len(reply.Backends) == 0 && reply.Revision == view.Revision {
 		// The same revision means the same list, of which only the age is new.
 		p.state.ConfirmBackends(view.Digest, confirmedAt(asked, reply.ListAge))
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -19,10 +19,12 @@
 	state *knowledge.State
 }
 
-// Pull implements peeringpb.Knowledge.
+// Pull implements peeringpb.Knowledge. A router that knows one of the two tells it:
+// when a whole fleet starts and the store turns calls away, some have the
+// configuration first and others the list, and all wait for a router that has both.
 func (s *server) Pull(_ context.Context, request *peeringpb.PullRequest) (*peeringpb.PullReply, error) {
 	view := s.state.View()
-	if !view.Ready() {
+	if view.Index == nil && view.Listed == 0 {
 		return nil, twirp.NewError(twirp.Unavailable, "nothing is known yet")
 	}
 	now := boottime.Now()
@@ -38,7 +40,7 @@
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
-	if view.Revision != request.Revision {
+	if view.Listed != 0 && view.Revision != request.Revision {
 		if reply.Backends, err = json.Marshal(listed(view)); err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
