--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -25,10 +25,9 @@
 	// overloadedFrom is the average lag from which the router leaves callers
 	// to others. A request waits for its turn several times.
 	overloadedFrom = 30 * time.Millisecond
-	// pendingFrom is the lag from which a measurement that is not over yet
-	// counts as overload, and callers wait to be accepted. At 25 ms so few are
-	// accepted that the overload is never noticed; at 150 ms requests in hand
-	// stand for seconds.
+	// pendingFrom is the lag from which a measurement that is not over yet counts
+	// as overload, and callers are turned away. At 150 ms requests in hand stand
+	// for seconds.
 	pendingFrom = 40 * time.Millisecond
 	// relievedAt is the average lag at which it takes callers again.
 	relievedAt = 10 * time.Millisecond
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -84,20 +84,20 @@
 	same = turn(same, round, zoneBeats)
 	if !m.summing(now) {
 		m.sendBeats(same, common, own, nil)
-		m.sendBeats(turn(others, round, m.farBeats(m.table.Follows())), common, use{}, nil)
+		m.sendBeats(turn(others, round, m.beatsToOthers(m.table.Follows())), common, use{}, nil)
 		return
 	}
 	handedOn, covered := m.others(now)
 	m.sendBeats(same, common, own, encodeSums(handedOn, covered))
 	summers := m.sumTargets(round, now)
-	others = turn(others, round, m.farBeats(true))
+	others = turn(others, round, m.beatsToOthers(true))
 	m.sendBeats(lo.Without(others, summers...), common, use{}, nil)
 	m.sendBeats(summers, common, use{}, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}))
 }
 
-// farBeats returns how many beats of a round go to other zones. leads tells that
-// this router follows the store or sums its zone.
-func (m *Manager) farBeats(leads bool) int {
+// beatsToOthers returns how many beats of a round go to other zones. leads tells
+// that this router follows the store or sums its zone.
+func (m *Manager) beatsToOthers(leads bool) int {
 	switch {
 	case len(m.broken) > 0:
 		return urgentBeats
--- a/internal/shares/capacity.go
+++ b/internal/shares/capacity.go
@@ -28,28 +28,28 @@
 // something of the engines.
 const leastTested = 0.2
 
-// test tells for which part of the sums' memory the engines were put to the test:
+// exposure tells for which part of the sums' memory the engines were put to the test:
 // callers were let in, and asked for more than the stated capacity. What accounts
 // got in the rest of the time is little because nobody could be let in or nobody
 // asked for more. Taken for what engines can do, it had them count as wholly
 // short for three seconds after each outage of the store, with 594, 476 and 344
 // requests refused as busy before empty engines.
-type test struct {
+type exposure struct {
 	part float64 // decayed, as of at
 	on   bool    // since at
 	at   boottime.Instant
 }
 
 // note takes whether the engines are put to the test from now on.
-func (t *test) note(on bool, now boottime.Instant) {
-	if t.at != 0 {
-		left := decayFactor(now.Sub(t.at))
-		t.part *= left
-		if t.on {
-			t.part += 1 - left
+func (e *exposure) note(on bool, now boottime.Instant) {
+	if e.at != 0 {
+		left := decayFactor(now.Sub(e.at))
+		e.part *= left
+		if e.on {
+			e.part += 1 - left
 		}
 	}
-	t.on, t.at = on, now
+	e.on, e.at = on, now
 }
 
 // observed returns the capacity to divide, and how short the engines are of the
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -76,7 +76,7 @@
 	whole    float64 // level of all that accounts got, idle capacity included
 	shortage float64
 	levelAt  boottime.Instant
-	tested   test
+	tested   exposure
 
 	// Observe tells to divide what the engines take when that is less than the
 	// stated capacity.
