--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/selection"
 )
 
 // The load that this file answers: more prompts arrive than engines read. What
@@ -20,10 +22,6 @@
 	Engines int
 }
 
-// homeEngines are the engines that share a prompt's parts, the preferred one and
-// the next.
-const homeEngines = 2
-
 const (
 	// leastUrgency bounds the parts of many priorities, so that none starves.
 	leastUrgency = 0.5
@@ -44,9 +42,9 @@
 		part *= s.SurplusShare
 	}
 	part *= 1 - shortPreference*facts.Standing.Shortage*min(facts.Standing.Got, 1)
-	engines := homeEngines
+	engines := selection.Homes
 	if tier == TierOwed {
-		engines = max(s.OwedEngines, homeEngines)
+		engines = max(s.OwedEngines, selection.Homes)
 	}
 	return Bounds{Budget: share(facts.Target, part), Slots: s.SlotShare, Memory: s.MemoryShare, Engines: engines}
 }
@@ -71,7 +69,7 @@
 		Slots:  s.IdleSlots,
 		Memory: s.IdleMemory,
 
-		Engines: homeEngines,
+		Engines: selection.Homes,
 	}
 }
 
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -53,9 +53,9 @@
 	Fits   bool          // within all limits
 }
 
-// homes is how many engines of a key's order share its prompt parts. More would
+// Homes is how many engines of a key's order share its prompt parts. More would
 // each read them anew.
-const homes = 2
+const Homes = 2
 
 // Model chooses an engine for the demand among so many candidates in the order
 // of its key; engine returns one by its place. It is the one that the key
@@ -67,13 +67,13 @@
 // a key, so its parts are read at few of them.
 func Model(candidates int, engine func(place int) Engine, demand Demand, limits Limits) Choice {
 	var best Choice
-	for place := range min(candidates, homes) {
+	for place := range min(candidates, Homes) {
 		choice := evaluate(engine(place), demand, limits, place)
 		if place == 0 || better(choice, best) {
 			best = choice
 		}
 	}
-	for place := homes; place < candidates && !best.Fits; place++ {
+	for place := Homes; place < candidates && !best.Fits; place++ {
 		if choice := evaluate(engine(place), demand, limits, place); choice.Fits {
 			return choice
 		}
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -180,7 +180,7 @@
 	list[1].Running, list[1].Pending = 5, 10_000
 	looked := 0
 	choice := Model(len(list), func(place int) Engine { looked++; return list[place] }, Demand{Own: 500, Budget: time.Second}, limits)
-	if choice.Place != 1 || looked != homes {
+	if choice.Place != 1 || looked != Homes {
 		t.Errorf("%+v after %d looks", choice, looked)
 	}
 }
