--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -56,7 +56,7 @@
 
 // asked counts a request that has arrived.
 func (a *admission) asked(request *Request) {
-	if request.Account == nil || request.Prompt.Tokens == 0 {
+	if !request.takesShare() {
 		return
 	}
 	a.mu.Lock()
@@ -70,14 +70,13 @@
 	if request.Prompt.Tokens == 0 {
 		return true
 	}
-	standing := a.standing(request, view.Index.Configuration.Limits.TokensPerSecond, boottime.Now())
-	return standing.Got <= 1
+	return a.standing(request, view.Index.Configuration.Limits.TokensPerSecond, boottime.Now()).Owed()
 }
 
 // shut notes that a request was turned away for another reason than what its
 // engines can do: what accounts get meanwhile says nothing of the engines.
 func (a *admission) shut(request *Request) {
-	if request.Account == nil || request.Prompt.Tokens == 0 {
+	if !request.takesShare() {
 		return
 	}
 	a.mu.Lock()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -81,7 +81,8 @@
 	// What is refused counts too: the others would else use the account's part.
 	h.admission.asked(request)
 	h.records.tally.asked(request)
-	if !h.lag.takes(received, h.admission.owed(request, view), rand.Float64()) {
+	owed := func() bool { return h.admission.owed(request, view) }
+	if !h.lag.takes(received, owed, rand.Float64()) {
 		// Requests in progress would not get on if more were taken.
 		retry := h.admission.retryAfter(request)
 		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry})
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -148,12 +148,16 @@
 // takes tells whether a request is taken. drawn is uniform in [0, 1). What goes
 // beyond the shares is cut first, and what is owed only once nothing else is
 // taken any more: a flood from one account must not cost others what is theirs.
-func (m *lagMeter) takes(now boottime.Instant, owed bool, drawn float64) bool {
+// owed is asked only while something is cut.
+func (m *lagMeter) takes(now boottime.Instant, owed func() bool, drawn float64) bool {
 	if m.stands(now) {
 		return false
 	}
 	share := m.share()
-	if owed {
+	switch {
+	case share >= 1:
+		return true
+	case owed():
 		return drawn < share/cutOwed
 	}
 	return drawn < (share-cutOwed)/(1-cutOwed)
--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -22,6 +22,10 @@
 	return newLagMeter(logger, prometheus.NewRegistry())
 }
 
+// owed and beyond are requests within and beyond their accounts' shares.
+func owed() bool   { return true }
+func beyond() bool { return false }
+
 // notes gives the meter so many looks of the lag and returns the time after.
 func notes(m *lagMeter, count int, lag time.Duration, now boottime.Instant) boottime.Instant {
 	for range count {
@@ -71,7 +75,7 @@
 func TestOverloadedRouterTakesWhatItCan(t *testing.T) {
 	m := testLagMeter()
 	now := notes(m, 200, 150*time.Millisecond, boottime.Now())
-	if m.share() != shareLeast || m.takes(now, false, 0) || !m.takes(now, true, 0) {
+	if m.share() != shareLeast || m.takes(now, beyond, 0) || !m.takes(now, owed, 0) {
 		t.Errorf("the share of requests taken is %v after a long overload, want the least, all of it for what is owed", m.share())
 	}
 	now = notes(m, 30, 0, now)
@@ -79,7 +83,7 @@
 		t.Errorf("the share of requests taken is %v while the overload ends", share)
 	}
 	now = notes(m, 100, 0, now)
-	if !m.takes(now, false, 0.999) {
+	if !m.takes(now, beyond, 0.999) {
 		t.Error("requests are refused long after the overload")
 	}
 }
@@ -93,15 +97,15 @@
 	now := boottime.Now()
 	for _, share := range []float64{1, 0.8, 0.5} {
 		m.setShare(share)
-		if !m.takes(now, true, 0.999) {
+		if !m.takes(now, owed, 0.999) {
 			t.Errorf("what is owed is refused while a share of %v is taken", share)
 		}
 	}
-	if m.takes(now, false, 0.001) {
+	if m.takes(now, beyond, 0.001) {
 		t.Error("something beyond the shares is taken while only what is owed fits")
 	}
 	m.setShare(shareLeast)
-	if m.takes(now, true, 0.999) || !m.takes(now, true, 0.1) {
+	if m.takes(now, owed, 0.999) || !m.takes(now, owed, 0.1) {
 		t.Error("what is owed is not cut in its turn")
 	}
 }
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -45,7 +45,7 @@
 			Pending: choice.Tokens,
 			Memory:  demand.Own + demand.Shared + demand.Output,
 		},
-		pending: engine(choice.Place).Pending + choice.Tokens,
+		pending: choice.Before + choice.Tokens,
 		model:   true,
 		tier:    tier,
 		inputs:  inputs,
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -85,6 +85,10 @@
 	return float64(p.Tokens + generatedWeight*output)
 }
 
+// takesShare tells whether the request takes of what accounts share: it asks a model
+// for something, with a key.
+func (r *Request) takesShare() bool { return r.Account != nil && r.Prompt.Tokens > 0 }
+
 // Idempotent tells whether the request may run more than once.
 func (r *Request) Idempotent() bool { return r.Route.Repeat != knowledge.RepeatNever }
 
--- a/internal/gate/tally.go
+++ b/internal/gate/tally.go
@@ -58,7 +58,7 @@
 
 // asked counts a request that has arrived.
 func (t *tally) asked(request *Request) {
-	if request.Account == nil || request.Prompt.Tokens == 0 {
+	if !request.takesShare() {
 		return
 	}
 	t.mu.Lock()
@@ -93,7 +93,7 @@
 		default:
 			route.InTime++
 		}
-		if success && request.Account != nil && request.Prompt.Tokens > 0 {
+		if success && request.takesShare() {
 			t.account(request.Account.Name).Served += int64(request.Prompt.Cost())
 		}
 	})
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -180,7 +180,7 @@
 		m.local.HeardBroken(router, fingerprint)
 	}
 	m.confirm(beat, now)
-	m.puller.consider(ctx, router, beat, m.alone(now), now)
+	m.puller.consider(ctx, router, beat, m.alone, now)
 }
 
 // confirm takes the freshness of what both routers know. The peer sent the
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -65,7 +65,7 @@
 
 // consider takes knowledge from the router of the beat when it has newer. alone
 // tells that no other router of this zone is heard.
-func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, alone bool, now boottime.Instant) {
+func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, alone func(now boottime.Instant) bool, now boottime.Instant) {
 	view := p.state.View()
 	newer := beat.Version > view.Version() || (beat.Revision > view.Revision && beat.Digest != view.Digest)
 	own := now.Sub(view.Listed)
@@ -73,7 +73,7 @@
 	if !newer && !fresher {
 		return
 	}
-	hasty := alone || !view.Ready() || fleet.Zone(beat.Zone) == p.zone
+	hasty := !view.Ready() || fleet.Zone(beat.Zone) == p.zone || alone(now)
 	if !hasty && !p.waited(now) {
 		return
 	}
--- a/internal/policy/tier.go
+++ b/internal/policy/tier.go
@@ -51,6 +51,9 @@
 	Shortage float64
 }
 
+// Owed tells whether the request is within its account's share.
+func (s Standing) Owed() bool { return s.Got <= 1 }
+
 // Facts are what a request's tier and bounds rest on.
 type Facts struct {
 	Standing Standing
@@ -66,7 +69,7 @@
 // Tier returns the tier of a request. draw is a random number in [0, 1).
 func (s *Settings) Tier(facts Facts, draw float64) Tier {
 	switch {
-	case facts.Standing.Got <= 1:
+	case facts.Standing.Owed():
 		return TierOwed
 	case facts.Again, draw < s.surplusOdds(facts):
 		return TierSurplus
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -48,6 +48,7 @@
 type Choice struct {
 	Place  int           // of the engine among the candidates
 	Tokens float64       // prompt tokens that the engine is expected to read
+	Before float64       // prompt tokens that wait there already
 	Ahead  time.Duration // expected until the prompts ahead are read
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
@@ -99,7 +100,7 @@
 	rate := max(limits.Rate, 1)
 	ahead := time.Duration(engine.Pending / rate * float64(time.Second))
 	own := time.Duration(tokens / rate * float64(time.Second))
-	choice := Choice{Place: place, Tokens: tokens, Ahead: ahead, Wait: ahead + own}
+	choice := Choice{Place: place, Tokens: tokens, Before: engine.Pending, Ahead: ahead, Wait: ahead + own}
 	// Elsewhere the request's own length does not count: with it, long prompts
 	// would be refused whenever anything else waits.
 	counted := ahead
