Ask again whether the caller is there once a connection has been opened

Cause, by elimination and not by a trace: the caller is looked for right before a request is sent, by a peek at its socket, but a connection may have to be opened after that, and on a busy processor its goroutine waits for seconds for its turn. Ruled out: a wait before the look (the peek would show the close), an end that the server has read already (its context has ended then).

Change: Request.Abandoned is asked after the connection is there; nothing is sent, the backend server is not taken for broken. The test failed first (the request arrived).

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -36,6 +36,8 @@
 	Mine func(header http.Header) bool
 	// MaxConnections bounds the connections to the backend server.
 	MaxConnections int
+	// Abandoned tells whether nobody waits for the answer any more; nil for never.
+	Abandoned func() bool
 }
 
 // Answer is the head of an answer and the means to read its body.
@@ -56,6 +58,9 @@
 	ended    bool
 }
 
+// ErrAbandoned tells that the caller left before anything was sent.
+var ErrAbandoned = errors.New("the caller has left")
+
 // Do sends the request to the address and returns the head of its answer. The
 // caller must Close the answer. Once the context ends, the connection is
 // closed, which makes the backend server stop.
@@ -68,6 +73,10 @@
 		p.discard(address, c)
 		return nil, failed(ctx.Err(), ProgressNone, fleet.StepSend, address)
 	}
+	if request.Abandoned != nil && request.Abandoned() {
+		p.discard(address, c)
+		return nil, failed(ErrAbandoned, ProgressNone, fleet.StepSend, address)
+	}
 	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
 	written := new(atomic.Bool)
 	if err := write(c, request, written); err != nil {
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -296,6 +296,31 @@
 	}
 }
 
+// Symptom: requests reach backend servers seconds after their callers have left.
+// Events: a router's processor is busy; a connection is opened for a request, and its
+// goroutine waits for its turn; the caller leaves meanwhile.
+// Cause: whether the caller was there was asked before the connection was opened only.
+func TestNothingIsSentForACallerThatLeftWhileConnecting(t *testing.T) {
+	received := make(chan int, 1)
+	server := serve(t, func(conn net.Conn, _ *bufio.Reader) {
+		n, _ := conn.Read(make([]byte, 1))
+		received <- n
+	})
+	request := ask("1")
+	request.Abandoned = func() bool { return true }
+	pool := NewPool()
+	_, err := pool.Do(t.Context(), server.address, request)
+	if !errors.Is(err, ErrAbandoned) || ProgressOf(err) != ProgressNone {
+		t.Errorf("%v, want word that nothing was sent", err)
+	}
+	if n := <-received; n != 0 {
+		t.Error("the backend server got something")
+	}
+	if open := pool.Open(server.address); open != 0 {
+		t.Errorf("%d connections are counted", open)
+	}
+}
+
 func TestConnectionsAreBounded(t *testing.T) {
 	hold := make(chan struct{})
 	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -143,11 +143,10 @@
 	h := r.handler
 	if callerLeft(ctx) {
 		h.admission.ended(r.request, placed, false)
-		h.records.callerGone(r.request)
-		return verdictDone
+		return r.callerGone()
 	}
 	sent := boottime.Now()
-	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(placed, sent))
+	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(ctx, placed, sent))
 	if err != nil {
 		return r.sendFailed(ctx, placed, err)
 	}
@@ -176,7 +175,7 @@
 	return r.relayWhole(ctx, placed, answer, reply, sent)
 }
 
-func (r *run) outgoing(placed *placement, now boottime.Instant) *backendconn.Request {
+func (r *run) outgoing(ctx context.Context, placed *placement, now boottime.Instant) *backendconn.Request {
 	forward := &Forward{
 		Request:   r.request,
 		Backend:   placed.backend,
@@ -195,6 +194,9 @@
 		Body:           r.request.Body,
 		Mine:           r.mine,
 		MaxConnections: r.maxConnections(placed.backend),
+		// On a busy processor a connection that has been opened waits for seconds
+		// for its turn, and the caller may leave meanwhile.
+		Abandoned: func() bool { return callerLeft(ctx) },
 	}
 }
 
@@ -229,6 +231,9 @@
 	h := r.handler
 	unsent := backendconn.ProgressOf(err) == backendconn.ProgressNone
 	h.admission.ended(r.request, placed, !unsent)
+	if errors.Is(err, backendconn.ErrAbandoned) {
+		return r.callerGone()
+	}
 	h.records.sendFailed(r.request, placed.backend, err)
 	if unsent {
 		r.connects++
