Evacuated availability zones get nothing: followed, told by beats, known before the first answer

Cause: the operator's evacuations are objects of a kind that nothing followed.

Change: the kind is followed like the list of backend servers, in force in its own bound; every beat carries the zones whole with the store's revision and their age, so that a router which the store does not reach, or which has just started, knows them with its first beat. A router is not ready before it knows them. Nothing is sent there, no kept part is fetched from there, and a service that is left without a zone is refused at once with its own reason (evacuated). Event 2126, a gauge, bluebell_gate_evacuated_zones.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -97,7 +97,7 @@
 		follower: platform.NewFollower(
 			do.MustInvoke[*platform.Store](injector),
 			do.MustInvoke[*knowledge.State](injector),
-			platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke},
+			platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke, Evacuate: config.Bounds.Evacuate},
 			do.MustInvoke[*peering.Manager](injector),
 			do.MustInvoke[logrus.FieldLogger](injector),
 		),
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -28,5 +28,6 @@
 	GateTally        = Event{2124, logrus.InfoLevel, "requests of the last second"}
 	GateTurnedAway   = Event{2125, logrus.WarnLevel, "connections were turned away"}
 	GateReborn       = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
+	GateEvacuated    = Event{2126, logrus.WarnLevel, "evacuated availability zones changed"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -90,7 +91,7 @@
 	usable := a.usable(view, request.Service, excluded)
 	if len(usable) == 0 {
 		a.shut(request)
-		return nil, a.refuse(request, ReasonNoBackend)
+		return nil, a.refuse(request, whyNone(view, request.Service))
 	}
 	if request.Prompt.Tokens > 0 {
 		return a.placeModel(request, view, usable, len(excluded) > 0)
@@ -98,6 +99,17 @@
 	return a.placePlain(usable), nil
 }
 
+// whyNone returns why no backend server of the service may take a request.
+func whyNone(view *knowledge.View, service fleet.Service) Reason {
+	evacuated := lo.CountBy(view.ByService[service], func(backend *knowledge.Backend) bool {
+		return view.Evacuations.Has(backend.Zone)
+	})
+	if evacuated > 0 && evacuated == len(view.ByService[service]) {
+		return ReasonEvacuated
+	}
+	return ReasonNoBackend
+}
+
 func (a *admission) refuse(request *Request, reason Reason) *Refusal {
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: reason, RetryAfter: a.retryAfter(request)}
 }
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -57,6 +57,7 @@
 	Revoke      time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
 	Apply       time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
 	Leave       time.Duration `key:"leave" default:"2s" min:"200ms" doc:"From a backend server's leaving until it gets no request."`
+	Evacuate    time.Duration `key:"evacuate" default:"0s" min:"0s" doc:"From an order to evacuate an availability zone until its backend servers get no request; 0 where zones are not evacuated."`
 	RetryRatio  float64       `key:"retry_ratio" default:"0.2" min:"0" doc:"Second sends per request to a service, over all routers."`
 	RetryExtra  float64       `key:"retry_extra" default:"50" min:"0" doc:"Second sends to a service beyond that in a window, over all routers."`
 	RetryWindow time.Duration `key:"retry_window" default:"10s" min:"100ms" doc:"Window of the two keys above."`
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -43,6 +43,7 @@
 	ReasonBusy         Reason = "busy"
 	ReasonShare        Reason = "over-share"
 	ReasonNoBackend    Reason = "no-backend"
+	ReasonEvacuated    Reason = "evacuated" // all zones with backend servers of the service are
 	ReasonDeclined     Reason = "declined"
 	ReasonBroken       Reason = "broken"
 	ReasonBadAnswer    Reason = "bad-answer"
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -108,6 +108,7 @@
 		m.entry.apply(view.Index.Configuration.Limits)
 		event.GateVersion.Log(m.options.Logger, logrus.Fields{"version": view.Version(), "before": before.Version()})
 	}
+	m.logEvacuations(before, view)
 	m.logBackends(before, view)
 	m.forgetDead(before, view)
 	m.handler.admission.loads.keep(view.Backends)
@@ -212,6 +213,24 @@
 	}
 }
 
+// logEvacuations tells of a change of the evacuated zones. A zone without backend
+// servers is named too: it is probably a slip of the operator's.
+func (m *Manager) logEvacuations(before, view *knowledge.View) {
+	added, taken := lo.Difference(view.Evacuations.Zones, before.Evacuations.Zones)
+	if len(added)+len(taken) == 0 {
+		return
+	}
+	m.handler.metrics.evacuated(len(view.Evacuations.Zones))
+	empty := lo.Filter(added, func(zone fleet.Zone, _ int) bool { return !hasBackends(view, zone) })
+	event.GateEvacuated.Log(m.options.Logger, logrus.Fields{
+		"added": added, "taken_back": taken, "without_backends": empty, "revision": view.Evacuations.Revision,
+	})
+}
+
+func hasBackends(view *knowledge.View, zone fleet.Zone) bool {
+	return lo.SomeBy(lo.Values(view.Backends), func(backend *knowledge.Backend) bool { return backend.Zone == zone })
+}
+
 func (m *Manager) logBackends(before, view *knowledge.View) {
 	added, removed := lo.Difference(lo.Keys(view.Backends), lo.Keys(before.Backends))
 	var leaving []string
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -13,6 +13,7 @@
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	first    prometheus.Histogram
+	zones    prometheus.Gauge // evacuated
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -31,7 +32,11 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
 		}),
 	}
-	registerer.MustRegister(m.answers, m.refusals, m.first)
+	m.zones = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "bluebell_gate_evacuated_zones",
+		Help: "Availability zones whose backend servers get no new requests.",
+	})
+	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones)
 	return m
 }
 
@@ -43,6 +48,8 @@
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
 }
 
+func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
+
 func (m *metrics) firstEvent(took time.Duration) {
 	m.first.Observe(took.Seconds())
 }
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -23,7 +23,9 @@
 	}
 	for service, group := range v.ByService {
 		slices.SortFunc(group, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
-		v.Serving[service] = lo.Filter(group, func(backend *Backend, _ int) bool { return !backend.Leaving })
+		v.Serving[service] = lo.Filter(group, func(backend *Backend, _ int) bool {
+			return !backend.Leaving && !v.Evacuations.Has(backend.Zone)
+		})
 	}
 	v.Digest = digest(backends)
 }
--- /dev/null
+++ b/internal/knowledge/evacuations.go
@@ -0,0 +1,114 @@
+package knowledge
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// Evacuations are the availability zones whose backend servers get no new
+// requests, as the operator has ordered.
+type Evacuations struct {
+	Zones    []fleet.Zone // sorted
+	Revision uint64       // of the store at which these were the zones
+	// Confirmed is a moment at which these were still the zones, 0 before any were
+	// told.
+	Confirmed boottime.Instant
+	// Returned tells when this router heard that a zone was taken back into use.
+	// Its backend servers may have started again meanwhile.
+	Returned map[fleet.Zone]boottime.Instant
+}
+
+// Has tells whether the zone is evacuated.
+func (e *Evacuations) Has(zone fleet.Zone) bool {
+	_, found := slices.BinarySearch(e.Zones, zone)
+	return found
+}
+
+// returnedLife is how long a zone is remembered as taken back: longer than backend
+// servers take to become warm.
+const returnedLife = 30 * time.Second
+
+// returnedSlack is how much later than known another router must say that a zone
+// was taken back to be believed. Beats are late by their way, and two routers that
+// took each other's word would shift the moment on for ever.
+const returnedSlack = 5 * time.Second
+
+// ExpectEvacuations tells that the operator may evacuate zones, so that no request
+// is answered before it is known which are. A router that started would else send
+// requests into an evacuated zone until its first answer of the store.
+func (s *State) ExpectEvacuations() {
+	s.update(func(view *View) bool {
+		view.expectEvacuations = true
+		return false
+	})
+}
+
+// SetEvacuations takes the zones that were evacuated at the revision. confirmed is a
+// moment at which they still were, 0 if unknown. Zones of an older revision than the
+// known ones are ignored.
+func (s *State) SetEvacuations(zones []fleet.Zone, revision uint64, confirmed boottime.Instant) {
+	zones = lo.Uniq(slices.Sorted(slices.Values(zones)))
+	s.update(func(view *View) bool {
+		known := &view.Evacuations
+		if revision < known.Revision {
+			return false
+		}
+		before := known.Zones
+		known.Revision = revision
+		known.Confirmed = max(known.Confirmed, confirmed)
+		if slices.Equal(before, zones) {
+			return false
+		}
+		taken, _ := lo.Difference(before, zones)
+		now := boottime.Now()
+		known.Returned = withReturned(known.Returned, lo.SliceToMap(taken, func(zone fleet.Zone) (fleet.Zone, boottime.Instant) { return zone, now }), now)
+		known.Zones = zones
+		view.setBackends(view.Backends)
+		return true
+	})
+}
+
+// ConfirmEvacuations tells that these were still all evacuated zones at the moment.
+// It does nothing when others are known by now.
+func (s *State) ConfirmEvacuations(zones []fleet.Zone, confirmed boottime.Instant) {
+	s.update(func(view *View) bool {
+		if slices.Equal(view.Evacuations.Zones, slices.Sorted(slices.Values(zones))) {
+			view.Evacuations.Confirmed = max(view.Evacuations.Confirmed, confirmed)
+		}
+		return false
+	})
+}
+
+// HearReturned takes from another router when zones were taken back. A router that
+// has just started did not see it itself.
+func (s *State) HearReturned(returned map[fleet.Zone]boottime.Instant) {
+	known := s.View().Evacuations.Returned
+	news := lo.PickBy(returned, func(zone fleet.Zone, at boottime.Instant) bool {
+		return at.Sub(known[zone]) > returnedSlack
+	})
+	if len(news) == 0 {
+		return
+	}
+	s.update(func(view *View) bool {
+		view.Evacuations.Returned = withReturned(view.Evacuations.Returned, news, boottime.Now())
+		return false
+	})
+}
+
+// withReturned returns the known zones with the news, without those that were taken
+// back long ago.
+func withReturned(known, news map[fleet.Zone]boottime.Instant, now boottime.Instant) map[fleet.Zone]boottime.Instant {
+	merged := maps.Clone(known)
+	if merged == nil {
+		merged = make(map[fleet.Zone]boottime.Instant)
+	}
+	maps.Copy(merged, news)
+	maps.DeleteFunc(merged, func(_ fleet.Zone, at boottime.Instant) bool { return now.Sub(at) > returnedLife })
+	return merged
+}
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -21,15 +21,20 @@
 
 	Backends  map[string]*Backend          // by ID
 	ByService map[fleet.Service][]*Backend // in the order of their IDs
-	Serving   map[fleet.Service][]*Backend // those that don't leave
+	Serving   map[fleet.Service][]*Backend // those that neither leave nor are evacuated
 	Digest    uint64                       // of the list of backend servers, to compare it with another router's
 	Revision  uint64                       // of the list of backend servers
 	Listed    boottime.Instant             // a moment at which the list was complete
 	Absent    map[string]boottime.Instant  // when a listed backend server was first missed
+
+	Evacuations       Evacuations
+	expectEvacuations bool
 }
 
 // Ready tells whether requests can be answered at all.
-func (v *View) Ready() bool { return v.Index != nil && v.Listed != 0 }
+func (v *View) Ready() bool {
+	return v.Index != nil && v.Listed != 0 && (v.Evacuations.Confirmed != 0 || !v.expectEvacuations)
+}
 
 // Version returns the version of the configuration, 0 for none.
 func (v *View) Version() uint64 {
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -189,6 +189,10 @@
 func (m *Manager) confirm(beat *peeringpb.Beat, now boottime.Instant) {
 	echo := boottime.Instant(echoIn(beat, m.options.Address))
 	if echo < m.started || echo > now {
+		echo = 0
+	}
+	takeEvacuations(m.options.State, beat.Evacuations, echo, now)
+	if echo == 0 {
 		return
 	}
 	if beat.ConfigAge >= 0 {
--- a/internal/peering/operation.go
+++ b/internal/peering/operation.go
@@ -28,6 +28,7 @@
 		Running:   uint32(status.Running),
 		Follows:   o.manager.Follows(),
 		Uses:      reportUses(o.manager.local.Uses()),
+		Evacuated: zoneNames(view.Evacuations.Zones),
 	}
 	return reply, nil
 }
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -184,6 +184,7 @@
 		Revision:    view.Revision,
 		ListAge:     age(view.Listed, now),
 		ContactAge:  age(view.Contact, now),
+		Evacuations: encodeEvacuations(&view.Evacuations, now),
 		Broken:      m.takeBroken(rounds(targets, urgentBeats)),
 		Routers:     lo.Map(lo.Samples(m.heard(now), routersPerBeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -86,11 +86,7 @@
 }
 
 func encodeSums(told use, zones []fleet.Zone) *peeringpb.Sums {
-	encoded := &peeringpb.Sums{Uses: encodeUses(told.uses), Loads: encodeLoads(told.loads)}
-	for _, zone := range zones {
-		encoded.Zones = append(encoded.Zones, string(zone))
-	}
-	return encoded
+	return &peeringpb.Sums{Zones: zoneNames(zones), Uses: encodeUses(told.uses), Loads: encodeLoads(told.loads)}
 }
 
 // takeSums takes the sums of a beat, nil if it has none. Sums that hold this zone
