Cold backend servers get no more than their bound of all routers together

Cause: nothing bounded what a server gets that has just started. 21 to 24 requests arrived in a second where 20 may, and engines fell over. Ruled out: late knowledge of new servers (entries say that they are cold from the first; nobody sends to a server that it does not know).

Change: package slowstart. Each router knows its part of a server's bound by itself: the routers that it knows, in the order of a hash by server, the first ones with a request or more each in 1.2 s, together rate x overshoot. The slack is for routers that do not know of each other for a moment. Silent routers keep their part; a router takes none in its first two seconds. Requests count when they are sent, not when they are placed. Cold is what an entry says, what an answer's header says, a server whose connections can't be opened, and each server of a zone that is taken back. Answers of cold engines teach nothing. Weighed against it: a static split by the number of routers (21 routers with one request each in any second are 21 already, above the bound of 20), tokens lent on beats (a lender that is cut off or killed must be waited for, and each server needs one).

Tests: a property over drawn fleets of 1 to 60 routers that freeze, wake, join and start again, also unknown to some; each sign of a cold server; bad input (negative, huge, of another type). bluebellctl router evacuations.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -38,6 +38,8 @@
 	MaxConnections int
 	// Abandoned tells whether nobody waits for the answer any more; nil for never.
 	Abandoned func() bool
+	// Sending is called right before the first byte is sent; nil for nothing.
+	Sending func()
 }
 
 // Answer is the head of an answer and the means to read its body.
@@ -77,6 +79,9 @@
 		p.discard(address, c)
 		return nil, failed(ErrAbandoned, ProgressNone, fleet.StepSend, address)
 	}
+	if request.Sending != nil {
+		request.Sending()
+	}
 	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
 	written := new(atomic.Bool)
 	if err := write(c, request, written); err != nil {
--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -49,6 +49,7 @@
 		{"router", "See to the routers on the platform", []entry{
 			{"list", "Show the routers", &routerList{}},
 			{"drain", "Let a router leave new callers to the others", &routerDrain{}},
+			{"evacuations", "Show the evacuated availability zones and where that is in force", &evacuationList{}},
 			{"orders", "Show who gave which order to a router, when and why", &routerOrders{}},
 		}},
 	}
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -52,6 +52,8 @@
 	NotReady string        `json:"not_ready,omitempty"`
 	Error    string        `json:"error,omitempty"` // why it does not answer
 
+	Evacuated []fleet.Zone `json:"evacuated,omitempty"` // zones to which it sends nothing
+
 	uses []*peeringpb.AccountUse
 }
 
@@ -104,6 +106,7 @@
 	r.VM, r.Zone = reply.Vm, fleet.Zone(reply.Zone)
 	r.Version, r.Age = reply.Version, time.Duration(reply.ConfigAge)
 	r.Backends, r.Running, r.Follows, r.NotReady = reply.Backends, reply.Running, reply.Follows, reply.NotReady
+	r.Evacuated = lo.Map(reply.Evacuated, func(zone string, _ int) fleet.Zone { return fleet.Zone(zone) })
 	r.uses = reply.Uses
 }
 
--- a/internal/ctl/routers_test.go
+++ b/internal/ctl/routers_test.go
@@ -27,7 +27,8 @@
 	defer r.mu.Unlock()
 	reply := &peeringpb.StatusReply{
 		Vm: "vm-1", Zone: "z1", Version: 7, ConfigAge: 4e8, Backends: 3, Running: 2, Follows: true,
-		Uses: []*peeringpb.AccountUse{{Account: "small", Asked: 10, Got: 10}, {Account: "large", Asked: 900, Got: 300}},
+		Evacuated: []string{"z2", "z9"},
+		Uses:      []*peeringpb.AccountUse{{Account: "small", Asked: 10, Got: 10}, {Account: "large", Asked: 900, Got: 300}},
 	}
 	if r.drained {
 		reply.NotReady = "drained by an operator"
@@ -102,6 +103,15 @@
 // Symptom: a router is drained and nobody knows who did it.
 // Events: the store is down while an operator gives the order.
 // Cause: the order went out although it could not be recorded.
+// An order that no router knows yet, one in force, and one that was withdrawn but that a
+// router still keeps to are told apart.
+func TestEvacuationsAreShown(t *testing.T) {
+	w := newRouterWorld(t)
+	w.store.Put(platform.KindEvacuations, "z1", map[string]any{})
+	w.store.Put(platform.KindEvacuations, "z2", map[string]any{"operator": "ada"})
+	w.want(ExitDone, "z1    3         0 of 1    {}\nz2    4         1 of 1    {\"operator\":\"ada\"}\nz9    0         1 of 1    -", "router", "evacuations")
+}
+
 func TestOrderThatIsNotRecordedIsNotGiven(t *testing.T) {
 	w := newRouterWorld(t)
 	w.store.SetFaults(standin.Faults{Status: http.StatusServiceUnavailable})
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/policy"
 	"github.com/bluebellchute/bluebellchute/internal/selection"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
+	"github.com/bluebellchute/bluebellchute/internal/slowstart"
 )
 
 // placement is a request's place at a backend server.
@@ -27,6 +28,8 @@
 	// holder is the address of an engine that probably keeps shared parts
 	// which the chosen one lacks, "" for none.
 	holder fleet.Address
+	// permit is that of a cold backend server, nil for a warm one.
+	permit *slowstart.Permit
 	inputs Inputs
 }
 
@@ -38,6 +41,7 @@
 	loads    *loads
 	peers    Peers
 	kept     *keptParts
+	cold     *coldServers
 
 	mu     sync.Mutex
 	ledger *shares.Ledger
@@ -51,6 +55,7 @@
 		loads:    newLoads(),
 		peers:    peers,
 		kept:     newKeptParts(),
+		cold:     newColdServers(settings, peers),
 		ledger:   shares.NewLedger(),
 	}
 }
@@ -88,19 +93,44 @@
 // place chooses a backend server for the request and counts the request in
 // there, or refuses it. excluded are backend servers that failed it before.
 func (a *admission) place(request *Request, view *knowledge.View, excluded map[string]bool) (*placement, *Refusal) {
-	usable := a.usable(view, request.Service, excluded)
+	now := boottime.Now()
+	cold := a.cold.of(view, request.Service, now)
+	sound := a.sound(view, request.Service, excluded)
+	usable := a.cold.open(cold, sound, now)
 	if len(usable) == 0 {
 		a.shut(request)
-		return nil, a.refuse(request, whyNone(view, request.Service))
+		return nil, a.refuse(request, whyNone(view, request.Service, len(sound)))
 	}
+	placed, refusal := a.placeAmong(request, view, usable, len(excluded) > 0)
+	if refusal != nil {
+		return nil, refusal
+	}
+	permit, ok := a.cold.take(cold, placed.backend, now)
+	if !ok {
+		// Another request has just taken the last permit, so that the next look
+		// finds this backend server closed.
+		a.ended(request, placed, false)
+		return a.place(request, view, excluded)
+	}
+	placed.permit = permit
+	return placed, nil
+}
+
+// placeAmong chooses one of the usable backend servers for the request and counts
+// the request in there, or refuses it. again tells that one has failed it before.
+func (a *admission) placeAmong(request *Request, view *knowledge.View, usable []*knowledge.Backend, again bool) (*placement, *Refusal) {
 	if request.Prompt.Tokens > 0 {
-		return a.placeModel(request, view, usable, len(excluded) > 0)
+		return a.placeModel(request, view, usable, again)
 	}
 	return a.placePlain(usable), nil
 }
 
-// whyNone returns why no backend server of the service may take a request.
-func whyNone(view *knowledge.View, service fleet.Service) Reason {
+// whyNone returns why no backend server of the service may take a request, when so
+// many are sound.
+func whyNone(view *knowledge.View, service fleet.Service, sound int) Reason {
+	if sound > 0 {
+		return ReasonWarming
+	}
 	evacuated := lo.CountBy(view.ByService[service], func(backend *knowledge.Backend) bool {
 		return view.Evacuations.Has(backend.Zone)
 	})
@@ -121,9 +151,9 @@
 
 func (a *admission) policy() *policy.Settings { return &a.settings.get().Admission }
 
-// usable returns the backend servers of the service that may take a request.
+// sound returns the backend servers of the service that may take a request.
 // Shunned ones are among them only when there is no other.
-func (a *admission) usable(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
+func (a *admission) sound(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
 	serving := view.Serving[service]
 	shunned := a.loads.shunnedNow(boottime.Now())
 	if len(excluded)+len(view.Absent)+len(shunned) == 0 {
@@ -173,19 +203,28 @@
 		return
 	}
 	a.kept.note(request.Prompt.SharedPart(), placed.backend)
-	a.loads.first(placed.backend.Incarnation, request.Service, placed.load.Pending, placed.pending, took)
+	a.loads.first(placed.backend.Incarnation, placed.load.Pending)
+	if placed.permit == nil { // a cold engine does not tell what engines can do
+		a.loads.read(request.Service, placed.pending, took)
+	}
 	placed.load.Pending = 0
 }
 
 // delivered notes the end of a stream that came whole. late tells that its first
 // event or a later one missed what the route promises. It is not called while the
 // router's own processor may have made the answer late: that says nothing of the
-// engines, and lower budgets would refuse requests whose engines have room.
-func (a *admission) delivered(service fleet.Service, late bool) { a.loads.noteLate(service, late) }
+// engines, and lower budgets would refuse requests whose engines have room. For the
+// same reason an engine that is still cold does not count.
+func (a *admission) delivered(service fleet.Service, placed *placement, late bool) {
+	if placed.permit == nil {
+		a.loads.noteLate(service, late)
+	}
+}
 
 // ended counts a placed request out. ran is false when it did not run.
 func (a *admission) ended(request *Request, placed *placement, ran bool) {
 	a.loads.end(placed.backend.Incarnation, placed.load)
+	placed.permit.Release()
 	if ran || !placed.model || request.Account == nil {
 		return
 	}
--- /dev/null
+++ b/internal/gate/cold.go
@@ -0,0 +1,149 @@
+package gate
+
+import (
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/slowstart"
+)
+
+// ColdSettings bound what a cold backend server may get from all routers; see
+// slowstart.Bound.
+type ColdSettings struct {
+	Overshoot float64 // 0 for no bound
+	Slack     float64
+}
+
+// coldLife is how long it is remembered which backend servers of a service are cold.
+// Looking through a long list for each request would cost more than the decision.
+const coldLife = 50 * time.Millisecond
+
+// coldServers tells which backend servers are cold, and what each may get of this
+// router. Its methods may be called concurrently.
+type coldServers struct {
+	settings *currentSettings
+	limiter  *slowstart.Limiter
+
+	mu       sync.Mutex
+	warned   map[string]boottime.Instant // by incarnation: until when it may be cold, as seen at its connections
+	services map[fleet.Service]coldList
+}
+
+// coldList are the cold backend servers of a service, as of the moment.
+type coldList struct {
+	view *knowledge.View
+	at   boottime.Instant
+	cold map[string]slowstart.Bound // by incarnation
+}
+
+func newColdServers(settings *currentSettings, peers Peers) *coldServers {
+	return &coldServers{
+		settings: settings,
+		limiter:  slowstart.NewLimiter(peers),
+		warned:   make(map[string]boottime.Instant),
+		services: make(map[fleet.Service]coldList),
+	}
+}
+
+// of returns the bounds of the service's cold backend servers by incarnation, nil if
+// none is cold. The map must not be changed.
+func (c *coldServers) of(view *knowledge.View, service fleet.Service, now boottime.Instant) map[string]slowstart.Bound {
+	settings := view.Index.Service(service)
+	bound := c.bound(settings)
+	if bound.Usable() == 0 {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.services[service]
+	if known.view == view && now.Sub(known.at) < coldLife {
+		return known.cold
+	}
+	known = coldList{view: view, at: now}
+	for _, backend := range view.Serving[service] {
+		if now < c.coldUntil(view, settings, backend) {
+			if known.cold == nil {
+				known.cold = make(map[string]slowstart.Bound)
+			}
+			known.cold[backend.Incarnation] = bound
+		}
+	}
+	c.services[service] = known
+	return known.cold
+}
+
+// bound returns the bound of a service's cold backend servers.
+func (c *coldServers) bound(settings *knowledge.ServiceSettings) slowstart.Bound {
+	if settings == nil {
+		return slowstart.Bound{}
+	}
+	cold := c.settings.get().Cold
+	return slowstart.Bound{Rate: settings.ColdRate, Overshoot: cold.Overshoot, Slack: cold.Slack}
+}
+
+// coldUntil returns when the backend server will be warm for certain. Those of a zone
+// that has been evacuated may have started again just before it was taken back, which
+// their entries tell only with their next heartbeat.
+func (c *coldServers) coldUntil(view *knowledge.View, settings *knowledge.ServiceSettings, backend *knowledge.Backend) boottime.Instant {
+	until := max(backend.ColdUntil, c.warned[backend.Incarnation])
+	if returned, ok := view.Evacuations.Returned[backend.Zone]; ok {
+		until = max(until, returned.Add(settings.ColdStart))
+	}
+	return until
+}
+
+// warn tells that a backend server may be cold for the time.
+func (c *coldServers) warn(incarnation string, left time.Duration) {
+	if left <= 0 {
+		return
+	}
+	now := boottime.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for known, until := range c.warned {
+		if now > until {
+			delete(c.warned, known)
+		}
+	}
+	c.warned[incarnation] = max(c.warned[incarnation], now.Add(left))
+	clear(c.services)
+}
+
+// mayRestart tells that no connection to the backend server could be opened. It may
+// start again behind a cut, under its id, without an entry that tells so.
+func (c *coldServers) mayRestart(view *knowledge.View, backend *knowledge.Backend) {
+	if settings := view.Index.Service(backend.Service); settings != nil && settings.ColdRate > 0 {
+		c.warn(backend.Incarnation, brokenShun+settings.ColdStart)
+	}
+}
+
+// open returns the backend servers that may get a request of this router now: the warm
+// ones, and the cold ones of whose bounds it has a part left.
+func (c *coldServers) open(cold map[string]slowstart.Bound, backends []*knowledge.Backend, now boottime.Instant) []*knowledge.Backend {
+	if len(cold) == 0 {
+		return backends
+	}
+	return lo.Filter(backends, func(backend *knowledge.Backend, _ int) bool {
+		bound, isCold := cold[backend.Incarnation]
+		return !isCold || c.limiter.Open(coldKey(backend), bound, now)
+	})
+}
+
+// take takes the permit for one request to the backend server, nil if it is warm. It
+// returns false when the server gets nothing of this router now.
+func (c *coldServers) take(cold map[string]slowstart.Bound, backend *knowledge.Backend, now boottime.Instant) (*slowstart.Permit, bool) {
+	bound, isCold := cold[backend.Incarnation]
+	if !isCold {
+		return nil, true
+	}
+	permit := c.limiter.Take(coldKey(backend), bound, now)
+	return permit, permit != nil
+}
+
+// coldKey returns the name by which all routers share the bound of a backend server.
+func coldKey(backend *knowledge.Backend) uint64 { return uint64(backend.IncarnationHash) }
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -53,11 +53,15 @@
 
 // BoundsSection holds what the users have agreed on.
 type BoundsSection struct {
-	Grace       time.Duration `key:"grace" default:"8s" min:"1s" doc:"From the signal to stop until the process is killed."`
-	Revoke      time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
-	Apply       time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
-	Leave       time.Duration `key:"leave" default:"2s" min:"200ms" doc:"From a backend server's leaving until it gets no request."`
-	Evacuate    time.Duration `key:"evacuate" default:"0s" min:"0s" doc:"From an order to evacuate an availability zone until its backend servers get no request; 0 where zones are not evacuated."`
+	Grace    time.Duration `key:"grace" default:"8s" min:"1s" doc:"From the signal to stop until the process is killed."`
+	Revoke   time.Duration `key:"revoke" default:"5s" min:"500ms" doc:"From the withdrawal of a key until no request with it runs."`
+	Apply    time.Duration `key:"apply" default:"2s" min:"200ms" doc:"From the acceptance of a configuration until it is in force."`
+	Leave    time.Duration `key:"leave" default:"2s" min:"200ms" doc:"From a backend server's leaving until it gets no request."`
+	Evacuate time.Duration `key:"evacuate" default:"0s" min:"0s" doc:"From an order to evacuate an availability zone until its backend servers get no request; 0 where zones are not evacuated."`
+	// The bound for backend servers that have just started.
+	ColdOvershoot float64 `key:"cold_overshoot" default:"0" min:"0" doc:"How many times the rate that a cold backend server tolerates it may get from all routers; 0: no bound."`
+	ColdSlack     float64 `key:"cold_slack" default:"0" min:"0" doc:"Requests in a second beyond that."`
+
 	RetryRatio  float64       `key:"retry_ratio" default:"0.2" min:"0" doc:"Second sends per request to a service, over all routers."`
 	RetryExtra  float64       `key:"retry_extra" default:"50" min:"0" doc:"Second sends to a service beyond that in a window, over all routers."`
 	RetryWindow time.Duration `key:"retry_window" default:"10s" min:"100ms" doc:"Window of the two keys above."`
@@ -141,6 +145,7 @@
 			Extra:  c.Bounds.RetryExtra,
 			Window: c.Bounds.RetryWindow,
 		},
+		Cold:       ColdSettings{Overshoot: c.Bounds.ColdOvershoot, Slack: c.Bounds.ColdSlack},
 		Admission:  c.Admission.Policy(),
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -17,6 +17,8 @@
 func (routers) Contact() boottime.Instant { return boottime.Now() }
 func (routers) Follows() bool             { return true }
 func (r routers) Routers() int            { return int(r) }
+func (r routers) Order(uint64) (int, int) { return 0, int(r) }
+func (routers) Settled() bool             { return true }
 
 func knownView(configured boottime.Instant) *knowledge.View {
 	state := knowledge.NewState()
@@ -129,7 +131,8 @@
 	tokens := 5000.0
 	for range 300 {
 		loads.begin("i", BackendLoad{Running: 1, Pending: tokens})
-		loads.first("i", "s", tokens, tokens, time.Duration(tokens/real*float64(time.Second)))
+		loads.first("i", tokens)
+		loads.read("s", tokens, time.Duration(tokens/real*float64(time.Second)))
 	}
 	if got := loads.rate("s", assumed); got < 0.85*real || got > real {
 		t.Errorf("%v prompt tokens a second, they were %v", got, real)
@@ -166,7 +169,8 @@
 	loads := newLoads()
 	load := BackendLoad{Running: 1, Pending: 10, Memory: 20}
 	loads.begin("i", load)
-	loads.first("i", "s", 10, 10, time.Millisecond)
+	loads.first("i", 10)
+	loads.read("s", 10, time.Millisecond)
 	load.Pending = 0
 	loads.end("i", load)
 	if got, _ := loads.get("i"); got != (BackendLoad{}) {
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -27,6 +27,8 @@
 func (noPeers) Contact() boottime.Instant { return 0 }
 func (noPeers) Follows() bool             { return true }
 func (noPeers) Routers() int              { return 1 }
+func (noPeers) Order(uint64) (int, int)   { return 0, 1 }
+func (noPeers) Settled() bool             { return true }
 
 // plainDialect takes requests as they are.
 type plainDialect struct{}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -23,6 +23,7 @@
 	Freshness Freshness
 	Revoke    time.Duration // from the withdrawal of a key until no request with it runs
 	Budget    BudgetSettings
+	Cold      ColdSettings
 	Admission policy.Settings
 	// BodyMemory bounds the bytes of all requests that are held at once.
 	BodyMemory int64
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -43,7 +43,8 @@
 	ReasonBusy         Reason = "busy"
 	ReasonShare        Reason = "over-share"
 	ReasonNoBackend    Reason = "no-backend"
-	ReasonEvacuated    Reason = "evacuated" // all zones with backend servers of the service are
+	ReasonEvacuated    Reason = "evacuated"  // all zones with backend servers of the service are
+	ReasonWarming      Reason = "warming-up" // all that are left have just started and get little
 	ReasonDeclined     Reason = "declined"
 	ReasonBroken       Reason = "broken"
 	ReasonBadAnswer    Reason = "bad-answer"
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
+	"github.com/bluebellchute/bluebellchute/internal/slowstart"
 )
 
 // BackendLoad is what a router has at one backend server.
@@ -35,6 +36,8 @@
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
+	// Fleet tells a router's part of what cold backend servers may get.
+	slowstart.Fleet
 	// Contact returns when the store last answered another router, 0 if it
 	// answers none at present.
 	Contact() boottime.Instant
@@ -113,12 +116,19 @@
 	state.lastUsed = boottime.Now()
 }
 
-// first counts the first event of a request: its prompt has been read. pending
-// are the tokens that were waiting when it was sent, its own included.
-func (l *loads) first(id string, service fleet.Service, own, pending float64, took time.Duration) {
+// first counts the first event of a request: its prompt of so many tokens has been
+// read.
+func (l *loads) first(id string, own float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.state(id).load.Pending -= own
+}
+
+// read notes how long an engine of the service took to read the tokens that were
+// waiting when a request was sent, its own included.
+func (l *loads) read(service fleet.Service, pending float64, took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.model(service).rate.Note(pending, took)
 }
 
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -58,7 +58,7 @@
 		}
 		if err == io.EOF {
 			if !h.lag.busy(boottime.Now()) {
-				h.admission.delivered(r.request.Service, pace.late)
+				h.admission.delivered(r.request.Service, placed, pace.late)
 			}
 			return r.endStream(placed, answer, partial, pace.late)
 		}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -153,6 +153,7 @@
 	defer answer.Close()
 	r.sends++
 	reply := h.dialect.Reply(answer.Status, answer.Header)
+	h.admission.cold.warn(placed.backend.Incarnation, reply.ColdLeft)
 	if reply.Refused || reply.Replaced {
 		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
 		h.admission.ended(r.request, placed, false)
@@ -197,6 +198,7 @@
 		// On a busy processor a connection that has been opened waits for seconds
 		// for its turn, and the caller may leave meanwhile.
 		Abandoned: func() bool { return callerLeft(ctx) },
+		Sending:   func() { placed.permit.Sent(boottime.Now()) },
 	}
 }
 
@@ -239,6 +241,7 @@
 		r.connects++
 		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) {
 			h.admission.loads.broken(placed.backend.Incarnation)
+			h.admission.cold.mayRestart(h.state.View(), placed.backend)
 		}
 		return verdictUnsent
 	}
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -34,7 +35,9 @@
 func digest(backends map[string]*Backend) uint64 {
 	sum := uint64(len(backends))
 	for id, backend := range backends {
-		entry := fmt.Sprintf("%s %d %s %s %t", id, backend.Born, backend.Service, backend.Address, backend.Leaving)
+		// Of a cold server only that it is: how long it stays so changes all the time,
+		// and each change would have the list taken by all routers.
+		entry := fmt.Sprintf("%s %d %s %s %t %t", id, backend.Born, backend.Service, backend.Address, backend.Leaving, backend.ColdLeft > 0)
 		sum += xxhash.Sum64String(entry) // the order does not matter
 	}
 	return sum
@@ -52,12 +55,25 @@
 			return known
 		}
 	}
+	told.ColdUntil = coldUntil(known, told)
 	told.Incarnation = incarnation(told.ID, told.Born)
 	told.IncarnationHash = IncarnationHash(told.Incarnation)
 	told.IDHash = xxhash.Sum64String(told.ID)
 	return told
 }
 
+// coldUntil returns when the told backend server will be warm. An entry that is told
+// again starts no new time.
+func coldUntil(known, told *Backend) boottime.Instant {
+	if known != nil && known.Revision == told.Revision && known.ColdLeft == told.ColdLeft {
+		return known.ColdUntil
+	}
+	if told.ColdLeft <= 0 {
+		return 0
+	}
+	return boottime.Now().Add(told.ColdLeft)
+}
+
 // IncarnationHash returns the name by which routers tell each other of an
 // incarnation. Half of a hash keeps their messages short; should two incarnations
 // share one, each counts the other's load as well.
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -61,6 +62,10 @@
 	MaxConnections int  // of one backend server, over all callers
 	KVCapacity     int  // tokens that a model engine's memory holds, 0 for plain services
 	Fetches        bool // engines fetch kept prompt parts from each other
+	// ColdStart is how long a backend server is cold after its start, and ColdRate
+	// how many requests a second it tolerates meanwhile, 0 if that does not matter.
+	ColdStart time.Duration
+	ColdRate  float64
 }
 
 // Account is a client account with its keys.
@@ -98,6 +103,14 @@
 	Zone            fleet.Zone
 	Slots           int
 	Leaving         bool // takes no new request
+	// Revision is that of the store at the last change of the entry.
+	Revision uint64
+	// ColdLeft is how long the backend server said in that entry that it will be cold.
+	ColdLeft time.Duration
+	// ColdUntil is when it will be warm, 0 if it is. A State sets it, counting from
+	// when it takes the entry: that is later than the entry was written, so a server
+	// may count as cold too long but not too short.
+	ColdUntil boottime.Instant `json:"-"`
 }
 
 // Whole tells whether the entry names a backend server that requests could be
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -90,6 +91,7 @@
 	deliver func(data []byte, target fleet.Address)
 	puller  *puller
 	broken  []brokenEntry
+	looked  atomic.Bool // whether the directory has answered
 }
 
 // NewManager returns a manager that is silent until Run.
@@ -240,6 +242,7 @@
 // lacked this one. The list may be seconds old, so one that does means nothing.
 func (m *Manager) takeDirectory(ctx context.Context, zones map[fleet.Address]fleet.Zone, missing int) int {
 	now := boottime.Now()
+	m.looked.Store(true)
 	for address, zone := range zones {
 		m.add(address, zone, now)
 	}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -211,6 +211,75 @@
 	}
 }
 
+// Symptom: a cold backend server gets what two fleets may send.
+// Events: a fleet is cut in two; each half hears only its own routers.
+// Cause: routers that were no longer heard did not count.
+func TestSilentRoutersKeepTheirPartOfColdServers(t *testing.T) {
+	table := newTable(self, "")
+	now := boottime.Now()
+	for i := range 9 {
+		table.take(beatOf(fmt.Sprintf("10.0.1.%d:1", i), 1, 1), now)
+	}
+	before, known := table.Order(77)
+	table.expire(now.Add(time.Minute))
+	if after, left := table.Order(77); known != 10 || left != known || after != before {
+		t.Errorf("place %d of %d, then %d of %d", before, known, after, left)
+	}
+}
+
+// Each of the routers has another place in the order of a backend server, and the first
+// ones differ from server to server.
+func TestOrderOfRoutersDiffersByKey(t *testing.T) {
+	addresses := make([]fleet.Address, 8)
+	for i := range addresses {
+		addresses[i] = fleet.Address(fmt.Sprintf("10.0.1.%d:1", i))
+	}
+	firsts := make(map[fleet.Address]bool)
+	for key := range uint64(50) {
+		places := make(map[int]bool)
+		for _, address := range addresses {
+			table := newTable(address, "")
+			for _, other := range addresses {
+				table.add(other, "", boottime.Now())
+			}
+			before, _ := table.Order(key)
+			places[before] = true
+			if before == 0 {
+				firsts[address] = true
+			}
+		}
+		if len(places) != len(addresses) {
+			t.Fatalf("key %d: places %v", key, places)
+		}
+	}
+	if len(firsts) < len(addresses)/2 {
+		t.Errorf("only %v are ever first", firsts)
+	}
+}
+
+// Symptom: a cold backend server gets requests of all routers that have just started.
+// Events: a router starts and knows nobody yet, so all of the bound seems its own.
+// Cause: it did not wait until it had heard of the others.
+func TestStartingRouterLeavesColdServersToOthers(t *testing.T) {
+	manager := NewManager(Options{Address: self, State: knowledge.NewState(), Logger: logrus.New()})
+	manager.take(beatOf("10.0.0.2:1", 1, 1), boottime.Now())
+	if manager.Settled() {
+		t.Error("settled at its start")
+	}
+	manager.started = boottime.Now().Add(-settleTime)
+	if !manager.Settled() {
+		t.Error("not settled though it hears another router")
+	}
+	manager.expire(boottime.Now().Add(time.Minute))
+	if manager.Settled() {
+		t.Error("settled though it hears nobody and has not seen the directory")
+	}
+	manager.looked.Store(true)
+	if !manager.Settled() {
+		t.Error("a single router never settles")
+	}
+}
+
 func TestSilentAddressesAreForgotten(t *testing.T) {
 	now := boottime.Now()
 	table := newTable(self, "")
--- /dev/null
+++ b/internal/slowstart/limiter_test.go
@@ -0,0 +1,258 @@
+package slowstart
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/selection"
+)
+
+const start = boottime.Instant(time.Hour)
+
+// bound allows 20 requests in any second, of which routers use 15.
+var bound = Bound{Rate: 10, Overshoot: 1.5, Slack: 5}
+
+func TestUsableStaysBelowTheBound(t *testing.T) {
+	for _, test := range []struct {
+		bound Bound
+		want  int
+	}{
+		{bound, 15},
+		{Bound{Rate: 10, Overshoot: 1}, 8},
+		{Bound{Rate: 0, Overshoot: 1.5, Slack: 5}, 0},
+		{Bound{Rate: 10}, 0},
+	} {
+		if got := test.bound.Usable(); got != test.want {
+			t.Errorf("%+v: %d, want %d", test.bound, got, test.want)
+		}
+	}
+}
+
+// However many routers there are, their parts together are the usable requests at
+// most, and no less than half of them.
+func TestPartsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		usable := rapid.IntRange(1, 100).Draw(t, "usable")
+		known := rapid.IntRange(1, 500).Draw(t, "known")
+		total := 0
+		for before := range known {
+			total += partOf(usable, before, known)
+		}
+		if total > usable || 2*total < usable {
+			t.Fatalf("%d of %d usable are given out", total, usable)
+		}
+	})
+}
+
+// fakeFleet is what one router knows of the others.
+type fakeFleet struct {
+	self    uint64
+	known   map[uint64]bool
+	settled bool
+}
+
+func (f *fakeFleet) Settled() bool { return f.settled }
+
+func (f *fakeFleet) Order(key uint64) (before, known int) {
+	own := selection.Weight(key, f.self)
+	for other := range f.known {
+		if other != f.self && selection.Weight(key, other) > own {
+			before++
+		}
+	}
+	return before, len(f.known) + 1
+}
+
+// soleFleet is a fleet of one router.
+func soleFleet() *fakeFleet { return &fakeFleet{self: 1, settled: true} }
+
+// Symptom: a cold server gets 24 requests in a second where 20 may come.
+// Events: requests to it wait for the processor after they were placed; then all leave
+// at once.
+// Cause: requests were counted when they were placed.
+func TestRequestsCountWhenTheyAreSent(t *testing.T) {
+	limiter := NewLimiter(soleFleet())
+	var held []*Permit
+	now := start
+	for {
+		permit := limiter.Take(7, bound, now)
+		if permit == nil {
+			break
+		}
+		held = append(held, permit)
+	}
+	if len(held) != bound.Usable() {
+		t.Fatalf("%d permits, want %d", len(held), bound.Usable())
+	}
+	now = now.Add(5 * time.Second) // none was sent meanwhile
+	if limiter.Open(7, bound, now) {
+		t.Error("permits that are not used yet have expired")
+	}
+	for _, permit := range held {
+		permit.Sent(now)
+	}
+	if limiter.Open(7, bound, now.Add(time.Second)) {
+		t.Error("one more within a second of the sends")
+	}
+	if !limiter.Open(7, bound, now.Add(window+time.Millisecond)) {
+		t.Error("none after the window")
+	}
+}
+
+func TestReleasedPermitsAreFreeAgain(t *testing.T) {
+	limiter := NewLimiter(soleFleet())
+	for range 3 * bound.Usable() {
+		permit := limiter.Take(7, bound, start)
+		if permit == nil {
+			t.Fatal("a released permit is lost")
+		}
+		permit.Release()
+		permit.Release()
+	}
+	permit := limiter.Take(7, bound, start)
+	permit.Sent(start)
+	permit.Release() // the answer has come
+	for range bound.Usable() - 1 {
+		if limiter.Take(7, bound, start) == nil {
+			t.Fatal("a permit that was sent counts twice")
+		}
+	}
+	if limiter.Take(7, bound, start) != nil {
+		t.Error("the release of a permit that was sent freed it")
+	}
+}
+
+// A router that has not heard of the others sends nothing to a cold server.
+func TestUnsettledRouterSendsNothing(t *testing.T) {
+	fleet := soleFleet()
+	fleet.settled = false
+	if NewLimiter(fleet).Open(7, bound, start) {
+		t.Error("a router that knows nobody may send")
+	}
+}
+
+// simRouter is one router of a drawn fleet.
+type simRouter struct {
+	fleet   *fakeFleet
+	limiter *Limiter
+	frozen  bool
+	waiting []*Permit // taken, and not sent yet
+}
+
+// simulation is a fleet before one cold server, in steps of time.
+type simulation struct {
+	now     boottime.Instant
+	routers []*simRouter
+	sent    []boottime.Instant
+	names   uint64
+}
+
+const simStep = 10 * time.Millisecond
+
+// join adds a router, which the others know from now on unless they are cut off from
+// it. It knows all that there are, as the directory tells, and settles later.
+func (s *simulation) join(hidden func(other int) bool) {
+	s.names++
+	fleet := &fakeFleet{self: selection.Key(fmt.Sprint(s.names)), known: make(map[uint64]bool)}
+	for place, other := range s.routers {
+		fleet.known[other.fleet.self] = true
+		if !hidden(place) {
+			other.fleet.known[fleet.self] = true
+		}
+	}
+	s.routers = append(s.routers, &simRouter{fleet: fleet, limiter: NewLimiter(fleet)})
+}
+
+// step lets each router take as many requests as callers bring, and send some.
+func (s *simulation) step(t *rapid.T) {
+	s.now = s.now.Add(simStep)
+	for _, router := range s.routers {
+		if router.frozen {
+			continue
+		}
+		for range rapid.IntRange(0, 2).Draw(t, "callers") {
+			if permit := router.limiter.Take(7, bound, s.now); permit != nil {
+				router.waiting = append(router.waiting, permit)
+			}
+		}
+		if rapid.IntRange(0, 3).Draw(t, "gets the processor") > 0 {
+			s.flush(router)
+		}
+	}
+}
+
+func (s *simulation) flush(router *simRouter) {
+	for _, permit := range router.waiting {
+		permit.Sent(s.now)
+		s.sent = append(s.sent, s.now)
+	}
+	router.waiting = nil
+}
+
+// most returns the most requests in any second.
+func (s *simulation) most() int {
+	most := 0
+	for i := range s.sent {
+		from := i
+		for from > 0 && s.sent[i].Sub(s.sent[from-1]) <= time.Second {
+			from--
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+// Whatever the number of routers, which of them freeze and wake, join, restart, or are
+// not known to some others, a cold server gets no more than its bound in any second.
+func TestColdServerGetsNoMoreThanItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &simulation{now: start}
+		visible := func(int) bool { return false }
+		for range rapid.SampledFrom([]int{1, 2, 5, 16, 21, 60}).Draw(t, "routers") {
+			s.join(visible)
+		}
+		for _, router := range s.routers {
+			router.fleet.settled = true
+		}
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			victim := s.routers[rapid.IntRange(0, len(s.routers)-1).Draw(t, "victim")]
+			switch rapid.SampledFrom([]string{"freeze", "wake", "restart", "join", "join behind a cut"}).Draw(t, "event") {
+			case "freeze":
+				victim.frozen = true
+			case "wake":
+				victim.frozen = false
+				s.flush(victim)
+			case "restart":
+				// What it had taken is lost; it settles once what it sent is past.
+				victim.limiter, victim.waiting, victim.fleet.settled = NewLimiter(victim.fleet), nil, false
+			case "join":
+				s.join(visible)
+			case "join behind a cut":
+				// The bound has room for one that others do not know at all.
+				if len(s.routers) <= bound.Usable() || slices.ContainsFunc(s.routers, func(r *simRouter) bool { return len(r.fleet.known) < len(s.routers)-1 }) {
+					break
+				}
+				first := len(s.routers) / 2
+				s.join(func(other int) bool { return other < first })
+			}
+			for range rapid.IntRange(1, 40).Draw(t, "steps") {
+				s.step(t)
+			}
+			// By now the others have heard of those that joined or started again.
+			if rapid.Bool().Draw(t, "settle time passes") {
+				s.now = s.now.Add(2 * time.Second)
+				for _, router := range s.routers {
+					router.fleet.settled = true
+				}
+			}
+		}
+		if most := s.most(); most > 20 {
+			t.Fatalf("%d requests in one second", most)
+		}
+	})
+}
