--- a/internal/emulator/prediction_test.go
+++ b/internal/emulator/prediction_test.go
@@ -14,7 +14,7 @@
 
 // These tests step the choice of an engine against a model of the engines, in
 // simulated time and without a network, to predict which of two policies is
-// better. docs/POLICY.md compares the predictions with measured runs.
+// better. docs/design/small.md compares the predictions with measured runs.
 
 // kind is a kind of request of the model fleet.
 type kind struct {
@@ -205,7 +205,7 @@
 }
 
 // TestPredictions checks the rankings in which the model agrees with measured
-// runs, and prints the figures of docs/POLICY.md, where the others stand too.
+// runs, and prints the figures of docs/design/small.md, where the others stand too.
 func TestPredictions(t *testing.T) {
 	policies := map[string]policy{
 		"budget 0.3":    {budget: 0.3, penalty: 2},
