The idle tier is wider for accounts that have had little, and open up to 1.5 of an even part

Accounts with short prompts reach their even part and stop; long prompts fit nowhere, as an own prompt of 12,000 tokens is more than 0.08 of the shortest target.

Change: up to 0.6 of its even part of all that is served an account finds 0.2 of the shortest target and 0.6 of slots and memory, from the whole part on 0.08 and a quarter as before; it is let in up to 1.5 even parts.

Tried and not kept: callers that came back as told go first (surplus for certain, or the wide idle tier, or odds of power 1, or narrowed while owed requests find no room).

--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -84,6 +84,10 @@
 	IdleSlots  float64 `key:"idle_slots" default:"0.25" min:"0" max:"1" doc:"Part of an engine's slots up to which such requests are let in; 0: never."`
 	IdleMemory float64 `key:"idle_memory" default:"0.25" min:"0" max:"1" doc:"Part of an engine's memory up to which they are let in."`
 
+	IdleWide      float64 `key:"idle_wide" default:"0.2" min:"0" max:"1" doc:"The same part for accounts that have had little of what is served."`
+	IdleWideSlots float64 `key:"idle_wide_slots" default:"0.6" min:"0" max:"1" doc:"Part of an engine's slots and memory up to which their requests are let in."`
+	IdleMost      float64 `key:"idle_most" default:"1.5" min:"1" doc:"How many times its even part of all that is served an account may get by what is idle."`
+
 	LeastHeadroom    float64 `key:"least_headroom" default:"0.2" min:"0.01" max:"1" doc:"How far late answers lower the times above at most; 1: not at all."`
 	ObservedCapacity bool    `key:"observed_capacity" default:"true" doc:"Divide what engines take when that is less than the stated capacity."`
 	Fetch            bool    `key:"fetch" default:"true" doc:"Let engines fetch kept prompt parts from each other."`
@@ -146,6 +150,7 @@
 			Window: c.Bounds.RetryWindow,
 		},
 		Cold:       ColdSettings{Overshoot: c.Bounds.ColdOvershoot, Slack: c.Bounds.ColdSlack},
+		Evacuate:   c.Bounds.Evacuate,
 		Admission:  c.Admission.Policy(),
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
@@ -168,6 +173,10 @@
 		IdleSlots:  s.IdleSlots,
 		IdleMemory: s.IdleMemory,
 
+		IdleWide:      s.IdleWide,
+		IdleWideSlots: s.IdleWideSlots,
+		IdleMost:      s.IdleMost,
+
 		LeastHeadroom:    s.LeastHeadroom,
 		ObservedCapacity: s.ObservedCapacity,
 		Fetch:            s.Fetch,
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -24,6 +24,7 @@
 	Revoke    time.Duration // from the withdrawal of a key until no request with it runs
 	Budget    BudgetSettings
 	Cold      ColdSettings
+	Evacuate  time.Duration // from an order to evacuate a zone until nothing is sent there, 0 for none
 	Admission policy.Settings
 	// BodyMemory bounds the bytes of all requests that are held at once.
 	BodyMemory int64
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -44,6 +44,29 @@
 	}
 }
 
+// Symptom: engines stand idle while accounts that have had little are refused.
+// Events: accounts ask for several times the stated capacity in long and short
+// prompts; the long ones don't fit into the little that the idle tier may have ahead.
+// Cause: the bounds of the idle tier were as narrow for accounts that had had little
+// as for those that had had most.
+func TestAccountsThatHadLittleFindRoom(t *testing.T) {
+	wide := policy.Defaults()
+	narrow := wide
+	narrow.IdleWide, narrow.IdleWideSlots, narrow.IdleMost = narrow.IdleShare, narrow.IdleSlots, 1
+	inTime, before := 0, 0
+	for seed := range uint64(6) {
+		after, narrowly := Run(flooded(), wide, seed, length), Run(flooded(), narrow, seed, length)
+		t.Logf("wide %+v, narrow %+v", after, narrowly)
+		inTime, before = inTime+after.InTime, before+narrowly.InTime
+		if after.Worst < narrowly.Worst-0.1 {
+			t.Errorf("the worst account gets %.2f of what it is owed, %.2f with narrow bounds", after.Worst, narrowly.Worst)
+		}
+	}
+	if float64(inTime) < 1.05*float64(before) {
+		t.Errorf("%d in time, %d with narrow bounds", inTime, before)
+	}
+}
+
 // Symptom: nearly every answer is late.
 // Events: engines do two fifths of what the operator states.
 // Cause: as much was let in as ever.
--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -55,6 +55,13 @@
 // small part of anyone's target. Short requests go first by that, which serves
 // the most callers with what is idle.
 //
+// An account that has had little of what is served finds wider bounds: its prompts may
+// be long, and with the narrow ones they would fit nowhere while engines have nothing to
+// do and other accounts get their part in short prompts. Requests in time of all asked,
+// by kind, with narrow bounds up to an even part alone and so: 2,573 and 2,874 long,
+// 11,108 and 12,111 middling, 4,011 and 5,366 short ones on a day on which 38 engines are
+// asked for twice the stated capacity; each kind more at five other fleets as well.
+//
 // With the own prompt left out of the budget, 8,907, 6,737 and 11,721 requests
 // were in time on a day of high load at three deployments, at a credit of 0.855,
 // 0.752 and 0.737; with it 10,588, 7,537 and 13,073 at 0.872, 0.735 and 0.750.
@@ -63,16 +70,33 @@
 	if tightest == 0 {
 		tightest = facts.Target
 	}
+	need := need(facts.Standing.Whole)
 	return Bounds{
-		Budget: share(tightest, s.IdleShare*facts.Headroom),
+		Budget: share(tightest, between(s.IdleShare, s.IdleWide, need)*facts.Headroom),
 		Whole:  true,
-		Slots:  s.IdleSlots,
-		Memory: s.IdleMemory,
+		Slots:  between(s.IdleSlots, s.IdleWideSlots, need),
+		Memory: between(s.IdleMemory, s.IdleWideSlots, need),
 
 		Engines: selection.Homes,
 	}
 }
 
+// needyBelow is the part of its even part of all that is served below which an account
+// finds the widest bounds of the idle tier.
+const needyBelow = 0.6
+
+// need returns how much of the widening of the idle tier an account finds that has got
+// so much of its even part: 1 up to needyBelow, 0 from the whole part on.
+func need(whole float64) float64 {
+	return min(max((1-whole)/(1-needyBelow), 0), 1)
+}
+
+// between returns the value at the part of the way from narrow to wide. Where wide is no
+// wider, it is narrow.
+func between(narrow, wide, part float64) float64 {
+	return narrow + part*max(wide-narrow, 0)
+}
+
 // urgency returns the part of the budget for requests of a rank: a less urgent
 // request is refused first.
 func (s *Settings) urgency(rank int) float64 {
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -6,6 +6,10 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
 
 var settings = Settings{
@@ -67,6 +71,73 @@
 	})
 }
 
+// The more of its even part an account has had, the less it finds in the idle tier; and
+// however little it has had, no more than what is owed finds.
+func TestIdleBoundsNarrowWithWhatAnAccountHad(t *testing.T) {
+	s := Defaults()
+	rapid.Check(t, func(t *rapid.T) {
+		little, much := facts(3), facts(3)
+		little.Standing.Whole = rapid.Float64Range(0, 2).Draw(t, "little")
+		much.Standing.Whole = little.Standing.Whole + rapid.Float64Range(0, 1).Draw(t, "more")
+		wide, narrow, owed := s.Bounds(TierIdle, little), s.Bounds(TierIdle, much), s.Bounds(TierOwed, facts(0.5))
+		if narrow.Budget > wide.Budget || narrow.Slots > wide.Slots || narrow.Memory > wide.Memory {
+			t.Fatalf("%+v for one that had more, %+v", narrow, wide)
+		}
+		if wide.Budget > owed.Budget || wide.Slots > owed.Slots || wide.Memory > owed.Memory {
+			t.Fatalf("idle %+v, owed %+v", wide, owed)
+		}
+	})
+}
+
+// Symptom: an account gets less than half of what another gets that asks for as much.
+// Events: engines can do three times the stated capacity; one account asks ten times as
+// often as another, and both for more than there is. What waits at the engines is read
+// in the order of arrival.
+// Cause: what is idle was open to an account however much of it it had had, and at no
+// narrower bounds than to one that had had little.
+func TestNoAccountGetsTwiceWhatAnotherGets(t *testing.T) {
+	const stated, reads, tokens, tick = 1000.0, 3000.0, 100.0, 50 * time.Millisecond
+	s := Defaults()
+	ledger := shares.NewLedger()
+	got := map[fleet.Account]float64{}
+	now, pending := boottime.Instant(time.Hour), 0.0
+	for round := range 800 {
+		now = now.Add(tick)
+		pending = max(0, pending-reads*tick.Seconds())
+		for ask := range 11 {
+			account := fleet.Account("large")
+			if ask == 10 {
+				account = "middling" // asks for 2,000 a second
+			}
+			ledger.Asked(account, tokens, now)
+			f := facts(ledger.Standing(account, tokens, stated, now))
+			f.Standing.Whole = ledger.Whole(account, tokens, now)
+			tier := s.Tier(f, 1)
+			bounds := s.Bounds(tier, f)
+			counted := pending
+			if bounds.Whole {
+				counted += tokens
+			}
+			if !s.Open(tier, f.Standing) || counted/reads > bounds.Budget.Seconds() {
+				continue
+			}
+			pending += tokens
+			if tier == TierIdle {
+				ledger.GotIdle(account, tokens, now)
+			} else {
+				ledger.Got(account, tokens, now)
+			}
+			if round > 200 {
+				got[account] += tokens
+			}
+		}
+	}
+	t.Logf("tokens: %v", got)
+	if got["middling"] < got["large"]/2 {
+		t.Errorf("tokens: %v", got)
+	}
+}
+
 // Symptom: nearly every answer is late, and as many as ever are let in.
 // Events: engines turn slow, and stay so.
 // Cause: budgets went by the target latency alone.
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -39,6 +39,13 @@
 	// up to which the idle tier is let in; 0 slots turn it off.
 	IdleSlots  float64
 	IdleMemory float64
+	// IdleWide is IdleShare, and IdleWideSlots IdleSlots and IdleMemory, for requests
+	// of accounts that have had little of what is served; see idleBounds.
+	IdleWide      float64
+	IdleWideSlots float64
+	// IdleMost is how many times its even part of all that is served an account may
+	// get by the idle tier. Below 2, none that asks as much gets less than half of it.
+	IdleMost float64
 
 	// LeastHeadroom bounds how far late answers lower the budgets; 1 turns
 	// that off.
@@ -78,6 +85,7 @@
 		BudgetShare: 1, SlotShare: 0.8, MemoryShare: 0.9, RankShare: 0.85, OwedEngines: 8,
 		SurplusShare: 0.6, SurplusMost: 2, SurplusExponent: 3,
 		IdleShare: 0.08, IdleSlots: 0.25, IdleMemory: 0.25,
+		IdleWide: 0.2, IdleWideSlots: 0.6, IdleMost: 1.5,
 		LeastHeadroom: 0.2, ObservedCapacity: true,
 		Fetch: true, SecondPenalty: 2,
 		RetryShare: 0.35,
--- a/internal/policy/tier.go
+++ b/internal/policy/tier.go
@@ -86,12 +86,12 @@
 // uncounted: an account got 319,167 tokens in six seconds so, while another that
 // had less than its share got 88,539 of 2,085,673 asked.
 //
-// What is idle is shared evenly too, or it would all be the largest account's.
+// What is idle is shared nearly evenly too, or it would all be the largest account's.
 func (s *Settings) Open(tier Tier, standing Standing) bool {
 	if tier != TierIdle {
 		return true
 	}
-	return s.IdleSlots > 0 && standing.Shortage < idleShortage && standing.Whole <= 1
+	return s.IdleSlots > 0 && standing.Shortage < idleShortage && standing.Whole <= s.IdleMost
 }
 
 // surplusOdds returns the probability at which what goes beyond the share is
