Kept parts are fetched from the engine that was their home before

Ruled out: rendezvous order differing between routers (it goes by ids alone).

Change: the part's order over all listed engines tells who read it before: the first that is not new and may be asked. Engines that leave, and those of an evacuated zone for half of the bound, still give parts. Engines of a zone that was taken back count as new.

--- /dev/null
+++ b/internal/gate/holder.go
@@ -0,0 +1,106 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/selection"
+)
+
+// The load that this file answers: engines come, go, or get nothing more, so the homes
+// of many prompt parts change at one moment. Every new home would read its parts anew,
+// in just those seconds in which the engines have the least time for it.
+
+const (
+	// youngFor is how long an engine counts as one that has hardly read any of the
+	// parts whose home it is: some times the pause after which a part comes again.
+	youngFor = 10 * time.Second
+	// donors is how many engines of a part's order are looked at for one that keeps
+	// it. The first may be the chosen one, or too young, and so on.
+	donors = 4
+	// fetchShare is the part of the bound for evacuations in which parts are still
+	// fetched from an evacuated zone. A fetch puts some load on its engines, and after
+	// the bound nothing may.
+	fetchShare = 0.5
+)
+
+// keeper returns the engine that is known to keep the prompt part, nil if none is known
+// that may be asked for it.
+func (a *admission) keeper(part string, view *knowledge.View, now boottime.Instant) *knowledge.Backend {
+	known := a.kept.keeper(part, view)
+	if known == nil || !a.gives(known, view, now) {
+		return nil
+	}
+	return known
+}
+
+// gives tells whether parts may be fetched from the engine.
+func (a *admission) gives(engine *knowledge.Backend, view *knowledge.View, now boottime.Instant) bool {
+	if !view.Evacuations.Has(engine.Zone) {
+		return true
+	}
+	most := time.Duration(float64(a.settings.get().Evacuate) * fetchShare)
+	return now.Sub(view.Evacuations.Heard[engine.Zone]) < most
+}
+
+// holder returns the address of the engine that probably keeps more of the prompt than
+// the chosen one, or "". keeper is known to keep the shared parts, nil for none.
+func (a *admission) holder(request *Request, view *knowledge.View, chosen, keeper *knowledge.Backend, now boottime.Instant) fleet.Address {
+	if keeper == chosen {
+		return ""
+	}
+	if keeper == nil {
+		keeper = a.formerHome(request, view, chosen, now)
+	}
+	if keeper == nil {
+		keeper = firstHome(request, view, chosen)
+	}
+	if keeper == nil {
+		return ""
+	}
+	return keeper.Address
+}
+
+// formerHome returns the engine that probably read the shared parts before the chosen
+// one, nil if that is probably the chosen one itself. It comes first in the part's
+// order but for engines that are too young to have read it; those that get nothing any
+// more, as they leave or are evacuated, still keep what they have read.
+func (a *admission) formerHome(request *Request, view *knowledge.View, chosen *knowledge.Backend, now boottime.Instant) *knowledge.Backend {
+	engines := view.ByService[request.Service]
+	for _, place := range selection.Rank(engines, idHash, selection.Key(request.Prompt.SharedPart()), donors) {
+		engine := engines[place]
+		switch {
+		case young(engine, view, now):
+			continue
+		case engine == chosen:
+			return nil
+		case a.gives(engine, view, now):
+			return engine
+		}
+	}
+	return nil
+}
+
+// young tells whether the engine has hardly read any of its parts yet: it has just
+// appeared, or its zone was just taken back and it may have started again meanwhile.
+func young(engine *knowledge.Backend, view *knowledge.View, now boottime.Instant) bool {
+	since := max(engine.Appeared, view.Evacuations.Returned[engine.Zone])
+	return since != 0 && now.Sub(since) < youngFor
+}
+
+// firstHome returns the engine that keeps the first part of the prompt before any other
+// does, nil if that is the chosen one or the prompt has no such part.
+func firstHome(request *Request, view *knowledge.View, chosen *knowledge.Backend) *knowledge.Backend {
+	parts := request.Prompt.Parts
+	serving := view.Serving[request.Service]
+	if len(parts) < 3 || len(serving) == 0 {
+		return nil
+	}
+	home := serving[selection.Rank(serving, idHash, selection.Key(parts[0].ID), 1)[0]]
+	if home == chosen {
+		return nil
+	}
+	return home
+}
--- /dev/null
+++ b/internal/gate/holder_test.go
@@ -0,0 +1,126 @@
+package gate
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/policy"
+	"github.com/bluebellchute/bluebellchute/internal/selection"
+)
+
+// partFleet is a fleet of engines in the order of a part's key, the home first.
+type partFleet struct {
+	state   *knowledge.State
+	a       *admission
+	request *Request
+	ids     []string
+}
+
+// entryOf is the entry of an engine. Each has an availability zone of its own name.
+func entryOf(id string) knowledge.Backend {
+	return knowledge.Backend{ID: id, Service: "s", Address: fleet.Address(id + ":1"), Slots: 64, Zone: fleet.Zone(id)}
+}
+
+// newPartFleet lists engines; the part of its request prefers them in the order of ids.
+func newPartFleet() *partFleet {
+	request := &Request{Service: "s", Prompt: Prompt{Tokens: 3000, Parts: []PromptPart{{"shared", 2000}, {"own", 1000}}}}
+	ids := []string{"i-1", "i-2", "i-3", "i-4", "i-5"}
+	key := selection.Key(request.Prompt.SharedPart())
+	slices.SortFunc(ids, func(a, b string) int {
+		if selection.Weight(key, selection.Key(a)) > selection.Weight(key, selection.Key(b)) {
+			return -1
+		}
+		return 1
+	})
+	settings := newCurrentSettings(Settings{Admission: policy.Defaults(), Evacuate: 4 * time.Second})
+	f := &partFleet{state: knowledge.NewState(), a: newAdmission(settings, "z", noPeers{}), request: request, ids: ids}
+	f.state.SetConfiguration(&knowledge.Configuration{
+		Version:  1,
+		Services: []knowledge.ServiceSettings{{Name: "s", Fetches: true}},
+	}, boottime.Now())
+	return f
+}
+
+// list makes the engines with the places in the part's order the whole list.
+func (f *partFleet) list(places ...int) {
+	var backends []knowledge.Backend
+	for _, place := range places {
+		backends = append(backends, entryOf(f.ids[place]))
+	}
+	f.state.SetBackends(backends, f.state.View().Revision+1, boottime.Now())
+}
+
+// holder returns the place of the engine that the one with the place fetches from, -1
+// for none.
+func (f *partFleet) holder(place int, at boottime.Instant) int {
+	view := f.state.View()
+	address := f.a.holder(f.request, view, view.Backends[f.ids[place]], nil, at)
+	return slices.IndexFunc(f.ids, func(id string) bool { return entryOf(id).Address == address })
+}
+
+func TestHomeFetchesNothing(t *testing.T) {
+	f := newPartFleet()
+	f.list(0, 1, 2)
+	if got := f.holder(0, boottime.Now()); got != -1 {
+		t.Errorf("the home fetches from engine %d", got)
+	}
+	if got := f.holder(1, boottime.Now()); got != 0 {
+		t.Errorf("the second fetches from engine %d, want the home", got)
+	}
+}
+
+// Symptom: shared parts are read again at the moment when engines are added.
+// Events: an engine appears and is the home of many parts from now on.
+// Cause: a home was taken for one that keeps its parts.
+func TestNewHomeFetchesFromTheFormerOne(t *testing.T) {
+	f := newPartFleet()
+	f.list(1, 2)
+	f.list(0, 1, 2)
+	now := boottime.Now()
+	if got := f.holder(0, now); got != 1 {
+		t.Errorf("the new home fetches from engine %d, want the former one", got)
+	}
+	if got := f.holder(2, now); got != 1 {
+		t.Errorf("another one fetches from engine %d, want the former home", got)
+	}
+	if got := f.holder(0, now.Add(youngFor+time.Second)); got != -1 {
+		t.Errorf("a home that is no longer new fetches from engine %d", got)
+	}
+}
+
+// Symptom: shared parts are read again when an engine leaves or its zone is evacuated.
+// Events: the home gets nothing any more; the next engine gets its requests.
+// Cause: only engines that take requests were asked for parts.
+func TestHomeThatGetsNothingGivesItsParts(t *testing.T) {
+	f := newPartFleet()
+	f.list(0, 1, 2)
+	leaving := entryOf(f.ids[0])
+	leaving.Leaving = true
+	f.state.SetBackend(leaving, 50)
+	if got := f.holder(1, boottime.Now()); got != 0 {
+		t.Errorf("fetched from engine %d, want the one that leaves", got)
+	}
+	f.state.SetBackend(entryOf(f.ids[0]), 51)
+	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, 52, boottime.Now())
+	if got := f.holder(1, boottime.Now()); got != 0 {
+		t.Errorf("fetched from engine %d, want the one that is evacuated", got)
+	}
+	if got := f.holder(1, boottime.Now().Add(3*time.Second)); got == 0 {
+		t.Error("fetched from an evacuated zone near the bound")
+	}
+}
+
+// Engines of a zone that was taken back have probably started again and keep nothing.
+func TestEnginesOfAReturnedZoneFetch(t *testing.T) {
+	f := newPartFleet()
+	f.list(0, 1, 2)
+	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, 60, boottime.Now())
+	f.state.SetEvacuations(nil, 61, boottime.Now())
+	if got := f.holder(0, boottime.Now()); got != 1 {
+		t.Errorf("fetched from engine %d, want the next one", got)
+	}
+}
--- a/internal/gate/keptparts.go
+++ b/internal/gate/keptparts.go
@@ -41,15 +41,14 @@
 }
 
 // keeper returns the backend server that read the part last, nil when none is known
-// it has gone or started again since, or its zone is evacuated: an engine that
-// fetches a part puts load on the one that keeps it.
+// or it has gone or started again since.
 func (k *keptParts) keeper(part string, view *knowledge.View) *knowledge.Backend {
 	known, ok := k.engines.Get(part)
 	if !ok {
 		return nil
 	}
 	backend := view.Backends[known.id]
-	if backend == nil || backend.Incarnation != known.incarnation || view.Evacuations.Has(backend.Zone) {
+	if backend == nil || backend.Incarnation != known.incarnation {
 		return nil
 	}
 	return backend
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -21,7 +21,7 @@
 	}
 	bounds := a.policy().Bounds(tier, facts)
 	part := request.Prompt.SharedPart()
-	keeper := a.kept.keeper(part, view)
+	keeper := a.keeper(part, view, now)
 	ranked := selection.Rank(usable, idHash, selection.Key(part), bounds.Engines)
 	demand := a.demand(request, bounds)
 	engine := a.engines(view, request.Service, usable, ranked, keeper)
@@ -51,7 +51,7 @@
 		inputs:  inputs,
 	}
 	if a.canFetch(view, request.Service) {
-		placed.holder = holder(request, usable, ranked, choice, keeper)
+		placed.holder = a.holder(request, view, placed.backend, keeper, now)
 	}
 	a.enter(request, placed, now)
 	return placed, nil
@@ -175,28 +175,3 @@
 	settings := view.Index.Service(service)
 	return a.policy().Fetch && settings != nil && settings.Fetches
 }
-
-// holder returns the address of the engine that probably keeps more of the
-// prompt than the chosen one, or "". keeper is known to keep the shared parts, nil
-// for none. Else the engine that the last shared part prefers keeps all of them;
-// where that one is chosen, the engine that the first part prefers keeps that part
-// before any other does.
-func holder(request *Request, usable []*knowledge.Backend, ranked []int, choice selection.Choice, keeper *knowledge.Backend) fleet.Address {
-	switch {
-	case keeper == usable[ranked[choice.Place]]:
-		return ""
-	case keeper != nil:
-		return keeper.Address
-	case choice.Place > 0:
-		return usable[ranked[0]].Address
-	}
-	parts := request.Prompt.Parts
-	if len(parts) < 3 {
-		return ""
-	}
-	first := selection.Rank(usable, idHash, selection.Key(parts[0].ID), 1)[0]
-	if first == ranked[0] {
-		return ""
-	}
-	return usable[first].Address
-}
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -44,9 +44,9 @@
 }
 
 // newest returns what holds of a backend server when told comes after known,
-// which may be nil. What an incarnation wrote last may reach the store after the
+// which may be nil; now is the moment, 0 for the first list. What an incarnation wrote last may reach the store after the
 // first word of the next one; it must not bring the dead one back.
-func newest(known, told *Backend) *Backend {
+func newest(known, told *Backend, now boottime.Instant) *Backend {
 	if known != nil {
 		if told.Born == 0 {
 			told.Born = known.Born // nothing is told of a new start
@@ -59,6 +59,10 @@
 	told.Incarnation = incarnation(told.ID, told.Born)
 	told.IncarnationHash = IncarnationHash(told.Incarnation)
 	told.IDHash = xxhash.Sum64String(told.ID)
+	told.Appeared = now
+	if known != nil && known.Incarnation == told.Incarnation {
+		told.Appeared = known.Appeared
+	}
 	return told
 }
 
--- a/internal/knowledge/evacuations.go
+++ b/internal/knowledge/evacuations.go
@@ -19,6 +19,8 @@
 	// Confirmed is a moment at which these were still the zones, 0 before any were
 	// told.
 	Confirmed boottime.Instant
+	// Heard tells when this router heard that a zone is evacuated.
+	Heard map[fleet.Zone]boottime.Instant
 	// Returned tells when this router heard that a zone was taken back into use.
 	// Its backend servers may have started again meanwhile.
 	Returned map[fleet.Zone]boottime.Instant
@@ -67,6 +69,12 @@
 		}
 		taken, _ := lo.Difference(before, zones)
 		now := boottime.Now()
+		known.Heard = lo.SliceToMap(zones, func(zone fleet.Zone) (fleet.Zone, boottime.Instant) {
+			if at, already := known.Heard[zone]; already {
+				return zone, at
+			}
+			return zone, now
+		})
 		known.Returned = withReturned(known.Returned, lo.SliceToMap(taken, func(zone fleet.Zone) (fleet.Zone, boottime.Instant) { return zone, now }), now)
 		known.Zones = zones
 		view.setBackends(view.Backends)
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -140,9 +140,13 @@
 			return false
 		}
 		now := boottime.Now()
+		appeared := now
+		if view.Listed == 0 {
+			appeared = 0
+		}
 		listed := make(map[string]*Backend, len(backends))
 		for i := range backends {
-			listed[backends[i].ID] = newest(view.Backends[backends[i].ID], &backends[i])
+			listed[backends[i].ID] = newest(view.Backends[backends[i].ID], &backends[i], appeared)
 		}
 		absent := make(map[string]boottime.Instant)
 		afterOutage := view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
@@ -180,7 +184,7 @@
 			return false
 		}
 		backends := cloneBackends(view.Backends)
-		backends[backend.ID] = newest(view.Backends[backend.ID], &backend)
+		backends[backend.ID] = newest(view.Backends[backend.ID], &backend, boottime.Now())
 		view.setBackends(backends)
 		return true
 	})
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -111,6 +111,9 @@
 	// when it takes the entry: that is later than the entry was written, so a server
 	// may count as cold too long but not too short.
 	ColdUntil boottime.Instant `json:"-"`
+	// Appeared is when this router first heard of this start, 0 if it was in the first
+	// list that the router had.
+	Appeared boottime.Instant `json:"-"`
 }
 
 // Whole tells whether the entry names a backend server that requests could be
