--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -43,9 +43,10 @@
 	return sum
 }
 
-// newest returns what holds of a backend server when told comes after known,
-// which may be nil; now is the moment, 0 for the first list. What an incarnation wrote last may reach the store after the
-// first word of the next one; it must not bring the dead one back.
+// newest returns what holds of a backend server when told comes after known, which may
+// be nil; now is the moment, 0 for the first list. What an incarnation wrote last may
+// reach the store after the first word of the next one; it must not bring the dead one
+// back.
 func newest(known, told *Backend, now boottime.Instant) *Backend {
 	if known != nil {
 		if told.Born == 0 {
--- a/internal/knowledge/evacuations.go
+++ b/internal/knowledge/evacuations.go
@@ -55,6 +55,9 @@
 // moment at which they still were, 0 if unknown. Zones of an older revision than the
 // known ones are ignored.
 func (s *State) SetEvacuations(zones []fleet.Zone, revision uint64, confirmed boottime.Instant) {
+	if known := s.View().Evacuations; revision <= known.Revision && confirmed <= known.Confirmed {
+		return // nearly all beats tell what is known, and each update costs a copy of the view
+	}
 	zones = lo.Uniq(slices.Sorted(slices.Values(zones)))
 	s.update(func(view *View) bool {
 		known := &view.Evacuations
