--- /dev/null
+++ b/internal/gate/candidates.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// sound returns the backend servers of the service that may take a request.
+// Shunned ones are among them only when there is no other.
+func (a *admission) sound(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
+	serving := view.Serving[service]
+	shunned := a.loads.shunnedNow(boottime.Now())
+	if len(excluded)+len(view.Absent)+len(shunned) == 0 {
+		return serving
+	}
+	var sound, last []*knowledge.Backend
+	for _, backend := range serving {
+		if excluded[backend.ID] {
+			continue
+		}
+		if _, absent := view.Absent[backend.ID]; absent || shunned[backend.Incarnation] {
+			last = append(last, backend)
+			continue
+		}
+		sound = append(sound, backend)
+	}
+	if len(sound) > 0 {
+		return sound
+	}
+	return last
+}
+
+// whyNone returns why no backend server of the service may take a request, when so
+// many are sound.
+func whyNone(view *knowledge.View, service fleet.Service, sound int) Reason {
+	if sound > 0 {
+		return ReasonWarming
+	}
+	evacuated := lo.CountBy(view.ByService[service], func(backend *knowledge.Backend) bool {
+		return view.Evacuations.Has(backend.Zone)
+	})
+	if evacuated > 0 && evacuated == len(view.ByService[service]) {
+		return ReasonEvacuated
+	}
+	return ReasonNoBackend
+}
