Changes of a watch are taken together: a zone that comes back no longer stops the routers

Cause, by reasoning and then by the trial: each change of a backend server made a new view of the whole list, with a text hashed for each entry; a zone with a third of 1,000 servers brings some 1,500 changes, which take a VM with a seventh of a core longer than that.

Change: the changes of one watch make one view; an entry's hash is kept. Benchmark, 2,000 changes of a list of 3,000: 1,782 ms one by one, 4.8 together. Tests: one view for a watch, and a drawn comparison with taking them one by one.

--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -34,11 +34,8 @@
 // digest returns a value that lists with the same entries share.
 func digest(backends map[string]*Backend) uint64 {
 	sum := uint64(len(backends))
-	for id, backend := range backends {
-		// Of a cold server only that it is: how long it stays so changes all the time,
-		// and each change would have the list taken by all routers.
-		entry := fmt.Sprintf("%s %d %s %s %t %t", id, backend.Born, backend.Service, backend.Address, backend.Leaving, backend.ColdLeft > 0)
-		sum += xxhash.Sum64String(entry) // the order does not matter
+	for _, backend := range backends {
+		sum += backend.entryHash // the order does not matter
 	}
 	return sum
 }
@@ -60,6 +57,9 @@
 	told.Incarnation = incarnation(told.ID, told.Born)
 	told.IncarnationHash = IncarnationHash(told.Incarnation)
 	told.IDHash = xxhash.Sum64String(told.ID)
+	// Of a cold server only that it is: how long it stays so changes all the time,
+	// and each change would have the list taken by all routers.
+	told.entryHash = xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t %t", told.ID, told.Born, told.Service, told.Address, told.Leaving, told.ColdLeft > 0))
 	told.Appeared = now
 	if known != nil && known.Incarnation == told.Incarnation {
 		told.Appeared = known.Appeared
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -1,9 +1,12 @@
 package knowledge
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -197,3 +200,108 @@
 		}
 	})
 }
+
+// manyBackends are so many entries of one service.
+func manyBackends(count int, revision uint64) []Backend {
+	backends := make([]Backend, count)
+	for i := range backends {
+		backends[i] = Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1", Revision: revision}
+	}
+	return backends
+}
+
+// changesOf are the changes of a zone with a third of the backend servers that is lost
+// and comes back.
+func changesOf(backends []Backend) []BackendChange {
+	var changes []BackendChange
+	for i := range len(backends) / 3 {
+		entry := backends[i]
+		entry.ID += "-again"
+		changes = append(changes,
+			BackendChange{ID: backends[i].ID},
+			BackendChange{ID: entry.ID, Entry: &entry, Revision: 10 + uint64(i)})
+	}
+	return changes
+}
+
+// Symptom: routers on small VMs do not serve for half a minute after a zone has come
+// back, with a thousand backend servers or more.
+// Events: a watch brings the ends and the starts of all the zone's backend servers.
+// Cause: each change made a new view of the whole list.
+func TestChangesOfAWatchMakeOneView(t *testing.T) {
+	state := NewState()
+	backends := manyBackends(30, 1)
+	state.SetBackends(backends, 5, boottime.Now())
+	views, before := 0, state.View()
+	changed := state.Changed()
+	state.ChangeBackends(changesOf(backends))
+	<-changed
+	select {
+	case <-state.Changed():
+		views++
+	default:
+	}
+	after := state.View()
+	if views != 0 || len(after.Backends) != 30 || len(after.Serving["s"]) != 30 {
+		t.Errorf("%d more views, %d backend servers, %d serving", views, len(after.Backends), len(after.Serving["s"]))
+	}
+	if before.Digest == after.Digest || after.Backends["i-0"] != nil || after.Backends["i-0-again"] == nil {
+		t.Error("the changes were not taken")
+	}
+	same := NewState()
+	same.SetBackends(lo.Map(lo.Values(after.Backends), func(b *Backend, _ int) Backend { return *b }), 9, boottime.Now())
+	if same.View().Digest != after.Digest {
+		t.Error("a list and its changes have different digests")
+	}
+}
+
+// In whatever order changes come, and whichever are out of date, taking them together
+// gives what taking them one by one gives.
+func TestChangesTakenTogetherOrOneByOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		together, single := NewState(), NewState()
+		for _, state := range []*State{together, single} {
+			state.SetBackends(manyBackends(4, 1), 5, boottime.Now())
+		}
+		var changes []BackendChange
+		for range rapid.IntRange(0, 12).Draw(t, "changes") {
+			id := fmt.Sprint("i-", rapid.IntRange(0, 6).Draw(t, "server"))
+			change := BackendChange{ID: id}
+			if rapid.Bool().Draw(t, "written") {
+				change.Revision = rapid.Uint64Range(3, 12).Draw(t, "revision")
+				change.Entry = &Backend{ID: id, Service: "s", Address: "10.0.0.1:1", Leaving: rapid.Bool().Draw(t, "leaving"), Revision: change.Revision}
+			}
+			changes = append(changes, change)
+		}
+		for _, change := range changes {
+			if change.Entry != nil {
+				single.SetBackend(*change.Entry, change.Revision)
+				continue
+			}
+			single.RemoveBackend(change.ID)
+		}
+		together.ChangeBackends(changes)
+		if together.View().Digest != single.View().Digest || len(together.View().Serving["s"]) != len(single.View().Serving["s"]) {
+			t.Fatalf("together %v, one by one %v", together.View().Backends, single.View().Backends)
+		}
+	})
+}
+
+// Milliseconds for the loss and the return of a zone with 1,000 of 3,000 backend
+// servers: 1,782 when each change makes a view, 4.8 together. A small VM has a seventh
+// of a core.
+func BenchmarkZoneComesBack(b *testing.B) {
+	backends := manyBackends(3000, 1)
+	changes := changesOf(backends)
+	for name, step := range map[string]int{"together": len(changes), "one-by-one": 1} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				state := NewState()
+				state.SetBackends(manyBackends(3000, 1), 5, boottime.Now())
+				for chunk := range slices.Chunk(changes, step) {
+					state.ChangeBackends(chunk)
+				}
+			}
+		})
+	}
+}
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -177,30 +177,55 @@
 	})
 }
 
-// SetBackend takes the newest entry of one backend server.
-func (s *State) SetBackend(backend Backend, revision uint64) {
+// BackendChange is a change of the list of backend servers.
+type BackendChange struct {
+	ID       string
+	Entry    *Backend // the newest entry, nil for one that was removed
+	Revision uint64   // of the entry, 0 for a removal
+}
+
+// ChangeBackends takes changes in their order. They are taken together, because each new
+// view costs as much as the list is long, and a zone that comes back brings thousands of
+// changes: with one view each, 100 routers before 1,000 backend servers did not serve for
+// 30 s after it; together, for 3 s.
+func (s *State) ChangeBackends(changes []BackendChange) {
 	s.update(func(view *View) bool {
-		if revision <= view.Revision || view.Listed == 0 {
+		if view.Listed == 0 {
+			return false
+		}
+		var backends map[string]*Backend
+		for _, change := range changes {
+			if change.Entry != nil && change.Revision <= view.Revision {
+				continue
+			}
+			if change.Entry == nil && view.Backends[change.ID] == nil && backends[change.ID] == nil {
+				continue
+			}
+			if backends == nil {
+				backends = cloneBackends(view.Backends)
+			}
+			if change.Entry == nil {
+				delete(backends, change.ID)
+				continue
+			}
+			backends[change.ID] = newest(backends[change.ID], change.Entry, boottime.Now())
+		}
+		if backends == nil {
 			return false
 		}
-		backends := cloneBackends(view.Backends)
-		backends[backend.ID] = newest(view.Backends[backend.ID], &backend, boottime.Now())
 		view.setBackends(backends)
 		return true
 	})
 }
 
+// SetBackend takes the newest entry of one backend server.
+func (s *State) SetBackend(backend Backend, revision uint64) {
+	s.ChangeBackends([]BackendChange{{ID: backend.ID, Entry: &backend, Revision: revision}})
+}
+
 // RemoveBackend tells that the entry of a backend server was removed.
 func (s *State) RemoveBackend(id string) {
-	s.update(func(view *View) bool {
-		if view.Backends[id] == nil {
-			return false
-		}
-		backends := cloneBackends(view.Backends)
-		delete(backends, id)
-		view.setBackends(backends)
-		return true
-	})
+	s.ChangeBackends([]BackendChange{{ID: id}})
 }
 
 // AdvanceBackends tells that all changes up to the revision have been taken.
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -114,6 +114,8 @@
 	// Appeared is when this router first heard of this start, 0 if it was in the first
 	// list that the router had.
 	Appeared boottime.Instant `json:"-"`
+	// entryHash is this entry's part of the digest of a list.
+	entryHash uint64
 }
 
 // Whole tells whether the entry names a backend server that requests could be
