--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -532,6 +532,39 @@
 	}
 }
 
+// Symptom: bytes between routers grow with the square of the fleet while backend
+// servers come and go.
+// Events: with a long list each router takes the changes from the store, some a moment
+// before others.
+// Cause: whoever was a moment behind took the whole list from another router.
+func TestLongListIsNotTakenForBeingAMomentBehind(t *testing.T) {
+	for _, test := range []struct {
+		backends int
+		age      time.Duration // of the own list
+		pulled   bool
+	}{
+		{pulledMost, 0, true},
+		{pulledMost + 1, 0, false},
+		{pulledMost + 1, 3 * time.Second, true},
+	} {
+		state := knowledge.NewState()
+		now := boottime.Now()
+		backends := make([]knowledge.Backend, test.backends)
+		for i := range backends {
+			backends[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1"}
+		}
+		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
+		state.SetBackends(backends, 5, now.Add(-test.age))
+		puller := newPuller(state, "", logrus.New())
+		puller.logger.(*logrus.Logger).SetOutput(io.Discard)
+		beat := &peeringpb.Beat{Version: 1, Revision: 6, Digest: 1, ListAge: 0}
+		puller.consider(t.Context(), "127.0.0.1:1", beat, func(boottime.Instant) bool { return true }, now)
+		if pulled := puller.busy.Load() || puller.next.Load() != 0; pulled != test.pulled {
+			t.Errorf("%d backend servers, list %v old: taken %t, want %t", test.backends, test.age, pulled, test.pulled)
+		}
+	}
+}
+
 // Symptom: a router that the store does not reach has no backend server.
 // Events: a router of another version hands on a list with one entry that this
 // one can't read, and others that name nothing.
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -67,7 +67,7 @@
 // tells that no other router of this zone is heard.
 func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, alone func(now boottime.Instant) bool, now boottime.Instant) {
 	view := p.state.View()
-	newer := beat.Version > view.Version() || (beat.Revision > view.Revision && beat.Digest != view.Digest)
+	newer := beat.Version > view.Version() || (newerList(view, beat) && len(view.Backends) <= pulledMost)
 	own := now.Sub(view.Listed)
 	fresher := beat.ListAge >= 0 && own > listAge && own-time.Duration(beat.ListAge) > listGain
 	if !newer && !fresher {
@@ -87,6 +87,16 @@
 	}()
 }
 
+// newerList tells whether the beat's router has another and newer list. Of a long list
+// that says nothing: each router takes its changes from the store, a moment earlier or
+// later than the others. Taken whole from another router for each such moment, lists of
+// 3,000 backend servers made the bytes of a router in the middle of 300, callers'
+// included, 765 KB a second; 395 without. A router that the store does not answer still
+// takes it, once its own gets old.
+func newerList(view *knowledge.View, beat *peeringpb.Beat) bool {
+	return beat.Revision > view.Revision && beat.Digest != view.Digest
+}
+
 // waited tells whether this router has been behind for its part of farPause.
 func (p *puller) waited(now boottime.Instant) bool {
 	if p.behind == 0 || now.Sub(p.behind) > 2*farPause {
