A refused watch is told in the records

While a store that had gone back refused half of 1,500 calls a second with 410, no record of the routers told of it: only the store's own count of refusals told a loop of lists and watches from routers that do not call. No decision changes.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -29,5 +29,6 @@
 	GateTurnedAway   = Event{2125, logrus.WarnLevel, "connections were turned away"}
 	GateReborn       = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
 	GateEvacuated    = Event{2126, logrus.WarnLevel, "evacuated availability zones changed"}
+	GateHistoryGone  = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateDrained      = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
