Places in the store's history are compared by era first, not by revision alone

Callers' requests reached a backend server for more than three seconds after it had said that it leaves.

Cause: the store had come back from an older copy of itself and gave out its revisions again. Everything that follows it compared revisions alone, as if they could only rise: a follower kept the greatest one that it had seen, so that each list counted as old and each watch was refused; routers told by others took no list whose revision was not above theirs; two different lists with one revision counted as the same; and a configuration under the revision of the one decoded last counted as that one. The class: a counter of another's is taken to be monotonic for ever.

Ruled out: the followers could not reach the store (it answered 750 lists a second), and the others did not hear the followers (they took the configuration of the same moment by the same call).

Change: knowledge.Position is era and revision; the store tells its era with every answer. Older routers leave the era out of what they tell and ignore it in what they hear.

Why this holds: the era rises each time that revisions go back, so that within an era they only rise, and positions are ordered whatever the copy was.

--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -24,10 +24,10 @@
 		Services: []knowledge.ServiceSettings{{Name: "s", ColdStart: coldStart, ColdRate: 10}, {Name: "plain"}},
 	}, boottime.Now())
 	state.SetBackends([]knowledge.Backend{
-		{ID: "i-1", Service: "s", Zone: "a", Revision: 3},
-		{ID: "i-2", Service: "s", Zone: "b", Revision: 4, ColdLeft: left},
-		{ID: "i-3", Service: "plain", Zone: "b", Revision: 5, ColdLeft: left},
-	}, 5, boottime.Now())
+		{ID: "i-1", Service: "s", Zone: "a", Position: knowledge.Position{Revision: 3}},
+		{ID: "i-2", Service: "s", Zone: "b", Position: knowledge.Position{Revision: 4}, ColdLeft: left},
+		{ID: "i-3", Service: "plain", Zone: "b", Position: knowledge.Position{Revision: 5}, ColdLeft: left},
+	}, knowledge.Position{Revision: 5}, boottime.Now())
 	return state
 }
 
@@ -75,18 +75,18 @@
 	state := coldState(coldStart)
 	until := state.View().Backends["i-2"].ColdUntil
 	time.Sleep(20 * time.Millisecond)
-	again := knowledge.Backend{ID: "i-2", Service: "s", Zone: "b", Revision: 4, ColdLeft: coldStart}
-	state.SetBackends([]knowledge.Backend{again}, 6, boottime.Now())
+	again := knowledge.Backend{ID: "i-2", Service: "s", Zone: "b", Position: knowledge.Position{Revision: 4}, ColdLeft: coldStart}
+	state.SetBackends([]knowledge.Backend{again}, knowledge.Position{Revision: 6}, boottime.Now())
 	if got := state.View().Backends["i-2"].ColdUntil; got != until {
 		t.Errorf("cold for %v longer", got.Sub(until))
 	}
 	again.Revision, again.ColdLeft = 7, 2*coldStart
-	state.SetBackend(again, 7)
+	setBackend(state, again, 7)
 	if got := state.View().Backends["i-2"].ColdUntil; got <= until.Add(coldStart) {
 		t.Error("a server that turned cold again is not")
 	}
 	again.Revision, again.ColdLeft = 8, 0
-	state.SetBackend(again, 8)
+	setBackend(state, again, 8)
 	if got := state.View().Backends["i-2"].ColdUntil; got != 0 {
 		t.Error("a server that says that it is warm is cold")
 	}
@@ -99,8 +99,8 @@
 func TestZoneTakenBackIsCold(t *testing.T) {
 	cold := newColdServers(coldSettings(), noPeers{})
 	state := coldState(0)
-	state.SetEvacuations([]fleet.Zone{"b"}, 10, boottime.Now())
-	state.SetEvacuations(nil, 11, boottime.Now())
+	state.SetEvacuations([]fleet.Zone{"b"}, knowledge.Position{Revision: 10}, boottime.Now())
+	state.SetEvacuations(nil, knowledge.Position{Revision: 11}, boottime.Now())
 	view, now := state.View(), boottime.Now()
 	if !isCold(cold, view, "i-2", now) || isCold(cold, view, "i-1", now) {
 		t.Error("servers of the zone that was taken back are not cold, or others are")
@@ -130,3 +130,9 @@
 		t.Error("a server that says in an answer that it is cold")
 	}
 }
+
+// setBackend takes the newest entry of one backend server.
+func setBackend(state *knowledge.State, backend knowledge.Backend, revision uint64) {
+	backend.Position = knowledge.Position{Revision: revision}
+	state.ChangeBackends([]knowledge.BackendChange{{ID: backend.ID, Entry: &backend}}, backend.Position)
+}
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -31,7 +31,7 @@
 		},
 		Accounts: []knowledge.Account{{Name: "kitchen", Keys: []string{"key"}}},
 	}, configured)
-	state.SetBackends(nil, 1, boottime.Now())
+	state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
 	return state.View()
 }
 
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -154,7 +154,7 @@
 	known := knowledge.NewState()
 	now := boottime.Now()
 	known.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
-	known.SetBackends(nil, 1, now)
+	known.SetBackends(nil, knowledge.Position{Revision: 1}, now)
 	for name, test := range map[string]struct {
 		own, others time.Duration // age of the last contact, 0 for none
 		isolated    bool
@@ -344,7 +344,7 @@
 func TestDrainedRouterServesWhatComes(t *testing.T) {
 	manager, address := listeningGate(t, 10)
 	manager.options.State.SetConfiguration(knownView(boottime.Now()).Index.Configuration, boottime.Now())
-	manager.options.State.SetBackends(nil, 1, boottime.Now())
+	manager.options.State.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
 	manager.ApplyConfig(Settings{Freshness: Freshness{Keyed: time.Minute, Final: time.Minute}})
 	manager.SetDrained(true, "ada", "new kernel")
 	awaitReason(t, manager, reasonDrained)
--- a/internal/gate/holder_test.go
+++ b/internal/gate/holder_test.go
@@ -51,7 +51,7 @@
 	for _, place := range places {
 		backends = append(backends, entryOf(f.ids[place]))
 	}
-	f.state.SetBackends(backends, f.state.View().Revision+1, boottime.Now())
+	f.state.SetBackends(backends, knowledge.Position{Revision: f.state.View().Position.Revision + 1}, boottime.Now())
 }
 
 // holder returns the place of the engine that the one with the place fetches from, -1
@@ -100,12 +100,12 @@
 	f.list(0, 1, 2)
 	leaving := entryOf(f.ids[0])
 	leaving.Leaving = true
-	f.state.SetBackend(leaving, 50)
+	setBackend(f.state, leaving, 50)
 	if got := f.holder(1, boottime.Now()); got != 0 {
 		t.Errorf("fetched from engine %d, want the one that leaves", got)
 	}
-	f.state.SetBackend(entryOf(f.ids[0]), 51)
-	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, 52, boottime.Now())
+	setBackend(f.state, entryOf(f.ids[0]), 51)
+	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, knowledge.Position{Revision: 52}, boottime.Now())
 	if got := f.holder(1, boottime.Now()); got != 0 {
 		t.Errorf("fetched from engine %d, want the one that is evacuated", got)
 	}
@@ -118,8 +118,8 @@
 func TestEnginesOfAReturnedZoneFetch(t *testing.T) {
 	f := newPartFleet()
 	f.list(0, 1, 2)
-	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, 60, boottime.Now())
-	f.state.SetEvacuations(nil, 61, boottime.Now())
+	f.state.SetEvacuations([]fleet.Zone{fleet.Zone(f.ids[0])}, knowledge.Position{Revision: 60}, boottime.Now())
+	f.state.SetEvacuations(nil, knowledge.Position{Revision: 61}, boottime.Now())
 	if got := f.holder(0, boottime.Now()); got != 1 {
 		t.Errorf("fetched from engine %d, want the next one", got)
 	}
--- a/internal/gate/keptparts_test.go
+++ b/internal/gate/keptparts_test.go
@@ -53,7 +53,7 @@
 func TestKeeperThatStartedAgainKeepsNothing(t *testing.T) {
 	state := knowledge.NewState()
 	backend := knowledge.Backend{ID: "i", Service: "s", Address: "10.0.0.1:1", Born: 1}
-	state.SetBackends([]knowledge.Backend{backend}, 1, boottime.Now())
+	state.SetBackends([]knowledge.Backend{backend}, knowledge.Position{Revision: 1}, boottime.Now())
 	kept := newKeptParts()
 	before := state.View()
 	kept.note("part", before.Backends["i"])
@@ -61,7 +61,7 @@
 		t.Error("the engine that read the part is not the one that keeps it")
 	}
 	backend.Born = 2
-	state.SetBackends([]knowledge.Backend{backend}, 2, boottime.Now())
+	state.SetBackends([]knowledge.Backend{backend}, knowledge.Position{Revision: 2}, boottime.Now())
 	if keeper := kept.keeper("part", state.View()); keeper != nil {
 		t.Errorf("%+v keeps a part that its start before it read", keeper)
 	}
--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -14,6 +14,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 func testLagMeter() *lagMeter {
@@ -131,7 +132,7 @@
 	h.settings.set(Settings{Freshness: Freshness{Keyed: time.Minute, Final: time.Minute}})
 	view := knownView(boottime.Now())
 	h.state.SetConfiguration(view.Index.Configuration, boottime.Now())
-	h.state.SetBackends(nil, 1, boottime.Now())
+	h.state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
 	h.lag.setShare(-1) // refuses everything
 	answer := httptest.NewRecorder()
 	h.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/a/x", nil))
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -108,6 +108,7 @@
 		m.entry.apply(view.Index.Configuration.Limits)
 		event.GateVersion.Log(m.options.Logger, logrus.Fields{"version": view.Version(), "before": before.Version()})
 	}
+	m.logStore(before, view)
 	m.logEvacuations(before, view)
 	m.logBackends(before, view)
 	m.forgetDead(before, view)
@@ -213,6 +214,18 @@
 	}
 }
 
+// logStore tells that the store has come back from an older copy.
+func (m *Manager) logStore(before, view *knowledge.View) {
+	m.handler.metrics.storeEra(view.Position.Era)
+	if view.WentBack == before.WentBack {
+		return
+	}
+	event.GateStoreRestored.Log(m.options.Logger, logrus.Fields{
+		"era": view.Position.Era, "revision": view.Position.Revision,
+		"era_before": before.Position.Era, "revision_before": before.Position.Revision,
+	})
+}
+
 // logEvacuations tells of a change of the evacuated zones. A zone without backend
 // servers is named too: it is probably a slip of the operator's.
 func (m *Manager) logEvacuations(before, view *knowledge.View) {
@@ -223,7 +236,8 @@
 	m.handler.metrics.evacuated(len(view.Evacuations.Zones))
 	empty := lo.Filter(added, func(zone fleet.Zone, _ int) bool { return !hasBackends(view, zone) })
 	event.GateEvacuated.Log(m.options.Logger, logrus.Fields{
-		"added": added, "taken_back": taken, "without_backends": empty, "revision": view.Evacuations.Revision,
+		"added": added, "taken_back": taken, "without_backends": empty,
+		"era": view.Evacuations.Position.Era, "revision": view.Evacuations.Position.Revision,
 	})
 }
 
@@ -247,7 +261,8 @@
 	slices.Sort(removed)
 	slices.Sort(leaving)
 	event.GateBackends.Log(m.options.Logger, logrus.Fields{
-		"added": added, "removed": removed, "leaving": leaving, "revision": view.Revision,
+		"added": added, "removed": removed, "leaving": leaving,
+		"era": view.Position.Era, "revision": view.Position.Revision,
 	})
 }
 
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -14,6 +14,7 @@
 	refusals *prometheus.CounterVec
 	first    prometheus.Histogram
 	zones    prometheus.Gauge // evacuated
+	era      prometheus.Gauge // of the store
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -36,7 +37,11 @@
 		Name: "bluebell_gate_evacuated_zones",
 		Help: "Availability zones whose backend servers get no new requests.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones)
+	m.era = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "bluebell_gate_store_era",
+		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
+	})
+	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones, m.era)
 	return m
 }
 
@@ -50,6 +55,8 @@
 
 func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
 
+func (m *metrics) storeEra(era uint64) { m.era.Set(float64(era)) }
+
 func (m *metrics) firstEvent(took time.Duration) {
 	m.first.Observe(took.Seconds())
 }
--- a/internal/gate/place_bench_test.go
+++ b/internal/gate/place_bench_test.go
@@ -33,7 +33,7 @@
 	for i := range listed {
 		listed[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: fleet.Address(fmt.Sprint("10.0.0.1:", i+1)), Slots: 64, Zone: "z"}
 	}
-	state.SetBackends(listed, 1, boottime.Now())
+	state.SetBackends(listed, knowledge.Position{Revision: 1}, boottime.Now())
 	settings := newCurrentSettings(Settings{Admission: policy.Defaults()})
 	a := newAdmission(settings, "z", fleetOf(routers))
 	for router := range routers - 1 {
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -41,10 +41,9 @@
 }
 
 // newest returns what holds of a backend server when told comes after known, which may
-// be nil; now is the moment, 0 for the first list. What an incarnation wrote last may
-// reach the store after the first word of the next one; it must not bring the dead one
-// back.
-func newest(known, told *Backend, now boottime.Instant) *Backend {
+// be nil. What an incarnation wrote last may reach the store after the first word of the
+// next one; it must not bring the dead one back.
+func (v *View) newest(known, told *Backend, now boottime.Instant) *Backend {
 	if known != nil {
 		if told.Born == 0 {
 			told.Born = known.Born // nothing is told of a new start
@@ -61,6 +60,9 @@
 	// and each change would have the list taken by all routers.
 	told.entryHash = xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t %t", told.ID, told.Born, told.Service, told.Address, told.Leaving, told.ColdLeft > 0))
 	told.Appeared = now
+	if v.Listed == 0 {
+		told.Appeared = 0 // it may have been there for long
+	}
 	if known != nil && known.Incarnation == told.Incarnation {
 		told.Appeared = known.Appeared
 	}
@@ -70,7 +72,7 @@
 // coldUntil returns when the told backend server will be warm. An entry that is told
 // again starts no new time.
 func coldUntil(known, told *Backend) boottime.Instant {
-	if known != nil && known.Revision == told.Revision && known.ColdLeft == told.ColdLeft {
+	if known != nil && known.Position == told.Position && known.ColdLeft == told.ColdLeft {
 		return known.ColdUntil
 	}
 	if told.ColdLeft <= 0 {
@@ -93,10 +95,6 @@
 	return id + "@" + strconv.FormatInt(born, 10)
 }
 
-func cloneBackends(backends map[string]*Backend) map[string]*Backend {
-	return maps.Clone(backends)
-}
-
 func sameBackends(a, b map[string]*Backend) bool {
 	return maps.EqualFunc(a, b, func(x, y *Backend) bool { return *x == *y })
 }
--- a/internal/knowledge/evacuations.go
+++ b/internal/knowledge/evacuations.go
@@ -15,7 +15,7 @@
 // requests, as the operator has ordered.
 type Evacuations struct {
 	Zones    []fleet.Zone // sorted
-	Revision uint64       // of the store at which these were the zones
+	Position Position     // at which these were the zones
 	// Confirmed is a moment at which these were still the zones, 0 before any were
 	// told.
 	Confirmed boottime.Instant
@@ -51,27 +51,27 @@
 	})
 }
 
-// SetEvacuations takes the zones that were evacuated at the revision. confirmed is a
-// moment at which they still were, 0 if unknown. Zones of an older revision than the
+// SetEvacuations takes the zones that were evacuated at the position. confirmed is a
+// moment at which they still were, 0 if unknown. Zones of an older position than the
 // known ones are ignored.
-func (s *State) SetEvacuations(zones []fleet.Zone, revision uint64, confirmed boottime.Instant) {
-	if known := s.View().Evacuations; revision <= known.Revision && confirmed <= known.Confirmed {
+func (s *State) SetEvacuations(zones []fleet.Zone, at Position, confirmed boottime.Instant) {
+	if known := s.View().Evacuations; at.Compare(known.Position) <= 0 && confirmed <= known.Confirmed {
 		return // nearly all beats tell what is known, and each update costs a copy of the view
 	}
-	zones = lo.Uniq(slices.Sorted(slices.Values(zones)))
 	s.update(func(view *View) bool {
 		known := &view.Evacuations
-		if revision < known.Revision {
+		if at.Before(known.Position) {
 			return false
 		}
+		now := boottime.Now()
 		before := known.Zones
-		known.Revision = revision
+		zones := lo.Uniq(slices.Sorted(slices.Values(zones)))
+		known.Position = at
 		known.Confirmed = max(known.Confirmed, confirmed)
 		if slices.Equal(before, zones) {
 			return false
 		}
 		taken, _ := lo.Difference(before, zones)
-		now := boottime.Now()
 		known.Heard = lo.SliceToMap(zones, func(zone fleet.Zone) (fleet.Zone, boottime.Instant) {
 			if at, already := known.Heard[zone]; already {
 				return zone, at
--- a/internal/knowledge/evacuations_test.go
+++ b/internal/knowledge/evacuations_test.go
@@ -19,7 +19,7 @@
 	for _, zone := range zones {
 		backends = append(backends, Backend{ID: "i-" + string(zone), Service: "s", Zone: zone})
 	}
-	state.SetBackends(backends, 1, boottime.Now())
+	state.SetBackends(backends, Position{Revision: 1}, boottime.Now())
 	return state
 }
 
@@ -36,12 +36,12 @@
 // Cause: evacuations were not known, or taken once only.
 func TestEvacuatedZonesServeNothing(t *testing.T) {
 	state := zoned("a", "b")
-	state.SetEvacuations([]fleet.Zone{"a"}, 5, boottime.Now())
-	state.SetBackend(Backend{ID: "i-new", Service: "s", Zone: "a"}, 6)
+	state.SetEvacuations([]fleet.Zone{"a"}, Position{Revision: 5}, boottime.Now())
+	setBackend(state, Backend{ID: "i-new", Service: "s", Zone: "a"}, 6)
 	if got := serving(state); !slices.Equal(got, []string{"i-b"}) {
 		t.Errorf("%v serve", got)
 	}
-	state.SetEvacuations(nil, 7, boottime.Now())
+	state.SetEvacuations(nil, Position{Revision: 7}, boottime.Now())
 	if got := serving(state); !slices.Equal(got, []string{"i-a", "i-b", "i-new"}) {
 		t.Errorf("%v serve after the zone was taken back", got)
 	}
@@ -59,7 +59,7 @@
 	if state.View().Ready() {
 		t.Error("ready without evacuations")
 	}
-	state.SetEvacuations([]fleet.Zone{"a"}, 3, 0)
+	state.SetEvacuations([]fleet.Zone{"a"}, Position{Revision: 3}, 0)
 	if state.View().Ready() {
 		t.Error("ready by evacuations of unknown age")
 	}
@@ -82,7 +82,7 @@
 		for range rapid.IntRange(1, 30).Draw(t, "messages") {
 			told := rapid.IntRange(0, len(history)-1).Draw(t, "told")
 			newest = max(newest, told)
-			state.SetEvacuations(history[told], uint64(told+1), boottime.Now())
+			state.SetEvacuations(history[told], Position{Revision: uint64(told + 1)}, boottime.Now())
 			for _, zone := range zones {
 				want := slices.Contains(history[newest], zone)
 				if got := state.View().Evacuations.Has(zone); got != want {
@@ -100,8 +100,8 @@
 // Cause: each took the other's later moment.
 func TestReturnIsNotShiftedByMessages(t *testing.T) {
 	first, second := zoned("a"), zoned("a")
-	first.SetEvacuations([]fleet.Zone{"a"}, 1, boottime.Now())
-	first.SetEvacuations(nil, 2, boottime.Now())
+	first.SetEvacuations([]fleet.Zone{"a"}, Position{Revision: 1}, boottime.Now())
+	first.SetEvacuations(nil, Position{Revision: 2}, boottime.Now())
 	returned := first.View().Evacuations.Returned["a"]
 	for range 100 {
 		for _, told := range [][2]*State{{first, second}, {second, first}} {
--- a/internal/knowledge/knowledge_test.go
+++ b/internal/knowledge/knowledge_test.go
@@ -122,8 +122,8 @@
 func TestRemovedBackendGoesAtOnce(t *testing.T) {
 	state := NewState()
 	now := boottime.Now()
-	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, 5, now)
-	state.SetBackends([]Backend{{ID: "a"}}, 6, now.Add(time.Second))
+	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, Position{Revision: 5}, now)
+	state.SetBackends([]Backend{{ID: "a"}}, Position{Revision: 6}, now.Add(time.Second))
 	if listed := ids(state.View()); listed["b"] || !listed["a"] {
 		t.Errorf("listed: %v", listed)
 	}
@@ -136,13 +136,13 @@
 func TestBackendsThatLapsedInAnOutageAreKeptForAWhile(t *testing.T) {
 	state := NewState()
 	now := boottime.Now()
-	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, 5, now.Add(-10*time.Second))
-	state.SetBackends([]Backend{{ID: "a"}}, 6, now)
+	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, Position{Revision: 5}, now.Add(-10*time.Second))
+	state.SetBackends([]Backend{{ID: "a"}}, Position{Revision: 6}, now)
 	view := state.View()
 	if _, absent := view.Absent["b"]; !absent || !ids(view)["b"] {
 		t.Fatalf("b is gone at once: %v", ids(view))
 	}
-	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, 7, now)
+	state.SetBackends([]Backend{{ID: "a"}, {ID: "b"}}, Position{Revision: 7}, now)
 	if view := state.View(); len(view.Absent) != 0 || !ids(view)["b"] {
 		t.Errorf("b came back, absent: %v", view.Absent)
 	}
@@ -151,13 +151,13 @@
 func TestBackendsThatDoNotComeBackGo(t *testing.T) {
 	state := NewState()
 	now := boottime.Now()
-	state.SetBackends([]Backend{{ID: "b"}}, 5, now.Add(-10*time.Second))
-	state.SetBackends(nil, 6, now)
+	state.SetBackends([]Backend{{ID: "b"}}, Position{Revision: 5}, now.Add(-10*time.Second))
+	state.SetBackends(nil, Position{Revision: 6}, now)
 	state.update(func(view *View) bool {
 		view.Absent["b"] = now.Add(-lapseGrace)
 		return false
 	})
-	state.SetBackends(nil, 7, now)
+	state.SetBackends(nil, Position{Revision: 7}, now)
 	if listed := ids(state.View()); listed["b"] {
 		t.Error("b is still listed")
 	}
@@ -166,9 +166,9 @@
 func TestOlderListIsIgnored(t *testing.T) {
 	state := NewState()
 	now := boottime.Now()
-	state.SetBackends([]Backend{{ID: "a", Leaving: true}}, 6, now)
-	state.SetBackends([]Backend{{ID: "a"}}, 5, now)
-	state.SetBackend(Backend{ID: "a"}, 6)
+	state.SetBackends([]Backend{{ID: "a", Leaving: true}}, Position{Revision: 6}, now)
+	state.SetBackends([]Backend{{ID: "a"}}, Position{Revision: 5}, now)
+	setBackend(state, Backend{ID: "a"}, 6)
 	if !state.View().Backends["a"].Leaving {
 		t.Error("a backend server that leaves came back by an older list")
 	}
@@ -182,15 +182,15 @@
 func TestIncarnationsNeverFall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		state := NewState()
-		state.SetBackends(nil, 1, boottime.Now())
+		state.SetBackends(nil, Position{Revision: 1}, boottime.Now())
 		newest := int64(0)
 		for revision := range uint64(rapid.IntRange(1, 20).Draw(t, "news")) {
 			born := rapid.Int64Range(0, 4).Draw(t, "born")
 			told := Backend{ID: "a", Born: born, Slots: int(born)}
 			if rapid.Bool().Draw(t, "list") {
-				state.SetBackends([]Backend{told}, revision+2, boottime.Now())
+				state.SetBackends([]Backend{told}, Position{Revision: revision + 2}, boottime.Now())
 			} else {
-				state.SetBackend(told, revision+2)
+				setBackend(state, told, revision+2)
 			}
 			newest = max(newest, born)
 			got := state.View().Backends["a"]
@@ -201,11 +201,17 @@
 	})
 }
 
+// setBackend takes the newest entry of one backend server.
+func setBackend(state *State, backend Backend, revision uint64) {
+	backend.Position = Position{Revision: revision}
+	state.ChangeBackends([]BackendChange{{ID: backend.ID, Entry: &backend}}, backend.Position)
+}
+
 // manyBackends are so many entries of one service.
 func manyBackends(count int, revision uint64) []Backend {
 	backends := make([]Backend, count)
 	for i := range backends {
-		backends[i] = Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1", Revision: revision}
+		backends[i] = Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1", Position: Position{Revision: revision}}
 	}
 	return backends
 }
@@ -217,9 +223,10 @@
 	for i := range len(backends) / 3 {
 		entry := backends[i]
 		entry.ID += "-again"
+		entry.Revision = 10 + uint64(i)
 		changes = append(changes,
 			BackendChange{ID: backends[i].ID},
-			BackendChange{ID: entry.ID, Entry: &entry, Revision: 10 + uint64(i)})
+			BackendChange{ID: entry.ID, Entry: &entry})
 	}
 	return changes
 }
@@ -231,10 +238,10 @@
 func TestChangesOfAWatchMakeOneView(t *testing.T) {
 	state := NewState()
 	backends := manyBackends(30, 1)
-	state.SetBackends(backends, 5, boottime.Now())
+	state.SetBackends(backends, Position{Revision: 5}, boottime.Now())
 	views, before := 0, state.View()
 	changed := state.Changed()
-	state.ChangeBackends(changesOf(backends))
+	state.ChangeBackends(changesOf(backends), Position{Revision: 50})
 	<-changed
 	select {
 	case <-state.Changed():
@@ -249,7 +256,7 @@
 		t.Error("the changes were not taken")
 	}
 	same := NewState()
-	same.SetBackends(lo.Map(lo.Values(after.Backends), func(b *Backend, _ int) Backend { return *b }), 9, boottime.Now())
+	same.SetBackends(lo.Map(lo.Values(after.Backends), func(b *Backend, _ int) Backend { return *b }), Position{Revision: 9}, boottime.Now())
 	if same.View().Digest != after.Digest {
 		t.Error("a list and its changes have different digests")
 	}
@@ -261,26 +268,22 @@
 	rapid.Check(t, func(t *rapid.T) {
 		together, single := NewState(), NewState()
 		for _, state := range []*State{together, single} {
-			state.SetBackends(manyBackends(4, 1), 5, boottime.Now())
+			state.SetBackends(manyBackends(4, 1), Position{Revision: 5}, boottime.Now())
 		}
 		var changes []BackendChange
 		for range rapid.IntRange(0, 12).Draw(t, "changes") {
 			id := fmt.Sprint("i-", rapid.IntRange(0, 6).Draw(t, "server"))
 			change := BackendChange{ID: id}
 			if rapid.Bool().Draw(t, "written") {
-				change.Revision = rapid.Uint64Range(3, 12).Draw(t, "revision")
-				change.Entry = &Backend{ID: id, Service: "s", Address: "10.0.0.1:1", Leaving: rapid.Bool().Draw(t, "leaving"), Revision: change.Revision}
+				revision := rapid.Uint64Range(3, 12).Draw(t, "revision")
+				change.Entry = &Backend{ID: id, Service: "s", Address: "10.0.0.1:1", Leaving: rapid.Bool().Draw(t, "leaving"), Position: Position{Revision: revision}}
 			}
 			changes = append(changes, change)
 		}
 		for _, change := range changes {
-			if change.Entry != nil {
-				single.SetBackend(*change.Entry, change.Revision)
-				continue
-			}
-			single.RemoveBackend(change.ID)
+			single.ChangeBackends([]BackendChange{change}, Position{Revision: 5})
 		}
-		together.ChangeBackends(changes)
+		together.ChangeBackends(changes, Position{Revision: 5})
 		if together.View().Digest != single.View().Digest || len(together.View().Serving["s"]) != len(single.View().Serving["s"]) {
 			t.Fatalf("together %v, one by one %v", together.View().Backends, single.View().Backends)
 		}
@@ -297,9 +300,9 @@
 		b.Run(name, func(b *testing.B) {
 			for b.Loop() {
 				state := NewState()
-				state.SetBackends(manyBackends(3000, 1), 5, boottime.Now())
+				state.SetBackends(manyBackends(3000, 1), Position{Revision: 5}, boottime.Now())
 				for chunk := range slices.Chunk(changes, step) {
-					state.ChangeBackends(chunk)
+					state.ChangeBackends(chunk, Position{Revision: 5})
 				}
 			}
 		})
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -1,6 +1,7 @@
 package knowledge
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -23,12 +24,16 @@
 	ByService map[fleet.Service][]*Backend // in the order of their IDs
 	Serving   map[fleet.Service][]*Backend // those that neither leave nor are evacuated
 	Digest    uint64                       // of the list of backend servers, to compare it with another router's
-	Revision  uint64                       // of the list of backend servers
+	Position  Position                     // up to which the list of backend servers was followed
 	Listed    boottime.Instant             // a moment at which the list was complete
 	Absent    map[string]boottime.Instant  // when a listed backend server was first missed
 
 	Evacuations       Evacuations
 	expectEvacuations bool
+
+	// WentBack is when the store was seen to have come back from an older copy, 0 for
+	// never.
+	WentBack boottime.Instant
 }
 
 // Ready tells whether requests can be answered at all.
@@ -133,83 +138,77 @@
 }
 
 // SetBackends takes a whole list that was complete at the moment confirmed. A
-// list of an older revision than the known one is ignored.
-func (s *State) SetBackends(backends []Backend, revision uint64, confirmed boottime.Instant) {
+// list of an older position than the known one is ignored.
+func (s *State) SetBackends(backends []Backend, at Position, confirmed boottime.Instant) {
 	s.update(func(view *View) bool {
-		if revision < view.Revision {
+		if at.Before(view.Position) {
 			return false
 		}
 		now := boottime.Now()
-		appeared := now
-		if view.Listed == 0 {
-			appeared = 0
-		}
-		listed := make(map[string]*Backend, len(backends))
-		for i := range backends {
-			listed[backends[i].ID] = newest(view.Backends[backends[i].ID], &backends[i], appeared)
-		}
-		absent := make(map[string]boottime.Instant)
-		afterOutage := view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
-		for id, known := range view.Backends {
-			if listed[id] != nil {
-				continue
-			}
-			since, missed := view.Absent[id]
-			if !missed && !afterOutage {
-				continue
-			}
-			if !missed {
-				since = now
-			}
-			if now.Sub(since) < lapseGrace {
-				absent[id] = since
-				listed[id] = known
-			}
+		before := view.Backends
+		wentBack := view.Listed != 0 && at.Era > view.Position.Era
+		if wentBack {
+			view.WentBack = now
 		}
-		changed := !sameBackends(view.Backends, listed)
+		misses := view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
+		listed, absent := view.merge(backends, misses, now)
+		changed := !sameBackends(before, listed)
 		if changed {
 			view.setBackends(listed)
 		}
 		view.Absent = absent
-		view.Revision = revision
+		view.Position = at
 		view.Listed = max(view.Listed, confirmed)
-		return changed
+		return changed || wentBack
 	})
 }
 
+// merge returns the list as it is now that these backend servers were told, with those
+// that are kept though they are missing and since when. misses tells that known ones
+// may be missing for a moment.
+func (v *View) merge(told []Backend, misses bool, now boottime.Instant) (map[string]*Backend, map[string]boottime.Instant) {
+	listed := make(map[string]*Backend, len(told))
+	for i := range told {
+		listed[told[i].ID] = v.newest(v.Backends[told[i].ID], &told[i], now)
+	}
+	absent := make(map[string]boottime.Instant)
+	for id, known := range v.Backends {
+		if listed[id] != nil {
+			continue
+		}
+		since, missed := v.Absent[id]
+		if !missed && !misses {
+			continue
+		}
+		if !missed {
+			since = now
+		}
+		if now.Sub(since) < lapseGrace {
+			absent[id] = since
+			listed[id] = known
+		}
+	}
+	return listed, absent
+}
+
 // BackendChange is a change of the list of backend servers.
 type BackendChange struct {
-	ID       string
-	Entry    *Backend // the newest entry, nil for one that was removed
-	Revision uint64   // of the entry, 0 for a removal
+	ID    string
+	Entry *Backend // the newest entry, nil for one that was removed
 }
 
-// ChangeBackends takes changes in their order. They are taken together, because each new
-// view costs as much as the list is long, and a zone that comes back brings thousands of
-// changes: with one view each, 100 routers before 1,000 backend servers did not serve for
-// 30 s after it; together, for 3 s.
-func (s *State) ChangeBackends(changes []BackendChange) {
+// ChangeBackends takes changes in their order, which are all up to the position. They are
+// taken together, because each new view costs as much as the list is long, and a zone that
+// comes back brings thousands of changes: with one view each, 100 routers before 1,000
+// backend servers did not serve for 30 s after it; together, for 3 s.
+func (s *State) ChangeBackends(changes []BackendChange, upTo Position) {
 	s.update(func(view *View) bool {
-		if view.Listed == 0 {
-			return false
-		}
-		var backends map[string]*Backend
-		for _, change := range changes {
-			if change.Entry != nil && change.Revision <= view.Revision {
-				continue
-			}
-			if change.Entry == nil && view.Backends[change.ID] == nil && backends[change.ID] == nil {
-				continue
-			}
-			if backends == nil {
-				backends = cloneBackends(view.Backends)
-			}
-			if change.Entry == nil {
-				delete(backends, change.ID)
-				continue
-			}
-			backends[change.ID] = newest(backends[change.ID], change.Entry, boottime.Now())
+		if view.Listed == 0 || upTo.Era < view.Position.Era {
+			return false // changes of what the store has lost say nothing of what it has
 		}
+		now := boottime.Now()
+		backends := view.changed(changes, now)
+		view.Position = Newest(view.Position, upTo)
 		if backends == nil {
 			return false
 		}
@@ -218,22 +217,27 @@
 	})
 }
 
-// SetBackend takes the newest entry of one backend server.
-func (s *State) SetBackend(backend Backend, revision uint64) {
-	s.ChangeBackends([]BackendChange{{ID: backend.ID, Entry: &backend, Revision: revision}})
-}
-
-// RemoveBackend tells that the entry of a backend server was removed.
-func (s *State) RemoveBackend(id string) {
-	s.ChangeBackends([]BackendChange{{ID: id}})
-}
-
-// AdvanceBackends tells that all changes up to the revision have been taken.
-func (s *State) AdvanceBackends(revision uint64) {
-	s.update(func(view *View) bool {
-		view.Revision = max(view.Revision, revision)
-		return false
-	})
+// changed returns the list with the changes, nil if they change nothing.
+func (v *View) changed(changes []BackendChange, now boottime.Instant) map[string]*Backend {
+	var backends map[string]*Backend
+	for _, change := range changes {
+		entry := change.Entry
+		if entry != nil && !v.Position.Before(entry.Position) {
+			continue
+		}
+		if entry == nil && v.Backends[change.ID] == nil && backends[change.ID] == nil {
+			continue
+		}
+		if backends == nil {
+			backends = maps.Clone(v.Backends)
+		}
+		if entry == nil {
+			delete(backends, change.ID)
+			continue
+		}
+		backends[change.ID] = v.newest(backends[change.ID], entry, now)
+	}
+	return backends
 }
 
 // ConfirmBackends tells that another router's list with the digest was complete
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -103,8 +103,8 @@
 	Zone            fleet.Zone
 	Slots           int
 	Leaving         bool // takes no new request
-	// Revision is that of the store at the last change of the entry.
-	Revision uint64
+	// Position is that of the last change of the entry.
+	Position
 	// ColdLeft is how long the backend server said in that entry that it will be cold.
 	ColdLeft time.Duration
 	// ColdUntil is when it will be warm, 0 if it is. A State sets it, counting from
--- a/internal/peering/evacuations.go
+++ b/internal/peering/evacuations.go
@@ -14,7 +14,7 @@
 // Every beat carries the evacuated zones whole. There are few zones, so this costs
 // less than a call, and a router that the store does not reach, or that has just
 // started or woken up, knows them with the first beat that it hears. Zones of a newer
-// revision replace those of an older one, so lost, repeated and reordered beats do no
+// position replace those of an older one, so lost, repeated and reordered beats do no
 // harm.
 
 // encodeEvacuations returns what a beat tells of evacuations, nil while nothing is
@@ -25,7 +25,8 @@
 	}
 	encoded := &peeringpb.Evacuations{
 		Zones:    zoneNames(known.Zones),
-		Revision: known.Revision,
+		Era:      known.Position.Era,
+		Revision: known.Position.Revision,
 		Age:      age(known.Confirmed, now),
 	}
 	for zone, at := range known.Returned {
@@ -43,7 +44,7 @@
 		return
 	}
 	zones := lo.Map(told.Zones, func(zone string, _ int) fleet.Zone { return fleet.Zone(zone) })
-	state.SetEvacuations(zones, told.Revision, 0)
+	state.SetEvacuations(zones, knowledge.Position{Era: told.Era, Revision: told.Revision}, 0)
 	returned := make(map[fleet.Zone]boottime.Instant)
 	for i := range min(len(told.Returned), len(told.ReturnedAge)) {
 		returned[fleet.Zone(told.Returned[i])] = now.Add(-time.Duration(told.ReturnedAge[i]))
--- a/internal/peering/evacuations_test.go
+++ b/internal/peering/evacuations_test.go
@@ -26,13 +26,13 @@
 	if hearer.View().Evacuations.Confirmed != 0 {
 		t.Error("a router that knows nothing confirmed something")
 	}
-	teller.SetEvacuations([]fleet.Zone{"b", "a"}, 4, now)
+	teller.SetEvacuations([]fleet.Zone{"b", "a"}, knowledge.Position{Revision: 4}, now)
 	tell()
 	known := hearer.View().Evacuations
 	if !slices.Equal(known.Zones, []fleet.Zone{"a", "b"}) || known.Confirmed == 0 || known.Confirmed > now {
 		t.Errorf("heard %+v", known)
 	}
-	teller.SetEvacuations([]fleet.Zone{"b"}, 5, boottime.Now())
+	teller.SetEvacuations([]fleet.Zone{"b"}, knowledge.Position{Revision: 5}, boottime.Now())
 	tell()
 	known = hearer.View().Evacuations
 	if !slices.Equal(known.Zones, []fleet.Zone{"b"}) || known.Returned["a"] == 0 {
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -432,8 +432,8 @@
 	for _, state := range []*knowledge.State{told, asking} {
 		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
 	}
-	told.SetBackends(backends, 7, now)
-	asking.SetBackends(backends, 7, now.Add(-time.Second))
+	told.SetBackends(backends, knowledge.Position{Revision: 7}, now)
+	asking.SetBackends(backends, knowledge.Position{Revision: 7}, now.Add(-time.Second))
 	reply, err := (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{Version: 1, Revision: 7})
 	if err != nil || len(reply.Backends) != 0 {
 		t.Fatalf("reply with %d bytes of backend servers, error %v", len(reply.Backends), err)
@@ -460,7 +460,7 @@
 		for _, id := range ids {
 			backends = append(backends, knowledge.Backend{ID: id, Service: "s", Address: "10.0.0.1:1"})
 		}
-		state.SetBackends(backends, state.View().Revision+1, boottime.Now())
+		state.SetBackends(backends, knowledge.Position{Revision: state.View().Position.Revision + 1}, boottime.Now())
 	}
 	pull := func() []byte {
 		reply, err := server.Pull(t.Context(), &peeringpb.PullRequest{})
@@ -488,7 +488,7 @@
 	configured, listed, asking := knowledge.NewState(), knowledge.NewState(), knowledge.NewState()
 	now := boottime.Now()
 	configured.SetConfiguration(&knowledge.Configuration{Version: 4}, now)
-	listed.SetBackends([]knowledge.Backend{{ID: "i", Service: "s", Address: "10.0.0.1:1"}}, 7, now)
+	listed.SetBackends([]knowledge.Backend{{ID: "i", Service: "s", Address: "10.0.0.1:1"}}, knowledge.Position{Revision: 7}, now)
 	puller := newPuller(asking, "", logrus.New())
 	for _, told := range []*knowledge.State{configured, listed} {
 		reply, err := (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{})
@@ -522,11 +522,11 @@
 	for i := range backends {
 		backends[i].ID = fmt.Sprint(i)
 	}
-	state.SetBackends(backends, 1, now)
+	state.SetBackends(backends, knowledge.Position{Revision: 1}, now)
 	if !manager.Follows() {
 		t.Error("a router does not follow a long list itself")
 	}
-	state.SetBackends(backends[:1], 2, now)
+	state.SetBackends(backends[:1], knowledge.Position{Revision: 2}, now)
 	if manager.Follows() != manager.table.Follows() {
 		t.Error("a short list is not left to those that follow")
 	}
@@ -554,7 +554,7 @@
 			backends[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1"}
 		}
 		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
-		state.SetBackends(backends, 5, now.Add(-test.age))
+		state.SetBackends(backends, knowledge.Position{Revision: 5}, now.Add(-test.age))
 		puller := newPuller(state, "", logrus.New())
 		puller.logger.(*logrus.Logger).SetOutput(io.Discard)
 		beat := &peeringpb.Beat{Version: 1, Revision: 6, Digest: 1, ListAge: 0}
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -93,8 +93,14 @@
 // 3,000 backend servers made the bytes of a router in the middle of 300, callers'
 // included, 765 KB a second; 395 without. A router that the store does not answer still
 // takes it, once its own gets old.
+//
+// A list of a newer era is taken even if it is the same, once for each era: the router
+// must know that the store has lost something, and by revisions it could not tell.
 func newerList(view *knowledge.View, beat *peeringpb.Beat) bool {
-	return beat.Revision > view.Revision && beat.Digest != view.Digest
+	if beat.Era > view.Position.Era {
+		return true
+	}
+	return view.Position.Before(knowledge.Position{Era: beat.Era, Revision: beat.Revision}) && beat.Digest != view.Digest
 }
 
 // waited tells whether this router has been behind for its part of farPause.
@@ -108,11 +114,11 @@
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
 	asked := boottime.Now()
 	client := peeringpb.NewKnowledgeProtobufClient("http://"+string(router), p.client)
-	revision := view.Revision
+	known := view.Position
 	if len(view.Absent) > 0 {
-		revision = 0 // a whole list tells whether those that are missed are gone
+		known = knowledge.Position{} // a whole list tells whether those that are missed are gone
 	}
-	reply, err := client.Pull(ctx, &peeringpb.PullRequest{Version: view.Version(), Revision: revision})
+	reply, err := client.Pull(ctx, &peeringpb.PullRequest{Version: view.Version(), Era: known.Era, Revision: known.Revision})
 	if err == nil {
 		err = p.apply(reply, asked)
 	}
@@ -120,7 +126,7 @@
 	if err != nil {
 		fields["error"] = fleet.Wrap(err, fleet.StepSpread, router).Error()
 	} else {
-		fields["version"], fields["revision"] = reply.Version, reply.Revision
+		fields["version"], fields["era"], fields["revision"] = reply.Version, reply.Era, reply.Revision
 	}
 	event.GatePulled.Log(p.logger, fields)
 }
@@ -136,8 +142,9 @@
 	if reply.ListAge < 0 {
 		return nil // it has no list yet
 	}
-	if view := p.state.View(); len(reply.Backends) == 0 && reply.Revision == view.Revision {
-		// The same revision means the same list, of which only the age is new.
+	position := knowledge.Position{Era: reply.Era, Revision: reply.Revision}
+	if view := p.state.View(); len(reply.Backends) == 0 && position == view.Position {
+		// The same position means the same list, of which only the age is new.
 		p.state.ConfirmBackends(view.Digest, confirmedAt(asked, reply.ListAge))
 	}
 	if len(reply.Backends) > 0 {
@@ -145,7 +152,7 @@
 		if err != nil {
 			return err
 		}
-		p.state.SetBackends(backends, reply.Revision, confirmedAt(asked, reply.ListAge))
+		p.state.SetBackends(backends, position, confirmedAt(asked, reply.ListAge))
 	}
 	return nil
 }
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -20,9 +20,9 @@
 	state *knowledge.State
 
 	mu       sync.Mutex
-	revision uint64 // of the encoded list, 0 for none
+	position knowledge.Position // of the encoded list
 	digest   uint64
-	encoded  []byte
+	encoded  []byte // nil for none
 }
 
 // Pull implements peeringpb.Knowledge. A router that knows one of the two tells it:
@@ -37,7 +37,8 @@
 	reply := &peeringpb.PullReply{
 		Version:   view.Version(),
 		ConfigAge: age(view.Configured, now),
-		Revision:  view.Revision,
+		Era:       view.Position.Era,
+		Revision:  view.Position.Revision,
 		ListAge:   age(view.Listed, now),
 	}
 	var err error
@@ -46,7 +47,8 @@
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
-	if view.Listed != 0 && view.Revision != request.Revision {
+	known := knowledge.Position{Era: request.Era, Revision: request.Revision}
+	if view.Listed != 0 && view.Position != known {
 		if reply.Backends, err = s.encode(view); err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
@@ -60,7 +62,7 @@
 func (s *server) encode(view *knowledge.View) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.encoded != nil && len(view.Absent) == 0 && s.revision == view.Revision && s.digest == view.Digest {
+	if s.encoded != nil && len(view.Absent) == 0 && s.position == view.Position && s.digest == view.Digest {
 		return s.encoded, nil
 	}
 	encoded, err := json.Marshal(listed(view))
@@ -69,7 +71,7 @@
 	}
 	s.encoded = nil // what is left out for being absent holds for this moment only
 	if len(view.Absent) == 0 {
-		s.revision, s.digest, s.encoded = view.Revision, view.Digest, encoded
+		s.position, s.digest, s.encoded = view.Position, view.Digest, encoded
 	}
 	return encoded, nil
 }
