A store that has forgotten its last seconds does not undo what is known of backend servers

Callers' requests could reach a backend server that is about to end, or break one that is cold, or meet nobody, for as long as the store shows entries from before: found by asking, of everything that goes by a revision, what it does when the store goes back; not seen in the records.

Cause: after the store has come back from an older copy its list shows servers as they were some seconds earlier, until they have written again: ready though they leave, warm though they are cold, present though they are gone. Zones emptied in those seconds are in use again, and servers that came in them are missing.

Change: a server numbers its entries, so that in another era the smaller number is the older entry, whatever its revision.

Why this holds: the numbers are the servers' own and go on, so they order their entries without the store.

--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -223,6 +223,7 @@
 	event.GateStoreRestored.Log(m.options.Logger, logrus.Fields{
 		"era": view.Position.Era, "revision": view.Position.Revision,
 		"era_before": before.Position.Era, "revision_before": before.Position.Revision,
+		"kept": view.KeptFromBefore(),
 	})
 }
 
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -48,7 +48,7 @@
 		if told.Born == 0 {
 			told.Born = known.Born // nothing is told of a new start
 		}
-		if told.Born < known.Born {
+		if told.Born < known.Born || told.Born == known.Born && v.outdated(known, told, now) {
 			return known
 		}
 	}
@@ -72,7 +72,7 @@
 // coldUntil returns when the told backend server will be warm. An entry that is told
 // again starts no new time.
 func coldUntil(known, told *Backend) boottime.Instant {
-	if known != nil && known.Position == told.Position && known.ColdLeft == told.ColdLeft {
+	if known != nil && sameEntry(known, told) && known.ColdLeft == told.ColdLeft {
 		return known.ColdUntil
 	}
 	if told.ColdLeft <= 0 {
@@ -81,6 +81,15 @@
 	return boottime.Now().Add(told.ColdLeft)
 }
 
+// sameEntry tells whether both are the same entry of a backend server. In another era its
+// revision says nothing.
+func sameEntry(known, told *Backend) bool {
+	if known.Era == told.Era {
+		return known.Revision == told.Revision
+	}
+	return known.Born == told.Born && known.Sequence == told.Sequence
+}
+
 // IncarnationHash returns the name by which routers tell each other of an
 // incarnation. Half of a hash keeps their messages short; should two incarnations
 // share one, each counts the other's load as well.
--- a/internal/knowledge/evacuations.go
+++ b/internal/knowledge/evacuations.go
@@ -21,6 +21,9 @@
 	Confirmed boottime.Instant
 	// Heard tells when this router heard that a zone is evacuated.
 	Heard map[fleet.Zone]boottime.Instant
+	// held are zones that were evacuated before the store went back and that it does
+	// not have since, with the moment until which they count all the same.
+	held map[fleet.Zone]boottime.Instant
 	// Returned tells when this router heard that a zone was taken back into use.
 	// Its backend servers may have started again meanwhile.
 	Returned map[fleet.Zone]boottime.Instant
@@ -36,6 +39,11 @@
 // servers take to become warm.
 const returnedLife = 30 * time.Second
 
+// heldLife is how long a zone stays evacuated that the store has lost. The operator
+// writes the order again within a moment; requests that go there until then meet backend
+// servers that are being stopped. A zone that was to be taken back waits as long.
+const heldLife = 2 * time.Second
+
 // returnedSlack is how much later than known another router must say that a zone
 // was taken back to be believed. Beats are late by their way, and two routers that
 // took each other's word would shift the moment on for ever.
@@ -65,7 +73,8 @@
 		}
 		now := boottime.Now()
 		before := known.Zones
-		zones := lo.Uniq(slices.Sorted(slices.Values(zones)))
+		known.hold(zones, at, now)
+		zones := lo.Uniq(slices.Sorted(slices.Values(append(lo.Keys(known.held), zones...))))
 		known.Position = at
 		known.Confirmed = max(known.Confirmed, confirmed)
 		if slices.Equal(before, zones) {
@@ -85,6 +94,23 @@
 	})
 }
 
+// hold keeps those zones evacuated for a moment that the store has lost by going back.
+func (e *Evacuations) hold(zones []fleet.Zone, at Position, now boottime.Instant) {
+	held := maps.Clone(e.held)
+	maps.DeleteFunc(held, func(zone fleet.Zone, until boottime.Instant) bool {
+		return now >= until || slices.Contains(zones, zone)
+	})
+	if at.Era > e.Position.Era && e.Confirmed != 0 {
+		for _, zone := range lo.Without(e.Zones, zones...) {
+			if held == nil {
+				held = make(map[fleet.Zone]boottime.Instant)
+			}
+			held[zone] = now.Add(heldLife)
+		}
+	}
+	e.held = held
+}
+
 // ConfirmEvacuations tells that these were still all evacuated zones at the moment.
 // It does nothing when others are known by now.
 func (s *State) ConfirmEvacuations(zones []fleet.Zone, confirmed boottime.Instant) {
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -34,6 +34,7 @@
 	// WentBack is when the store was seen to have come back from an older copy, 0 for
 	// never.
 	WentBack boottime.Instant
+	removed  map[string]removal // of backend servers that were listed, by ID
 }
 
 // Ready tells whether requests can be answered at all.
@@ -120,7 +121,7 @@
 }
 
 // lapseGrace is how long a backend server that is missing from the list after
-// an outage of the store still counts. Entries that lapsed during the outage
+// an outage of the store, or after it has come back from an older copy, still counts. Entries that lapsed during the outage
 // come back within two seconds of its end; a request may still be sent well
 // before the users' bound for servers that have left.
 const lapseGrace = 1500 * time.Millisecond
@@ -150,11 +151,13 @@
 		if wentBack {
 			view.WentBack = now
 		}
-		misses := view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
+		// After either, backend servers that are missing may write their entries again.
+		misses := wentBack || view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
 		listed, absent := view.merge(backends, misses, now)
 		changed := !sameBackends(before, listed)
 		if changed {
 			view.setBackends(listed)
+			view.noteRemovals(before, now)
 		}
 		view.Absent = absent
 		view.Position = at
@@ -169,6 +172,9 @@
 func (v *View) merge(told []Backend, misses bool, now boottime.Instant) (map[string]*Backend, map[string]boottime.Instant) {
 	listed := make(map[string]*Backend, len(told))
 	for i := range told {
+		if v.revived(&told[i], now) {
+			continue
+		}
 		listed[told[i].ID] = v.newest(v.Backends[told[i].ID], &told[i], now)
 	}
 	absent := make(map[string]boottime.Instant)
@@ -207,12 +213,14 @@
 			return false // changes of what the store has lost say nothing of what it has
 		}
 		now := boottime.Now()
+		before := view.Backends
 		backends := view.changed(changes, now)
 		view.Position = Newest(view.Position, upTo)
 		if backends == nil {
 			return false
 		}
 		view.setBackends(backends)
+		view.noteRemovals(before, now)
 		return true
 	})
 }
@@ -222,7 +230,7 @@
 	var backends map[string]*Backend
 	for _, change := range changes {
 		entry := change.Entry
-		if entry != nil && !v.Position.Before(entry.Position) {
+		if entry != nil && (!v.Position.Before(entry.Position) || v.revived(entry, now)) {
 			continue
 		}
 		if entry == nil && v.Backends[change.ID] == nil && backends[change.ID] == nil {
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -105,6 +105,8 @@
 	Leaving         bool // takes no new request
 	// Position is that of the last change of the entry.
 	Position
+	// Sequence counts the entries that this start of the backend server has written.
+	Sequence uint64
 	// ColdLeft is how long the backend server said in that entry that it will be cold.
 	ColdLeft time.Duration
 	// ColdUntil is when it will be warm, 0 if it is. A State sets it, counting from
