Routers look into the directory, and register, again when the store has forgotten its last seconds

A router whose entry the store has lost is found by nobody who does not hear it already, for a minute and a half: looks are half a minute apart, and only three lists without it made it register again. Found by asking what rests on a write that was acknowledged; not seen in the records.

Change: when the store is seen to have gone back, the wait for the next look ends, looks follow as at the start, and one list without the router is enough. The routers that have lost nothing pay three lists and write nothing.

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -209,6 +209,7 @@
 // register announces this router and looks for others until the context ends.
 func (m *Manager) register(ctx context.Context) error {
 	missing := announceAfter // lists in a row that lack this router
+	wentBack := m.options.State.View().WentBack
 	for look := 1; ; look++ {
 		if missing >= announceAfter {
 			err := m.options.Directory.Announce(ctx, m.options.Address)
@@ -222,10 +223,36 @@
 		if err == nil {
 			missing = m.takeDirectory(ctx, zones, missing)
 		}
+		m.awaitLook(ctx, lookPause(look, len(m.heard(boottime.Now()))), wentBack)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if again := m.options.State.View().WentBack; again != wentBack {
+			// The store may have lost this router's entry, and those of others that
+			// came of late. Routers that hear nobody find each other by them alone, so
+			// it is looked into as at the start, and one list without it is enough.
+			wentBack, look = again, 0
+			missing = max(missing, announceAfter-1)
+		}
+	}
+}
+
+// awaitLook waits for the time, or until the store has come back from an older copy since
+// the moment, or the context ends.
+func (m *Manager) awaitLook(ctx context.Context, pause time.Duration, wentBack boottime.Instant) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
+		changed := m.options.State.Changed()
+		if m.options.State.View().WentBack != wentBack {
+			return
+		}
 		select {
 		case <-ctx.Done():
-			return nil
-		case <-time.After(lookPause(look, len(m.heard(boottime.Now())))):
+			return
+		case <-timer.C:
+			return
+		case <-changed:
 		}
 	}
 }
--- a/internal/peering/restored_test.go
+++ b/internal/peering/restored_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"slices"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -94,3 +95,18 @@
 		t.Errorf("%+v after a beat of the newer era", known)
 	}
 }
+
+// A router that waits for its next look into the directory looks at once when the store
+// has come back from an older copy.
+func TestStoreThatWentBackEndsTheWaitForALook(t *testing.T) {
+	state := knowing(nil, knowledge.Position{Era: 1, Revision: 87})
+	manager := NewManager(Options{Address: self, State: state, Logger: logrus.New()})
+	time.AfterFunc(20*time.Millisecond, func() {
+		state.SetBackends(nil, knowledge.Position{Era: 2, Revision: 60}, boottime.Now())
+	})
+	began := time.Now()
+	manager.awaitLook(t.Context(), time.Minute, state.View().WentBack)
+	if waited := time.Since(began); waited > 10*time.Second {
+		t.Errorf("waited for %v", waited)
+	}
+}
