A backend server that says in an answer that it leaves gets nothing new

Callers' requests reached a backend server for more than eleven seconds after it had said in its answers that it leaves; it could have ended under them at any moment.

Cause: routers learned from the store alone that a server leaves, and the store was away for those seconds; what answers said of it was not read. The class: one source of a fact is waited for while another tells it. Ruled out: that it was read and lost with the next list (no record, and the program had no name for that header).

Event 2129 tells of it once. Why this holds: every answer of a leaving server says so, so a router can hand none on without closing the server first; a closure outlasts the list by a minute, so that an entry that lapses and comes back does not open it; a 421 is left out, as another server speaks there.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -30,6 +30,7 @@
 	GateReborn        = Event{2123, logrus.InfoLevel, "backend server started again under its id"}
 	GateEvacuated     = Event{2126, logrus.WarnLevel, "evacuated availability zones changed"}
 	GateStoreRestored = Event{2128, logrus.WarnLevel, "store has come back from an older copy"}
+	GateLeaves        = Event{2129, logrus.InfoLevel, "backend server says that it leaves"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -41,6 +41,7 @@
 	peers    Peers
 	kept     *keptParts
 	cold     *coldServers
+	closures *closures
 
 	mu     sync.Mutex
 	ledger *shares.Ledger
@@ -55,6 +56,7 @@
 		peers:    peers,
 		kept:     newKeptParts(),
 		cold:     newColdServers(settings, peers),
+		closures: newClosures(),
 		ledger:   shares.NewLedger(),
 	}
 }
@@ -94,7 +96,7 @@
 func (a *admission) place(request *Request, view *knowledge.View, excluded map[string]bool) (*placement, *Refusal) {
 	now := boottime.Now()
 	cold := a.cold.of(view, request.Service, now)
-	sound := a.sound(view, request.Service, excluded)
+	sound := a.sound(view, request.Service, excluded, now)
 	usable := a.cold.open(cold, sound, now)
 	if len(usable) == 0 {
 		a.shut(request)
--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -9,16 +9,17 @@
 )
 
 // sound returns the backend servers of the service that may take a request.
-// Shunned ones are among them only when there is no other.
-func (a *admission) sound(view *knowledge.View, service fleet.Service, excluded map[string]bool) []*knowledge.Backend {
+// Shunned ones are among them only when there is no other, closed ones never.
+func (a *admission) sound(view *knowledge.View, service fleet.Service, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
 	serving := view.Serving[service]
-	shunned := a.loads.shunnedNow(boottime.Now())
-	if len(excluded)+len(view.Absent)+len(shunned) == 0 {
+	shunned := a.loads.shunnedNow(now)
+	closed := a.closures.at(now)
+	if len(excluded)+len(view.Absent)+len(shunned)+len(closed) == 0 {
 		return serving
 	}
 	var sound, last []*knowledge.Backend
 	for _, backend := range serving {
-		if excluded[backend.ID] {
+		if excluded[backend.ID] || closed[backend.Incarnation] != 0 {
 			continue
 		}
 		if _, absent := view.Absent[backend.ID]; absent || shunned[backend.Incarnation] {
--- /dev/null
+++ b/internal/gate/closures.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"maps"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+const (
+	// forGood is the end of a closure of a backend server that leaves.
+	forGood = boottime.Instant(math.MaxInt64)
+	// closureLife is how long a closure is remembered of a backend server that is no
+	// longer listed: longer than entries take that lapse in an outage of the store and
+	// are written again.
+	closureLife = time.Minute
+)
+
+// closure tells that a backend server wants nothing new.
+type closure struct {
+	until   boottime.Instant
+	missing boottime.Instant // since when the backend server is not listed, 0 if it is
+}
+
+// closures are the backend servers that have said in their answers that they want nothing
+// new, by their incarnations. The store may tell that one leaves much later: while it is
+// away, answers are the only word of it, and a router that does not heed them goes on
+// sending requests to a server that ends under them. Its methods may be called
+// concurrently.
+type closures struct {
+	mu    sync.Mutex
+	known map[string]closure
+}
+
+func newClosures() *closures { return &closures{known: make(map[string]closure)} }
+
+// add notes that a backend server wants nothing until the moment. It returns whether it
+// was open before.
+func (c *closures) add(incarnation string, until, now boottime.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	known := c.known[incarnation]
+	open := known.until <= now
+	known.until = max(known.until, until)
+	c.known[incarnation] = known
+	return open
+}
+
+// at returns until when backend servers are closed at the moment, by incarnation, nil if
+// none is.
+func (c *closures) at(now boottime.Instant) map[string]boottime.Instant {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var closed map[string]boottime.Instant
+	for incarnation, known := range c.known {
+		if now >= known.until {
+			delete(c.known, incarnation)
+			continue
+		}
+		if closed == nil {
+			closed = make(map[string]boottime.Instant, len(c.known))
+		}
+		closed[incarnation] = known.until
+	}
+	return closed
+}
+
+// keep forgets backend servers that have not been listed for long.
+func (c *closures) keep(backends map[string]*knowledge.Backend, now boottime.Instant) {
+	listed := make(map[string]bool, len(backends))
+	for _, backend := range backends {
+		listed[backend.Incarnation] = true
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for incarnation, known := range c.known {
+		switch {
+		case listed[incarnation]:
+			known.missing = 0
+		case known.missing == 0:
+			known.missing = now
+		}
+		c.known[incarnation] = known
+	}
+	maps.DeleteFunc(c.known, func(_ string, known closure) bool {
+		return known.missing != 0 && now.Sub(known.missing) > closureLife
+	})
+}
--- /dev/null
+++ b/internal/gate/closures_test.go
@@ -0,0 +1,58 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Requests would reach a backend server again that has said that it leaves: its entry
+// lapsed in an outage of the store, and is back with the next heartbeat.
+func TestClosureOutlastsALapsedEntry(t *testing.T) {
+	known := newClosures()
+	now := boottime.Now()
+	listed := map[string]*knowledge.Backend{"a": {ID: "a", Incarnation: "a@1"}}
+	known.add("a@1", forGood, now)
+	known.keep(listed, now)
+	known.keep(nil, now.Add(time.Hour)) // the first list without it in an hour
+	known.keep(nil, now.Add(time.Hour+2*time.Second))
+	known.keep(listed, now.Add(time.Hour+4*time.Second))
+	if closed := known.at(now.Add(2 * time.Hour)); closed["a@1"] != forGood {
+		t.Errorf("%v are closed", closed)
+	}
+}
+
+// What is remembered is bounded, and says nothing of a server that starts again.
+func TestClosureEndsWithItsServer(t *testing.T) {
+	known := newClosures()
+	now := boottime.Now()
+	known.add("a@1", forGood, now)
+	again := map[string]*knowledge.Backend{"a": {ID: "a", Incarnation: "a@2"}}
+	known.keep(again, now)
+	if closed := known.at(now); closed["a@2"] != 0 {
+		t.Error("closed after it has started again")
+	}
+	known.keep(again, now.Add(closureLife+time.Second))
+	if closed := known.at(now.Add(closureLife + time.Second)); len(closed) != 0 {
+		t.Errorf("%v are remembered", closed)
+	}
+}
+
+func TestClosureEndsInTime(t *testing.T) {
+	known := newClosures()
+	now := boottime.Now()
+	if !known.add("a", now.Add(time.Second), now) {
+		t.Error("closed before it was added")
+	}
+	if known.add("a", now.Add(500*time.Millisecond), now) {
+		t.Error("open while it is closed")
+	}
+	if closed := known.at(now.Add(900 * time.Millisecond)); closed["a"] != now.Add(time.Second) {
+		t.Errorf("%v are closed, a shorter time must not replace a longer one", closed)
+	}
+	if closed := known.at(now.Add(time.Second)); closed != nil {
+		t.Errorf("%v are closed after the time", closed)
+	}
+}
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -44,6 +44,7 @@
 	// Replaced means that another backend server has the address by now.
 	Replaced bool
 	Encoded  bool // the body isn't the one that the backend server made
+	Leaving  bool // the backend server takes nothing new any more
 	// ColdLeft is how long the backend server says that it will be cold, 0 if it
 	// does not say.
 	ColdLeft time.Duration
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -70,8 +70,8 @@
 //  3. readBody: whether there is memory for the body.
 //  4. suspects: whether the request breaks backend servers.
 //  5. admission.place: the tier that the account's standing gives it, the backend
-//     servers that may take anything (not leaving, evacuated, shunned, or cold with
-//     nothing left of their bound), and one among them within the tier's bounds.
+//     servers that may take anything (not leaving, closed, evacuated, shunned, or cold
+//     with nothing left of their bound), and one among them within the tier's bounds.
 //  6. retryBudget: for each further send, whether the fleet may still make one.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -113,6 +113,7 @@
 	m.logBackends(before, view)
 	m.forgetDead(before, view)
 	m.handler.admission.loads.keep(view.Backends)
+	m.handler.admission.closures.keep(view.Backends, boottime.Now())
 }
 
 const (
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -150,6 +150,11 @@
 	})
 }
 
+// leaves writes that a backend server has said for the first time that it leaves.
+func (r *records) leaves(backend *knowledge.Backend) {
+	event.GateLeaves.Log(r.logger, logrus.Fields{"backend": backend.ID})
+}
+
 func (r *records) sendFailed(request *Request, backend *knowledge.Backend, err error) {
 	r.write(r.failures, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "error": err.Error()})
 }
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -153,7 +153,7 @@
 	defer answer.Close()
 	r.sends++
 	reply := h.dialect.Reply(answer.Status, answer.Header)
-	h.admission.cold.warn(placed.backend.Incarnation, reply.ColdLeft)
+	h.heed(placed.backend, reply)
 	if reply.Refused || reply.Replaced {
 		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
 		h.admission.ended(r.request, placed, false)
@@ -176,6 +176,17 @@
 	return r.relayWhole(ctx, placed, answer, reply, sent)
 }
 
+// heed takes what the backend server says of itself with an answer.
+func (h *handler) heed(backend *knowledge.Backend, reply Reply) {
+	if reply.Replaced {
+		return // another server has answered, and it speaks of itself
+	}
+	h.admission.cold.warn(backend.Incarnation, reply.ColdLeft)
+	if reply.Leaving && h.admission.closures.add(backend.Incarnation, forGood, boottime.Now()) {
+		h.records.leaves(backend)
+	}
+}
+
 func (r *run) outgoing(ctx context.Context, placed *placement, now boottime.Instant) *backendconn.Request {
 	forward := &Forward{
 		Request:   r.request,
