A backend server that turns requests away and says for how long is left alone so long

Callers' requests reached a backend server at once that had just turned one away and said for how long it wants none: each cost it work and its caller an attempt, and callers were refused beside an idle server once the second sends were used up.

Cause: Retry-After of a 503 was not read, and a refusal is no failure that a server is shunned for.

A request whose connection was being opened meanwhile is not sent. While all servers of a service are closed, callers are told at once to come back a moment after the first one opens (reason closed). Why this holds: no place is given at a closed server and nothing is sent to it after its word was read, whatever the connection was waiting for.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -36,8 +36,9 @@
 	Mine func(header http.Header) bool
 	// MaxConnections bounds the connections to the backend server.
 	MaxConnections int
-	// Abandoned tells whether nobody waits for the answer any more; nil for never.
-	Abandoned func() bool
+	// Check is asked once the connection is open; an error means that nothing is sent.
+	// nil for nothing to ask.
+	Check func() error
 	// Sending is called right before the first byte is sent; nil for nothing.
 	Sending func()
 }
@@ -63,6 +64,14 @@
 // ErrAbandoned tells that the caller left before anything was sent.
 var ErrAbandoned = errors.New("the caller has left")
 
+// check returns why the request is not to be sent, or nil.
+func (r *Request) check() error {
+	if r.Check == nil {
+		return nil
+	}
+	return r.Check()
+}
+
 // Do sends the request to the address and returns the head of its answer. The
 // caller must Close the answer. Once the context ends, the connection is
 // closed, which makes the backend server stop.
@@ -75,9 +84,9 @@
 		p.discard(address, c)
 		return nil, failed(ctx.Err(), ProgressNone, fleet.StepSend, address)
 	}
-	if request.Abandoned != nil && request.Abandoned() {
+	if err := request.check(); err != nil {
 		p.discard(address, c)
-		return nil, failed(ErrAbandoned, ProgressNone, fleet.StepSend, address)
+		return nil, failed(err, ProgressNone, fleet.StepSend, address)
 	}
 	if request.Sending != nil {
 		request.Sending()
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -307,7 +307,7 @@
 		received <- n
 	})
 	request := ask("1")
-	request.Abandoned = func() bool { return true }
+	request.Check = func() error { return ErrAbandoned }
 	pool := NewPool()
 	_, err := pool.Do(t.Context(), server.address, request)
 	if !errors.Is(err, ErrAbandoned) || ProgressOf(err) != ProgressNone {
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -100,7 +100,7 @@
 	usable := a.cold.open(cold, sound, now)
 	if len(usable) == 0 {
 		a.shut(request)
-		return nil, a.refuse(request, whyNone(view, request.Service, len(sound)))
+		return nil, a.refuseAll(request, view, len(sound), now)
 	}
 	placed, refusal := a.placeAmong(request, view, usable, len(excluded) > 0)
 	if refusal != nil {
--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -34,6 +34,39 @@
 	return last
 }
 
+// refuseAll refuses a request for which no backend server is usable, when so many are
+// sound. While all are closed, callers that come back before the first one opens again
+// would be refused again; they do not all come back at that very moment.
+func (a *admission) refuseAll(request *Request, view *knowledge.View, sound int, now boottime.Instant) *Refusal {
+	refusal := a.refuse(request, whyNone(view, request.Service, sound))
+	if refusal.Reason != ReasonNoBackend {
+		return refusal
+	}
+	if opens := a.opens(view, request.Service, now); opens != 0 {
+		refusal.Reason = ReasonClosed
+		refusal.RetryAfter += opens.Sub(now)
+	}
+	return refusal
+}
+
+// opens returns when the first closed backend server of the service takes requests again,
+// 0 if none will or one that is not closed is there.
+func (a *admission) opens(view *knowledge.View, service fleet.Service, now boottime.Instant) boottime.Instant {
+	closed := a.closures.at(now)
+	first := forGood
+	for _, backend := range view.Serving[service] {
+		until, isClosed := closed[backend.Incarnation]
+		if !isClosed {
+			return 0
+		}
+		first = min(first, until)
+	}
+	if first == forGood {
+		return 0
+	}
+	return first
+}
+
 // whyNone returns why no backend server of the service may take a request, when so
 // many are sound.
 func whyNone(view *knowledge.View, service fleet.Service, sound int) Reason {
--- a/internal/gate/closures_test.go
+++ b/internal/gate/closures_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
@@ -56,3 +58,19 @@
 		t.Errorf("%v are closed after the time", closed)
 	}
 }
+
+// Requests would reach a backend server seconds after it has said that it wants none: on a
+// busy processor, or when packets are lost, their connections take so long to be opened.
+func TestNothingIsSentToAServerThatClosesWhileConnecting(t *testing.T) {
+	admission := newAdmission(newCurrentSettings(Settings{}), "", noPeers{})
+	run := &run{handler: &handler{admission: admission}}
+	backend := &knowledge.Backend{ID: "a", Incarnation: "a"}
+	if err := run.check(t.Context(), backend); err != nil {
+		t.Errorf("an open server: %v", err)
+	}
+	now := boottime.Now()
+	admission.closures.add("a", now.Add(time.Minute), now)
+	if err := run.check(t.Context(), backend); !errors.Is(err, errClosed) {
+		t.Errorf("a closed server: %v", err)
+	}
+}
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -45,6 +45,9 @@
 	Replaced bool
 	Encoded  bool // the body isn't the one that the backend server made
 	Leaving  bool // the backend server takes nothing new any more
+	// ClosedFor is how long the backend server wants nothing of this router, 0 if it
+	// does not say.
+	ClosedFor time.Duration
 	// ColdLeft is how long the backend server says that it will be cold, 0 if it
 	// does not say.
 	ColdLeft time.Duration
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -43,6 +43,7 @@
 	ReasonBusy         Reason = "busy"
 	ReasonShare        Reason = "over-share"
 	ReasonNoBackend    Reason = "no-backend"
+	ReasonClosed       Reason = "closed"     // all that are left want nothing for a time
 	ReasonEvacuated    Reason = "evacuated"  // all zones with backend servers of the service are
 	ReasonWarming      Reason = "warming-up" // all that are left have just started and get little
 	ReasonDeclined     Reason = "declined"
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -155,6 +155,11 @@
 	event.GateLeaves.Log(r.logger, logrus.Fields{"backend": backend.ID})
 }
 
+// closes writes that a backend server that was open wants nothing for the time.
+func (r *records) closes(backend *knowledge.Backend, lasts time.Duration) {
+	event.GateCloses.Log(r.logger, logrus.Fields{"backend": backend.ID, "for_ms": lasts.Milliseconds()})
+}
+
 func (r *records) sendFailed(request *Request, backend *knowledge.Backend, err error) {
 	r.write(r.failures, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "error": err.Error()})
 }
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -182,9 +182,13 @@
 		return // another server has answered, and it speaks of itself
 	}
 	h.admission.cold.warn(backend.Incarnation, reply.ColdLeft)
-	if reply.Leaving && h.admission.closures.add(backend.Incarnation, forGood, boottime.Now()) {
+	now := boottime.Now()
+	if reply.Leaving && h.admission.closures.add(backend.Incarnation, forGood, now) {
 		h.records.leaves(backend)
 	}
+	if reply.ClosedFor > 0 && h.admission.closures.add(backend.Incarnation, now.Add(reply.ClosedFor), now) {
+		h.records.closes(backend, reply.ClosedFor)
+	}
 }
 
 func (r *run) outgoing(ctx context.Context, placed *placement, now boottime.Instant) *backendconn.Request {
@@ -206,11 +210,25 @@
 		Body:           r.request.Body,
 		Mine:           r.mine,
 		MaxConnections: r.maxConnections(placed.backend),
-		// On a busy processor a connection that has been opened waits for seconds
-		// for its turn, and the caller may leave meanwhile.
-		Abandoned: func() bool { return callerLeft(ctx) },
-		Sending:   func() { placed.permit.Sent(boottime.Now()) },
+		Check:          func() error { return r.check(ctx, placed.backend) },
+		Sending:        func() { placed.permit.Sent(boottime.Now()) },
+	}
+}
+
+// errClosed tells that the backend server has said meanwhile that it wants nothing.
+var errClosed = errors.New("the backend server takes nothing new")
+
+// check returns why a request is not to be sent after all. On a busy processor, or on a
+// link that loses packets, a connection takes seconds to be opened: meanwhile the caller
+// may leave, and the backend server may say that it wants nothing.
+func (r *run) check(ctx context.Context, backend *knowledge.Backend) error {
+	if callerLeft(ctx) {
+		return backendconn.ErrAbandoned
+	}
+	if r.handler.admission.closures.at(boottime.Now())[backend.Incarnation] != 0 {
+		return errClosed
 	}
+	return nil
 }
 
 // connectionShare is the part of a backend server's connections that the
@@ -250,7 +268,7 @@
 	h.records.sendFailed(r.request, placed.backend, err)
 	if unsent {
 		r.connects++
-		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) {
+		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) && !errors.Is(err, errClosed) {
 			h.admission.loads.broken(placed.backend.Incarnation)
 			h.admission.cold.mayRestart(h.state.View(), placed.backend)
 		}
