A cold server that counts its entries anew is not taken for warm after the store went back

Callers' requests could break a backend server that has just started again under its id while the store was away and came back from an older copy: its first entry has a smaller number than the last one of before, and was taken for the older. Now the colder of the two counts unless the server leaves; TestColdServerThatCountsAnewIsCold failed before.

Also: whether one backend server is closed is asked without a copy of the table.

--- a/internal/gate/closures.go
+++ b/internal/gate/closures.go
@@ -68,6 +68,13 @@
 	return closed
 }
 
+// has tells whether a backend server is closed at the moment.
+func (c *closures) has(incarnation string, now boottime.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now < c.known[incarnation].until
+}
+
 // keep forgets backend servers that have not been listed for long.
 func (c *closures) keep(backends map[string]*knowledge.Backend, now boottime.Instant) {
 	listed := make(map[string]bool, len(backends))
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -225,7 +225,7 @@
 	if callerLeft(ctx) {
 		return backendconn.ErrAbandoned
 	}
-	if r.handler.admission.closures.at(boottime.Now())[backend.Incarnation] != 0 {
+	if r.handler.admission.closures.has(backend.Incarnation, boottime.Now()) {
 		return errClosed
 	}
 	return nil
--- a/internal/knowledge/restored.go
+++ b/internal/knowledge/restored.go
@@ -41,6 +41,11 @@
 	if told.Era == known.Era {
 		return told.Revision < known.Revision
 	}
+	if !known.Leaving && told.ColdLeft > known.ColdLeft {
+		// It may have started again under its id, and counts anew. Taken for warm, it
+		// would break.
+		return false
+	}
 	return v.rewriting(now) && told.Sequence < known.Sequence
 }
 
--- a/internal/knowledge/restored_test.go
+++ b/internal/knowledge/restored_test.go
@@ -157,6 +157,19 @@
 	}
 }
 
+// Requests would break a backend server that has just started again under its id, and
+// counts its entries anew, while the store was away and came back from an older copy.
+func TestColdServerThatCountsAnewIsCold(t *testing.T) {
+	state := NewState()
+	state.SetBackends([]Backend{entryAt("a", Position{1, 85}, 80)}, Position{1, 87}, boottime.Now())
+	again := entryAt("a", Position{2, 61}, 1)
+	again.ColdLeft = time.Minute
+	state.SetBackends([]Backend{again}, Position{2, 61}, boottime.Now())
+	if state.View().Backends["a"].ColdUntil == 0 {
+		t.Error("it is taken for warm")
+	}
+}
+
 // A cold server's next entry may have, in another era, the revision of the known one. It
 // is another entry all the same, and its time counts.
 func TestColdTimeUnderAReusedRevision(t *testing.T) {
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -121,9 +121,10 @@
 }
 
 // lapseGrace is how long a backend server that is missing from the list after
-// an outage of the store, or after it has come back from an older copy, still counts. Entries that lapsed during the outage
-// come back within two seconds of its end; a request may still be sent well
-// before the users' bound for servers that have left.
+// an outage of the store, or after it has come back from an older copy, still
+// counts. Entries that lapsed or were lost come back within two seconds of its
+// return; a request may still be sent well before the users' bound for servers
+// that have left.
 const lapseGrace = 1500 * time.Millisecond
 
 // outageAge is the age of the list from which the next one counts as the first
