--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -1,10 +1,8 @@
 package knowledge
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
-	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -120,17 +118,6 @@
 	})
 }
 
-// lapseGrace is how long a backend server that is missing from the list after
-// an outage of the store, or after it has come back from an older copy, still
-// counts. Entries that lapsed or were lost come back within two seconds of its
-// return; a request may still be sent well before the users' bound for servers
-// that have left.
-const lapseGrace = 1500 * time.Millisecond
-
-// outageAge is the age of the list from which the next one counts as the first
-// after an outage: several times the pause between two lists.
-const outageAge = 3 * time.Second
-
 // SetContact tells that the store answered this process at the moment.
 func (s *State) SetContact(at boottime.Instant) {
 	s.update(func(view *View) bool {
@@ -138,124 +125,3 @@
 		return false
 	})
 }
-
-// SetBackends takes a whole list that was complete at the moment confirmed. A
-// list of an older position than the known one is ignored.
-func (s *State) SetBackends(backends []Backend, at Position, confirmed boottime.Instant) {
-	s.update(func(view *View) bool {
-		if at.Before(view.Position) {
-			return false
-		}
-		now := boottime.Now()
-		before := view.Backends
-		wentBack := view.Listed != 0 && at.Era > view.Position.Era
-		if wentBack {
-			view.WentBack = now
-		}
-		// After either, backend servers that are missing may write their entries again.
-		misses := wentBack || view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
-		listed, absent := view.merge(backends, misses, now)
-		changed := !sameBackends(before, listed)
-		if changed {
-			view.setBackends(listed)
-			view.noteRemovals(before, now)
-		}
-		view.Absent = absent
-		view.Position = at
-		view.Listed = max(view.Listed, confirmed)
-		return changed || wentBack
-	})
-}
-
-// merge returns the list as it is now that these backend servers were told, with those
-// that are kept though they are missing and since when. misses tells that known ones
-// may be missing for a moment.
-func (v *View) merge(told []Backend, misses bool, now boottime.Instant) (map[string]*Backend, map[string]boottime.Instant) {
-	listed := make(map[string]*Backend, len(told))
-	for i := range told {
-		if v.revived(&told[i], now) {
-			continue
-		}
-		listed[told[i].ID] = v.newest(v.Backends[told[i].ID], &told[i], now)
-	}
-	absent := make(map[string]boottime.Instant)
-	for id, known := range v.Backends {
-		if listed[id] != nil {
-			continue
-		}
-		since, missed := v.Absent[id]
-		if !missed && !misses {
-			continue
-		}
-		if !missed {
-			since = now
-		}
-		if now.Sub(since) < lapseGrace {
-			absent[id] = since
-			listed[id] = known
-		}
-	}
-	return listed, absent
-}
-
-// BackendChange is a change of the list of backend servers.
-type BackendChange struct {
-	ID    string
-	Entry *Backend // the newest entry, nil for one that was removed
-}
-
-// ChangeBackends takes changes in their order, which are all up to the position. They are
-// taken together, because each new view costs as much as the list is long, and a zone that
-// comes back brings thousands of changes: with one view each, 100 routers before 1,000
-// backend servers did not serve for 30 s after it; together, for 3 s.
-func (s *State) ChangeBackends(changes []BackendChange, upTo Position) {
-	s.update(func(view *View) bool {
-		if view.Listed == 0 || upTo.Era < view.Position.Era {
-			return false // changes of what the store has lost say nothing of what it has
-		}
-		now := boottime.Now()
-		before := view.Backends
-		backends := view.changed(changes, now)
-		view.Position = Newest(view.Position, upTo)
-		if backends == nil {
-			return false
-		}
-		view.setBackends(backends)
-		view.noteRemovals(before, now)
-		return true
-	})
-}
-
-// changed returns the list with the changes, nil if they change nothing.
-func (v *View) changed(changes []BackendChange, now boottime.Instant) map[string]*Backend {
-	var backends map[string]*Backend
-	for _, change := range changes {
-		entry := change.Entry
-		if entry != nil && (!v.Position.Before(entry.Position) || v.revived(entry, now)) {
-			continue
-		}
-		if entry == nil && v.Backends[change.ID] == nil && backends[change.ID] == nil {
-			continue
-		}
-		if backends == nil {
-			backends = maps.Clone(v.Backends)
-		}
-		if entry == nil {
-			delete(backends, change.ID)
-			continue
-		}
-		backends[change.ID] = v.newest(backends[change.ID], entry, now)
-	}
-	return backends
-}
-
-// ConfirmBackends tells that another router's list with the digest was complete
-// at the moment.
-func (s *State) ConfirmBackends(digest uint64, confirmed boottime.Instant) {
-	s.update(func(view *View) bool {
-		if view.Listed != 0 && view.Digest == digest && len(view.Absent) == 0 {
-			view.Listed = max(view.Listed, confirmed)
-		}
-		return false
-	})
-}
