The list of backend servers is told as changes, at any length

The constant stood in for a missing mechanism: others told the list whole, so that each change cost routers times servers.

Ways that were weighed: - changes carried on beats: no call, one hop sooner, but each router hears some 180 beats a second, and all of them would carry a change that almost all hearers have by then; - a log of changes at each router, asked by position: bounds, gaps and order of its own; - chosen: changes since a position worked out from the list itself. Each entry bears the position of its last change, and removals are remembered for 30 s as before, now with their position. No log; a gap (removals forgotten, another era) is answered by the whole list. A digest shows a list that drifted, which is then taken whole once.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -26,26 +26,39 @@
 			return false
 		}
 		now := boottime.Now()
-		before := view.Backends
 		wentBack := view.Listed != 0 && at.Era > view.Position.Era
 		if wentBack {
 			view.WentBack = now
 		}
-		// After either, backend servers that are missing may write their entries again.
-		misses := wentBack || view.Listed != 0 && confirmed.Sub(view.Listed) > outageAge
-		listed, absent := view.merge(backends, misses, now)
-		changed := !sameBackends(before, listed)
-		if changed {
-			view.setBackends(listed)
-			view.noteRemovals(before, now)
+		if wentBack || view.Listed == 0 {
+			view.tracedFrom = at
 		}
-		view.Absent = absent
-		view.Position = at
-		view.Listed = max(view.Listed, confirmed)
-		return changed || wentBack
+		listed, absent := view.merge(backends, view.misses(at, confirmed), now)
+		return view.replace(listed, absent, at, confirmed, now) || wentBack
 	})
 }
 
+// misses tells whether backend servers that a list lacks may write their entries again: it
+// is the first one after an outage, or since the store came back from an older copy.
+func (v *View) misses(at Position, confirmed boottime.Instant) bool {
+	return v.Listed != 0 && (at.Era > v.Position.Era || confirmed.Sub(v.Listed) > outageAge)
+}
+
+// replace takes the list as it was at the position, complete at the moment confirmed. It
+// returns whether the list changed.
+func (v *View) replace(listed map[string]*Backend, absent map[string]boottime.Instant, at Position, confirmed, now boottime.Instant) bool {
+	before := v.Backends
+	changed := !sameBackends(before, listed)
+	if changed {
+		v.setBackends(listed)
+		v.noteRemovals(before, at, now)
+	}
+	v.Absent = absent
+	v.Position = at
+	v.Listed = max(v.Listed, confirmed)
+	return changed
+}
+
 // merge returns the list as it is now that these backend servers were told, with those
 // that are kept though they are missing and since when. misses tells that known ones
 // may be missing for a moment.
@@ -62,14 +75,7 @@
 		if listed[id] != nil {
 			continue
 		}
-		since, missed := v.Absent[id]
-		if !missed && !misses {
-			continue
-		}
-		if !missed {
-			since = now
-		}
-		if now.Sub(since) < lapseGrace {
+		if since, kept := v.keptMissing(id, misses, now); kept {
 			absent[id] = since
 			listed[id] = known
 		}
@@ -77,6 +83,19 @@
 	return listed, absent
 }
 
+// keptMissing tells whether a known backend server that is missing still counts, and
+// since when it is missed.
+func (v *View) keptMissing(id string, misses bool, now boottime.Instant) (since boottime.Instant, kept bool) {
+	since, missed := v.Absent[id]
+	if !missed && !misses {
+		return 0, false
+	}
+	if !missed {
+		since = now
+	}
+	return since, now.Sub(since) < lapseGrace
+}
+
 // BackendChange is a change of the list of backend servers.
 type BackendChange struct {
 	ID    string
@@ -85,8 +104,7 @@
 
 // ChangeBackends takes changes in their order, which are all up to the position. They are
 // taken together, because each new view costs as much as the list is long, and a zone that
-// comes back brings thousands of changes: with one view each, 100 routers before 1,000
-// backend servers did not serve for 30 s after it; together, for 3 s.
+// comes back brings thousands of changes.
 func (s *State) ChangeBackends(changes []BackendChange, upTo Position) {
 	s.update(func(view *View) bool {
 		if view.Listed == 0 || upTo.Era < view.Position.Era {
@@ -100,7 +118,7 @@
 			return false
 		}
 		view.setBackends(backends)
-		view.noteRemovals(before, now)
+		view.noteRemovals(before, upTo, now)
 		return true
 	})
 }
--- a/internal/knowledge/restored.go
+++ b/internal/knowledge/restored.go
@@ -28,6 +28,7 @@
 type removal struct {
 	entry *Backend
 	at    boottime.Instant
+	upTo  Position // by which it was removed
 }
 
 // rewriting tells whether the store has just come back from an older copy.
@@ -59,17 +60,22 @@
 	return told.Era > removed.entry.Era && told.Born <= removed.entry.Born && told.Sequence <= removed.entry.Sequence
 }
 
-// noteRemovals remembers the backend servers that are not in the list any more.
-func (v *View) noteRemovals(before map[string]*Backend, now boottime.Instant) {
+// noteRemovals remembers the backend servers that are not in the list any more, as it is
+// at the position.
+func (v *View) noteRemovals(before map[string]*Backend, at Position, now boottime.Instant) {
 	removed := make(map[string]removal)
 	for id, known := range v.removed {
-		if now.Sub(known.at) < removalLife && v.Backends[id] == nil {
+		switch {
+		case v.Backends[id] != nil: // back, which its entry tells
+		case now.Sub(known.at) < removalLife:
 			removed[id] = known
+		default:
+			v.tracedFrom = Newest(v.tracedFrom, known.upTo)
 		}
 	}
 	for id, known := range before {
 		if v.Backends[id] == nil {
-			removed[id] = removal{entry: known, at: now}
+			removed[id] = removal{entry: known, at: now, upTo: at}
 		}
 	}
 	v.removed = removed
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -33,6 +33,8 @@
 	// never.
 	WentBack boottime.Instant
 	removed  map[string]removal // of backend servers that were listed, by ID
+	// tracedFrom is the position from which on removed lacks nothing.
+	tracedFrom Position
 }
 
 // Ready tells whether requests can be answered at all.
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -95,9 +95,9 @@
 	// Incarnation tells this start from the others of the same ID.
 	// IncarnationHash and IDHash spare each request the hashing of a whole list.
 	// A State sets the three.
-	Incarnation     string
-	IncarnationHash uint32
-	IDHash          uint64
+	Incarnation     string `json:"-"`
+	IncarnationHash uint32 `json:"-"`
+	IDHash          uint64 `json:"-"`
 	Service         fleet.Service
 	Address         fleet.Address
 	Zone            fleet.Zone
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -89,18 +89,6 @@
 	return m
 }
 
-// pulledMost is the number of backend servers up to which routers take changes of
-// the list from others. They take the whole list, so with a longer one a watch
-// of the store's, which tells the change alone, costs less. With 3,000 backend servers
-// routers spent so much on lists that the users' mark of the service, 1 for all in time
-// at no cost, was 0.758; it is 0.807 with watches.
-const pulledMost = 200
-
-// Follows implements gate.Peers.
-func (m *Manager) Follows() bool {
-	return len(m.options.State.View().Backends) > pulledMost || m.table.Follows()
-}
-
 // SetLocal names the router's own part. It must be called before Run.
 func (m *Manager) SetLocal(local Local) { m.local = local }
 
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -439,7 +439,7 @@
 		t.Fatalf("reply with %d bytes of backend servers, error %v", len(reply.Backends), err)
 	}
 	puller := newPuller(asking, "", logrus.New())
-	if err := puller.apply(reply, boottime.Now()); err != nil {
+	if err := puller.apply(reply, knowledge.Position{}, boottime.Now()); err != nil {
 		t.Fatal(err)
 	}
 	if age := boottime.Now().Sub(asking.View().Listed); age > 500*time.Millisecond {
@@ -495,7 +495,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := puller.apply(reply, boottime.Now()); err != nil {
+		if err := puller.apply(reply, knowledge.Position{}, boottime.Now()); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -508,60 +508,73 @@
 	}
 }
 
-// Symptom: bytes between routers grow with the square of the fleet.
-// Events: a backend server joins a long list.
-// Cause: each router that does not follow the store took the whole list.
-func TestAllFollowTheStoreWithALongList(t *testing.T) {
-	state := knowledge.NewState()
-	manager := NewManager(Options{Address: self, State: state, Logger: logrus.New()})
+// Guards against bytes and work that grow with routers times backend servers times changes:
+// a router that is a change behind with a long list takes the change alone.
+func TestChangeOfALongListIsTakenAlone(t *testing.T) {
+	const servers, changeMost = 3000, 2000 // bytes of a reply
 	now := boottime.Now()
-	for i := range 50 {
-		manager.take(beatOf(fmt.Sprintf("10.0.1.%d:1", i), 1, 1), now)
-	}
-	backends := make([]knowledge.Backend, pulledMost+1)
+	told, asking := knowledge.NewState(), knowledge.NewState()
+	backends := make([]knowledge.Backend, servers)
 	for i := range backends {
-		backends[i].ID = fmt.Sprint(i)
+		backends[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1"}
+	}
+	for _, state := range []*knowledge.State{told, asking} {
+		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
+		state.SetBackends(slices.Clone(backends), knowledge.Position{Revision: 5}, now)
 	}
-	state.SetBackends(backends, knowledge.Position{Revision: 1}, now)
-	if !manager.Follows() {
-		t.Error("a router does not follow a long list itself")
+	at := knowledge.Position{Revision: 8}
+	leaves := backends[7]
+	leaves.Leaving, leaves.Position = true, at
+	told.ChangeBackends([]knowledge.BackendChange{{ID: leaves.ID, Entry: &leaves}, {ID: "i-9"}}, at)
+	beat := &peeringpb.Beat{Version: 1, Revision: at.Revision, Digest: told.View().Digest}
+	if !newerList(asking.View(), beat) {
+		t.Fatal("a router is not behind")
 	}
-	state.SetBackends(backends[:1], knowledge.Position{Revision: 2}, now)
-	if manager.Follows() != manager.table.Follows() {
-		t.Error("a short list is not left to those that follow")
+	puller := quietPuller(asking)
+	reply := pullInto(t, puller, told)
+	if size := proto.Size(reply); size > changeMost || len(reply.Backends) > 0 {
+		t.Errorf("one change of %d backend servers takes %d bytes, want %d at most", servers, size, changeMost)
+	}
+	view := asking.View()
+	if view.Digest != told.View().Digest || view.Position != at || !view.Backends["i-7"].Leaving || view.Backends["i-9"] != nil {
+		t.Errorf("%d backend servers at %v after the change", len(view.Backends), view.Position)
 	}
 }
 
-// Symptom: bytes between routers grow with the square of the fleet while backend
-// servers come and go.
-// Events: with a long list each router takes the changes from the store, some a moment
-// before others.
-// Cause: whoever was a moment behind took the whole list from another router.
-func TestLongListIsNotTakenForBeingAMomentBehind(t *testing.T) {
-	for _, test := range []struct {
-		backends int
-		age      time.Duration // of the own list
-		pulled   bool
-	}{
-		{pulledMost, 0, true},
-		{pulledMost + 1, 0, false},
-		{pulledMost + 1, 3 * time.Second, true},
-	} {
-		state := knowledge.NewState()
-		now := boottime.Now()
-		backends := make([]knowledge.Backend, test.backends)
-		for i := range backends {
-			backends[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: "10.0.0.1:1"}
-		}
-		state.SetConfiguration(&knowledge.Configuration{Version: 1}, now)
-		state.SetBackends(backends, knowledge.Position{Revision: 5}, now.Add(-test.age))
-		puller := newPuller(state, "", logrus.New())
-		puller.logger.(*logrus.Logger).SetOutput(io.Discard)
-		beat := &peeringpb.Beat{Version: 1, Revision: 6, Digest: 1, ListAge: 0}
-		puller.consider(t.Context(), "127.0.0.1:1", beat, func(boottime.Instant) bool { return true }, now)
-		if pulled := puller.busy.Load() || puller.next.Load() != 0; pulled != test.pulled {
-			t.Errorf("%d backend servers, list %v old: taken %t, want %t", test.backends, test.age, pulled, test.pulled)
-		}
+// pullInto lets a router take what another knows, as pull does.
+func pullInto(t *testing.T, puller *puller, told *knowledge.State) *peeringpb.PullReply {
+	t.Helper()
+	view := puller.state.View()
+	known := puller.known(view)
+	reply, err := (&server{state: told}).Pull(t.Context(), &peeringpb.PullRequest{
+		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
+	})
+	if err == nil {
+		err = puller.apply(reply, known, boottime.Now())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+// Guards against a list that stays wrong: where changes did not lead to the list of the
+// router that told them, the next one is taken whole.
+func TestListThatDriftedIsTakenWhole(t *testing.T) {
+	now := boottime.Now()
+	entry := func(id string) knowledge.Backend {
+		return knowledge.Backend{ID: id, Service: "s", Address: "10.0.0.1:1"}
+	}
+	told, asking := knowledge.NewState(), knowledge.NewState()
+	told.SetBackends([]knowledge.Backend{entry("a"), entry("b")}, knowledge.Position{Revision: 5}, now)
+	asking.SetBackends([]knowledge.Backend{entry("a")}, knowledge.Position{Revision: 5}, now)
+	puller := quietPuller(asking)
+	for revision := uint64(6); revision <= 7; revision++ {
+		told.ChangeBackends([]knowledge.BackendChange{{ID: fmt.Sprint("gone-", revision)}}, knowledge.Position{Revision: revision})
+		pullInto(t, puller, told)
+	}
+	if view := asking.View(); view.Digest != told.View().Digest || puller.whole.Load() {
+		t.Errorf("%d backend servers are known, want 2", len(view.Backends))
 	}
 }
 
@@ -575,7 +588,7 @@
 	logger.SetOutput(io.Discard)
 	puller := newPuller(state, "", logger)
 	list := `[{"ID":7},{"ID":"b"},"text",null,{"ID":"i","Service":"s","Address":"10.0.0.1:1"}]`
-	if err := puller.apply(&peeringpb.PullReply{Backends: []byte(list), Revision: 3}, boottime.Now()); err != nil {
+	if err := puller.apply(&peeringpb.PullReply{Backends: []byte(list), Revision: 3}, knowledge.Position{}, boottime.Now()); err != nil {
 		t.Fatal(err)
 	}
 	if view := state.View(); len(view.Backends) != 1 || view.Backends["i"] == nil {
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -44,6 +44,10 @@
 	busy   atomic.Bool
 	next   atomic.Int64 // boot-time clock
 
+	// whole tells that the list did not become that of the router that told its changes,
+	// so that the next one is taken whole.
+	whole atomic.Bool
+
 	zone     fleet.Zone
 	patience time.Duration    // this router's part of farPause
 	behind   boottime.Instant // since when another router has newer, 0 for not
@@ -67,7 +71,7 @@
 // tells that no other router of this zone is heard.
 func (p *puller) consider(ctx context.Context, router fleet.Address, beat *peeringpb.Beat, alone func(now boottime.Instant) bool, now boottime.Instant) {
 	view := p.state.View()
-	newer := beat.Version > view.Version() || (newerList(view, beat) && len(view.Backends) <= pulledMost)
+	newer := beat.Version > view.Version() || newerList(view, beat)
 	own := now.Sub(view.Listed)
 	fresher := beat.ListAge >= 0 && own > listAge && own-time.Duration(beat.ListAge) > listGain
 	if !newer && !fresher {
@@ -87,15 +91,9 @@
 	}()
 }
 
-// newerList tells whether the beat's router has another and newer list. Of a long list
-// that says nothing: each router takes its changes from the store, a moment earlier or
-// later than the others. Taken whole from another router for each such moment, lists of
-// 3,000 backend servers made the bytes of a router in the middle of 300, callers'
-// included, 765 KB a second; 395 without. A router that the store does not answer still
-// takes it, once its own gets old.
-//
-// A list of a newer era is taken even if it is the same, once for each era: the router
-// must know that the store has lost something, and by revisions it could not tell.
+// newerList tells whether the beat's router has another and newer list. One of a newer era
+// is taken even if it is the same, once for each era: the router must know that the store
+// has lost something, and by revisions it could not tell.
 func newerList(view *knowledge.View, beat *peeringpb.Beat) bool {
 	if beat.Era > view.Position.Era {
 		return true
@@ -114,13 +112,12 @@
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
 	asked := boottime.Now()
 	client := peeringpb.NewKnowledgeProtobufClient("http://"+string(router), p.client)
-	known := view.Position
-	if len(view.Absent) > 0 {
-		known = knowledge.Position{} // a whole list tells whether those that are missed are gone
-	}
-	reply, err := client.Pull(ctx, &peeringpb.PullRequest{Version: view.Version(), Era: known.Era, Revision: known.Revision})
+	known := p.known(view)
+	reply, err := client.Pull(ctx, &peeringpb.PullRequest{
+		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
+	})
 	if err == nil {
-		err = p.apply(reply, asked)
+		err = p.apply(reply, known, asked)
 	}
 	fields := logrus.Fields{"peer": router, "version": view.Version()}
 	if err != nil {
@@ -131,7 +128,16 @@
 	event.GatePulled.Log(p.logger, fields)
 }
 
-func (p *puller) apply(reply *peeringpb.PullReply, asked boottime.Instant) error {
+// known returns the position of the list to which changes are asked for.
+func (p *puller) known(view *knowledge.View) knowledge.Position {
+	if p.whole.Load() {
+		return knowledge.Position{}
+	}
+	return view.Position
+}
+
+// apply takes a reply to a call that named the known list.
+func (p *puller) apply(reply *peeringpb.PullReply, known knowledge.Position, asked boottime.Instant) error {
 	if len(reply.Configuration) > 0 {
 		var configuration knowledge.Configuration
 		if err := json.Unmarshal(reply.Configuration, &configuration); err != nil {
@@ -142,21 +148,44 @@
 	if reply.ListAge < 0 {
 		return nil // it has no list yet
 	}
-	position := knowledge.Position{Era: reply.Era, Revision: reply.Revision}
-	if view := p.state.View(); len(reply.Backends) == 0 && position == view.Position {
-		// The same position means the same list, of which only the age is new.
-		p.state.ConfirmBackends(view.Digest, confirmedAt(asked, reply.ListAge))
-	}
-	if len(reply.Backends) > 0 {
+	at := knowledge.Position{Era: reply.Era, Revision: reply.Revision}
+	confirmed := confirmedAt(asked, reply.ListAge)
+	switch {
+	case reply.Changes:
+		return p.applyChanges(reply, knowledge.ListChanges{Since: known, UpTo: at, Removed: reply.Removed}, confirmed)
+	case len(reply.Backends) > 0:
 		backends, err := p.decodeBackends(reply.Backends)
 		if err != nil {
 			return err
 		}
-		p.state.SetBackends(backends, position, confirmedAt(asked, reply.ListAge))
+		p.state.SetBackends(backends, at, confirmed)
+		p.whole.Store(false)
+	default:
+		// The same position means the same list, of which only the age is new.
+		if view := p.state.View(); at == view.Position {
+			p.state.ConfirmBackends(view.Digest, confirmed)
+		}
 	}
 	return nil
 }
 
+// applyChanges takes the list of a reply that tells changes.
+func (p *puller) applyChanges(reply *peeringpb.PullReply, changes knowledge.ListChanges, confirmed boottime.Instant) error {
+	if len(reply.Changed) > 0 {
+		var err error
+		if changes.Changed, err = p.decodeBackends(reply.Changed); err != nil {
+			return err
+		}
+	}
+	if !p.state.TakeChanges(changes, confirmed) {
+		return nil // a newer list has come meanwhile
+	}
+	view := p.state.View()
+	comparable := reply.Digest != 0 && view.Position == changes.UpTo && len(view.Absent) == 0
+	p.whole.Store(comparable && view.Digest != reply.Digest)
+	return nil
+}
+
 // decodeBackends decodes a list of another router, which may run another version
 // of the program. An entry that can't be used does not take the others with it.
 func (p *puller) decodeBackends(encoded []byte) ([]knowledge.Backend, error) {
--- a/internal/peering/restored_test.go
+++ b/internal/peering/restored_test.go
@@ -47,7 +47,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if err := quietPuller(asking).apply(reply, boottime.Now()); err != nil {
+		if err := quietPuller(asking).apply(reply, known, boottime.Now()); err != nil {
 			t.Fatal(err)
 		}
 		view := asking.View()
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -47,18 +47,38 @@
 			return nil, twirp.InternalErrorWith(err)
 		}
 	}
-	known := knowledge.Position{Era: request.Era, Revision: request.Revision}
-	if view.Listed != 0 && view.Position != known {
-		if reply.Backends, err = s.encode(view); err != nil {
-			return nil, twirp.InternalErrorWith(err)
-		}
+	if err = s.tellList(reply, request, view); err != nil {
+		return nil, twirp.InternalErrorWith(err)
 	}
 	return reply, nil
 }
 
-// encode returns the list of backend servers as it is told. All routers of a zone
-// ask for a change within a moment, and encoding a list of thousands takes a small VM
-// a good part of a tenth of a second, so it is done once for all of them.
+// tellList tells a caller the list of backend servers, as changes if it knows one that
+// these lead on from. Told whole, each change would cost as much as the list is long, at
+// each router.
+func (s *server) tellList(reply *peeringpb.PullReply, request *peeringpb.PullRequest, view *knowledge.View) (err error) {
+	known := knowledge.Position{Era: request.Era, Revision: request.Revision}
+	if view.Listed == 0 || known == view.Position {
+		return nil
+	}
+	changes, traced := view.ChangesSince(known)
+	if !traced || !request.AcceptsChanges {
+		reply.Backends, err = s.encode(view)
+		return err
+	}
+	reply.Changes, reply.Removed = true, changes.Removed
+	if len(view.Absent) == 0 {
+		reply.Digest = view.Digest
+	}
+	if len(changes.Changed) > 0 {
+		reply.Changed, err = json.Marshal(changes.Changed)
+	}
+	return err
+}
+
+// encode returns the list of backend servers as it is told. All routers that start at
+// once ask for it within a moment, and encoding a list of thousands takes a small VM long,
+// so it is done once for all of them.
 func (s *server) encode(view *knowledge.View) ([]byte, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
