Each availability zone has a router of its own that follows the store

Cause: the first five routers by hash followed the store, wherever they stood. Routers of another zone are told by turns, so at 356 routers one counts as heard for up to 71 s after its last word, and at 712 for 142 s: when those that follow are lost, nobody takes their part for so long, and changes come only by the lists of routers whose knowledge gets too old. It holds only while the fleet is small: at ten routers all hear each other each tenth of a second.

Found on the way: all routers that start together count their rounds alike, and each told the others in the order of their addresses, so that a router heard all of the other zones in one tenth of a second and then nobody for the rest of a turn (17 s at 356).

Change: the order of those that follow goes by place within the zone first, so each zone has one at least, whose loss its neighbours notice within 2 s at 356 (4 s at 712), and the next steps in. A cut zone goes on with its own. Turns of routers in different places are shifted against each other. The count over all peers is made when one appears or is lost, not with each beat.

--- a/internal/peering/follows.go
+++ b/internal/peering/follows.go
@@ -3,7 +3,10 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
 // contactAge is the age up to which another router's contact counts. Routers
@@ -24,30 +27,59 @@
 	return newest
 }
 
-// followersMost is how many routers follow the store. Each following router's
-// calls are paid for, and the store's rates grow more slowly than the fleet. So
-// many remain that some reach the store when it turns a part of the VMs away.
-// Calls to the store in a fleet of 27, in parts of those made when all follow: 0.46
-// with eight, 0.33 with four.
+// followersMost is how many routers follow the store, but for one in each availability
+// zone at least. Each following router's calls are paid for, and the store's rates grow
+// more slowly than the fleet. So many remain that some reach the store when it turns a
+// part of the VMs away.
 const followersMost = 5
 
-// Follows tells whether this router is among those that follow the store, the first
-// ones of those that are heard. Routers that don't hear each other may differ about
-// it; then more follow.
-func (t *table) Follows() bool { return t.Place() < followersMost }
+// Follows tells whether this router is among those that follow the store. Routers that
+// don't hear each other may differ about it; then more follow.
+func (t *table) Follows() bool { return t.followsAt(boottime.Now()) }
+
+func (t *table) followsAt(now boottime.Instant) bool {
+	place, zones := t.place(now)
+	return place < max(followersMost, zones)
+}
 
-// Place returns how many of the routers that are heard come before this one by the
-// hashes of their addresses.
+// Place returns how many of the routers that are heard come before this one in the order
+// in which they follow the store.
 func (t *table) Place() int {
+	place, _ := t.place(boottime.Now())
+	return place
+}
+
+// place returns this router's place in the order in which routers follow the store, and
+// the number of availability zones. The first router of each zone by the hashes of their
+// addresses comes before the second of any: a router is heard often in its own zone, and
+// in a large fleet so rarely elsewhere that its loss would show after a minute. A zone
+// that is cut off goes on with its own.
+func (t *table) place(now boottime.Instant) (place, zones int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	now := boottime.Now()
-	own := hashOf(t.self)
-	before := 0
-	for address, peer := range t.peers {
-		if t.hears(peer, now) && hashOf(address) < own {
+	before := 0 // routers of the own zone
+	others := make(map[fleet.Zone]bool)
+	for _, peer := range t.peers {
+		if !t.hears(peer, now) {
+			continue
+		}
+		if peer.zone != t.zone {
+			others[peer.zone] = true
+			continue
+		}
+		if peer.hash < t.hash {
 			before++
 		}
 	}
-	return before
+	own := hashOfZone(t.zone)
+	zonesBefore := 0
+	for zone := range others {
+		if hashOfZone(zone) < own {
+			zonesBefore++
+		}
+	}
+	zones = len(others) + 1
+	return before*zones + zonesBefore, zones
 }
+
+func hashOfZone(zone fleet.Zone) uint64 { return xxhash.Sum64String(string(zone)) }
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -82,15 +82,18 @@
 	}
 	same, others := m.zoneTargets(targets)
 	same = turn(same, round, zoneBeats)
+	// Routers that start together count their rounds alike. Those of other zones would all
+	// tell one router in the same round, and then none for as long as a turn takes.
+	roundOthers := round + int(m.hash%uint64(len(targets)))
 	if !m.summing(now) {
 		m.sendBeats(same, common, own, nil)
-		m.sendBeats(turn(others, round, m.beatsToOthers(m.table.Follows())), common, use{}, nil)
+		m.sendBeats(turn(others, roundOthers, m.beatsToOthers(m.Follows())), common, use{}, nil)
 		return
 	}
 	handedOn, covered := m.others(now)
 	m.sendBeats(same, common, own, encodeSums(handedOn, covered))
 	summers := m.sumTargets(round, now)
-	others = turn(others, round, m.beatsToOthers(true))
+	others = turn(others, roundOthers, m.beatsToOthers(true))
 	m.sendBeats(lo.Without(others, summers...), common, use{}, nil)
 	m.sendBeats(summers, common, use{}, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}))
 }
--- a/internal/peering/slowstart.go
+++ b/internal/peering/slowstart.go
@@ -17,9 +17,9 @@
 func (t *table) Order(key uint64) (before, known int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := selection.Weight(key, hashOf(t.self))
-	for address := range t.peers {
-		if selection.Weight(key, hashOf(address)) > own {
+	own := selection.Weight(key, t.hash)
+	for _, peer := range t.peers {
+		if selection.Weight(key, peer.hash) > own {
 			before++
 		}
 	}
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -185,15 +185,14 @@
 func (t *table) summing(now boottime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := hashOf(t.self)
 	zone := 0
 	newest := boottime.Instant(0) // when one that comes before this router was heard
-	for address, peer := range t.peers {
+	for _, peer := range t.peers {
 		if peer.zone != t.zone || !t.hears(peer, now) {
 			continue
 		}
 		zone++
-		if hashOf(address) < own {
+		if peer.hash < t.hash {
 			newest = max(newest, peer.heard)
 		}
 	}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -35,6 +35,7 @@
 // peer is another router.
 type peer struct {
 	address     fleet.Address
+	hash        uint64 // of the address
 	incarnation uint64
 	clock       int64            // the newest of the peer's clocks that came
 	heard       boottime.Instant // when it came, 0 for never
@@ -47,6 +48,7 @@
 // table holds what is known of the other routers.
 type table struct {
 	self fleet.Address
+	hash uint64 // of self
 	zone fleet.Zone
 
 	mu    sync.Mutex
@@ -65,6 +67,7 @@
 func newTable(self fleet.Address, zone fleet.Zone) *table {
 	return &table{
 		self:  self,
+		hash:  hashOf(self),
 		zone:  zone,
 		peers: make(map[fleet.Address]*peer),
 		sums:  make(map[uint32]gate.BackendLoad),
@@ -147,7 +150,7 @@
 		}
 		return false
 	}
-	t.peers[address] = &peer{address: address, zone: zone, tried: now}
+	t.peers[address] = &peer{address: address, hash: hashOf(address), zone: zone, tried: now}
 	return true
 }
 
@@ -177,7 +180,7 @@
 	echoes := &peeringpb.Echoes{}
 	for _, router := range routers {
 		if peer := t.peers[router]; peer != nil && peer.heard != 0 {
-			echoes.Router = append(echoes.Router, hashOf(peer.address))
+			echoes.Router = append(echoes.Router, peer.hash)
 			echoes.Clock = append(echoes.Clock, peer.clock)
 		}
 	}
@@ -197,7 +200,7 @@
 	}
 	known := t.peers[address]
 	if known == nil {
-		known = &peer{address: address}
+		known = &peer{address: address, hash: hashOf(address)}
 		t.peers[address] = known
 	}
 	if beat.Incarnation < known.incarnation || (beat.Incarnation == known.incarnation && beat.Clock <= known.clock) {
@@ -211,7 +214,9 @@
 	known.zone = fleet.Zone(beat.Zone)
 	t.replaceUse(known, use{loads: decodeLoads(beat.Loads), uses: decodeUses(beat.Uses), at: now})
 	t.takeSums(decodeSums(beat.Sums, now), address)
-	t.count(now)
+	if appeared {
+		t.count(now)
+	}
 	return true, appeared
 }
 
