A simulated crash settles all runs before connections close

The crash of the stand-in engine closed connections first and ended the runs after that, so that a caller could look into the ledger between the two; and a request that a connection from before had handed in could begin a run after all had ended, which then went on for good (the one that was found running after a second).

Ruled out: a replay by the HTTP client (the request carries no header that allows it).

Change: runs end, and connections from before are marked lost, under the lock that admission takes; connections close after that.

--- a/internal/engine/crash.go
+++ b/internal/engine/crash.go
@@ -13,6 +13,7 @@
 	mu        sync.Mutex
 	open      map[net.Conn]struct{}
 	downUntil time.Time
+	crashes   int // so far
 }
 
 // Accept implements net.Listener.
@@ -36,17 +37,25 @@
 	if time.Now().Before(l.downUntil) {
 		return nil, false
 	}
-	tracked := &trackedConn{Conn: conn, listener: l}
+	tracked := &trackedConn{Conn: conn, listener: l, crashes: l.crashes}
 	l.open[tracked] = struct{}{}
 	return tracked, true
 }
 
-// crash closes every connection and refuses new ones until a time.
+// crash refuses new connections until a time. The open ones are lost from now on.
 func (l *crashListener) crash(until time.Time) {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.downUntil = until
-	l.mu.Unlock()
-	l.closeOpen()
+	l.crashes++
+}
+
+// lost tells whether the connection is from before a crash.
+func (l *crashListener) lost(conn net.Conn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	tracked, ok := conn.(*trackedConn)
+	return ok && tracked.crashes < l.crashes
 }
 
 // closeOpen closes every open connection.
@@ -66,6 +75,7 @@
 type trackedConn struct {
 	net.Conn
 	listener *crashListener
+	crashes  int // of the listener when it was accepted
 }
 
 // Close implements net.Conn.
@@ -83,10 +93,17 @@
 		e.config.OnCrash()
 		return
 	}
-	e.listener.crash(time.Now().Add(e.config.Downtime))
-	e.stopAll(RunCrashed)
+	e.loseRuns()
+	// Callers may look into the ledger as soon as their connections close.
+	e.listener.closeOpen()
+}
+
+// loseRuns ends all runs. A request of a connection from before can't begin another.
+func (e *Engine) loseRuns() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.listener.crash(time.Now().Add(e.config.Downtime))
+	e.stopLocked(RunCrashed)
 	clear(e.streams)
 	clear(e.finished)
 	e.cache = newPrefixCache(e.config.CacheTokens)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -179,10 +179,15 @@
 	e.finished[s.id] = now
 }
 
-// admit begins a run at once: an engine knows no priorities and no queue.
-func (e *Engine) admit(s *stream) {
+// admit begins a run at once: an engine knows no priorities and no queue. It returns
+// false if the engine has crashed since the caller's connection was accepted.
+func (e *Engine) admit(s *stream, caller net.Conn) bool {
 	now := time.Now()
 	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.listener.lost(caller) {
+		return false
+	}
 	cached := e.cache.take(s.prompt)
 	s.promptSize = promptTokens(s.prompt)
 	s.cached = cached
@@ -193,8 +198,8 @@
 	e.streams[s.id] = s
 	delete(e.finished, s.id)
 	e.running = append(e.running, s)
-	e.mu.Unlock()
 	e.wakeLoop()
+	return true
 }
 
 func (e *Engine) wakeLoop() {
@@ -232,9 +237,14 @@
 
 // stopAll drops every run.
 func (e *Engine) stopAll(state RunState) {
-	now := time.Now()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.stopLocked(state)
+}
+
+// stopLocked drops every run. It must be called with mu held.
+func (e *Engine) stopLocked(state RunState) {
+	now := time.Now()
 	for _, s := range e.running {
 		s.stop(state)
 		e.settle(s, now)
--- a/internal/engine/http.go
+++ b/internal/engine/http.go
@@ -104,7 +104,10 @@
 	tokens := request.tokens(id, e.config.MedianTokens)
 	s := newStream(id, request.Model, Fingerprint(ctx.PostBody()), request.Stream, tokens)
 	s.prompt = request.text()
-	e.admit(s)
+	if !e.admit(s, ctx.Conn()) {
+		_ = ctx.Conn().Close() // a crashed engine answers nothing
+		return
+	}
 	if request.Crash && e.config.PermitCrash {
 		e.crash()
 		return
