--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -77,6 +77,8 @@
 // Service runs all parts of a gate.
 type Service struct {
 	config    *gate.Config
+	store     *platform.Store
+	logger    logrus.FieldLogger
 	gate      *gate.Manager
 	peers     *peering.Manager
 	follower  *platform.Follower
@@ -90,19 +92,24 @@
 	manager := do.MustInvoke[*gate.Manager](injector)
 	reloader := do.MustInvoke[*daemon.Reloader](injector)
 	reloader.Apply = func(config any) { manager.ApplyConfig(config.(*gate.Config).Settings()) }
+	store := do.MustInvoke[*platform.Store](injector)
+	registry := do.MustInvoke[*prometheus.Registry](injector)
+	store.Register(registry)
 	return &Service{
 		config: config,
+		store:  store,
+		logger: do.MustInvoke[logrus.FieldLogger](injector),
 		gate:   manager,
 		peers:  do.MustInvoke[*peering.Manager](injector),
 		follower: platform.NewFollower(
-			do.MustInvoke[*platform.Store](injector),
+			store,
 			do.MustInvoke[*knowledge.State](injector),
 			platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke, Evacuate: config.Bounds.Evacuate},
 			do.MustInvoke[*peering.Manager](injector),
 			do.MustInvoke[logrus.FieldLogger](injector),
 		),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
-		registry:  do.MustInvoke[*prometheus.Registry](injector),
+		registry:  registry,
 		reloader:  reloader,
 	}, nil
 }
@@ -114,6 +121,7 @@
 		group.Go(func() error { return s.reloader.Run(ctx) })
 	}
 	group.Go(func() error { return s.follower.Run(ctx) })
+	group.Go(func() error { return s.store.RecordCalls(ctx, s.logger) })
 	group.Go(func() error { return s.peers.Run(ctx) })
 	group.Go(func() error { return s.gate.Run(ctx) })
 	group.Go(func() error {
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -32,6 +32,7 @@
 	GateStoreRestored = Event{2128, logrus.WarnLevel, "store has come back from an older copy"}
 	GateLeaves        = Event{2129, logrus.InfoLevel, "backend server says that it leaves"}
 	GateCloses        = Event{2130, logrus.InfoLevel, "backend server wants nothing for a time"}
+	GateStoreCalls    = Event{2131, logrus.InfoLevel, "calls to the store of the last seconds"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
