A router that starts again finds its entry and writes none

Cause: at each start a router entered itself before it looked into the directory. On a VM that had run a router before, that is a refused create and a replace: two calls for each router when a fleet starts again, of which nothing changes, as entries stay.

Change: it looks first, as it must anyway, and registers only where the list lacks it or has another zone for it. At the very first start nothing changes but the order.

--- a/internal/peering/register.go
+++ b/internal/peering/register.go
@@ -27,23 +27,20 @@
 	announceAfter = 3
 )
 
-// register announces this router and looks for others until the context ends.
+// register looks for other routers, and announces this one where it is missing, until
+// the context ends. A process that starts again on its VM finds its entry from before.
 func (m *Manager) register(ctx context.Context) error {
-	missing := announceAfter // lists in a row that lack this router
+	missing := announceAfter - 1 // lists in a row that lack this router
 	wentBack := m.options.State.View().WentBack
 	for look := 1; ; look++ {
-		if missing >= announceAfter {
-			err := m.options.Directory.Announce(ctx, m.options.Address)
-			m.logFailure(ctx, err)
-			if err == nil {
-				missing = 0
-			}
-		}
 		zones, err := m.options.Directory.Routers(ctx)
 		m.logFailure(ctx, err)
 		if err == nil {
 			missing = m.takeDirectory(ctx, zones, missing)
 		}
+		if err == nil && missing >= announceAfter {
+			missing = m.announce(ctx, missing)
+		}
 		m.awaitLook(ctx, lookPause(look, len(m.heard(boottime.Now()))), wentBack)
 		if ctx.Err() != nil {
 			return nil
@@ -58,6 +55,16 @@
 	}
 }
 
+// announce registers this router and returns how many lists in a row lack it then.
+func (m *Manager) announce(ctx context.Context, missing int) int {
+	err := m.options.Directory.Announce(ctx, m.options.Address)
+	m.logFailure(ctx, err)
+	if err != nil {
+		return missing
+	}
+	return 0
+}
+
 // awaitLook waits for the time, or until the store has come back from an older copy since
 // the moment, or the context ends.
 func (m *Manager) awaitLook(ctx context.Context, pause time.Duration, wentBack boottime.Instant) {
@@ -100,7 +107,7 @@
 			m.logFailure(ctx, m.options.Directory.Remove(ctx, gone))
 		}
 	}
-	if _, listed := zones[m.options.Address]; listed {
+	if zone, listed := zones[m.options.Address]; listed && zone == m.options.Zone {
 		return 0
 	}
 	return missing + 1
