Routers that are cut off, and those that come back, leave the store alone

Cause: a router that hears nobody takes itself for the one that follows the store. When three in ten of a fleet are cut off, each of them tried it several times a second, in vain, and when the cut ended each listed everything again though its neighbours told it all: calls that grow with the routers cut off times the length of the cut.

Ruled out: fewer tries for all that follow.

Change: a router that has heard no beat at all for 1.5 s, in a fleet of four or more, tries as seldom as one that does not follow.

--- a/internal/peering/follows.go
+++ b/internal/peering/follows.go
@@ -49,6 +49,22 @@
 	return place
 }
 
+// silentAfter is how long no router was heard when a router counts as cut off: many times
+// the pause between two beats.
+const silentAfter = 1500 * time.Millisecond
+
+// fleetLeast is the number of routers, this one included, that are not all lost at once
+// but by a cut, more likely than not.
+const fleetLeast = 4
+
+// Silent tells whether this router has stopped hearing a fleet that it heard. That one
+// router is heard no longer shows late in a large fleet; that none is shows at once.
+func (t *table) Silent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.most >= fleetLeast && boottime.Now().Sub(t.heardLast) > silentAfter
+}
+
 // place returns this router's place in the order in which routers follow the store, and
 // the number of availability zones. The first router of each zone by the hashes of their
 // addresses comes before the second of any: a router is heard often in its own zone, and
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -61,6 +61,7 @@
 	inZone     int // routers of this zone that are known
 	most       int // greatest number of routers of late
 	mostAt     boottime.Instant
+	heardLast  boottime.Instant                   // when any router was heard
 	silent     map[fleet.Address]boottime.Instant // since when an entry's router is not heard
 }
 
@@ -208,6 +209,7 @@
 	}
 	appeared = known.heard == 0
 	known.incarnation, known.clock, known.heard = beat.Incarnation, beat.Clock, now
+	t.heardLast = now
 	if beat.ContactAge >= 0 {
 		known.contact = now.Add(-time.Duration(beat.ContactAge))
 	}
