What carries beats and calls between routers is an interface

Peering opened its sockets itself, so that a test of many routers could carry beats but neither calls nor the loops that send them. Network has the three things that a router needs of others (serve, send, pull); sockets are the one of a VM. No behaviour changes: the tests of peering pass as before.

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +62,7 @@
 	Directory   Directory
 	State       *knowledge.State
 	Logger      logrus.FieldLogger
+	Network     Network // sockets at Address if nil
 }
 
 // Manager exchanges beats with the other routers. It implements gate.Peers.
@@ -72,7 +71,7 @@
 	options Options
 	local   Local
 	started boottime.Instant
-	deliver func(data []byte, target fleet.Address)
+	network Network
 	puller  *puller
 	broken  []brokenEntry
 	looked  atomic.Bool // whether the directory has answered
@@ -80,7 +79,7 @@
 
 // NewManager returns a manager that is silent until Run.
 func NewManager(options Options) *Manager {
-	m := &Manager{table: newTable(options.Address, options.Zone), options: options, started: boottime.Now()}
+	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now()}
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
@@ -94,44 +93,33 @@
 
 // Run exchanges beats until the context ends.
 func (m *Manager) Run(ctx context.Context) error {
-	parsed, err := netip.ParseAddrPort(string(m.options.Address))
-	if err != nil {
-		return fleet.Wrap(err, fleet.StepSpread, m.options.Address)
-	}
-	socket, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(parsed))
-	if err != nil {
-		return fleet.Wrap(err, fleet.StepSpread, m.options.Address)
+	if m.network == nil {
+		sockets, err := listen(m.options.Address)
+		if err != nil {
+			return err
+		}
+		m.network = sockets
 	}
-	m.deliver = overSocket(socket)
-	stop := context.AfterFunc(ctx, func() { _ = socket.Close() }) // ends receive
-	defer stop()
+	m.puller.network = m.network
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return m.receive(ctx, socket) })
+	group.Go(func() error { return m.network.Serve(ctx, m.receiver()) })
 	group.Go(func() error { return m.send(ctx) })
 	group.Go(func() error { return m.register(ctx) })
-	group.Go(func() error { return m.serveCalls(ctx) })
 	return group.Wait()
 }
 
-// receive takes beats until the socket is closed.
-func (m *Manager) receive(ctx context.Context, socket *net.UDPConn) error {
-	buffer := make([]byte, beatMost)
-	for {
-		n, _, err := socket.ReadFromUDPAddrPort(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			// A datagram that could not be delivered may show here. The next
-			// read works; a pause keeps a lasting fault from spinning.
-			time.Sleep(time.Millisecond)
-			continue
-		}
-		var beat peeringpb.Beat
-		if err := proto.Unmarshal(buffer[:n], &beat); err != nil {
-			continue // not from a router
-		}
-		m.takeBeat(ctx, &beat, boottime.Now())
+// receiver returns what takes the messages of others.
+func (m *Manager) receiver() Receiver {
+	return Receiver{
+		Beat: func(ctx context.Context, data []byte) {
+			var beat peeringpb.Beat
+			if err := proto.Unmarshal(data, &beat); err != nil {
+				return // not from a router
+			}
+			m.takeBeat(ctx, &beat, boottime.Now())
+		},
+		Knowledge: &server{state: m.options.State},
+		Operation: &operation{manager: m},
 	}
 }
 
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -4,8 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -38,11 +36,11 @@
 
 // puller takes knowledge from other routers.
 type puller struct {
-	state  *knowledge.State
-	logger logrus.FieldLogger
-	client *http.Client
-	busy   atomic.Bool
-	next   atomic.Int64 // boot-time clock
+	state   *knowledge.State
+	logger  logrus.FieldLogger
+	network Network
+	busy    atomic.Bool
+	next    atomic.Int64 // boot-time clock
 
 	// whole tells that the list did not become that of the router that told its changes,
 	// so that the next one is taken whole.
@@ -54,16 +52,11 @@
 }
 
 func newPuller(state *knowledge.State, zone fleet.Zone, logger logrus.FieldLogger) *puller {
-	dialer := &net.Dialer{Timeout: pullTimeout}
 	return &puller{
 		state:    state,
 		logger:   logger,
 		zone:     zone,
 		patience: rand.N(farPause),
-		client: &http.Client{
-			Timeout:   pullTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
-		},
 	}
 }
 
@@ -111,9 +104,8 @@
 
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
 	asked := boottime.Now()
-	client := peeringpb.NewKnowledgeProtobufClient("http://"+string(router), p.client)
 	known := p.known(view)
-	reply, err := client.Pull(ctx, &peeringpb.PullRequest{
+	reply, err := p.network.Pull(ctx, router, &peeringpb.PullRequest{
 		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
 	})
 	if err == nil {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"net"
-	"net/netip"
 	"slices"
 	"time"
 
@@ -157,19 +155,7 @@
 		panic(err) // only text that is no UTF-8 can't be encoded
 	}
 	for _, target := range targets {
-		m.deliver(data, target)
-	}
-}
-
-// overSocket returns what sends datagrams by the socket.
-func overSocket(socket *net.UDPConn) func(data []byte, target fleet.Address) {
-	return func(data []byte, target fleet.Address) {
-		address, err := netip.ParseAddrPort(string(target))
-		if err != nil {
-			return // a directory entry that is no address
-		}
-		// A router that can't be reached is noticed by its silence.
-		_, _ = socket.WriteToUDPAddrPort(data, address)
+		m.network.Send(data, target)
 	}
 }
 
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"sync"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
-	"github.com/bluebellchute/bluebellchute/internal/daemon"
-	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
@@ -107,11 +104,3 @@
 	}
 	return backends
 }
-
-// serveCalls answers other routers and operators until the context ends.
-func (m *Manager) serveCalls(ctx context.Context) error {
-	mux := http.NewServeMux()
-	mux.Handle(peeringpb.KnowledgePathPrefix, peeringpb.NewKnowledgeServer(&server{state: m.options.State}))
-	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(&operation{manager: m}))
-	return daemon.Serve(ctx, m.options.Address, fleet.StepSpread, mux)
-}
--- a/internal/peering/sums_test.go
+++ b/internal/peering/sums_test.go
@@ -101,7 +101,7 @@
 		})
 		local := &fakeLocal{running: i + 1, heard: make(map[fleet.Address]map[fleet.Account]shares.Use)}
 		manager.SetLocal(local)
-		manager.deliver = func(data []byte, target fleet.Address) { f.carry(manager, data, target) }
+		manager.network = &link{fabric: f, from: manager}
 		f.routers[address], f.locals[address] = manager, local
 	}
 	for _, address := range f.addresses() {
@@ -114,6 +114,15 @@
 
 func (f *fabric) addresses() []fleet.Address { return slices.Sorted(maps.Keys(f.routers)) }
 
+// link is the Network of one router of a fabric. Beats arrive at once.
+type link struct {
+	Network
+	fabric *fabric
+	from   *Manager
+}
+
+func (l *link) Send(beat []byte, to fleet.Address) { l.fabric.carry(l.from, beat, to) }
+
 func (f *fabric) carry(from *Manager, data []byte, target fleet.Address) {
 	to := f.routers[target]
 	if to == nil || f.cut(from, to) {
