--- a/internal/peering/follows.go
+++ b/internal/peering/follows.go
@@ -65,6 +65,24 @@
 	return t.most >= fleetLeast && boottime.Now().Sub(t.heardLast) > silentAfter
 }
 
+// joinTime is how long after its start a router has not heard its neighbours yet: several
+// rounds of beats, in which they find its address and have their turns.
+const joinTime = 700 * time.Millisecond
+
+// Joining tells whether this router has just started and knows of others.
+func (m *Manager) Joining() bool {
+	if boottime.Now().Sub(m.started) >= joinTime {
+		return false
+	}
+	return !m.looked.Load() || m.knowsOthers()
+}
+
+func (t *table) knowsOthers() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.peers) > 0
+}
+
 // place returns this router's place in the order in which routers follow the store, and
 // the number of availability zones. The first router of each zone by the hashes of their
 // addresses comes before the second of any: a router is heard often in its own zone, and
