Records of routers that are heard or lost are gathered

Cause: one record (2115, 2116) for each router that appears or falls silent, at each router: 126,000 lines when 356 start at once, the square of the fleet, on VMs of a seventh of a core that pay for each line.

Change: one record a second with the count and ten of the addresses.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -17,8 +17,8 @@
 	GateReady         = Event{2112, logrus.InfoLevel, "readiness changed"}
 	GateStoreLost     = Event{2113, logrus.WarnLevel, "store can't be reached"}
 	GateStoreBack     = Event{2114, logrus.InfoLevel, "store is reached again"}
-	GatePeerHeard     = Event{2115, logrus.InfoLevel, "router heard"}
-	GatePeerLost      = Event{2116, logrus.WarnLevel, "router no longer heard"}
+	GatePeerHeard     = Event{2115, logrus.InfoLevel, "routers heard"}
+	GatePeerLost      = Event{2116, logrus.WarnLevel, "routers no longer heard"}
 	GatePulled        = Event{2117, logrus.InfoLevel, "knowledge taken from another router"}
 	GateReloaded      = Event{2118, logrus.InfoLevel, "settings file read again"}
 	GateReloadFailed  = Event{2119, logrus.ErrorLevel, "settings file can't be used, the former settings stay"}
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -10,7 +10,6 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
-	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
@@ -73,6 +72,7 @@
 	started boottime.Instant
 	network Network
 	puller  *puller
+	records *peerRecords
 	broken  []brokenEntry
 	looked  atomic.Bool // whether the directory has answered
 }
@@ -80,6 +80,7 @@
 // NewManager returns a manager that is silent until Run.
 func NewManager(options Options) *Manager {
 	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now()}
+	m.records = &peerRecords{logger: options.Logger}
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
@@ -130,7 +131,7 @@
 	}
 	router := fleet.Address(beat.Address)
 	if appeared {
-		event.GatePeerHeard.Log(m.options.Logger, logrus.Fields{"peer": router})
+		m.records.noteHeard(router)
 	}
 	for _, address := range beat.Routers {
 		m.add(fleet.Address(address), zoneUnknown, now)
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -6,11 +6,9 @@
 	"time"
 
 	"github.com/samber/lo"
-	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
-	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
@@ -56,9 +54,10 @@
 	for round := 0; ; round++ {
 		now := boottime.Now()
 		for _, lost := range m.expire(now) {
-			event.GatePeerLost.Log(m.options.Logger, logrus.Fields{"peer": lost})
+			m.records.noteLost(lost)
 			m.local.RemoveUses(lost)
 		}
+		m.records.log(now)
 		m.local.SetUses(elsewhere, m.refreshOthers(now))
 		m.sendRound(round, now)
 		select {
