--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -12,7 +12,7 @@
 type View struct {
 	Index *Index // nil before a configuration is known
 	// Configured is a moment at which the version in Index was still the
-	// newest, as the platform's store said.
+	// newest, or there was none yet, as the platform's store said.
 	Configured boottime.Instant
 
 	// Contact is when the store last answered a call of this process's own.
@@ -110,10 +110,10 @@
 }
 
 // ConfirmConfiguration tells that the version was still the newest at the
-// moment. It does nothing when another version is known by now.
+// moment, 0 that there was none yet. It does nothing when another version is known by now.
 func (s *State) ConfirmConfiguration(version uint64, confirmed boottime.Instant) {
 	s.update(func(view *View) bool {
-		if view.Index != nil && view.Version() == version {
+		if view.Version() == version {
 			view.Configured = max(view.Configured, confirmed)
 		}
 		return false
--- a/internal/peering/follows.go
+++ b/internal/peering/follows.go
@@ -67,7 +67,7 @@
 
 // joinTime is how long after its start a router has not heard its neighbours yet: several
 // rounds of beats, in which they find its address and have their turns.
-const joinTime = 700 * time.Millisecond
+const joinTime = 1200 * time.Millisecond
 
 // Joining tells whether this router has just started and knows of others.
 func (m *Manager) Joining() bool {
