Requests that come while a router starts wait for what it needs to know

The callers have one more try, and come back 0.3 s later: too late for those that want an answer within 0.12 s.

Ruled out: not listening until then (a connection that is refused costs the caller the same try, and tells it nothing).

Change: in the first second of a router a request waits for knowledge, for as long as it would be told to stay away; after that it is refused as before.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -55,6 +55,7 @@
 	suspects  *suspects
 	records   *records
 	metrics   *metrics
+	started   boottime.Instant
 	bodies    atomic.Int64 // bytes of the requests held
 	closing   func() bool  // whether connections are to be closed after their answers
 	isolated  atomic.Bool  // whether callers are served better elsewhere
@@ -78,7 +79,7 @@
 	if h.lag.busy(received) || h.closing() || h.isolated.Load() || h.drained.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	view := h.state.View()
+	view := h.awaitKnowledge(r.Context(), received)
 	request, err := h.dialect.Decode(r)
 	if err != nil {
 		h.refuse(w, nil, Refusal{Status: http.StatusBadRequest, Reason: ReasonMalformed})
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -50,6 +50,7 @@
 		settings:  settings,
 		dialect:   options.Dialect,
 		state:     options.State,
+		started:   boottime.Now(),
 		pool:      backendconn.NewPool(),
 		admission: admission,
 		budget:    newRetryBudget(settings, options.Peers),
