Routers of a new fleet leave the first lists to a few of them

Cause: at the very first start each router listed both kinds, three calls each with 640 backend servers, though its neighbours told it the same within half a second.

Ruled out: the same when routers start again.

Change: where the platform says that the whole fleet starts for the first time (the new key new_fleet of the settings), a router waits for others for up to a part of four seconds that it draws, and lists only what nobody has told until then.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -96,24 +96,32 @@
 	registry := do.MustInvoke[*prometheus.Registry](injector)
 	store.Register(registry)
 	return &Service{
-		config: config,
-		store:  store,
-		logger: do.MustInvoke[logrus.FieldLogger](injector),
-		gate:   manager,
-		peers:  do.MustInvoke[*peering.Manager](injector),
-		follower: platform.NewFollower(
-			store,
-			do.MustInvoke[*knowledge.State](injector),
-			platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke, Evacuate: config.Bounds.Evacuate},
-			do.MustInvoke[*peering.Manager](injector),
-			do.MustInvoke[logrus.FieldLogger](injector),
-		),
+		config:    config,
+		store:     store,
+		logger:    do.MustInvoke[logrus.FieldLogger](injector),
+		gate:      manager,
+		peers:     do.MustInvoke[*peering.Manager](injector),
+		follower:  newFollower(injector, config, store),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
 		registry:  registry,
 		reloader:  reloader,
 	}, nil
 }
 
+func newFollower(injector do.Injector, config *gate.Config, store *platform.Store) *platform.Follower {
+	follower := platform.NewFollower(
+		store,
+		do.MustInvoke[*knowledge.State](injector),
+		platform.Bounds{Apply: config.Bounds.Soonest(), Revoke: config.Bounds.Revoke, Evacuate: config.Bounds.Evacuate},
+		do.MustInvoke[*peering.Manager](injector),
+		do.MustInvoke[logrus.FieldLogger](injector),
+	)
+	if config.Node.NewFleet {
+		follower.AwaitOthers()
+	}
+	return follower
+}
+
 // Run implements daemon.Service.
 func (s *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -24,6 +24,8 @@
 type NodeSection struct {
 	Name string     `key:"name" required:"true" doc:"Name of the VM."`
 	Zone fleet.Zone `key:"zone" required:"true" doc:"Availability zone."`
+	// NewFleet spares the store a list by each router, and costs some seconds.
+	NewFleet bool `key:"new_fleet" default:"false" doc:"The whole fleet starts for the first time, so that no callers are there yet."`
 }
 
 // ListenSection holds the addresses of a gate.
