Bytes between routers are counted by message and zone

What a router tells others, and takes from them, was known from the users' report alone, and only between zones. Metrics bluebell_gate_peer_bytes_total and _messages_total and record 2132 tell it by message (beat, sums, knowledge taken whole or as changes) and zone.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -95,12 +95,14 @@
 	store := do.MustInvoke[*platform.Store](injector)
 	registry := do.MustInvoke[*prometheus.Registry](injector)
 	store.Register(registry)
+	peers := do.MustInvoke[*peering.Manager](injector)
+	peers.Register(registry)
 	return &Service{
 		config:    config,
 		store:     store,
 		logger:    do.MustInvoke[logrus.FieldLogger](injector),
 		gate:      manager,
-		peers:     do.MustInvoke[*peering.Manager](injector),
+		peers:     peers,
 		follower:  newFollower(injector, config, store),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
 		registry:  registry,
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -33,6 +33,7 @@
 	GateLeaves        = Event{2129, logrus.InfoLevel, "backend server says that it leaves"}
 	GateCloses        = Event{2130, logrus.InfoLevel, "backend server wants nothing for a time"}
 	GateStoreCalls    = Event{2131, logrus.InfoLevel, "calls to the store of the last seconds"}
+	GatePeerTraffic   = Event{2132, logrus.InfoLevel, "bytes between routers of the last seconds"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -73,6 +73,7 @@
 	network Network
 	puller  *puller
 	records *peerRecords
+	traffic *traffic
 	broken  []brokenEntry
 	looked  atomic.Bool // whether the directory has answered
 }
@@ -81,7 +82,9 @@
 func NewManager(options Options) *Manager {
 	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now()}
 	m.records = &peerRecords{logger: options.Logger}
+	m.traffic = newTraffic(options.Logger, m.started)
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
+	m.puller.pulled = m.countPulled
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
 		m.add(seed, zoneUnknown, now)
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -39,6 +39,7 @@
 	state   *knowledge.State
 	logger  logrus.FieldLogger
 	network Network
+	pulled  func(router fleet.Address, reply *peeringpb.PullReply) // is told of each reply
 	busy    atomic.Bool
 	next    atomic.Int64 // boot-time clock
 
@@ -109,6 +110,7 @@
 		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
 	})
 	if err == nil {
+		p.pulled(router, reply)
 		err = p.apply(reply, known, asked)
 	}
 	fields := logrus.Fields{"peer": router, "version": view.Version()}
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -58,6 +58,7 @@
 			m.local.RemoveUses(lost)
 		}
 		m.records.log(now)
+		m.traffic.log(now)
 		m.local.SetUses(elsewhere, m.refreshOthers(now))
 		m.sendRound(round, now)
 		select {
@@ -153,8 +154,13 @@
 	if err != nil {
 		panic(err) // only text that is no UTF-8 can't be encoded
 	}
+	what := messageBeat
+	if summed != nil {
+		what = messageSums
+	}
 	for _, target := range targets {
 		m.network.Send(data, target)
+		m.traffic.count(what, m.inOwnZone(target), len(data))
 	}
 }
 
--- a/internal/peering/sums_test.go
+++ b/internal/peering/sums_test.go
@@ -74,8 +74,9 @@
 	round   int
 	routers map[fleet.Address]*Manager
 	locals  map[fleet.Address]*fakeLocal
-	cut     func(from, to *Manager) bool // whether a beat gets lost
-	bytes   int                          // between zones
+	cut     func(from, to *Manager) bool   // whether a beat gets lost
+	bytes   int                            // between zones
+	arrived func(data []byte, to *Manager) // is told of each beat that arrives, if set
 }
 
 // newFabric returns zones with so many routers each. Each router has as many
@@ -135,6 +136,9 @@
 	if from.options.Zone != to.options.Zone {
 		f.bytes += len(data)
 	}
+	if f.arrived != nil {
+		f.arrived(data, to)
+	}
 	to.takeBeat(context.Background(), &beat, f.now)
 }
 
@@ -275,6 +279,21 @@
 	}
 }
 
+// What routers tell each other is counted by message and zone.
+func TestTrafficIsCounted(t *testing.T) {
+	f := newFabric(t, 3, 6)
+	f.play(settled)
+	for _, what := range []string{"beat own", "beat other", "sums own", "sums other"} {
+		total := 0
+		for _, router := range f.routers {
+			total += router.traffic.since[what]
+		}
+		if total == 0 {
+			t.Errorf("nothing is counted of %s", what)
+		}
+	}
+}
+
 // Symptom: a request that breaks backend servers breaks more of them in a large
 // fleet than in a small one.
 // Events: two routers see it break one each; the others have their turns to be told
