--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -18,10 +18,8 @@
 // zone. One router of each zone, the summing one, adds it up for the other zones'
 // summing routers, and hands on to its own zone what those tell. So bytes between
 // zones grow with the number of zones, and what other zones use is known after
-// three beats, however many routers there are. All to all by turns, among 68
-// routers, each heard from another every 0.7 s, and engines of 12 slots were taken
-// for free or full that were not: under high load callers got 0.948 of what
-// they were owed, and 0.978 with sums.
+// three beats, however many routers there are. Told by turns to all, it would be
+// older than the requests that it counts.
 //
 // Nothing is elected or agreed on. Who sums follows from the order of the routers
 // that are heard, so two may for a while, or none. Sums replace each other and are
