The age that means an outage follows from the bound for changes

Cause: a list that comes when the known one is over 3 s old counted as the first after an outage of the store, so that servers which it lacks are kept for 1.5 s, as their entries may come back. The constant held while the bounds were short and the fleet small.

Ruled out: a greater constant. With short bounds it would take an outage for none, and backend servers that lapsed in it for gone.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -14,9 +14,19 @@
 // that have left.
 const lapseGrace = 1500 * time.Millisecond
 
-// outageAge is the age of the list from which the next one counts as the first
-// after an outage: several times the pause between two lists.
-const outageAge = 3 * time.Second
+// outageLeast is the least age of the list from which the next one counts as the first
+// after an outage.
+const outageLeast = 3 * time.Second
+
+// ListedWithin tells by which age the list is renewed while the store answers. Where that
+// is longer than the age at which an outage is assumed, each backend server that is lost
+// would be taken for one whose entry may come back.
+func (s *State) ListedWithin(age time.Duration) {
+	s.update(func(view *View) bool {
+		view.outageAge = max(age, outageLeast)
+		return false
+	})
+}
 
 // SetBackends takes a whole list that was complete at the moment confirmed. A
 // list of an older position than the known one is ignored.
@@ -41,7 +51,7 @@
 // misses tells whether backend servers that a list lacks may write their entries again: it
 // is the first one after an outage, or since the store came back from an older copy.
 func (v *View) misses(at Position, confirmed boottime.Instant) bool {
-	return v.Listed != 0 && (at.Era > v.Position.Era || confirmed.Sub(v.Listed) > outageAge)
+	return v.Listed != 0 && (at.Era > v.Position.Era || confirmed.Sub(v.Listed) > v.outageAge)
 }
 
 // replace takes the list as it was at the position, complete at the moment confirmed. It
--- a/internal/knowledge/list_changes_test.go
+++ b/internal/knowledge/list_changes_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -121,7 +122,7 @@
 // are only missed are told as such, and stay for the same moment at the router that is told.
 func TestMissedServersStayForAMomentWhereTheyAreTold(t *testing.T) {
 	entries := []Backend{entryAt("a", Position{1, 3}, 1), entryAt("b", Position{1, 3}, 1)}
-	before := boottime.Now().Add(-2 * outageAge)
+	before := boottime.Now().Add(-2 * outageLeast)
 	following, told := NewState(), NewState()
 	following.SetBackends(entries, Position{1, 5}, before)
 	told.SetBackends(entries, Position{1, 5}, before)
@@ -148,6 +149,22 @@
 	}
 }
 
+// Guards against servers that stay in use after they were lost: where lists come as seldom
+// as a wide bound allows, an old list does not mean that the store was away.
+func TestOldListMeansAnOutageByTheBound(t *testing.T) {
+	const renewed = 4 * time.Second
+	for age, kept := range map[time.Duration]bool{renewed - time.Second/2: false, renewed + time.Second: true} {
+		state := NewState()
+		state.ListedWithin(renewed)
+		now := boottime.Now()
+		state.SetBackends([]Backend{entryAt("a", Position{1, 3}, 1)}, Position{1, 5}, now.Add(-age))
+		state.TakeChanges(ListChanges{Since: Position{1, 5}, UpTo: Position{1, 8}, Removed: []string{"a"}}, now)
+		if listed := state.View().Backends["a"] != nil; listed != kept {
+			t.Errorf("list %v old: the removed server is listed %t, want %t", age, listed, kept)
+		}
+	}
+}
+
 // BenchmarkTakeChanges takes one change of a long list, as a change and as a whole list.
 func BenchmarkTakeChanges(b *testing.B) {
 	const servers = 3000
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -3,6 +3,7 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -33,6 +34,9 @@
 	// never.
 	WentBack boottime.Instant
 	removed  map[string]removal // of backend servers that were listed, by ID
+	// outageAge is the age of the list from which the next one counts as the first after
+	// an outage.
+	outageAge time.Duration
 	// tracedFrom is the position from which on removed lacks nothing.
 	tracedFrom Position
 }
@@ -63,6 +67,7 @@
 	state.view.Store(&View{
 		Backends:  make(map[string]*Backend),
 		ByService: make(map[fleet.Service][]*Backend),
+		outageAge: outageLeast,
 	})
 	return state
 }
