A request whose time has run out gets its answer, not an empty success

Whether the caller is still there was asked of the request's context, which also ends when its time has run out. A request that had waited in a paused process was taken for one whose caller had left: it got nothing, and the server makes a 200 with an empty body of a handler that returns without an answer.

Change: only a context that was cancelled means that the caller has left. Time that has run out before anything was sent ends as any other: 503 that it has not run, with a time to come back. Where a caller has left, its connection ends, so that nothing can look like an answer.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -5,6 +5,7 @@
 	"net"
 	"syscall"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,9 +19,10 @@
 
 // callerLeft tells whether the caller has closed its connection. The server
 // notices that as well, but on a busy processor long after: the request would
-// be sent on for nobody.
+// be sent on for nobody. A caller whose time has run out is still there and
+// gets an answer.
 func callerLeft(ctx context.Context) bool {
-	if ctx.Err() != nil {
+	if errors.Is(ctx.Err(), context.Canceled) {
 		return true
 	}
 	conn, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -121,9 +121,11 @@
 	return verdictDone
 }
 
+// callerGone ends a request whose caller has left. The connection ends with it: the server
+// would make a success of a request that returns without an answer.
 func (r *run) callerGone() verdict {
 	r.handler.records.callerGone(r.request)
-	return verdictDone
+	panic(http.ErrAbortHandler)
 }
 
 // eventSeparator ends an event.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -145,6 +145,10 @@
 		h.admission.ended(r.request, placed, false)
 		return r.callerGone()
 	}
+	if ctx.Err() != nil {
+		h.admission.ended(r.request, placed, false)
+		return verdictUnsent
+	}
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(ctx, placed, sent))
 	if err != nil {
@@ -225,6 +229,9 @@
 	if callerLeft(ctx) {
 		return backendconn.ErrAbandoned
 	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	if r.handler.admission.closures.has(backend.Incarnation, boottime.Now()) {
 		return errClosed
 	}
