Selection: engines ranked by weight, prompts that would stall streams looked at apart

Cause: all engines of a service counted alike, and nothing knew that an engine which reads prompts makes the streams beside them wait. Pure code with its tests; nothing calls it yet.

--- a/internal/knowledge/index.go
+++ b/internal/knowledge/index.go
@@ -17,6 +17,7 @@
 	services      map[fleet.Service]*ServiceSettings
 	priorities    map[fleet.Service][]int         // in use at a service, the most urgent first
 	tightest      map[fleet.Service]time.Duration // shortest target latency
+	gaps          map[fleet.Service]time.Duration // shortest target gap
 }
 
 // NewIndex prepares a configuration. The configuration must not change any
@@ -28,7 +29,8 @@
 		keys:          make(map[string]*Account),
 		services:      make(map[fleet.Service]*ServiceSettings),
 		priorities:    prioritiesOf(configuration),
-		tightest:      tightestOf(configuration),
+		tightest:      shortestOf(configuration, func(route *Route) time.Duration { return route.TargetLatency }),
+		gaps:          shortestOf(configuration, func(route *Route) time.Duration { return route.TargetGap }),
 	}
 	for i := range configuration.Routes {
 		route := &configuration.Routes[i]
@@ -121,18 +123,24 @@
 // none has one.
 func (x *Index) Tightest(service fleet.Service) time.Duration { return x.tightest[service] }
 
-// tightestOf returns the shortest target latency at each service.
-func tightestOf(configuration *Configuration) map[fleet.Service]time.Duration {
-	tightest := make(map[fleet.Service]time.Duration)
-	for _, route := range configuration.Routes {
+// Gap returns the shortest target gap between two events of the service's routes, 0 if
+// none has one.
+func (x *Index) Gap(service fleet.Service) time.Duration { return x.gaps[service] }
+
+// shortestOf returns the shortest time that routes to each service have, leaving out 0.
+func shortestOf(configuration *Configuration, timeOf func(*Route) time.Duration) map[fleet.Service]time.Duration {
+	shortest := make(map[fleet.Service]time.Duration)
+	for i := range configuration.Routes {
+		route := &configuration.Routes[i]
+		has := timeOf(route)
 		for _, destination := range route.Destinations {
-			known := tightest[destination.Service]
-			if route.TargetLatency > 0 && (known == 0 || route.TargetLatency < known) {
-				tightest[destination.Service] = route.TargetLatency
+			known := shortest[destination.Service]
+			if has > 0 && (known == 0 || has < known) {
+				shortest[destination.Service] = has
 			}
 		}
 	}
-	return tightest
+	return shortest
 }
 
 // Destination returns the service that takes a request of the route. point in
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -59,6 +59,9 @@
 	// keep them, in parts of reading them.
 	SecondPenalty float64
 
+	// GapShare is the part of a service's shortest target gap for which an engine may
+	// read prompts beside streams in progress; 0 for no bound.
+	GapShare float64
 	// RetryShare is the part of a route's target latency after which refused
 	// callers are told to come back. Their time counts from their first try,
 	// so what is left must suffice for an answer.
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -12,6 +12,12 @@
 	MemoryCapacity float64
 	// Keeps tells that it is known to keep the shared parts.
 	Keeps bool
+	// Rate is how many prompt tokens it reads in a second beside the tokens that it
+	// generates, 0 for Limits.Rate.
+	Rate float64
+	// Slowdown is how long work takes there at the moment, in parts of the usual time;
+	// 0 if unknown.
+	Slowdown float64
 }
 
 // Demand is what one request asks of an engine.
@@ -26,7 +32,7 @@
 // Limits bound what is sent to an engine.
 type Limits struct {
 	// Rate is how many prompt tokens an engine reads in a second beside the
-	// tokens that it generates.
+	// tokens that it generates, unless it has a rate of its own.
 	Rate float64
 	// SlotShare is the part of the slots that is used. More requests at once
 	// slow the tokens of all.
@@ -42,6 +48,12 @@
 	// flat: under high load 8,411, 6,572 and 11,698 requests are in time with 1 at
 	// three fleets, 8,357, 6,586 and 11,664 with 2.
 	SecondPenalty float64
+	// Gap bounds how long an engine may read prompts while it streams to others; 0 for
+	// no bound. See disrupts.
+	Gap time.Duration
+	// Fallbacks is how many engines may take the request although it disrupts streams
+	// there.
+	Fallbacks int
 }
 
 // Choice is an engine chosen for a request.
@@ -52,6 +64,11 @@
 	Ahead  time.Duration // expected until the prompts ahead are read
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
+	// Prefill is the expected time to read the prompts ahead and this one at the
+	// engine's speed of the moment.
+	Prefill time.Duration
+	// Disrupts tells that streams in progress there would pause for too long.
+	Disrupts bool
 }
 
 // Homes is how many engines of a key's order share its prompt parts. More would
@@ -63,9 +80,11 @@
 // prefers, or the next one when the first is so much busier that reading the
 // shared parts there again is quicker. There must be a candidate.
 //
-// The further ones are looked at only when the request fits at neither, and the
-// first that it fits at is taken: all routers fall back on the same engines for
-// a key, so its parts are read at few of them.
+// The further ones are looked at only when the request fits at neither, or would
+// disrupt streams at both. The first that it fits at without disrupting any is
+// taken: all routers fall back on the same engines for a key, so its parts are read
+// at few of them. Where there is none, the first of the fallbacks is taken that it
+// fits at.
 func Model(candidates int, engine func(place int) Engine, demand Demand, limits Limits) Choice {
 	var best Choice
 	for place := range min(candidates, Homes) {
@@ -74,19 +93,27 @@
 			best = choice
 		}
 	}
-	for place := Homes; place < candidates && !best.Fits; place++ {
-		if choice := evaluate(engine(place), demand, limits, place); choice.Fits {
-			return choice
+	for place := Homes; place < candidates && !best.good(); place++ {
+		choice := evaluate(engine(place), demand, limits, place)
+		if choice.good() || (choice.Fits && !best.Fits && place < limits.Fallbacks) {
+			best = choice
 		}
 	}
 	return best
 }
 
-// better prefers an engine within its limits, then the shorter wait.
+// good tells whether there is no reason to look at further engines.
+func (c Choice) good() bool { return c.Fits && !c.Disrupts }
+
+// better prefers an engine within its limits, then one without streams to disrupt,
+// then the shorter wait.
 func better(a, b Choice) bool {
 	if a.Fits != b.Fits {
 		return a.Fits
 	}
+	if a.Disrupts != b.Disrupts {
+		return b.Disrupts
+	}
 	return a.Wait < b.Wait
 }
 
@@ -97,10 +124,12 @@
 	if place > 0 && !engine.Keeps {
 		tokens += demand.Shared * limits.SecondPenalty
 	}
-	rate := max(limits.Rate, 1)
-	ahead := time.Duration(engine.Pending / rate * float64(time.Second))
-	own := time.Duration(tokens / rate * float64(time.Second))
+	rate := engine.rate(limits)
+	ahead := readingTime(engine.Pending, rate)
+	own := readingTime(tokens, rate)
 	choice := Choice{Place: place, Tokens: tokens, Before: engine.Pending, Ahead: ahead, Wait: ahead + own}
+	choice.Prefill = time.Duration(float64(choice.Wait) * max(engine.Slowdown, 1))
+	choice.Disrupts = disrupts(engine, choice.Prefill, limits)
 	// Elsewhere the request's own length does not count: with it, long prompts
 	// would be refused whenever anything else waits.
 	counted := ahead
@@ -118,6 +147,26 @@
 	return choice
 }
 
+// rate returns the prompt tokens that the engine reads in a second.
+func (e Engine) rate(limits Limits) float64 {
+	if e.Rate > 0 {
+		return max(e.Rate, 1)
+	}
+	return max(limits.Rate, 1)
+}
+
+// readingTime returns how long an engine of the rate reads the tokens.
+func readingTime(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / rate * float64(time.Second))
+}
+
+// disrupts tells whether streams at the engine would pause for too long while it reads
+// for so long. An engine reads a piece of a prompt in each step in which it makes a
+// token of every stream, so that streams stall for as long as it has prompts to read.
+func disrupts(engine Engine, prefill time.Duration, limits Limits) bool {
+	return limits.Gap > 0 && engine.Running > 0 && prefill > limits.Gap
+}
+
 func slotFree(engine Engine, limits Limits) bool {
 	return engine.Slots == 0 || float64(engine.Running+1) <= float64(engine.Slots)*limits.SlotShare
 }
--- a/internal/selection/rendezvous.go
+++ b/internal/selection/rendezvous.go
@@ -1,6 +1,10 @@
 package selection
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Weight returns the rendezvous weight of a backend server, by the hash of its
 // id, for a key. All
@@ -38,6 +42,43 @@
 	return ranked
 }
 
+// RankWeighted is like Rank for engines that are to be preferred by so many keys in
+// proportion to their weights, which must be above 0: an engine of twice the weight
+// comes first for twice the keys. When a weight changes, only keys that the engine wins
+// or loses by it move. weights are in the order of the list.
+func RankWeighted[Backend any](list []Backend, hash func(Backend) uint64, weights []float64, key uint64, most int) []int {
+	most = min(most, len(list))
+	ranked := make([]int, 0, most)
+	costs := make([]float64, 0, most)
+	for i, backend := range list {
+		point := unitPoint(Weight(key, hash(backend)))
+		// -ln(p) is never below 1-p, which spares the logarithm for nearly all engines.
+		if most > 0 && len(ranked) == most && 1-point >= costs[most-1]*weights[i] {
+			continue
+		}
+		cost := -math.Log(point) / weights[i]
+		switch {
+		case len(ranked) < most:
+			ranked, costs = append(ranked, i), append(costs, cost)
+		case most > 0 && cost < costs[most-1]:
+			ranked[most-1], costs[most-1] = i, cost
+		default:
+			continue
+		}
+		for place := len(ranked) - 1; place > 0 && costs[place] < costs[place-1]; place-- {
+			ranked[place], ranked[place-1] = ranked[place-1], ranked[place]
+			costs[place], costs[place-1] = costs[place-1], costs[place]
+		}
+	}
+	return ranked
+}
+
+// unitPoint maps a hash to a point between 0 and 1, both excluded.
+func unitPoint(hash uint64) float64 {
+	const bits = 53 // of a float's mantissa
+	return (float64(hash>>(64-bits)) + 0.5) / (1 << bits)
+}
+
 // mix spreads the bits of a value (the finalizer of SplitMix64). Without it
 // the weights of two keys would order the backend servers alike.
 func mix(x uint64) uint64 {
--- a/internal/selection/selection_test.go
+++ b/internal/selection/selection_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 )
 
-var limits = Limits{Rate: 50_000, SlotShare: 0.8, MemoryShare: 0.9, SecondPenalty: 1}
+var limits = Limits{Rate: 50_000, SlotShare: 0.8, MemoryShare: 0.9, SecondPenalty: 1, Fallbacks: 8}
 
 func engines(n int) []Engine {
 	list := make([]Engine, n)
