gate: count opened connections to backend servers by reason

Openings that follow an expired or closed connection carry the time since its last answer and the stated idle timeout.

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -37,6 +38,13 @@
 	// usableUntil is the moment from which the peer may close the idle
 	// connection.
 	usableUntil boottime.Instant
+	// idleSince is the end of the last answer, stated the idle timeout that the
+	// peer named with it, 0 for none.
+	idleSince boottime.Instant
+	stated    time.Duration
+	// aborted becomes true when this router starts to close the connection
+	// before its answer has ended.
+	aborted atomic.Bool
 }
 
 func newDialer() *net.Dialer {
@@ -67,12 +75,38 @@
 // close would go on sending: behind a partition that heals, a request would
 // arrive long after its caller has left.
 func (c *conn) abort() {
+	c.aborted.Store(true)
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0) // fails on a closed connection only
 	}
 	_ = c.Close() // it is unusable whatever closing says
 }
 
+// unusable returns why an idle connection can't be used again, or "".
+func (c *conn) unusable(now boottime.Instant) Reason {
+	switch {
+	case now >= c.usableUntil:
+		return ReasonExpired
+	case !c.silent():
+		return ReasonClosed
+	}
+	return ""
+}
+
+// failure returns the reason that an error of a read or write stands for. An
+// error that this router caused by closing the connection is none of the peer's.
+func (c *conn) failure() Reason {
+	if c.aborted.Load() {
+		return ReasonAbandoned
+	}
+	return ReasonBroken
+}
+
+// ending describes the end of the connection.
+func (c *conn) ending(reason Reason, now boottime.Instant) ending {
+	return ending{reason: reason, at: now, idleSince: c.idleSince, stated: c.stated}
+}
+
 // silent tells whether an idle connection has neither bytes to read nor been
 // closed. Bytes on an idle connection belong to no request, and a request
 // written to a closed connection can't be told from one that has run.
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -59,6 +60,7 @@
 	keep     bool
 	reusable time.Duration
 	ended    bool
+	broken   bool // reading the body failed, and not because of this router
 }
 
 // ErrAbandoned tells that the caller left before anything was sent.
@@ -81,11 +83,11 @@
 		return nil, failed(err, ProgressNone, fleet.StepSend, address)
 	}
 	if ctx.Err() != nil {
-		p.discard(address, c)
+		p.discard(address, c, ReasonAbandoned)
 		return nil, failed(ctx.Err(), ProgressNone, fleet.StepSend, address)
 	}
 	if err := request.check(); err != nil {
-		p.discard(address, c)
+		p.discard(address, c, ReasonAbandoned)
 		return nil, failed(err, ProgressNone, fleet.StepSend, address)
 	}
 	if request.Sending != nil {
@@ -95,13 +97,13 @@
 	written := new(atomic.Bool)
 	if err := write(c, request, written); err != nil {
 		stop()
-		p.discard(address, c)
+		p.discard(address, c, c.failure())
 		return nil, failed(err, ProgressSent, fleet.StepSend, address)
 	}
 	response, err := readHead(c, request)
 	if err != nil {
 		stop()
-		p.discard(address, c)
+		p.discard(address, c, c.failure())
 		return nil, failed(err, ProgressSent, fleet.StepAnswer, address)
 	}
 	return &Answer{
@@ -205,6 +207,7 @@
 		return n, io.EOF
 	}
 	if err != nil {
+		a.broken = a.broken || a.conn.failure() == ReasonBroken
 		err = failed(err, ProgressAnswered, fleet.StepAnswer, a.address)
 	}
 	return n, err
@@ -216,12 +219,25 @@
 	stopped := a.stop()
 	clean := a.ended && a.keep && stopped && a.written.Load() && a.conn.reader.Buffered() == 0
 	if !clean {
-		a.pool.discard(a.address, a.conn)
+		a.conn.idleSince, a.conn.stated = boottime.Now(), a.reusable
+		a.pool.discard(a.address, a.conn, a.unclean(stopped))
 		return
 	}
 	a.pool.put(a.address, a.conn, a.reusable)
 }
 
+// unclean returns why the connection is not kept. stopped tells that the context
+// had not ended.
+func (a *Answer) unclean(stopped bool) Reason {
+	switch {
+	case a.broken:
+		return ReasonBroken
+	case a.ended && stopped && a.written.Load():
+		return ReasonClosed // announced by the peer, or bytes follow the answer
+	}
+	return ReasonAbandoned
+}
+
 // statedTimeout returns the idle timeout of a Keep-Alive header.
 func statedTimeout(header http.Header) time.Duration {
 	for _, part := range strings.Split(header.Get("Keep-Alive"), ",") {
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -33,8 +33,10 @@
 // concurrently.
 type Pool struct {
 	dialer *net.Dialer
+	opened func(Opening)
 	mu     sync.Mutex
 	hosts  map[fleet.Address]*host
+	ended  history
 }
 
 // host holds the connections to one address.
@@ -45,9 +47,18 @@
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
-	return &Pool{dialer: newDialer(), hosts: make(map[fleet.Address]*host)}
+	return &Pool{
+		dialer: newDialer(),
+		opened: func(Opening) {},
+		hosts:  make(map[fleet.Address]*host),
+		ended:  make(history),
+	}
 }
 
+// OnOpen sets a function that is called for each connection that is opened. It
+// must be set before the pool is used.
+func (p *Pool) OnOpen(opened func(Opening)) { p.opened = opened }
+
 // Run closes idle connections until the context ends, then all of them.
 func (p *Pool) Run(ctx context.Context) error {
 	ticker := time.NewTicker(sweepInterval)
@@ -60,6 +71,7 @@
 		case <-ticker.C:
 			now := boottime.Now()
 			p.closeIdle(func(c *conn) bool { return now > c.usableUntil })
+			p.pruneHistory(now)
 		}
 	}
 }
@@ -78,16 +90,28 @@
 // crashed and started again there knows nothing of them, and behind a partition
 // it could not say so: a request sent on one would be lost.
 func (p *Pool) Forget(address fleet.Address) {
-	p.closeIdleAt(address, func(*conn) bool { return true })
+	p.mu.Lock()
+	p.ended.replace(address)
+	p.mu.Unlock()
+	p.closeIdleAt(address, func(*conn) bool { return true }, ReasonReplaced)
+}
+
+func (p *Pool) pruneHistory(now boottime.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended.prune(now)
 }
 
 // anyAddress stands for all addresses in closeIdleAt.
 const anyAddress fleet.Address = ""
 
-func (p *Pool) closeIdle(expired func(*conn) bool) { p.closeIdleAt(anyAddress, expired) }
+func (p *Pool) closeIdle(expired func(*conn) bool) {
+	p.closeIdleAt(anyAddress, expired, ReasonExpired)
+}
 
-func (p *Pool) closeIdleAt(wanted fleet.Address, expired func(*conn) bool) {
+func (p *Pool) closeIdleAt(wanted fleet.Address, expired func(*conn) bool, reason Reason) {
 	var closing []*conn
+	now := boottime.Now()
 	p.mu.Lock()
 	for address, host := range p.hosts {
 		if wanted != anyAddress && wanted != address {
@@ -98,6 +122,7 @@
 			if expired(c) {
 				closing = append(closing, c)
 				host.open--
+				p.ended.add(address, c.ending(reason, now))
 				continue
 			}
 			kept = append(kept, c)
@@ -122,19 +147,22 @@
 		if kept == nil {
 			break
 		}
-		if boottime.Now() < kept.usableUntil && kept.silent() {
+		reason := kept.unusable(boottime.Now())
+		if reason == "" {
 			return kept, nil
 		}
-		p.discard(address, kept)
+		p.discard(address, kept, reason)
 	}
-	if !p.reserve(address, most) {
+	former, reserved := p.reserve(address, most)
+	if !reserved {
 		return nil, ErrTooMany
 	}
 	opened, err := p.dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
-		p.release(address)
+		p.release(address, former)
 		return nil, errors.WithStack(err)
 	}
+	p.opened(former.opening(boottime.Now()))
 	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferSize)}, nil
 }
 
@@ -152,7 +180,10 @@
 	return kept
 }
 
-func (p *Pool) reserve(address fleet.Address, most int) bool {
+// reserve counts a connection that is about to be opened, unless most are open.
+// It returns the ending that the connection makes up for, or one that holds just
+// the reason if there is none.
+func (p *Pool) reserve(address fleet.Address, most int) (ending, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	known := p.hosts[address]
@@ -161,15 +192,29 @@
 		p.hosts[address] = known
 	}
 	if most > 0 && known.open >= most {
-		return false
+		return ending{}, false
+	}
+	former, found := p.ended.take(address, boottime.Now())
+	switch {
+	case found:
+	case known.open > 0:
+		former = ending{reason: ReasonBusy}
+	default:
+		former = ending{reason: ReasonFirst}
 	}
 	known.open++
-	return true
+	return former, true
 }
 
-func (p *Pool) release(address fleet.Address) {
+// release counts a connection no more. ended tells how it ended; for one that
+// could not be opened it is what reserve returned, so that the next one is
+// opened for the same reason.
+func (p *Pool) release(address fleet.Address, ended ending) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if ended.at != 0 {
+		p.ended.add(address, ended)
+	}
 	host := p.hosts[address]
 	host.open--
 	if host.open <= 0 && len(host.idle) == 0 {
@@ -184,14 +229,16 @@
 	if stated > 0 {
 		life = time.Duration(float64(stated) * statedIdleShare)
 	}
-	c.usableUntil = boottime.Now().Add(life)
+	c.idleSince, c.stated = boottime.Now(), stated
+	c.usableUntil = c.idleSince.Add(life)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
 	host.idle = append(host.idle, c)
 }
 
-func (p *Pool) discard(address fleet.Address, c *conn) {
+// discard closes a connection that was in use or taken for use.
+func (p *Pool) discard(address fleet.Address, c *conn, reason Reason) {
 	c.abort()
-	p.release(address)
+	p.release(address, c.ending(reason, boottime.Now()))
 }
--- /dev/null
+++ b/internal/backendconn/reason_test.go
@@ -0,0 +1,247 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// openings collects what a pool reports.
+type openings struct {
+	mu  sync.Mutex
+	all []Opening
+}
+
+func observed() (*Pool, *openings) {
+	pool, seen := NewPool(), &openings{}
+	pool.OnOpen(func(opening Opening) {
+		seen.mu.Lock()
+		defer seen.mu.Unlock()
+		seen.all = append(seen.all, opening)
+	})
+	return pool, seen
+}
+
+func (o *openings) check(t *testing.T, want ...Reason) {
+	t.Helper()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var got []Reason
+	for _, opening := range o.all {
+		got = append(got, opening.Reason)
+	}
+	if !slices.Equal(got, want) {
+		t.Errorf("connections were opened for %v, want %v", got, want)
+	}
+}
+
+// answering answers each request; the header lines are added to the answers.
+func answering(t *testing.T, headers string) *scripted {
+	t.Helper()
+	return serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for request := readRequest(reader); request != nil; request = readRequest(reader) {
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: "+request.Header.Get("Id")+"\r\n"+headers+"Content-Length: 0\r\n\r\n")
+		}
+	})
+}
+
+func mustExchange(t *testing.T, pool *Pool, address fleet.Address, id string) {
+	t.Helper()
+	if _, err := exchange(t, pool, address, ask(id)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expire makes all idle connections unusable, as the passing of time does.
+func expire(pool *Pool) {
+	pool.mu.Lock()
+	defer pool.mu.Unlock()
+	for _, host := range pool.hosts {
+		for _, c := range host.idle {
+			c.usableUntil = boottime.Now()
+		}
+	}
+}
+
+// hold sends a request and returns its answer unread, so that the connection
+// stays in use.
+func hold(t *testing.T, pool *Pool, address fleet.Address, id string) *Answer {
+	t.Helper()
+	answer, err := pool.Do(t.Context(), address, ask(id))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer
+}
+
+// release reads the answer to its end and gives its connection back.
+func release(t *testing.T, answer *Answer) {
+	t.Helper()
+	if _, err := io.Copy(io.Discard, answer); err != nil {
+		t.Fatal(err)
+	}
+	answer.Close()
+}
+
+// Guards against counting a connection that is used again, and against taking
+// growing load for a loss of connections.
+func TestReasonFirstAndBusy(t *testing.T) {
+	server := answering(t, "")
+	pool, seen := observed()
+	mustExchange(t, pool, server.address, "1")
+	first := hold(t, pool, server.address, "2")
+	second := hold(t, pool, server.address, "3")
+	release(t, first)
+	release(t, second)
+	mustExchange(t, pool, server.address, "4")
+	seen.check(t, ReasonFirst, ReasonBusy)
+}
+
+// Guards against expiries that hide behind "busy": a burst that finds its
+// connections gone opens all of them because they expired.
+func TestReasonExpiredCountsEachLostConnection(t *testing.T) {
+	for name, swept := range map[string]bool{"found at use": false, "found by the sweep": true} {
+		t.Run(name, func(t *testing.T) {
+			server := answering(t, "Keep-Alive: timeout=5\r\n")
+			pool, seen := observed()
+			burst := func(size int) {
+				var answers []*Answer
+				for range size {
+					answers = append(answers, hold(t, pool, server.address, "x"))
+				}
+				for _, answer := range answers {
+					release(t, answer)
+				}
+			}
+			burst(2)
+			expire(pool)
+			if swept {
+				pool.closeIdle(func(c *conn) bool { return boottime.Now() >= c.usableUntil })
+			}
+			burst(3)
+			seen.check(t, ReasonFirst, ReasonBusy, ReasonExpired, ReasonExpired, ReasonBusy)
+			if got := seen.all[2]; got.Stated != 5*time.Second || got.Idle <= 0 {
+				t.Errorf("%+v, want an idle time and the stated timeout", got)
+			}
+		})
+	}
+}
+
+// Guards against blaming the router's idle timeout, or a failure, when the peer
+// ends connections.
+func TestReasonClosed(t *testing.T) {
+	for name, text := range map[string]string{
+		"while idle":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"announced":   "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+		"stray bytes": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\nHTTP",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				io.WriteString(conn, text)
+			})
+			pool, seen := observed()
+			mustExchange(t, pool, server.address, "1")
+			time.Sleep(50 * time.Millisecond)
+			mustExchange(t, pool, server.address, "1")
+			seen.check(t, ReasonFirst, ReasonClosed)
+			if got := seen.all[1].Idle; got < 50*time.Millisecond || got > 5*time.Second {
+				t.Errorf("idle for %v, want the time since the answer", got)
+			}
+		})
+	}
+}
+
+// Guards against failures that look like callers who left, both before and
+// within an answer.
+func TestReasonBroken(t *testing.T) {
+	for name, text := range map[string]string{
+		"no answer":   "",
+		"half answer": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				io.WriteString(conn, text)
+			})
+			pool, seen := observed()
+			for range 2 {
+				if _, err := exchange(t, pool, server.address, ask("1")); err == nil {
+					t.Fatal("the exchange did not fail")
+				}
+			}
+			seen.check(t, ReasonFirst, ReasonBroken)
+		})
+	}
+}
+
+// Guards against counting callers that leave as failures of backend servers.
+func TestReasonAbandoned(t *testing.T) {
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nhalf")
+		io.Copy(io.Discard, reader) // until the connection ends
+	})
+	pool, seen := observed()
+
+	hold(t, pool, server.address, "1").Close() // the answer is not read to its end
+
+	ctx, cancel := context.WithCancel(t.Context())
+	answer, err := pool.Do(ctx, server.address, ask("1"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cancel() // the caller leaves while the answer is read
+	if _, err := io.Copy(io.Discard, answer); err == nil {
+		t.Fatal("the answer did not break off")
+	}
+	answer.Close()
+
+	unsent := ask("1")
+	unsent.Check = func() error { return ErrAbandoned }
+	if _, err := pool.Do(t.Context(), server.address, unsent); err == nil {
+		t.Fatal("the request was sent")
+	}
+
+	hold(t, pool, server.address, "1").Close()
+	seen.check(t, ReasonFirst, ReasonAbandoned, ReasonAbandoned, ReasonAbandoned)
+}
+
+// Guards against blaming idle timeouts for connections to a backend server that
+// is gone: no timeout would have kept them.
+func TestReasonReplaced(t *testing.T) {
+	server := answering(t, "")
+	pool, seen := observed()
+	mustExchange(t, pool, server.address, "1")
+	pool.Forget(server.address)
+	mustExchange(t, pool, server.address, "2")
+	expire(pool)
+	pool.closeIdle(func(c *conn) bool { return boottime.Now() >= c.usableUntil })
+	pool.Forget(server.address)
+	mustExchange(t, pool, server.address, "3")
+	seen.check(t, ReasonFirst, ReasonReplaced, ReasonReplaced)
+}
+
+// Guards against losing the reason, or counting a connection, when the opening
+// fails: after an outage the new connection would count as the first one.
+func TestFailedOpeningKeepsTheReason(t *testing.T) {
+	server := answering(t, "")
+	pool, seen := observed()
+	mustExchange(t, pool, server.address, "1")
+	expire(pool)
+	gone, cancel := context.WithCancel(t.Context())
+	cancel()
+	if _, err := pool.Do(gone, server.address, ask("2")); err == nil {
+		t.Fatal("a connection was opened in an ended context")
+	}
+	mustExchange(t, pool, server.address, "3")
+	seen.check(t, ReasonFirst, ReasonExpired)
+}
--- /dev/null
+++ b/internal/gate/connections_test.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/event"
+)
+
+// Guards against counts that are written twice, empty records while nothing is
+// opened, and idle times or stated timeouts that get lost.
+func TestConnectionsRecord(t *testing.T) {
+	logger, hook := test.NewNullLogger()
+	counted := newConnections(logger, prometheus.NewRegistry())
+	counted.write()
+	if n := len(hook.AllEntries()); n != 0 {
+		t.Fatalf("%d records of no openings", n)
+	}
+	for _, opening := range []backendconn.Opening{
+		{Reason: backendconn.ReasonFirst},
+		{Reason: backendconn.ReasonExpired, Idle: time.Second},
+		{Reason: backendconn.ReasonExpired, Idle: 3 * time.Second, Stated: 2 * time.Second},
+	} {
+		counted.opened(opening)
+	}
+	counted.write()
+	counted.write()
+	if n := len(hook.AllEntries()); n != 1 {
+		t.Fatalf("%d records, want 1", n)
+	}
+	fields := hook.LastEntry().Data
+	if fields["event"] != event.GateConnections.Number {
+		t.Errorf("event %v", fields["event"])
+	}
+	want := map[backendconn.Reason]int{backendconn.ReasonFirst: 1, backendconn.ReasonExpired: 2}
+	if got, _ := fields["opened"].(map[backendconn.Reason]int); !maps.Equal(got, want) {
+		t.Errorf("opened %v, want %v", got, want)
+	}
+	idle, _ := fields["idle"].(map[backendconn.Reason]*idleTally)
+	if len(idle) != 1 || idle[backendconn.ReasonExpired] == nil {
+		t.Fatalf("idle times of %v, want of expired connections only", idle)
+	}
+	got := *idle[backendconn.ReasonExpired]
+	got.count, got.sum = 0, 0
+	if want := (idleTally{Least: 1000, Mean: 2000, Most: 3000, StatedLeast: 0, StatedMost: 2000}); got != want {
+		t.Errorf("idle %+v, want %+v", got, want)
+	}
+}
+
+// Guards against metrics that are not registered, and against idle times of 0
+// from reasons that know none.
+func TestConnectionsMetrics(t *testing.T) {
+	logger, _ := test.NewNullLogger()
+	registry := prometheus.NewRegistry()
+	counted := newConnections(logger, registry)
+	counted.opened(backendconn.Opening{Reason: backendconn.ReasonBusy})
+	counted.opened(backendconn.Opening{Reason: backendconn.ReasonClosed, Idle: 3 * time.Second})
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	values := make(map[string]float64)
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			name := family.GetName() + " " + metric.GetLabel()[0].GetValue()
+			if histogram := metric.GetHistogram(); histogram != nil {
+				values[name] = histogram.GetSampleSum()
+			} else {
+				values[name] = metric.GetCounter().GetValue()
+			}
+		}
+	}
+	want := map[string]float64{
+		"bluebellchute_gate_connections_opened_total busy":   1,
+		"bluebellchute_gate_connections_opened_total closed": 1,
+		"bluebellchute_gate_connection_idle_seconds closed":  3,
+	}
+	if !maps.Equal(values, want) {
+		t.Errorf("metrics %v, want %v", values, want)
+	}
+}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -11,7 +11,6 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
-	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/event"
@@ -37,21 +36,23 @@
 
 // Manager runs a gate. It is a daemon.Service.
 type Manager struct {
-	options Options
-	handler *handler
-	entry   *entry
+	options     Options
+	handler     *handler
+	entry       *entry
+	connections *connections
 }
 
 // NewManager returns a gate that takes no requests yet.
 func NewManager(options Options) *Manager {
 	settings := newCurrentSettings(options.Settings)
 	admission := newAdmission(settings, options.Zone, options.Peers)
+	connections := newConnections(options.Logger, options.Registerer)
 	h := &handler{
 		settings:  settings,
 		dialect:   options.Dialect,
 		state:     options.State,
 		started:   boottime.Now(),
-		pool:      backendconn.NewPool(),
+		pool:      newPool(connections),
 		admission: admission,
 		budget:    newRetryBudget(settings, options.Peers),
 		suspects:  newSuspects(),
@@ -61,7 +62,7 @@
 	}
 	entry := newEntry(h, options.Connections, h.lag)
 	h.closing = entry.closing
-	return &Manager{options: options, handler: h, entry: entry}
+	return &Manager{options: options, handler: h, entry: entry, connections: connections}
 }
 
 // ApplyConfig takes new settings. Addresses stay as they were at the start.
@@ -74,6 +75,7 @@
 func (m *Manager) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.handler.pool.Run(ctx) })
+	group.Go(func() error { return m.connections.run(ctx) })
 	group.Go(func() error { return m.handler.records.Run(ctx) })
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.watchReadiness(ctx) })
