--- a/internal/backendconn/reason_test.go
+++ b/internal/backendconn/reason_test.go
@@ -94,7 +94,7 @@
 // Guards against counting a connection that is used again, and against taking
 // growing load for a loss of connections.
 func TestReasonFirstAndBusy(t *testing.T) {
-	server := answering(t, "")
+	server := answering(t, "Keep-Alive: timeout=60\r\n")
 	pool, seen := observed()
 	mustExchange(t, pool, server.address, "1")
 	first := hold(t, pool, server.address, "2")
@@ -139,9 +139,9 @@
 // ends connections.
 func TestReasonClosed(t *testing.T) {
 	for name, text := range map[string]string{
-		"while idle":  "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n",
+		"while idle":  "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\n",
 		"announced":   "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
-		"stray bytes": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\nHTTP",
+		"stray bytes": "HTTP/1.1 200 OK\r\nId: 1\r\nKeep-Alive: timeout=60\r\nContent-Length: 0\r\n\r\nHTTP",
 	} {
 		t.Run(name, func(t *testing.T) {
 			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
@@ -218,7 +218,7 @@
 // Guards against blaming idle timeouts for connections to a backend server that
 // is gone: no timeout would have kept them.
 func TestReasonReplaced(t *testing.T) {
-	server := answering(t, "")
+	server := answering(t, "Keep-Alive: timeout=60\r\n")
 	pool, seen := observed()
 	mustExchange(t, pool, server.address, "1")
 	pool.Forget(server.address)
