--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -49,11 +49,11 @@
 	c := &connections{
 		logger: logger,
 		total: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bluebellchute_gate_connections_opened_total",
+			Name: "bluebell_gate_connections_opened_total",
 			Help: "Connections opened to backend servers, by reason.",
 		}, []string{"reason"}),
 		idle: prometheus.NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "bluebellchute_gate_connection_idle_seconds",
+			Name:    "bluebell_gate_connection_idle_seconds",
 			Help:    "Time from the last answer on an expired or closed connection to the opening of the next one.",
 			Buckets: idleBuckets,
 		}, []string{"reason"}),
--- a/internal/gate/connections_test.go
+++ b/internal/gate/connections_test.go
@@ -76,9 +76,9 @@
 		}
 	}
 	want := map[string]float64{
-		"bluebellchute_gate_connections_opened_total busy":   1,
-		"bluebellchute_gate_connections_opened_total closed": 1,
-		"bluebellchute_gate_connection_idle_seconds closed":  3,
+		"bluebell_gate_connections_opened_total busy":   1,
+		"bluebell_gate_connections_opened_total closed": 1,
+		"bluebell_gate_connection_idle_seconds closed":  3,
 	}
 	if !maps.Equal(values, want) {
 		t.Errorf("metrics %v, want %v", values, want)
