--- a/internal/pace/observation.go
+++ b/internal/pace/observation.go
@@ -1,6 +1,7 @@
 package pace
 
 import (
+	"math"
 	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -17,6 +18,28 @@
 	WorkTime float64
 }
 
+const (
+	// LeastWorkTime and MostWorkTime bound the work times that are believed.
+	LeastWorkTime = 0.01
+	MostWorkTime  = 100
+)
+
+// ValidWorkTime tells whether a work time can be used. NaN can't.
+func ValidWorkTime(value float64) bool { return value >= LeastWorkTime && value <= MostWorkTime }
+
+const (
+	// Life is how long after it was told a work time counts at most.
+	Life = 2 * window
+	// nowLife is how long the newest work time stands for the current one. Machines
+	// are slow for some 0.6 s at a time.
+	nowLife = 400 * time.Millisecond
+	// sumMemory is the time constant of the decaying sums.
+	sumMemory = 10 * time.Second
+	// slowedRatio is the current work time, in parts of the usual one, from which a
+	// server counts as slowed.
+	slowedRatio = 1.5
+)
+
 // Observation is what one or several routers know of a backend server. Observations of
 // different routers are merged; the sums decay.
 type Observation struct {
@@ -31,11 +54,57 @@
 }
 
 // Merge returns what both observations tell together, the other being of other routers.
+// Both must be as of the same moment.
 func (o Observation) Merge(other Observation) Observation {
-	return Observation{}
+	o.Usual = leastKnown(o.Usual, other.Usual)
+	switch {
+	case other.NowAt > o.NowAt:
+		o.Now, o.NowAt = other.Now, other.NowAt
+	case other.NowAt == o.NowAt:
+		o.Now = max(o.Now, other.Now) // whichever of them is merged into the other
+	}
+	o.ReadTokens += other.ReadTokens
+	o.ReadSeconds += other.ReadSeconds
+	o.Streams += other.Streams
+	o.Late += other.Late
+	return o
+}
+
+// leastKnown returns the smaller of two work times of which 0 stands for unknown.
+func leastKnown(a, b float64) float64 {
+	if a == 0 || b == 0 {
+		return max(a, b)
+	}
+	return min(a, b)
 }
 
 // After returns what is left of the observation when the time has passed.
 func (o Observation) After(passed time.Duration) Observation {
-	return Observation{}
+	if passed <= 0 {
+		return o
+	}
+	if passed >= Life {
+		o.Usual = 0
+	}
+	left := math.Exp(-passed.Seconds() / sumMemory.Seconds())
+	o.ReadTokens *= left
+	o.ReadSeconds *= left
+	o.Streams *= left
+	o.Late *= left
+	return o
+}
+
+// Current returns the current work time at the moment, 0 if it is unknown.
+func (o Observation) Current(now boottime.Instant) float64 {
+	if o.NowAt == 0 || now.Sub(o.NowAt) > nowLife {
+		return 0
+	}
+	return o.Now
+}
+
+// Slowed tells whether the server works clearly slower at the moment than it usually
+// does.
+func (o Observation) Slowed(now boottime.Instant) bool {
+	current := o.Current(now)
+	return current > 0 && current >= slowedRatio*o.Usual
 }
--- a/internal/policy/readrate.go
+++ b/internal/policy/readrate.go
@@ -29,3 +29,12 @@
 func (r *ReadRate) Rate(assumed float64) float64 {
 	return (r.tokens + assumed*ratePrior) / (r.seconds + ratePrior)
 }
+
+// Observed returns the rate that was seen, without any assumption, and the decayed sum
+// of the seconds that it was seen for. The rate is 0 if nothing was seen.
+func (r *ReadRate) Observed() (rate, seconds float64) {
+	if r.seconds <= 0 {
+		return 0, 0
+	}
+	return r.tokens / r.seconds, r.seconds
+}
