--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -34,6 +34,7 @@
 	GateCloses        = Event{2130, logrus.InfoLevel, "backend server wants nothing for a time"}
 	GateStoreCalls    = Event{2131, logrus.InfoLevel, "calls to the store of the last seconds"}
 	GatePeerTraffic   = Event{2132, logrus.InfoLevel, "bytes between routers of the last seconds"}
+	GateEnginePace    = Event{2133, logrus.InfoLevel, "pace of a backend server has changed"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -42,6 +42,7 @@
 	kept     *keptParts
 	cold     *coldServers
 	closures *closures
+	paces    *paces
 
 	mu     sync.Mutex
 	ledger *shares.Ledger
@@ -49,14 +50,16 @@
 }
 
 func newAdmission(settings *currentSettings, zone fleet.Zone, peers Peers) *admission {
+	loads := newLoads()
 	return &admission{
 		settings: settings,
 		zone:     zone,
-		loads:    newLoads(),
+		loads:    loads,
 		peers:    peers,
 		kept:     newKeptParts(),
 		cold:     newColdServers(settings, peers),
 		closures: newClosures(),
+		paces:    newPaces(settings, loads, peers),
 		ledger:   shares.NewLedger(),
 	}
 }
@@ -166,7 +169,7 @@
 	a.kept.note(request.Prompt.SharedPart(), placed.backend)
 	a.loads.first(placed.backend.Incarnation, placed.load.Pending)
 	if placed.permit == nil { // a cold engine does not tell what engines can do
-		a.loads.read(request.Service, placed.pending, took)
+		a.loads.read(request.Service, placed.pending, a.paces.read(placed.backend, placed.pending, took))
 	}
 	placed.load.Pending = 0
 }
@@ -179,6 +182,7 @@
 func (a *admission) delivered(service fleet.Service, placed *placement, late bool) {
 	if placed.permit == nil {
 		a.loads.noteLate(service, late)
+		a.paces.streamed(placed.backend, late)
 	}
 }
 
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -17,6 +17,7 @@
 	VM        VMSection         `section:"vm" doc:"What the VM gives to this process."`
 	Bounds    BoundsSection     `section:"bounds" doc:"What the users have agreed on."`
 	Admission AdmissionSection  `section:"admission" doc:"What is sent to model engines."`
+	Engines   EnginesSection    `section:"engines" doc:"What is made of how fast each backend server works."`
 	Log       daemon.LogSection `section:"log" doc:"Log records on standard output."`
 }
 
@@ -97,6 +98,11 @@
 	RetryShare       float64 `key:"retry_share" default:"0.35" min:"0.01" max:"1" doc:"Part of a route's target latency after which refused callers are told to come back."`
 }
 
+// EnginesSection holds what is made of the differences between backend servers.
+type EnginesSection struct {
+	Pace bool `key:"pace" default:"false" doc:"Go by the work time that backend servers report, and by what is seen of them, in place of one figure for all engines of a service."`
+}
+
 const (
 	// bodyMemoryShare is the part of the memory that requests' bodies may
 	// fill. The rest is for connections, answers and the runtime.
@@ -154,6 +160,7 @@
 		Cold:       ColdSettings{Overshoot: c.Bounds.ColdOvershoot, Slack: c.Bounds.ColdSlack},
 		Evacuate:   c.Bounds.Evacuate,
 		Admission:  c.Admission.Policy(),
+		Engines:    EngineSettings{Pace: c.Engines.Pace},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
 }
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -8,17 +8,19 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 )
 
 // routers is a fleet of so many routers.
 type routers int
 
-func (routers) Load(uint32) BackendLoad   { return BackendLoad{} }
-func (routers) Contact() boottime.Instant { return boottime.Now() }
-func (routers) Follows() bool             { return true }
-func (r routers) Routers() int            { return int(r) }
-func (r routers) Order(uint64) (int, int) { return 0, int(r) }
-func (routers) Settled() bool             { return true }
+func (routers) Load(uint32) BackendLoad                            { return BackendLoad{} }
+func (routers) Paces(boottime.Instant) map[uint32]pace.Observation { return nil }
+func (routers) Contact() boottime.Instant                          { return boottime.Now() }
+func (routers) Follows() bool                                      { return true }
+func (r routers) Routers() int                                     { return int(r) }
+func (r routers) Order(uint64) (int, int)                          { return 0, int(r) }
+func (routers) Settled() bool                                      { return true }
 
 func knownView(configured boottime.Instant) *knowledge.View {
 	state := knowledge.NewState()
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -6,6 +6,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 )
 
 // Dialect translates between the wire and the product's own types.
@@ -51,6 +52,10 @@
 	// ColdLeft is how long the backend server says that it will be cold, 0 if it
 	// does not say.
 	ColdLeft time.Duration
+	// Load is what the backend server tells of its load; BadLoad means that it can't be
+	// read.
+	Load    pace.Report
+	BadLoad bool
 }
 
 // sound tells whether a success with this header is the backend server's own
--- a/internal/gate/entry_test.go
+++ b/internal/gate/entry_test.go
@@ -17,18 +17,20 @@
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
 )
 
 // noPeers is a fleet of one router.
 type noPeers struct{}
 
-func (noPeers) Load(uint32) BackendLoad   { return BackendLoad{} }
-func (noPeers) Contact() boottime.Instant { return 0 }
-func (noPeers) Follows() bool             { return true }
-func (noPeers) Routers() int              { return 1 }
-func (noPeers) Order(uint64) (int, int)   { return 0, 1 }
-func (noPeers) Settled() bool             { return true }
+func (noPeers) Load(uint32) BackendLoad                            { return BackendLoad{} }
+func (noPeers) Paces(boottime.Instant) map[uint32]pace.Observation { return nil }
+func (noPeers) Contact() boottime.Instant                          { return 0 }
+func (noPeers) Follows() bool                                      { return true }
+func (noPeers) Routers() int                                       { return 1 }
+func (noPeers) Order(uint64) (int, int)                            { return 0, 1 }
+func (noPeers) Settled() bool                                      { return true }
 
 // plainDialect takes requests as they are.
 type plainDialect struct{}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -26,10 +26,16 @@
 	Cold      ColdSettings
 	Evacuate  time.Duration // from an order to evacuate a zone until nothing is sent there, 0 for none
 	Admission policy.Settings
+	Engines   EngineSettings
 	// BodyMemory bounds the bytes of all requests that are held at once.
 	BodyMemory int64
 }
 
+// EngineSettings tell what is made of the differences between backend servers.
+type EngineSettings struct {
+	Pace bool // go by the pace of each
+}
+
 // currentSettings are the settings in force. They change when the settings
 // file does.
 type currentSettings struct{ pointer atomic.Pointer[Settings] }
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
 	"github.com/bluebellchute/bluebellchute/internal/slowstart"
 )
@@ -36,6 +37,10 @@
 	// Routers returns the number of routers that take requests, this one
 	// included.
 	Routers() int
+	// Paces returns what all other routers that are heard know of how fast backend
+	// servers work, as of the moment, by the hashes of their incarnations. It is nil if
+	// they know nothing.
+	Paces(now boottime.Instant) map[uint32]pace.Observation
 	// Fleet tells a router's part of what cold backend servers may get.
 	slowstart.Fleet
 	// Contact returns when the store last answered another router, 0 if it
@@ -175,6 +180,14 @@
 	return l.model(service).rate.Rate(assumed)
 }
 
+// observedRate returns how many prompt tokens an engine of the service reads in a second,
+// and over how many seconds of reading that was seen. Nothing is assumed.
+func (l *loads) observedRate(service fleet.Service) (rate, seconds float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.model(service).rate.Observed()
+}
+
 // end counts a request out at a backend server.
 func (l *loads) end(id string, load BackendLoad) {
 	l.mu.Lock()
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -7,6 +7,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
 
@@ -29,6 +30,12 @@
 	return hashed
 }
 
+// Paces returns what this router has seen of how fast backend servers work, by the
+// hashes of their incarnations.
+func (m *Manager) Paces() map[uint32]pace.Observation {
+	return m.handler.admission.paces.own(boottime.Now())
+}
+
 // TakeBroken returns the fingerprints of requests that broke a backend server
 // here since the last call.
 func (m *Manager) TakeBroken() []uint64 { return m.handler.suspects.takeFresh() }
@@ -58,8 +65,9 @@
 type Status struct {
 	VM       string
 	Zone     fleet.Zone
-	NotReady string // why the balancer should send no callers, "" if it should
-	Running  int    // requests at backend servers
+	NotReady string       // why the balancer should send no callers, "" if it should
+	Running  int          // requests at backend servers
+	Engines  []EnginePace // those that tell how long work takes
 }
 
 // Status returns what operators want to know.
@@ -69,6 +77,7 @@
 		Zone:     m.options.Zone,
 		NotReady: m.options.Readiness.NotReady(),
 		Running:  m.running(),
+		Engines:  m.handler.admission.enginePaces(),
 	}
 }
 
--- /dev/null
+++ b/internal/gate/paces.go
@@ -0,0 +1,252 @@
+package gate
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
+)
+
+const (
+	// paceInterval is the pause between two snapshots of paces. Merging all routers'
+	// figures for each request would cost more than the decision.
+	paceInterval = 100 * time.Millisecond
+	// paceStale is the age from which requests wait for a new snapshot, as after a pause
+	// of the process, instead of going by the last one while another request builds it.
+	paceStale = time.Second
+	// serviceSeconds is the reading that must have been seen of a service before its
+	// rate is compared with single engines'.
+	serviceSeconds = 3
+)
+
+// paces is what is known of how fast each backend server works. Its methods may be
+// called concurrently.
+type paces struct {
+	settings *currentSettings
+	loads    *loads
+	peers    Peers
+	table    *pace.Table
+
+	building sync.Mutex // is held by whoever builds a snapshot
+	built    atomic.Pointer[builtPaces]
+	watcher  atomic.Pointer[paceWatch] // nil until it is set
+
+	mu     sync.Mutex
+	listed map[uint32]*knowledge.Backend // by the hashes of their incarnations
+}
+
+// builtPaces is a snapshot and what follows from it.
+type builtPaces struct {
+	snapshot *pace.Snapshot
+	at       boottime.Instant
+	services map[fleet.Service]serviceTold
+	listed   map[uint32]*knowledge.Backend
+}
+
+// serviceTold counts the servers of a service that tell a work time.
+type serviceTold struct{ servers, contradicted int }
+
+// doubtful tells that most servers contradict the rate of the service: that is wrong
+// rather than all of them.
+func (s serviceTold) doubtful() bool { return 2*s.contradicted > s.servers }
+
+func newPaces(settings *currentSettings, loads *loads, peers Peers) *paces {
+	return &paces{
+		settings: settings,
+		loads:    loads,
+		peers:    peers,
+		table:    pace.NewTable(),
+		listed:   make(map[uint32]*knowledge.Backend),
+	}
+}
+
+// enabled tells whether the settings ask for paces.
+func (p *paces) enabled() bool { return p.settings.get().Engines.Pace }
+
+// heed takes what a backend server tells of its load with an answer.
+func (p *paces) heed(backend *knowledge.Backend, reply Reply, now boottime.Instant) {
+	if !p.enabled() {
+		return
+	}
+	watcher := p.watcher.Load()
+	if reply.BadLoad {
+		watcher.count(reportMalformed)
+		return
+	}
+	if reply.Load.WorkTime == 0 {
+		return
+	}
+	p.list(backend)
+	p.table.Told(backend.IncarnationHash, reply.Load, now)
+	if p.engine(backend.IncarnationHash).Contradicted {
+		watcher.count(reportContradicted)
+		return
+	}
+	watcher.count(reportTaken)
+}
+
+// read notes that an engine took the time to read the prompt tokens that were waiting,
+// and returns the time that an engine at work time 1 would have taken.
+func (p *paces) read(backend *knowledge.Backend, pending float64, took time.Duration) time.Duration {
+	if !p.enabled() {
+		return took
+	}
+	p.table.Read(backend.IncarnationHash, pending, took, boottime.Now())
+	built := p.current()
+	engine := built.snapshot.Engine(backend.IncarnationHash)
+	if !engine.Told {
+		return took
+	}
+	workTime := engine.Usual
+	if engine.Contradicted && built.services[backend.Service].doubtful() {
+		// By what is seen of them, these engines would confirm a wrong rate for ever.
+		workTime = engine.Reported
+	}
+	return time.Duration(float64(took) / workTime)
+}
+
+// streamed notes the end of a whole stream, and whether it was late.
+func (p *paces) streamed(backend *knowledge.Backend, late bool) {
+	if p.enabled() {
+		p.table.Streamed(backend.IncarnationHash, late, boottime.Now())
+	}
+}
+
+// own returns what this router has seen, for the others.
+func (p *paces) own(now boottime.Instant) map[uint32]pace.Observation {
+	if !p.enabled() {
+		return nil
+	}
+	return p.table.Own(now)
+}
+
+// engine returns what is expected of a backend server by the hash of its incarnation.
+// Who looks at many at once takes one snapshot for all of them.
+func (p *paces) engine(hash uint32) pace.Estimate { return p.snapshot().Engine(hash) }
+
+// snapshot returns what is expected of all backend servers. It is empty while paces are
+// switched off.
+func (p *paces) snapshot() *pace.Snapshot { return p.current().snapshot }
+
+// told tells whether any listed server of the service tells a work time. Where none
+// does, nothing may depend on paces.
+func (p *paces) told(service fleet.Service) bool {
+	return p.enabled() && p.current().services[service].servers > 0
+}
+
+// noPaces are those of a gate in which they are switched off.
+var noPaces = &builtPaces{snapshot: &pace.Snapshot{}}
+
+// current returns the snapshot of the moment and builds it if it is due. It is read
+// without locks.
+func (p *paces) current() *builtPaces {
+	if !p.enabled() {
+		return noPaces
+	}
+	now := boottime.Now()
+	built := p.built.Load()
+	if built.fresh(now, paceInterval) {
+		return built
+	}
+	if built.fresh(now, paceStale) {
+		if !p.building.TryLock() {
+			return built
+		}
+	} else {
+		p.building.Lock()
+	}
+	defer p.building.Unlock()
+	if built = p.built.Load(); built.fresh(now, paceInterval) {
+		return built
+	}
+	built = p.build(now)
+	p.built.Store(built)
+	p.watcher.Load().changed(built)
+	return built
+}
+
+// fresh tells whether the snapshot is younger than the age.
+func (b *builtPaces) fresh(now boottime.Instant, age time.Duration) bool {
+	return b != nil && now.Sub(b.at) < age
+}
+
+func (p *paces) build(now boottime.Instant) *builtPaces {
+	p.mu.Lock()
+	listed := p.listed
+	p.mu.Unlock()
+	rates := make(map[fleet.Service]float64)
+	serviceRate := func(server uint32) float64 {
+		backend := listed[server]
+		if backend == nil {
+			return 0
+		}
+		rate, known := rates[backend.Service]
+		if !known {
+			rate = p.serviceRate(backend.Service)
+			rates[backend.Service] = rate
+		}
+		return rate
+	}
+	built := &builtPaces{
+		snapshot: pace.NewSnapshot(p.table.Own(now), p.peers.Paces(now), serviceRate, now),
+		at:       now,
+		services: make(map[fleet.Service]serviceTold),
+		listed:   listed,
+	}
+	built.snapshot.Each(func(server uint32, engine pace.Estimate) {
+		backend := listed[server]
+		if backend == nil {
+			return
+		}
+		told := built.services[backend.Service]
+		told.servers++
+		if engine.Contradicted {
+			told.contradicted++
+		}
+		built.services[backend.Service] = told
+	})
+	return built
+}
+
+// serviceRate returns the prompt tokens that an engine at work time 1 reads in a second,
+// 0 while too little was seen.
+func (p *paces) serviceRate(service fleet.Service) float64 {
+	rate, seconds := p.loads.observedRate(service)
+	if seconds < serviceSeconds {
+		return 0
+	}
+	return rate
+}
+
+// list makes a backend server known that has answered before the list was taken.
+func (p *paces) list(backend *knowledge.Backend) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.listed[backend.IncarnationHash] != nil {
+		return
+	}
+	listed := make(map[uint32]*knowledge.Backend, len(p.listed)+1) // snapshots hold the former map
+	for hash, known := range p.listed {
+		listed[hash] = known
+	}
+	listed[backend.IncarnationHash] = backend
+	p.listed = listed
+}
+
+// keep takes the list of backend servers and forgets those that are not on it.
+func (p *paces) keep(backends map[string]*knowledge.Backend) {
+	listed := make(map[uint32]*knowledge.Backend, len(backends))
+	hashes := make(map[uint32]bool, len(backends))
+	for _, backend := range backends {
+		listed[backend.IncarnationHash] = backend
+		hashes[backend.IncarnationHash] = true
+	}
+	p.mu.Lock()
+	p.listed = listed
+	p.mu.Unlock()
+	p.table.Keep(hashes)
+}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -42,7 +42,7 @@
 	}
 	buffer := make([]byte, streamBuffer)
 	var partial []byte
-	pace := newPace(r.request)
+	pace := newStreamPace(r.request)
 	for {
 		n, err := answer.Read(buffer)
 		if n > 0 {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -187,6 +187,7 @@
 	}
 	h.admission.cold.warn(backend.Incarnation, reply.ColdLeft)
 	now := boottime.Now()
+	h.admission.paces.heed(backend, reply, now)
 	if reply.Leaving && h.admission.closures.add(backend.Incarnation, forGood, now) {
 		h.records.leaves(backend)
 	}
--- a/internal/gate/pace.go
+++ b/internal/gate/streampace.go
@@ -6,16 +6,16 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
-// pace watches whether the events of a stream come in time.
-type pace struct {
+// streamPace watches whether the events of a stream come in time.
+type streamPace struct {
 	first boottime.Instant // until when the first event is in time, 0 for always
 	gap   time.Duration    // longest pause in time, 0 for any
 	last  boottime.Instant // when the last event came, 0 before the first
 	late  bool
 }
 
-func newPace(request *Request) *pace {
-	p := &pace{gap: request.Route.TargetGap}
+func newStreamPace(request *Request) *streamPace {
+	p := &streamPace{gap: request.Route.TargetGap}
 	if target := request.Route.TargetLatency; target > 0 {
 		p.first = request.Received.Add(target)
 	}
@@ -23,7 +23,7 @@
 }
 
 // note takes the moment of an event and returns whether it is the first.
-func (p *pace) note(now boottime.Instant) bool {
+func (p *streamPace) note(now boottime.Instant) bool {
 	began := p.last == 0
 	switch {
 	case began:
--- a/internal/peering/control_bench_test.go
+++ b/internal/peering/control_bench_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -19,6 +20,7 @@
 	Local
 	loads map[uint32]gate.BackendLoad
 	uses  map[fleet.Account]shares.Use
+	paces map[uint32]pace.Observation
 }
 
 func newBusyLocal(requests, engines, accounts int) *busyLocal {
@@ -32,6 +34,7 @@
 
 func (l *busyLocal) Loads() map[uint32]gate.BackendLoad                  { return l.loads }
 func (l *busyLocal) Uses() map[fleet.Account]shares.Use                  { return l.uses }
+func (l *busyLocal) Paces() map[uint32]pace.Observation                  { return l.paces }
 func (l *busyLocal) TakeBroken() []uint64                                { return nil }
 func (l *busyLocal) HeardBroken(fleet.Address, uint64)                   {}
 func (l *busyLocal) SetUses(fleet.Address, map[fleet.Account]shares.Use) {}
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -13,6 +13,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -35,6 +36,9 @@
 	Uses() map[fleet.Account]shares.Use
 	// Loads returns what runs at backend servers, by their incarnations' hashes.
 	Loads() map[uint32]gate.BackendLoad
+	// Paces returns what this router has seen of how fast backend servers work, by their
+	// incarnations' hashes. It is nil if it has seen nothing.
+	Paces() map[uint32]pace.Observation
 	// TakeBroken returns the fingerprints of requests that broke a backend
 	// server here since the last call.
 	TakeBroken() []uint64
--- a/internal/peering/operation.go
+++ b/internal/peering/operation.go
@@ -29,6 +29,7 @@
 		Follows:   o.manager.Follows(),
 		Uses:      reportUses(o.manager.local.Uses()),
 		Evacuated: zoneNames(view.Evacuations.Zones),
+		Engines:   reportPaces(status.Engines),
 	}
 	return reply, nil
 }
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -73,27 +73,30 @@
 func (m *Manager) sendRound(round int, now boottime.Instant) {
 	targets := m.targets(now)
 	common := m.common(now, len(targets))
-	own := use{loads: m.local.Loads(), uses: m.local.Uses(), at: now}
+	own := use{loads: m.local.Loads(), uses: m.local.Uses(), paces: ownPaces(m.local.Paces(), now), at: now}
 	if len(targets) <= smallFleet {
-		m.sendBeats(targets, common, own, nil)
+		m.sendBeats(targets, common, own, m.pacesDue(round, 1), nil)
 		return
 	}
 	same, others := m.zoneTargets(targets)
+	pacesDue := m.pacesDue(round, rounds(len(same), zoneBeats))
 	same = turn(same, round, zoneBeats)
 	// Routers that start together count their rounds alike. Those of other zones would all
 	// tell one router in the same round, and then none for as long as a turn takes.
 	roundOthers := round + int(m.hash%uint64(len(targets)))
 	if !m.summing(now) {
-		m.sendBeats(same, common, own, nil)
-		m.sendBeats(turn(others, roundOthers, m.beatsToOthers(m.Follows())), common, use{}, nil)
+		m.sendBeats(same, common, own, pacesDue, nil)
+		m.sendBeats(turn(others, roundOthers, m.beatsToOthers(m.Follows())), common, use{}, false, nil)
 		return
 	}
 	handedOn, covered := m.others(now)
-	m.sendBeats(same, common, own, encodeSums(handedOn, covered))
+	m.sendBeats(same, common, own, pacesDue, encodeSums(handedOn, covered, pacesDue))
 	summers := m.sumTargets(round, now)
 	others = turn(others, roundOthers, m.beatsToOthers(true))
-	m.sendBeats(lo.Without(others, summers...), common, use{}, nil)
-	m.sendBeats(summers, common, use{}, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}))
+	m.sendBeats(lo.Without(others, summers...), common, use{}, false, nil)
+	// These are the rounds in which the standby routers get the sums too.
+	summersDue := round%standbyRounds == 0
+	m.sendBeats(summers, common, use{}, false, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}, summersDue))
 }
 
 // beatsToOthers returns how many beats of a round go to other zones. leads tells
@@ -139,9 +142,9 @@
 	return lo.Filter(targets, func(_ fleet.Address, index int) bool { return index%all == round%all })
 }
 
-// sendBeats sends to the targets what all are told, what this router uses and the
-// sums of whole zones, nil for none.
-func (m *Manager) sendBeats(targets []fleet.Address, common *peeringpb.Beat, own use, summed *peeringpb.Sums) {
+// sendBeats sends to the targets what all are told, what this router uses, with the usual
+// work times that it has seen when they are due, and the sums of whole zones, nil for none.
+func (m *Manager) sendBeats(targets []fleet.Address, common *peeringpb.Beat, own use, pacesDue bool, summed *peeringpb.Sums) {
 	if len(targets) == 0 {
 		return
 	}
@@ -149,6 +152,7 @@
 	beat.Echoes = m.echoes(targets)
 	beat.Uses = encodeUses(own.uses)
 	beat.Loads = encodeLoads(own.loads)
+	beat.Paces, beat.Slowed = own.paces.carry(pacesDue, boottime.Instant(common.Clock))
 	beat.Sums = summed
 	data, err := proto.Marshal(beat)
 	if err != nil {
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -48,6 +48,7 @@
 type use struct {
 	loads map[uint32]gate.BackendLoad
 	uses  map[fleet.Account]shares.Use
+	paces paces
 	at    boottime.Instant
 }
 
@@ -60,10 +61,16 @@
 	for account, told := range other.uses {
 		u.uses[account] = u.uses[account].Add(told.After(passed))
 	}
+	u.paces.add(other.paces, now)
 }
 
 func newUse(now boottime.Instant) use {
-	return use{loads: make(map[uint32]gate.BackendLoad), uses: make(map[fleet.Account]shares.Use), at: now}
+	return use{
+		loads: make(map[uint32]gate.BackendLoad),
+		uses:  make(map[fleet.Account]shares.Use),
+		paces: newPaces(now),
+		at:    now,
+	}
 }
 
 // sums are what a summing router told last of whole zones.
@@ -76,15 +83,23 @@
 	if encoded == nil {
 		return nil
 	}
-	told := &sums{use: use{loads: decodeLoads(encoded.Loads), uses: decodeUses(encoded.Uses), at: now}}
+	told := &sums{use: use{
+		loads: decodeLoads(encoded.Loads),
+		uses:  decodeUses(encoded.Uses),
+		paces: decodePaces(encoded.Paces, encoded.Slowed, now),
+		at:    now,
+	}}
 	for _, zone := range encoded.Zones {
 		told.zones = append(told.zones, fleet.Zone(zone))
 	}
 	return told
 }
 
-func encodeSums(told use, zones []fleet.Zone) *peeringpb.Sums {
-	return &peeringpb.Sums{Zones: zoneNames(zones), Uses: encodeUses(told.uses), Loads: encodeLoads(told.loads)}
+// encodeSums returns the sums of zones, with the usual work times when they are due.
+func encodeSums(told use, zones []fleet.Zone, pacesDue bool) *peeringpb.Sums {
+	sums := &peeringpb.Sums{Zones: zoneNames(zones), Uses: encodeUses(told.uses), Loads: encodeLoads(told.loads)}
+	sums.Paces, sums.Slowed = told.paces.carry(pacesDue, told.at)
+	return sums
 }
 
 // takeSums takes the sums of a beat, nil if it has none. Sums that hold this zone
@@ -93,9 +108,17 @@
 	if told == nil || slices.Contains(told.zones, t.zone) {
 		return
 	}
+	if before := t.told[from]; before != nil && sameZones(before.zones, told.zones) {
+		told.paces = told.paces.or(before.paces)
+	}
 	t.told[from] = told
 }
 
+// sameZones tells whether both lists name the same zones, none twice.
+func sameZones(a, b []fleet.Zone) bool {
+	return len(a) == len(b) && len(lo.Intersect(a, b)) == len(a)
+}
+
 // sumOthers adds up what is told of other zones and returns it with the zones that
 // it covers, the newest first and none twice. firstHand leaves out what was handed
 // on: two routers that sum one zone for a while would hand it to each other for
@@ -130,7 +153,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	total, covered := t.sumOthers(now, false)
-	t.otherLoads, t.covered = total.loads, covered
+	t.otherLoads, t.otherPaces, t.covered = total.loads, total.paces, covered
 	return total.uses
 }
 
--- a/internal/peering/sums_test.go
+++ b/internal/peering/sums_test.go
@@ -18,6 +18,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -30,6 +31,7 @@
 type fakeLocal struct {
 	Local
 	running int
+	paces   map[uint32]pace.Observation
 	broken  []uint64 // fingerprints to be told
 	told    []uint64 // fingerprints heard
 	heard   map[fleet.Address]map[fleet.Account]shares.Use
@@ -43,6 +45,8 @@
 	return map[fleet.Account]shares.Use{"a": {Asked: float64(1000 * l.running)}}
 }
 
+func (l *fakeLocal) Paces() map[uint32]pace.Observation { return l.paces }
+
 func (l *fakeLocal) TakeBroken() []uint64 {
 	taken := l.broken
 	l.broken = nil
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -57,6 +57,7 @@
 	told  map[fleet.Address]*sums     // of other zones, by the router that told it
 	// otherLoads are the loads of the zones that told covers.
 	otherLoads map[uint32]gate.BackendLoad
+	otherPaces paces // of these zones
 	covered    []fleet.Zone
 	inZone     int // routers of this zone that are known
 	most       int // greatest number of routers of late
@@ -208,13 +209,22 @@
 		return false, false
 	}
 	appeared = known.heard == 0
+	pacesBefore := known.use.paces
+	if beat.Incarnation != known.incarnation {
+		pacesBefore = paces{}
+	}
 	known.incarnation, known.clock, known.heard = beat.Incarnation, beat.Clock, now
 	t.heardLast = now
 	if beat.ContactAge >= 0 {
 		known.contact = now.Add(-time.Duration(beat.ContactAge))
 	}
 	known.zone = fleet.Zone(beat.Zone)
-	t.replaceUse(known, use{loads: decodeLoads(beat.Loads), uses: decodeUses(beat.Uses), at: now})
+	t.replaceUse(known, use{
+		loads: decodeLoads(beat.Loads),
+		uses:  decodeUses(beat.Uses),
+		paces: decodePaces(beat.Paces, beat.Slowed, now).or(pacesBefore),
+		at:    now,
+	})
 	t.takeSums(decodeSums(beat.Sums, now), address)
 	if appeared {
 		t.count(now)
