--- /dev/null
+++ b/internal/gate/paces_test.go
@@ -0,0 +1,307 @@
+package gate
+
+import (
+	"io"
+	"math"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	logrustest "github.com/sirupsen/logrus/hooks/test"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
+	"github.com/bluebellchute/bluebellchute/internal/policy"
+)
+
+// pacedPeers is a fleet whose other routers know of paces.
+type pacedPeers struct {
+	noPeers
+	paces map[uint32]pace.Observation
+}
+
+func (p *pacedPeers) Paces(boottime.Instant) map[uint32]pace.Observation { return p.paces }
+
+// pacedFleet is an admission with two engines of service "s" and a plain server.
+type pacedFleet struct {
+	*admission
+	peers               *pacedPeers
+	fast, slow, another *knowledge.Backend
+}
+
+func newPacedFleet(t *testing.T, enabled bool) *pacedFleet {
+	t.Helper()
+	state := knowledge.NewState()
+	state.SetBackends([]knowledge.Backend{
+		{ID: "fast", Service: "s", Address: "10.0.0.1:1", Slots: 48, Zone: "z"},
+		{ID: "slow", Service: "s", Address: "10.0.0.1:2", Slots: 48, Zone: "z"},
+		{ID: "another", Service: "plain", Address: "10.0.0.1:3", Slots: 6, Zone: "z"},
+	}, knowledge.Position{Revision: 1}, boottime.Now())
+	peers := &pacedPeers{}
+	settings := newCurrentSettings(Settings{Admission: policy.Defaults(), Engines: EngineSettings{Pace: enabled}})
+	f := &pacedFleet{admission: newAdmission(settings, "z", peers), peers: peers}
+	backends := state.View().Backends
+	f.paces.keep(backends)
+	f.fast, f.slow, f.another = backends["fast"], backends["slow"], backends["another"]
+	return f
+}
+
+// tell lets a backend server tell its work time with an answer.
+func (f *pacedFleet) tell(backend *knowledge.Backend, workTime float64) {
+	f.paces.heed(backend, Reply{Load: pace.Report{Slots: 48, WorkTime: workTime}}, boottime.Now())
+	f.due()
+}
+
+// due lets the next look build a snapshot.
+func (f *pacedFleet) due() { f.paces.built.Store(nil) }
+
+// begins lets a request begin at an engine after the time.
+func (f *pacedFleet) begins(backend *knowledge.Backend, tokens float64, took time.Duration) {
+	request := &Request{Service: backend.Service}
+	placed := &placement{backend: backend, load: BackendLoad{Running: 1, Pending: tokens}, pending: tokens, model: true}
+	f.began(request, placed, took)
+	f.due()
+}
+
+// Guards against deployments that behave differently although paces are switched off.
+func TestPacesSwitchedOffAreInert(t *testing.T) {
+	f := newPacedFleet(t, false)
+	f.peers.paces = map[uint32]pace.Observation{f.slow.IncarnationHash: {Usual: 3}}
+	f.tell(f.fast, 0.5)
+	f.begins(f.fast, 10_000, time.Second)
+	f.delivered("s", &placement{backend: f.fast}, true)
+	if f.paces.enabled() || f.paces.told("s") || f.paces.own(boottime.Now()) != nil || f.enginePaces() != nil {
+		t.Error("something is told of paces")
+	}
+	for _, backend := range []*knowledge.Backend{f.fast, f.slow} {
+		if got := f.paces.engine(backend.IncarnationHash); got.Told || got.Usual != 1 || got.Now != 1 {
+			t.Errorf("%+v is expected of %s", got, backend.ID)
+		}
+	}
+	if rate, seconds := f.loads.observedRate("s"); rate != 10_000 || seconds != 1 {
+		t.Errorf("rate %v in %v s", rate, seconds)
+	}
+}
+
+// Guards against services whose servers tell no work time and that are treated
+// differently as soon as the switch is on.
+func TestServiceThatTellsNothingIsUnchanged(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.paces.heed(f.fast, Reply{Load: pace.Report{Running: 3, Slots: 48}}, boottime.Now())
+	f.tell(f.another, 2)
+	f.begins(f.fast, 10_000, time.Second)
+	if f.paces.told("s") || !f.paces.told("plain") {
+		t.Errorf("told: %t for engines without work times, %t for servers with them", f.paces.told("s"), f.paces.told("plain"))
+	}
+	if got := f.paces.engine(f.fast.IncarnationHash); got.Told || got.Usual != 1 {
+		t.Errorf("%+v", got)
+	}
+	if rate, seconds := f.loads.observedRate("s"); rate != 10_000 || seconds != 1 {
+		t.Errorf("rate %v in %v s", rate, seconds)
+	}
+}
+
+// Guards against a service's rate that depends on which of its engines get the requests.
+func TestRateOfAServiceIsThatAtWorkTimeOne(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.tell(f.fast, 0.5)
+	f.tell(f.slow, 2)
+	for range 20 {
+		f.begins(f.fast, 10_000, time.Second/2)
+		f.begins(f.slow, 10_000, 2*time.Second)
+	}
+	if rate, _ := f.loads.observedRate("s"); math.Abs(rate-10_000) > 1 {
+		t.Errorf("%v tokens a second, want 10,000", rate)
+	}
+	fast, slow := f.paces.engine(f.fast.IncarnationHash), f.paces.engine(f.slow.IncarnationHash)
+	if math.Abs(fast.Rate-20_000) > 200 || math.Abs(slow.Rate-5000) > 50 {
+		t.Errorf("engines read %v and %v tokens a second, want 20,000 and 5,000", fast.Rate, slow.Rate)
+	}
+}
+
+// Guards against a rate learned before the paces were known that contradicts all engines
+// for good, since what they do would be taken for work time 1.
+func TestWrongRateOfAServiceIsLearnedAnew(t *testing.T) {
+	f := newPacedFleet(t, true)
+	for range 100 {
+		f.begins(f.fast, 10_000, 5*time.Second)
+	}
+	f.tell(f.fast, 5)
+	f.tell(f.slow, 5)
+	for range 600 {
+		f.begins(f.fast, 10_000, 5*time.Second)
+		f.begins(f.slow, 10_000, 5*time.Second)
+	}
+	if got := f.paces.engine(f.fast.IncarnationHash); got.Contradicted || got.Usual != 5 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against one engine with a wrong report that spoils the rate of all.
+func TestContradictedEngineDoesNotSpoilTheServicesRate(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.tell(f.slow, 1)
+	for range 100 {
+		f.begins(f.slow, 10_000, time.Second)
+	}
+	f.tell(f.fast, 0.05)
+	f.peers.paces = map[uint32]pace.Observation{f.fast.IncarnationHash: {Usual: 0.05, ReadTokens: 100_000, ReadSeconds: 10}}
+	f.due()
+	for range 100 {
+		f.begins(f.fast, 10_000, time.Second)
+	}
+	if rate, _ := f.loads.observedRate("s"); math.Abs(rate-10_000) > 500 {
+		t.Errorf("%v tokens a second, want some 10,000", rate)
+	}
+	if got := f.paces.engine(f.fast.IncarnationHash); !got.Contradicted || math.Abs(got.Usual-1) > 0.1 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// Guards against routers that go by their own few answers alone.
+func TestOtherRoutersPacesCount(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.peers.paces = map[uint32]pace.Observation{f.slow.IncarnationHash: {Usual: 3}}
+	if got := f.paces.engine(f.slow.IncarnationHash); !got.Told || got.Usual != 3 || !f.paces.told("s") {
+		t.Errorf("%+v", got)
+	}
+	if got := f.paces.own(boottime.Now()); got != nil {
+		t.Errorf("%+v of others is told as this router's own", got)
+	}
+	engines := f.enginePaces()
+	if len(engines) != 1 || engines[0].ID != "slow" || engines[0].Estimate.Usual != 3 {
+		t.Errorf("operators are told %+v", engines)
+	}
+}
+
+// Guards against tables that grow with each server that is replaced.
+func TestPacesOfServersThatAreNotListedAreForgotten(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.tell(f.fast, 0.5)
+	f.paces.keep(map[string]*knowledge.Backend{"slow": f.slow})
+	f.due()
+	if got := f.paces.engine(f.fast.IncarnationHash); got.Told || f.paces.told("s") || f.paces.own(boottime.Now()) != nil {
+		t.Errorf("%+v is kept", got)
+	}
+}
+
+// Guards against what another server under the address says of itself, and against
+// malformed reports that are believed or vanish without a trace.
+func TestReportsAreCounted(t *testing.T) {
+	f := newPacedFleet(t, true)
+	logger, hook := logrustest.NewNullLogger()
+	registry := prometheus.NewRegistry()
+	f.paces.watch(logger, registry)
+	h := &handler{admission: f.admission, records: newRecords(logger, knowledge.NewState(), nil)}
+	report := pace.Report{Slots: 48, WorkTime: 0.5}
+	h.heed(f.fast, Reply{Load: report, Replaced: true})
+	if f.paces.told("s") {
+		t.Error("a report of another server was taken")
+	}
+	f.due()
+	h.heed(f.fast, Reply{BadLoad: true})
+	h.heed(f.fast, Reply{Load: report})
+	h.heed(f.fast, Reply{Load: pace.Report{Slots: 48}})
+	f.due()
+	f.peers.paces = map[uint32]pace.Observation{f.fast.IncarnationHash: {Usual: 0.5, ReadTokens: 100_000, ReadSeconds: 10}}
+	for range 10 {
+		f.loads.read("s", 20_000, time.Second)
+	}
+	h.heed(f.fast, Reply{Load: report})
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	exported := make(map[string]int)
+	for _, family := range families {
+		exported[family.GetName()] = len(family.GetMetric())
+		for _, metric := range family.GetMetric() {
+			if counter := metric.GetCounter(); counter != nil && counter.GetValue() != 1 {
+				t.Errorf("%v reports %v, want 1", counter.GetValue(), metric.GetLabel())
+			}
+		}
+	}
+	if exported["bluebellchute_gate_load_reports_total"] != 3 || exported["bluebellchute_gate_engine_work_time"] != 3 {
+		t.Errorf("%v are exported", exported)
+	}
+	if entries := hook.AllEntries(); len(entries) != 1 || entries[0].Data["contradicted"] != true || entries[0].Data["backend"] != "fast" {
+		t.Errorf("%d records %+v", len(entries), entries)
+	}
+}
+
+// Guards against floods of records while a whole service turns slow.
+func TestChangedPacesAreRecordedOnceASecond(t *testing.T) {
+	logger, hook := logrustest.NewNullLogger()
+	f := newPacedFleet(t, true)
+	watcher := &paceWatch{logger: logger, recorded: make(map[uint32]recordedPace)}
+	look := func(now boottime.Instant, usual float64) {
+		own := map[uint32]pace.Observation{f.fast.IncarnationHash: {Usual: usual}, f.slow.IncarnationHash: {Usual: usual}}
+		snapshot := pace.NewSnapshot(own, nil, func(uint32) float64 { return 0 }, now)
+		watcher.changed(&builtPaces{snapshot: snapshot, at: now, listed: f.paces.listed})
+	}
+	now := boottime.Now()
+	look(now, 1)
+	look(now.Add(paceInterval), 1.2)
+	if count := len(hook.AllEntries()); count != 0 {
+		t.Fatalf("%d records of no change", count)
+	}
+	for i := range 21 {
+		look(now.Add(time.Second+time.Duration(i)*paceInterval), 1.3)
+	}
+	entries := hook.AllEntries()
+	if len(entries) != 2 || entries[0].Data["backend"] == entries[1].Data["backend"] {
+		t.Fatalf("%d records, want one of each engine", len(entries))
+	}
+	if entries[0].Data["told"] != 1.3 || entries[0].Data["before"] != 1.0 || entries[0].Data["age_ms"] != int64(-1) {
+		t.Errorf("%+v", entries[0].Data)
+	}
+}
+
+// Guards against races between requests that look and those that build.
+func TestPacesMayBeUsedConcurrently(t *testing.T) {
+	f := newPacedFleet(t, true)
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	f.paces.watch(logger, prometheus.NewRegistry())
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for range 200 {
+				f.tell(f.fast, 0.5+float64(i))
+				f.begins(f.fast, 10_000, time.Second)
+				f.paces.streamed(f.fast, i%2 == 0)
+				f.paces.own(boottime.Now())
+				f.enginePaces()
+				f.paces.keep(map[string]*knowledge.Backend{"fast": f.fast, "slow": f.slow})
+			}
+		})
+	}
+	group.Wait()
+	if got := f.paces.engine(f.fast.IncarnationHash); got.Reported != 0.5 {
+		t.Errorf("%+v", got)
+	}
+}
+
+// BenchmarkPaceSnapshot is what a look at one engine costs, and a new snapshot.
+func BenchmarkPaceSnapshot(b *testing.B) {
+	settings := newCurrentSettings(Settings{Engines: EngineSettings{Pace: true}})
+	peers := &pacedPeers{paces: make(map[uint32]pace.Observation)}
+	p := newPaces(settings, newLoads(), peers)
+	for hash := range uint32(640) {
+		peers.paces[hash*2654435761] = pace.Observation{Usual: 1, ReadTokens: 100, ReadSeconds: 1}
+		p.table.Told(hash*2654435761, pace.Report{WorkTime: 1}, boottime.Now())
+	}
+	b.Run("look", func(b *testing.B) {
+		for b.Loop() {
+			p.engine(2654435761)
+		}
+	})
+	b.Run("build", func(b *testing.B) {
+		for b.Loop() {
+			p.build(boottime.Now())
+		}
+	})
+}
--- a/internal/peering/control_bench_test.go
+++ b/internal/peering/control_bench_test.go
@@ -8,6 +8,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/pace"
@@ -77,6 +78,51 @@
 	return heard
 }
 
+// BenchmarkControlSecondWithPaces is the same in a fleet of 24 routers and 43 engines whose
+// paces are not known, known, or known with a tenth of the engines in a slow phase.
+func BenchmarkControlSecondWithPaces(b *testing.B) {
+	const zones, perZone, engines, perSecond = 3, 8, 43, int(time.Second / beatInterval)
+	for _, told := range []string{"no paces", "paces", "paces and slowed"} {
+		f := newFabric(b, zones, perZone)
+		for address := range f.routers {
+			local := newBusyLocal(10, engines, 30)
+			if told != "no paces" {
+				local.paces = enginePaces(engines, told == "paces and slowed", f.now.Add(time.Minute))
+			}
+			f.routers[address].SetLocal(local)
+		}
+		f.play(4 * perSecond)
+		for _, role := range []string{"middle", "summing"} {
+			var watched *Manager
+			for _, address := range f.addresses() {
+				if f.routers[address].summing(f.now) == (role == "summing") {
+					watched = f.routers[address]
+				}
+			}
+			heard := f.record(watched, perSecond)
+			b.Run(told+", "+role, func(b *testing.B) { controlSecond(b, f, watched, heard, perSecond) })
+		}
+	}
+}
+
+// BenchmarkMergePaces is what a router spends on one snapshot of what all others told.
+func BenchmarkMergePaces(b *testing.B) {
+	for _, size := range []struct{ routers, engines int }{{24, 43}, {72, 640}} {
+		b.Run(fmt.Sprintf("%d routers, %d engines", size.routers, size.engines), func(b *testing.B) {
+			now := boottime.Now()
+			table := newTable(self, "")
+			for i := range size.routers {
+				beat := beatOf(fmt.Sprint("router ", i), 1, 1)
+				beat.Paces, beat.Slowed = ownPaces(enginePaces(size.engines, false, now), now).carry(true, now)
+				table.take(beat, now)
+			}
+			for b.Loop() {
+				table.Paces(now)
+			}
+		})
+	}
+}
+
 func controlSecond(b *testing.B, f *fabric, router *Manager, heard [][]byte, rounds int) {
 	sent := &countingLink{}
 	router.network = sent
--- /dev/null
+++ b/internal/peering/paces_test.go
@@ -0,0 +1,240 @@
+package peering
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/gate"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+)
+
+// seenAt is what a router has seen of an engine that usually works at 0.55.
+func seenAt(now boottime.Instant, newest float64) map[uint32]pace.Observation {
+	return map[uint32]pace.Observation{theEngine: {
+		Usual: 0.55, Now: newest, NowAt: now, ReadTokens: 32_000, ReadSeconds: 2, Streams: 40, Late: 10,
+	}}
+}
+
+// Guards against paces that get lost or change on their way.
+func TestPacesArrive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := boottime.Now()
+		seen := make(map[uint32]pace.Observation)
+		for range rapid.IntRange(0, 9).Draw(t, "count") {
+			usual := rapid.Float64Range(pace.LeastWorkTime, pace.MostWorkTime/4).Draw(t, "usual")
+			seen[rapid.Uint32().Draw(t, "server")] = pace.Observation{
+				Usual:       usual,
+				Now:         usual * rapid.SampledFrom([]float64{1, 1.2, 2.5}).Draw(t, "ratio"),
+				NowAt:       now.Add(-time.Duration(rapid.IntRange(0, 600).Draw(t, "age")) * time.Millisecond),
+				ReadTokens:  rapid.Float64Range(0, 1e6).Draw(t, "tokens"),
+				ReadSeconds: rapid.Float64Range(0, 100).Draw(t, "seconds"),
+				Streams:     rapid.Float64Range(0, 1000).Draw(t, "streams"),
+				Late:        rapid.Float64Range(0, 1000).Draw(t, "late"),
+			}
+		}
+		own := ownPaces(seen, now)
+		arrived := decodePaces(encodePaces(own.usual), encodeSlowed(own, now), now)
+		if len(arrived.usual) != len(seen) {
+			t.Fatalf("%d of %d servers arrive", len(arrived.usual), len(seen))
+		}
+		for server, sent := range seen {
+			got := arrived.usual[server]
+			if math.Abs(got.Usual-sent.Usual) > 0.0051 || math.Abs(got.ReadTokens-sent.ReadTokens) > loadUnit ||
+				math.Abs(got.ReadSeconds-sent.ReadSeconds) > 0.001 || math.Abs(got.Streams-sent.Streams) > 0.1 || math.Abs(got.Late-sent.Late) > 0.1 {
+				t.Fatalf("%+v arrives as %+v", sent, got)
+			}
+			newest, told := arrived.slowed[server]
+			if told != sent.Slowed(now) {
+				t.Fatalf("%+v is told as slowed: %t", sent, told)
+			}
+			if told && (math.Abs(newest.Now-sent.Now) > 0.0051 || newest.NowAt.Sub(sent.NowAt).Abs() > time.Millisecond) {
+				t.Fatalf("%+v arrives as %+v", sent, newest)
+			}
+		}
+	})
+}
+
+// Guards against a router that ends, or goes by nonsense, because of a datagram of
+// another version or of somebody else.
+func TestBadPacesAreDropped(t *testing.T) {
+	now := boottime.Now()
+	usual := &peeringpb.Paces{Backend: []uint32{1, 2, 3}, Usual: []uint32{0, 50, 60}, ReadTokens: []uint32{1, 1}, ReadMs: []uint32{1, 1, 1}, Streams: []uint32{1, 1}, Late: []uint32{1, 1}}
+	slowed := &peeringpb.Slowed{Backend: []uint32{1, 2, 3}, Now: []uint32{150, math.MaxUint32}, AgeMs: []uint32{math.MaxUint32, 1, 1}}
+	got := decodePaces(usual, slowed, now)
+	if len(got.usual) != 1 || got.usual[2].Usual != 0.5 {
+		t.Errorf("usual work times %+v", got.usual)
+	}
+	if len(got.slowed) != 1 || got.slowed[1].NowAt < 1 || got.slowed[1].Current(now) != 0 {
+		t.Errorf("newest work times %+v", got.slowed)
+	}
+}
+
+// Guards against routers of large zones, or of other zones, that never hear of an
+// engine's pace: those that have their turn in rounds without paces.
+func TestAllHearOfPaces(t *testing.T) {
+	for _, size := range []struct{ zones, perZone int }{{1, 5}, {3, 2}, {3, 8}, {5, 14}, {1, 40}, {2, 33}} {
+		t.Run(fmt.Sprintf("%d zones of %d", size.zones, size.perZone), func(t *testing.T) {
+			f := newFabric(t, size.zones, size.perZone)
+			f.play(settled)
+			const teller = "10.0.0.2:1"
+			f.locals[teller].paces = seenAt(f.now, 0.55)
+			f.play(3 * paceCycles * zoneTurns(size.perZone))
+			for address, router := range f.routers {
+				got := router.Paces(f.now)[theEngine]
+				if address != teller && (got.Usual != 0.55 || got.Streams == 0) {
+					t.Errorf("%s knows %+v", address, got)
+				}
+			}
+		})
+	}
+}
+
+// Guards against a slow phase of which the others hear when it is over.
+func TestSlowedEngineIsToldInEachBeat(t *testing.T) {
+	f := newFabric(t, 3, 8)
+	f.play(settled)
+	const teller = "10.0.1.2:1"
+	f.locals[teller].paces = seenAt(f.now, 0.55)
+	f.play(settled)
+	f.locals[teller].paces = seenAt(f.now.Add(beatInterval), 1.37)
+	f.play(3) // to its zone's summing router, to the others', to the others
+	for address, router := range f.routers {
+		got := router.Paces(f.now)[theEngine]
+		if address != teller && got.Current(f.now) != 1.37 {
+			t.Errorf("%s knows %+v", address, got)
+		}
+	}
+	f.locals[teller].paces = seenAt(f.now, 0.55)
+	f.play(3)
+	for address, router := range f.routers {
+		if got := router.Paces(f.now)[theEngine]; address != teller && got.Current(f.now) != 0 {
+			t.Errorf("%s knows %+v after the slow phase", address, got)
+		}
+	}
+}
+
+// Guards against sums that grow with each router that hands them on.
+func TestPacesCountOnce(t *testing.T) {
+	const streams = 40
+	f := newFabric(t, 3, 8)
+	for _, local := range f.locals {
+		local.paces = seenAt(f.now, 0.55)
+	}
+	f.play(2 * settled)
+	want := float64(streams * (len(f.routers) - 1))
+	for address, router := range f.routers {
+		// The sums decay between two rounds with paces, of which they pass three.
+		if got := router.Paces(f.now)[theEngine].Streams; got > want || got < 0.8*want {
+			t.Errorf("%s knows of %v streams of others, there are %v", address, got, want)
+		}
+	}
+}
+
+// pacedBeat is a beat of router a with what it has seen.
+func pacedBeat(incarnation uint64, clock int64, seen map[uint32]pace.Observation, now boottime.Instant) *peeringpb.Beat {
+	beat := beatOf("a", incarnation, clock)
+	beat.Paces, beat.Slowed = ownPaces(seen, now).carry(seen != nil, now)
+	return beat
+}
+
+// Guards against figures that outlive those who told them, and against ones that vanish
+// with the next beat, as most beats carry none.
+func TestToldPacesAreKeptUntilTheirRouterGoes(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self, "")
+	table.take(pacedBeat(1, 1, seenAt(now, 1.37), now), now)
+	if got := table.Paces(now)[theEngine]; got.Usual != 0.55 || got.Current(now) != 1.37 {
+		t.Errorf("%+v is told", got)
+	}
+	table.take(pacedBeat(1, 2, nil, now), now)
+	if got := table.Paces(now)[theEngine]; got.Usual != 0.55 || got.Current(now) != 0 {
+		t.Errorf("%+v after a beat without paces", got)
+	}
+	table.take(pacedBeat(1, 1, seenAt(now, 1.37), now), now) // out of order
+	if got := table.Paces(now)[theEngine]; got.Current(now) != 0 {
+		t.Errorf("%+v after a late beat", got)
+	}
+	later := now.Add(heardLife)
+	if got := table.Paces(later); got != nil {
+		t.Errorf("%+v of a router that is not heard", got)
+	}
+	table.take(pacedBeat(2, 1, nil, now), now)
+	if got := table.Paces(now); got != nil {
+		t.Errorf("%+v of a router that has started again", got)
+	}
+}
+
+// Guards against figures that count for good while a router goes on without telling any.
+func TestToldPacesAge(t *testing.T) {
+	now := boottime.Now()
+	table := newTable(self, "")
+	table.take(pacedBeat(1, 1, seenAt(now, 0.55), now), now)
+	for clock := int64(2); clock < 2+int64(pace.Life/time.Second); clock++ {
+		now = now.Add(time.Second)
+		table.take(pacedBeat(1, clock, nil, now), now)
+	}
+	if got := table.Paces(now)[theEngine]; got.Usual != 0 {
+		t.Errorf("%+v after %v", got, pace.Life)
+	}
+}
+
+// Guards against beats that grow in deployments whose servers tell no work times.
+func TestNothingIsSentWhileNoPaceIsKnown(t *testing.T) {
+	f := newFabric(t, 3, 8)
+	beats := 0
+	f.arrived = func(data []byte, _ *Manager) {
+		var beat peeringpb.Beat
+		if err := proto.Unmarshal(data, &beat); err != nil {
+			t.Fatal(err)
+		}
+		beat.Paces, beat.Slowed = nil, nil
+		if beat.Sums != nil {
+			beat.Sums.Paces, beat.Sums.Slowed = nil, nil
+		}
+		if size := proto.Size(&beat); size != len(data) {
+			t.Fatalf("%d bytes, %d without paces", len(data), size)
+		}
+		beats++
+	}
+	f.play(settled)
+	if beats == 0 {
+		t.Error("no beat arrived")
+	}
+}
+
+// statusLocal is a router that knows of one engine.
+type statusLocal struct{ fakeLocal }
+
+func (*statusLocal) Status() gate.Status {
+	return gate.Status{Engines: []gate.EnginePace{{
+		ID: "i-1", Service: "s", Zone: "z", Running: 5,
+		Estimate: pace.Estimate{Told: true, Usual: 0.5, Now: 1.25, Rate: 9000, Late: 0.25, Age: time.Second},
+	}}}
+}
+
+// Guards against operators that see nothing of paces, or figures of the wrong field.
+func TestStatusTellsPaces(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	manager := NewManager(Options{Address: fleet.Address(self), State: knowledge.NewState(), Logger: logger})
+	manager.SetLocal(&statusLocal{})
+	status, err := (&operation{manager: manager}).Status(t.Context(), &peeringpb.StatusRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &peeringpb.EnginePace{Id: "i-1", Service: "s", Zone: "z", Usual: 0.5, Now: 1.25, TokensPerS: 9000, Late: 0.25, Age: int64(time.Second), Running: 5}
+	if len(status.Engines) != 1 || !proto.Equal(status.Engines[0], want) {
+		t.Errorf("%v, want %v", status.Engines, want)
+	}
+}
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -16,6 +16,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -102,17 +103,45 @@
 	for i := range 10 {
 		echoes.Router, echoes.Clock = append(echoes.Router, uint64(i)<<40), append(echoes.Clock, int64(boottime.Now()))
 	}
-	size := 0
-	for b.Loop() {
-		beat := &peeringpb.Beat{Address: self, Incarnation: 1 << 60, Clock: int64(boottime.Now()), Version: 7, Digest: 1 << 60,
-			Echoes: echoes, Uses: encodeUses(uses), Loads: encodeLoads(loads)}
-		data, err := proto.Marshal(beat)
-		if err != nil {
-			b.Fatal(err)
+	for _, tell := range []struct {
+		name        string
+		slowed, due bool
+	}{{"no paces", false, false}, {"paces", false, true}, {"slowed", true, false}, {"paces and slowed", true, true}} {
+		b.Run(tell.name, func(b *testing.B) {
+			now := boottime.Now()
+			seen := make(map[uint32]pace.Observation)
+			if tell.due || tell.slowed {
+				seen = enginePaces(43, tell.slowed, now)
+			}
+			own := ownPaces(seen, now)
+			size := 0
+			for b.Loop() {
+				beat := &peeringpb.Beat{Address: self, Incarnation: 1 << 60, Clock: int64(now), Version: 7, Digest: 1 << 60,
+					Echoes: echoes, Uses: encodeUses(uses), Loads: encodeLoads(loads)}
+				beat.Paces, beat.Slowed = own.carry(tell.due, now)
+				data, err := proto.Marshal(beat)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// enginePaces are what a router has seen of so many engines, of which a tenth is in a slow
+// phase if some are slowed.
+func enginePaces(engines int, slowed bool, now boottime.Instant) map[uint32]pace.Observation {
+	seen := make(map[uint32]pace.Observation, engines)
+	for i := range engines {
+		observation := pace.Observation{Usual: 1.2, Now: 1.2, NowAt: now, ReadTokens: 30_000, ReadSeconds: 4.2, Streams: 22, Late: 3}
+		if slowed && i%10 == 0 {
+			observation.Now = 3
 		}
-		size = len(data)
+		seen[knowledge.IncarnationHash(fmt.Sprint("i-", i))] = observation
 	}
-	b.ReportMetric(float64(size), "bytes")
+	return seen
 }
 
 func TestLoadsAreSummedAndReplaced(t *testing.T) {
