--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -40,6 +40,7 @@
 	loads    *loads
 	peers    Peers
 	kept     *keptParts
+	lists    *listCache
 	cold     *coldServers
 	closures *closures
 	paces    *paces
@@ -57,6 +58,7 @@
 		loads:    loads,
 		peers:    peers,
 		kept:     newKeptParts(),
+		lists:    newListCache(),
 		cold:     newColdServers(settings, peers),
 		closures: newClosures(),
 		paces:    newPaces(settings, loads, peers),
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -100,7 +100,9 @@
 
 // EnginesSection holds what is made of the differences between backend servers.
 type EnginesSection struct {
-	Pace bool `key:"pace" default:"false" doc:"Go by the work time that backend servers report, and by what is seen of them, in place of one figure for all engines of a service."`
+	Pace           bool    `key:"pace" default:"false" doc:"Go by the work time that backend servers report, and by what is seen of them, in place of one figure for all engines of a service."`
+	ProtectStreams float64 `key:"protect_streams" default:"0" min:"0" max:"1" doc:"Part of a service's shortest target gap for which an engine that reports its work time may read prompts beside streams in progress; 0: not bounded."`
+	OwnZoneFirst   bool    `key:"own_zone_first" default:"false" doc:"Give prompt parts that are cheap to read, or asked for often, homes in the router's own availability zone."`
 }
 
 const (
@@ -146,6 +148,8 @@
 
 // Settings returns what the gate decides by.
 func (c *Config) Settings() Settings {
+	admission := c.Admission.Policy()
+	admission.GapShare = c.Engines.ProtectStreams
 	return Settings{
 		Freshness: Freshness{
 			Keyed: time.Duration(float64(c.Bounds.Revoke) * keyedShare),
@@ -159,8 +163,8 @@
 		},
 		Cold:       ColdSettings{Overshoot: c.Bounds.ColdOvershoot, Slack: c.Bounds.ColdSlack},
 		Evacuate:   c.Bounds.Evacuate,
-		Admission:  c.Admission.Policy(),
-		Engines:    EngineSettings{Pace: c.Engines.Pace},
+		Admission:  admission,
+		Engines:    EngineSettings{Pace: c.Engines.Pace, OwnZoneFirst: c.Engines.OwnZoneFirst},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -33,7 +33,8 @@
 
 // EngineSettings tell what is made of the differences between backend servers.
 type EngineSettings struct {
-	Pace bool // go by the pace of each
+	Pace         bool // go by the pace of each
+	OwnZoneFirst bool // see near
 }
 
 // currentSettings are the settings in force. They change when the settings
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -6,7 +6,6 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
-	"github.com/bluebellchute/bluebellchute/internal/selection"
 )
 
 // The load that this file answers: engines come, go, or get nothing more, so the homes
@@ -46,16 +45,17 @@
 }
 
 // holder returns the address of the engine that probably keeps more of the prompt than
-// the chosen one, or "". keeper is known to keep the shared parts, nil for none.
-func (a *admission) holder(request *Request, view *knowledge.View, chosen, keeper *knowledge.Backend, now boottime.Instant) fleet.Address {
+// the chosen one, or "".
+func (a *admission) holder(search *modelSearch, chosen *knowledge.Backend, now boottime.Instant) fleet.Address {
+	keeper := search.keeper
 	if keeper == chosen {
 		return ""
 	}
 	if keeper == nil {
-		keeper = a.formerHome(request, view, chosen, now)
+		keeper = a.formerHome(search, chosen, now)
 	}
 	if keeper == nil {
-		keeper = firstHome(request, view, chosen)
+		keeper = firstHome(search, chosen)
 	}
 	if keeper == nil {
 		return ""
@@ -67,16 +67,16 @@
 // one, nil if that is probably the chosen one itself. It comes first in the part's
 // order but for engines that are too young to have read it; those that get nothing any
 // more, as they leave or are evacuated, still keep what they have read.
-func (a *admission) formerHome(request *Request, view *knowledge.View, chosen *knowledge.Backend, now boottime.Instant) *knowledge.Backend {
-	engines := view.ByService[request.Service]
-	for _, place := range selection.Rank(engines, idHash, selection.Key(request.Prompt.SharedPart()), donors) {
+func (a *admission) formerHome(search *modelSearch, chosen *knowledge.Backend, now boottime.Instant) *knowledge.Backend {
+	engines := search.view.ByService[search.request.Service]
+	for _, place := range search.ranking.rank(engines, search.part, donors) {
 		engine := engines[place]
 		switch {
-		case young(engine, view, now):
+		case young(engine, search.view, now):
 			continue
 		case engine == chosen:
 			return nil
-		case a.gives(engine, view, now):
+		case a.gives(engine, search.view, now):
 			return engine
 		}
 	}
@@ -92,13 +92,13 @@
 
 // firstHome returns the engine that keeps the first part of the prompt before any other
 // does, nil if that is the chosen one or the prompt has no such part.
-func firstHome(request *Request, view *knowledge.View, chosen *knowledge.Backend) *knowledge.Backend {
-	parts := request.Prompt.Parts
-	serving := view.Serving[request.Service]
+func firstHome(search *modelSearch, chosen *knowledge.Backend) *knowledge.Backend {
+	parts := search.request.Prompt.Parts
+	serving := search.view.Serving[search.request.Service]
 	if len(parts) < 3 || len(serving) == 0 {
 		return nil
 	}
-	home := serving[selection.Rank(serving, idHash, selection.Key(parts[0].ID), 1)[0]]
+	home := serving[search.ranking.rank(serving, parts[0].ID, 1)[0]]
 	if home == chosen {
 		return nil
 	}
--- a/internal/gate/holder_test.go
+++ b/internal/gate/holder_test.go
@@ -58,7 +58,8 @@
 // for none.
 func (f *partFleet) holder(place int, at boottime.Instant) int {
 	view := f.state.View()
-	address := f.a.holder(f.request, view, view.Backends[f.ids[place]], nil, at)
+	search := &modelSearch{request: f.request, view: view, part: f.request.Prompt.SharedPart()}
+	address := f.a.holder(search, view.Backends[f.ids[place]], at)
 	return slices.IndexFunc(f.ids, func(id string) bool { return entryOf(id).Address == address })
 }
 
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -26,6 +26,10 @@
 	Ahead    time.Duration // until the engine has read the prompts ahead
 	Budget   time.Duration // for that
 	Shared   bool          // the engine is the one that its shared parts prefer
+	Prefill  time.Duration // to read the prompts ahead and its own, at the speed of the moment
+	Gap      time.Duration // for that beside streams in progress, 0 for no bound
+	Disrupts bool          // streams in progress would pause for longer
+	Moved    bool          // another engine was chosen for the sake of streams at its homes
 }
 
 // Reason names why a request was refused. Logs and metrics carry it.
@@ -42,6 +46,7 @@
 	ReasonNoAccount    Reason = "unknown-key"
 	ReasonBusy         Reason = "busy"
 	ReasonShare        Reason = "over-share"
+	ReasonDisruptive   Reason = "disruptive" // streams in progress would pause for too long
 	ReasonNoBackend    Reason = "no-backend"
 	ReasonClosed       Reason = "closed"     // all that are left want nothing for a time
 	ReasonEvacuated    Reason = "evacuated"  // all zones with backend servers of the service are
--- a/internal/gate/keptparts.go
+++ b/internal/gate/keptparts.go
@@ -1,8 +1,12 @@
 package gate
 
 import (
+	"sync"
+	"time"
+
 	lru "github.com/hashicorp/golang-lru/v2"
 
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
@@ -19,6 +23,15 @@
 // million with it. It may be used concurrently.
 type keptParts struct {
 	engines *lru.Cache[string, keeper] // by the part's id
+
+	mu   sync.Mutex
+	asks *lru.Cache[string, *askedPart] // by the part's id
+}
+
+// askedPart is how often a part is asked for.
+type askedPart struct {
+	last     boottime.Instant
+	interval time.Duration // decayed mean, 0 before the second request
 }
 
 // keeper is one start of a backend server.
@@ -29,7 +42,33 @@
 	if err != nil {
 		panic(err) // the size is a constant above 0
 	}
-	return &keptParts{engines: engines}
+	asks, err := lru.New[string, *askedPart](keptPartsMost)
+	if err != nil {
+		panic(err) // as above
+	}
+	return &keptParts{engines: engines, asks: asks}
+}
+
+// asked notes a request for the part and returns whether the part is asked for often.
+func (k *keptParts) asked(part string, now boottime.Instant) bool {
+	if part == "" {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	known, ok := k.asks.Get(part)
+	if !ok {
+		k.asks.Add(part, &askedPart{last: now})
+		return false
+	}
+	passed := now.Sub(known.last)
+	known.last = now
+	if known.interval == 0 {
+		known.interval = passed
+		return false
+	}
+	known.interval = time.Duration(intervalMemory*float64(known.interval) + (1-intervalMemory)*float64(passed))
+	return known.interval < hotInterval
 }
 
 // note notes that the backend server has read the part.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
 // metrics are the gate's counters. Their labels are bounded by the routes'
@@ -12,6 +14,8 @@
 type metrics struct {
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	placed   *prometheus.CounterVec
+	disrupts *prometheus.CounterVec
 	first    prometheus.Histogram
 	zones    prometheus.Gauge // evacuated
 	era      prometheus.Gauge // of the store
@@ -27,6 +31,14 @@
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
 		}, []string{"status", "reason"}),
+		placed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_placed_total",
+			Help: "Requests for models sent to backend servers, by the availability zone of these: own or other.",
+		}, []string{"zone"}),
+		disrupts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_disruptive_total",
+			Help: "Prompts that would have made streams in progress pause for too long at their homes: moved to another engine, sent all the same or refused.",
+		}, []string{"outcome"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "bluebell_gate_first_event_seconds",
 			Help:    "Time from a streamed request's arrival to its first event.",
@@ -41,7 +53,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones, m.era)
+	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.first, m.zones, m.era)
 	return m
 }
 
@@ -51,6 +63,31 @@
 
 func (m *metrics) refused(refusal Refusal) {
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
+	if refusal.Reason == ReasonDisruptive {
+		m.disrupts.WithLabelValues(disruptiveRefused).Inc()
+	}
+}
+
+// Outcomes of prompts that would disrupt streams.
+const (
+	disruptiveMoved   = "moved"
+	disruptiveSent    = "sent"
+	disruptiveRefused = "refused"
+)
+
+// placedModel counts a request for a model that is about to be sent.
+func (m *metrics) placedModel(placed *placement, own fleet.Zone) {
+	zone := "other"
+	if placed.backend.Zone == own {
+		zone = "own"
+	}
+	m.placed.WithLabelValues(zone).Inc()
+	switch {
+	case placed.inputs.Disrupts:
+		m.disrupts.WithLabelValues(disruptiveSent).Inc()
+	case placed.inputs.Moved:
+		m.disrupts.WithLabelValues(disruptiveMoved).Inc()
+	}
 }
 
 func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
--- /dev/null
+++ b/internal/gate/near.go
@@ -0,0 +1,38 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// The load that this file answers: callers of all availability zones ask for the same
+// prompt parts, and each part has its homes in one zone. Two of three streams then cross
+// zones, and each router keeps connections to all engines of the fleet.
+
+const (
+	// nearReading is the part of a route's target latency that reading the shared parts
+	// may take for them to have homes in each zone. Each of these homes reads them once.
+	nearReading = 0.03
+	// hotInterval is the mean time between two requests at this router from which a
+	// part counts as asked often: its homes in other zones have enough to do.
+	hotInterval = 2 * time.Second
+	// intervalMemory is the weight of the past in that mean.
+	intervalMemory = 0.7
+)
+
+// near returns the usable engines of this router's zone where the request is to be
+// placed there if they have room for it, nil otherwise.
+func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) []*knowledge.Backend {
+	if !a.settings.get().Engines.OwnZoneFirst {
+		return nil
+	}
+	reading := time.Duration(search.demand.Shared / max(search.limits.Rate, 1) * float64(time.Second))
+	cheap := float64(reading) <= float64(search.request.Route.TargetLatency)*nearReading
+	hot := a.kept.asked(search.part, now) // counts the request, also where it is cheap
+	if !cheap && !hot {
+		return nil
+	}
+	return a.lists.inZone(usable, a.zone)
+}
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -10,6 +11,21 @@
 	"github.com/bluebellchute/bluebellchute/internal/selection"
 )
 
+// modelSearch is the search for an engine for one request.
+type modelSearch struct {
+	request    *Request
+	view       *knowledge.View
+	tier       policy.Tier
+	facts      policy.Facts
+	bounds     policy.Bounds
+	protection policy.Protection
+	demand     selection.Demand
+	limits     selection.Limits
+	ranking    ranking
+	part       string             // last shared part of the prompt, "" for none
+	keeper     *knowledge.Backend // known to keep the shared parts, nil for none
+}
+
 // placeModel chooses an engine for a request for a model and counts the request
 // in there, or refuses it. again tells that an engine has declined it before.
 func (a *admission) placeModel(request *Request, view *knowledge.View, usable []*knowledge.Backend, again bool) (*placement, *Refusal) {
@@ -19,31 +35,23 @@
 	if !a.policy().Open(tier, facts.Standing) {
 		return nil, a.refuseModel(request, tier, Inputs{Tier: tier, Standing: facts.Standing.Got})
 	}
-	bounds := a.policy().Bounds(tier, facts)
-	part := request.Prompt.SharedPart()
-	keeper := a.keeper(part, view, now)
-	ranked := selection.Rank(usable, idHash, selection.Key(part), bounds.Engines)
-	demand := a.demand(request, bounds)
-	engine := a.engines(view, request.Service, usable, ranked, keeper)
-	choice := selection.Model(len(ranked), engine, demand, a.limits(view, request.Service, bounds))
-	chosen := ranked[choice.Place]
-	inputs := Inputs{
-		Tier:     tier,
-		Backend:  usable[chosen].ID,
-		Standing: facts.Standing.Got,
-		Ahead:    choice.Ahead,
-		Budget:   demand.Budget,
-		Shared:   choice.Place == 0,
-	}
-	if !choice.Fits {
+	search := a.search(request, view, tier, facts, now)
+	backend, choice := a.choose(search, usable, now)
+	inputs := search.inputs(backend, choice)
+	switch {
+	case !choice.Fits:
 		return nil, a.refuseModel(request, tier, inputs)
+	case !search.protection.Allows(choice):
+		refusal := a.refuse(request, ReasonDisruptive)
+		refusal.Inputs = inputs
+		return nil, refusal
 	}
 	placed := &placement{
-		backend: usable[chosen],
+		backend: backend,
 		load: BackendLoad{
 			Running: 1,
 			Pending: choice.Tokens,
-			Memory:  demand.Own + demand.Shared + demand.Output,
+			Memory:  search.demand.Own + search.demand.Shared + search.demand.Output,
 		},
 		pending: choice.Before + choice.Tokens,
 		model:   true,
@@ -51,12 +59,76 @@
 		inputs:  inputs,
 	}
 	if a.canFetch(view, request.Service) {
-		placed.holder = a.holder(request, view, placed.backend, keeper, now)
+		placed.holder = a.holder(search, placed.backend, now)
 	}
 	a.enter(request, placed, now)
 	return placed, nil
 }
 
+// search returns what the search for an engine goes by.
+func (a *admission) search(request *Request, view *knowledge.View, tier policy.Tier, facts policy.Facts, now boottime.Instant) *modelSearch {
+	bounds := a.policy().Bounds(tier, facts)
+	search := &modelSearch{
+		request: request,
+		view:    view,
+		tier:    tier,
+		facts:   facts,
+		bounds:  bounds,
+		demand:  a.demand(request, bounds),
+		limits:  a.limits(view, request.Service, bounds),
+		part:    request.Prompt.SharedPart(),
+	}
+	search.keeper = a.keeper(search.part, view, now)
+	if !a.paces.told(request.Service) {
+		return search
+	}
+	search.protection = a.policy().Protection(tier, view.Index.Gap(request.Service))
+	search.limits.Gap = search.protection.Gap
+	reading := time.Duration(search.demand.Own / max(search.limits.Rate, 1) * float64(time.Second))
+	search.ranking = ranking{
+		weighted: true,
+		snapshot: a.paces.snapshot(),
+		exponent: search.protection.WeightExponent(reading),
+		cache:    a.lists,
+	}
+	return search
+}
+
+// choose returns the engine for the request among the usable ones, of which there must
+// be one, and what it finds there. One of the router's own availability zone comes first
+// for some requests, if they fit there and disrupt no stream.
+func (a *admission) choose(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) (*knowledge.Backend, selection.Choice) {
+	if near := a.near(search, usable, now); len(near) > 0 {
+		if backend, choice := a.chooseAmong(search, near); choice.Good() {
+			return backend, choice
+		}
+	}
+	return a.chooseAmong(search, usable)
+}
+
+func (a *admission) chooseAmong(search *modelSearch, usable []*knowledge.Backend) (*knowledge.Backend, selection.Choice) {
+	ranked := search.ranking.rank(usable, search.part, search.protection.Engines(search.bounds))
+	engine := a.engines(search, usable, ranked)
+	choice := selection.Model(len(ranked), engine, search.demand, search.limits)
+	return usable[ranked[choice.Place]], choice
+}
+
+// inputs returns what decided on the place of the request.
+func (s *modelSearch) inputs(backend *knowledge.Backend, choice selection.Choice) Inputs {
+	return Inputs{
+		Tier:     s.tier,
+		Backend:  backend.ID,
+		Standing: s.facts.Standing.Got,
+		Ahead:    choice.Ahead,
+		Budget:   s.demand.Budget,
+		Shared:   choice.Place == 0,
+		Prefill:  choice.Prefill,
+		Gap:      s.protection.Gap,
+		Disrupts: choice.Disrupts,
+		Moved:    choice.Moved,
+	}
+}
+
 // facts returns what the tier and the bounds of a request rest on.
 func (a *admission) facts(request *Request, view *knowledge.View, again bool, now boottime.Instant) policy.Facts {
 	return policy.Facts{
@@ -64,11 +136,19 @@
 		Target:   request.Route.TargetLatency,
 		Tightest: view.Index.Tightest(request.Service),
 		Rank:     view.Index.Rank(request.Service, request.Route, request.Account),
-		Headroom: a.loads.headroom(request.Service, a.policy().LeastHeadroom),
+		Headroom: a.loads.headroom(request.Service, a.leastHeadroom(request.Service)),
 		Again:    again,
 	}
 }
 
+// leastHeadroom returns how far late answers lower the budgets of a service at most.
+func (a *admission) leastHeadroom(service fleet.Service) float64 {
+	if a.paces.told(service) {
+		return a.policy().HeadroomFloor()
+	}
+	return a.policy().LeastHeadroom
+}
+
 // standing returns how much of its share the request's account will have got.
 func (a *admission) standing(request *Request, capacity float64, now boottime.Instant) policy.Standing {
 	if request.Account == nil {
@@ -127,25 +207,29 @@
 }
 
 // engines returns a look at the candidates among the usable backend servers, by
-// their place in the order of the request's key. keeper is the one that is known to
-// keep its shared parts, nil for none.
-func (a *admission) engines(view *knowledge.View, service fleet.Service, usable []*knowledge.Backend, ranked []int, keeper *knowledge.Backend) func(place int) selection.Engine {
+// their place in the order of the request's key.
+func (a *admission) engines(search *modelSearch, usable []*knowledge.Backend, ranked []int) func(place int) selection.Engine {
 	capacity := 0.0
-	if settings := view.Index.Service(service); settings != nil {
+	if settings := search.view.Index.Service(search.request.Service); settings != nil {
 		capacity = float64(settings.KVCapacity)
 	}
 	return func(place int) selection.Engine {
 		backend := usable[ranked[place]]
 		own, _ := a.loads.get(backend.Incarnation)
 		load := own.Add(a.peers.Load(backend.IncarnationHash))
-		return selection.Engine{
+		engine := selection.Engine{
 			Running:        load.Running,
 			Slots:          backend.Slots,
 			Pending:        load.Pending,
 			Memory:         load.Memory,
 			MemoryCapacity: capacity,
-			Keeps:          backend == keeper,
+			Keeps:          backend == search.keeper,
+		}
+		if search.ranking.weighted {
+			estimate := search.ranking.snapshot.Engine(backend.IncarnationHash)
+			engine.Rate, engine.Slowdown = estimate.Rate, estimate.Now/estimate.Usual
 		}
+		return engine
 	}
 }
 
@@ -165,6 +249,7 @@
 		SecondPenalty: a.policy().SecondPenalty,
 		Rate:          a.loads.rate(service, assumed),
 		SlotShare:     bounds.Slots,
+		Fallbacks:     bounds.Engines,
 		MemoryShare:   bounds.Memory,
 	}
 }
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -140,6 +140,10 @@
 	fields["ahead_ms"] = inputs.Ahead.Milliseconds()
 	fields["budget_ms"] = inputs.Budget.Milliseconds()
 	fields["shared"] = inputs.Shared
+	if inputs.Gap > 0 {
+		fields["prefill_ms"] = inputs.Prefill.Milliseconds()
+		fields["gap_ms"] = inputs.Gap.Milliseconds()
+	}
 }
 
 func (r *records) declined(request *Request, backend *knowledge.Backend, status int, replaced bool) {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -57,6 +57,9 @@
 			r.giveUp(ctx, *refusal)
 			return
 		}
+		if placed.model {
+			r.handler.metrics.placedModel(placed, r.handler.admission.zone)
+		}
 		if r.sends > 0 && !r.handler.budget.spend(r.request.Service) {
 			r.handler.admission.ended(r.request, placed, false)
 			r.giveUp(ctx, r.failure())
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -69,6 +69,8 @@
 	Prefill time.Duration
 	// Disrupts tells that streams in progress there would pause for too long.
 	Disrupts bool
+	// Moved tells that a home had room, but streams that would have been disrupted.
+	Moved bool
 }
 
 // Homes is how many engines of a key's order share its prompt parts. More would
@@ -93,17 +95,19 @@
 			best = choice
 		}
 	}
-	for place := Homes; place < candidates && !best.good(); place++ {
+	disruptsHome := best.Fits && best.Disrupts
+	for place := Homes; place < candidates && !best.Good(); place++ {
 		choice := evaluate(engine(place), demand, limits, place)
-		if choice.good() || (choice.Fits && !best.Fits && place < limits.Fallbacks) {
+		if choice.Good() || (choice.Fits && !best.Fits && place < limits.Fallbacks) {
 			best = choice
 		}
 	}
+	best.Moved = disruptsHome && !best.Disrupts
 	return best
 }
 
-// good tells whether there is no reason to look at further engines.
-func (c Choice) good() bool { return c.Fits && !c.Disrupts }
+// Good tells whether there is no reason to look at further engines.
+func (c Choice) Good() bool { return c.Fits && !c.Disrupts }
 
 // better prefers an engine within its limits, then one without streams to disrupt,
 // then the shorter wait.
--- a/internal/selection/protect_test.go
+++ b/internal/selection/protect_test.go
@@ -64,7 +64,7 @@
 			t.Fatalf("fits without the protection: %v, with it: %v", before.Fits, after.Fits)
 		}
 		for place := range list {
-			if !after.good() && evaluate(list[place], demand, with, place).good() {
+			if !after.Good() && evaluate(list[place], demand, with, place).Good() {
 				t.Fatalf("%+v although place %d takes it without a disruption", after, place)
 			}
 		}
