--- a/internal/pace/snapshot.go
+++ b/internal/pace/snapshot.go
@@ -109,9 +109,6 @@
 	return average
 }
 
-// Servers returns the number of servers that tell a work time.
-func (s *Snapshot) Servers() int { return len(s.estimates) }
-
 // Each calls the function for each server that tells a work time, in no order.
 func (s *Snapshot) Each(visit func(server uint32, estimate Estimate)) {
 	for server, known := range s.estimates {
--- a/internal/pace/table.go
+++ b/internal/pace/table.go
@@ -122,16 +122,6 @@
 	return own
 }
 
-// ToldLately returns the work time that a server usually tells, 0 if it tells none.
-func (t *Table) ToldLately(server uint32, now boottime.Instant) float64 {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if known := t.servers[server]; known != nil {
-		return known.usual(now)
-	}
-	return 0
-}
-
 // Keep forgets the backend servers that are not listed any more.
 func (t *Table) Keep(listed map[uint32]bool) {
 	t.mu.Lock()
@@ -142,10 +132,3 @@
 		}
 	}
 }
-
-// Clear forgets everything.
-func (t *Table) Clear() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	clear(t.servers)
-}
--- a/internal/peering/control_bench_test.go
+++ b/internal/peering/control_bench_test.go
@@ -21,7 +21,7 @@
 	Local
 	loads map[uint32]gate.BackendLoad
 	uses  map[fleet.Account]shares.Use
-	paces map[uint32]pace.Observation
+	paces func() map[uint32]pace.Observation // nil if no paces are known
 }
 
 func newBusyLocal(requests, engines, accounts int) *busyLocal {
@@ -35,12 +35,18 @@
 
 func (l *busyLocal) Loads() map[uint32]gate.BackendLoad                  { return l.loads }
 func (l *busyLocal) Uses() map[fleet.Account]shares.Use                  { return l.uses }
-func (l *busyLocal) Paces() map[uint32]pace.Observation                  { return l.paces }
 func (l *busyLocal) TakeBroken() []uint64                                { return nil }
 func (l *busyLocal) HeardBroken(fleet.Address, uint64)                   {}
 func (l *busyLocal) SetUses(fleet.Address, map[fleet.Account]shares.Use) {}
 func (l *busyLocal) RemoveUses(fleet.Address)                            {}
 
+func (l *busyLocal) Paces() map[uint32]pace.Observation {
+	if l.paces == nil {
+		return nil
+	}
+	return l.paces()
+}
+
 // BenchmarkControlSecond is what one router spends in a second on telling the others and
 // on hearing them, with its bytes in that second: one in the middle, and the one that sums
 // its zone.
@@ -78,34 +84,42 @@
 	return heard
 }
 
-// BenchmarkControlSecondWithPaces is the same in a fleet of 24 routers and 43 engines whose
-// paces are not known, known, or known with a tenth of the engines in a slow phase.
-func BenchmarkControlSecondWithPaces(b *testing.B) {
+// BenchmarkFleetSecondWithPaces is what a router sends in a second, on average over 24
+// routers with 43 engines whose paces are not known, known, or known with a tenth of the
+// engines in a slow phase. KB to the own zone: 38.6, 47.7 and 50.7; to other zones: 6.7,
+// 7.3 and 7.4.
+func BenchmarkFleetSecondWithPaces(b *testing.B) {
 	const zones, perZone, engines, perSecond = 3, 8, 43, int(time.Second / beatInterval)
 	for _, told := range []string{"no paces", "paces", "paces and slowed"} {
-		f := newFabric(b, zones, perZone)
-		for address := range f.routers {
-			local := newBusyLocal(10, engines, 30)
-			if told != "no paces" {
-				local.paces = enginePaces(engines, told == "paces and slowed", f.now.Add(time.Minute))
-			}
-			f.routers[address].SetLocal(local)
-		}
-		f.play(4 * perSecond)
-		for _, role := range []string{"middle", "summing"} {
-			var watched *Manager
-			for _, address := range f.addresses() {
-				if f.routers[address].summing(f.now) == (role == "summing") {
-					watched = f.routers[address]
+		b.Run(told, func(b *testing.B) {
+			f := newFabric(b, zones, perZone)
+			for address := range f.routers {
+				local := newBusyLocal(10, engines, 30)
+				if told != "no paces" {
+					local.paces = func() map[uint32]pace.Observation {
+						return enginePaces(engines, told == "paces and slowed", f.now)
+					}
 				}
+				f.routers[address].SetLocal(local)
 			}
-			heard := f.record(watched, perSecond)
-			b.Run(told+", "+role, func(b *testing.B) { controlSecond(b, f, watched, heard, perSecond) })
-		}
+			f.play(settled)
+			f.bytes = 0
+			all := 0
+			f.arrived = func(data []byte, _ *Manager) { all += len(data) }
+			seconds := 0
+			for b.Loop() {
+				f.play(perSecond)
+				seconds++
+			}
+			perRouter := 1000 * float64(seconds*len(f.routers))
+			b.ReportMetric(float64(all-f.bytes)/perRouter, "KB-own-zone")
+			b.ReportMetric(float64(f.bytes)/perRouter, "KB-other-zones")
+		})
 	}
 }
 
-// BenchmarkMergePaces is what a router spends on one snapshot of what all others told.
+// BenchmarkMergePaces is what a router spends on one snapshot of what all others told:
+// 83 microseconds, and 3.1 milliseconds in a zone of 72 routers with 640 engines.
 func BenchmarkMergePaces(b *testing.B) {
 	for _, size := range []struct{ routers, engines int }{{24, 43}, {72, 640}} {
 		b.Run(fmt.Sprintf("%d routers, %d engines", size.routers, size.engines), func(b *testing.B) {
--- a/internal/peering/paces.go
+++ b/internal/peering/paces.go
@@ -51,9 +51,10 @@
 
 // add adds what others told, as it has become until the moment.
 func (p *paces) add(other paces, now boottime.Instant) {
-	passed := now.Sub(other.at)
-	for server, observation := range other.usual {
-		p.usual[server] = p.usual[server].Merge(observation.After(passed))
+	if passed := now.Sub(other.at); passed < pace.Life {
+		for server, observation := range other.usual {
+			p.usual[server] = p.usual[server].Merge(observation.After(passed))
+		}
 	}
 	for server, observation := range other.slowed {
 		p.slowed[server] = p.slowed[server].Merge(observation)
--- a/internal/peering/paces_test.go
+++ b/internal/peering/paces_test.go
@@ -184,7 +184,7 @@
 		now = now.Add(time.Second)
 		table.take(pacedBeat(1, clock, nil, now), now)
 	}
-	if got := table.Paces(now)[theEngine]; got.Usual != 0 {
+	if got := table.Paces(now); got != nil {
 		t.Errorf("%+v after %v", got, pace.Life)
 	}
 }
--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -89,7 +89,8 @@
 
 // Bytes of a beat among 24 routers with 45 backend servers and 16 accounts: 1,564
 // with a message for each load, use and echo and 64-bit names of backend servers,
-// 827 with packed lists.
+// 827 with packed lists. What this router has seen of 43 engines, which one beat in five
+// carries, makes 845 into 1,378, and five slowed ones add 44.
 func BenchmarkBeatBytes(b *testing.B) {
 	loads := make(map[uint32]gate.BackendLoad)
 	uses := make(map[fleet.Account]shares.Use)
