--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -29,6 +29,8 @@
 	holder fleet.Address
 	// permit is that of a cold backend server, nil for a warm one.
 	permit *slowstart.Permit
+	// plain is the place at a plain server under admission control, else nil.
+	plain  *plainPlace
 	inputs Inputs
 }
 
@@ -42,6 +44,7 @@
 	kept     *keptParts
 	cold     *coldServers
 	closures *closures
+	plain    *plainServers
 
 	mu     sync.Mutex
 	ledger *shares.Ledger
@@ -57,6 +60,7 @@
 		kept:     newKeptParts(),
 		cold:     newColdServers(settings, peers),
 		closures: newClosures(),
+		plain:    newPlainServers(),
 		ledger:   shares.NewLedger(),
 	}
 }
@@ -123,6 +127,9 @@
 	if request.Prompt.Tokens > 0 {
 		return a.placeModel(request, view, usable, again)
 	}
+	if a.settings.get().Plain.Admission && !request.Route.Stream {
+		return a.placeBounded(request, view, usable)
+	}
 	return a.placePlain(usable), nil
 }
 
@@ -184,7 +191,11 @@
 
 // ended counts a placed request out. ran is false when it did not run.
 func (a *admission) ended(request *Request, placed *placement, ran bool) {
-	a.loads.end(placed.backend.Incarnation, placed.load)
+	if placed.plain != nil {
+		a.leavePlain(placed, ran)
+	} else {
+		a.loads.end(placed.backend.Incarnation, placed.load)
+	}
 	placed.permit.Release()
 	if ran || !placed.model || request.Account == nil {
 		return
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -17,6 +17,7 @@
 	VM        VMSection         `section:"vm" doc:"What the VM gives to this process."`
 	Bounds    BoundsSection     `section:"bounds" doc:"What the users have agreed on."`
 	Admission AdmissionSection  `section:"admission" doc:"What is sent to model engines."`
+	Plain     PlainSection      `section:"plain" doc:"What is sent to plain services."`
 	Log       daemon.LogSection `section:"log" doc:"Log records on standard output."`
 }
 
@@ -97,6 +98,11 @@
 	RetryShare       float64 `key:"retry_share" default:"0.35" min:"0.01" max:"1" doc:"Part of a route's target latency after which refused callers are told to come back."`
 }
 
+// PlainSection holds what is sent to plain services.
+type PlainSection struct {
+	Admission bool `key:"admission" default:"false" doc:"Refuse requests that would wait too long at plain backend servers."`
+}
+
 const (
 	// bodyMemoryShare is the part of the memory that requests' bodies may
 	// fill. The rest is for connections, answers and the runtime.
@@ -154,6 +160,7 @@
 		Cold:       ColdSettings{Overshoot: c.Bounds.ColdOvershoot, Slack: c.Bounds.ColdSlack},
 		Evacuate:   c.Bounds.Evacuate,
 		Admission:  c.Admission.Policy(),
+		Plain:      PlainSettings{Admission: c.Plain.Admission},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -26,6 +26,7 @@
 	Cold      ColdSettings
 	Evacuate  time.Duration // from an order to evacuate a zone until nothing is sent there, 0 for none
 	Admission policy.Settings
+	Plain     PlainSettings
 	// BodyMemory bounds the bytes of all requests that are held at once.
 	BodyMemory int64
 }
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -24,8 +24,10 @@
 	Backend  string        // the best choice, "" if none was looked at
 	Standing float64       // of the account, in parts of its share
 	Ahead    time.Duration // until the engine has read the prompts ahead
-	Budget   time.Duration // for that
+	Budget   time.Duration // for that, or for the wait at a plain server
 	Shared   bool          // the engine is the one that its shared parts prefer
+	Plain    bool          // the request is for a plain service
+	Wait     time.Duration // expected at the plain server
 }
 
 // Reason names why a request was refused. Logs and metrics carry it.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -59,6 +59,7 @@
 		metrics:   newMetrics(options.Registerer),
 		lag:       newLagMeter(options.Logger, options.Registerer),
 	}
+	admission.plain.waits = h.metrics.plainWait
 	entry := newEntry(h, options.Connections, h.lag)
 	h.closing = entry.closing
 	return &Manager{options: options, handler: h, entry: entry}
@@ -114,6 +115,7 @@
 	m.logBackends(before, view)
 	m.forgetDead(before, view)
 	m.handler.admission.loads.keep(view.Backends)
+	m.handler.admission.plain.keep(view.Backends, boottime.Now())
 	m.handler.admission.closures.keep(view.Backends, boottime.Now())
 }
 
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
 // metrics are the gate's counters. Their labels are bounded by the routes'
@@ -13,8 +15,9 @@
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	first    prometheus.Histogram
-	zones    prometheus.Gauge // evacuated
-	era      prometheus.Gauge // of the store
+	plain    *prometheus.GaugeVec // expected wait by service
+	zones    prometheus.Gauge     // evacuated
+	era      prometheus.Gauge     // of the store
 }
 
 func newMetrics(registerer prometheus.Registerer) *metrics {
@@ -33,6 +36,10 @@
 			Buckets: prometheus.ExponentialBuckets(0.01, 1.8, 12),
 		}),
 	}
+	m.plain = prometheus.NewGaugeVec(prometheus.GaugeOpts{
+		Name: "bluebell_gate_plain_expected_wait_seconds",
+		Help: "Wait expected at the plain backend server that was best for the latest request, by service.",
+	}, []string{"service"})
 	m.zones = prometheus.NewGauge(prometheus.GaugeOpts{
 		Name: "bluebell_gate_evacuated_zones",
 		Help: "Availability zones whose backend servers get no new requests.",
@@ -41,7 +48,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones, m.era)
+	registerer.MustRegister(m.answers, m.refusals, m.first, m.plain, m.zones, m.era)
 	return m
 }
 
@@ -53,6 +60,11 @@
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
 }
 
+// plainWait takes the wait that was expected for a request to a plain service.
+func (m *metrics) plainWait(service fleet.Service, wait time.Duration) {
+	m.plain.WithLabelValues(string(service)).Set(wait.Seconds())
+}
+
 func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
 
 func (m *metrics) storeEra(era uint64) { m.era.Set(float64(era)) }
--- /dev/null
+++ b/internal/gate/plain.go
@@ -0,0 +1,178 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/policy"
+)
+
+// PlainSettings bound what is sent to plain services.
+type PlainSettings struct {
+	// Admission tells to refuse what would wait too long. Every request is sent
+	// without it.
+	Admission bool
+}
+
+// plainState is what a router has learned of one plain server.
+type plainState struct {
+	load     policy.PlainLoad
+	work     policy.ServiceTime
+	lastUsed boottime.Instant
+}
+
+// plainServers is the table of plain servers by their incarnations. Its methods may
+// be called concurrently.
+type plainServers struct {
+	mu     sync.Mutex
+	states map[string]*plainState
+	// waits takes the wait that was expected at a decision.
+	waits func(service fleet.Service, wait time.Duration)
+}
+
+func newPlainServers() *plainServers {
+	return &plainServers{states: make(map[string]*plainState), waits: func(fleet.Service, time.Duration) {}}
+}
+
+// plainPlace is the place of a request at a plain server under admission control.
+type plainPlace struct {
+	state    *plainState
+	sent     policy.PlainSent
+	answered bool // the server's own answer has come, and is no failure
+}
+
+// state returns what was learned of an incarnation.
+func (p *plainServers) state(incarnation string, now boottime.Instant) *plainState {
+	state := p.states[incarnation]
+	if state == nil {
+		state = &plainState{}
+		p.states[incarnation] = state
+	}
+	state.lastUsed = now
+	return state
+}
+
+// assumedWork is the service time before any server of a service has answered.
+const assumedWork = 10 * time.Millisecond
+
+// mean returns the mean service time of the backend servers that have answered.
+func (p *plainServers) mean(usable []*knowledge.Backend) time.Duration {
+	var sum, known time.Duration
+	for _, backend := range usable {
+		if state := p.states[backend.Incarnation]; state != nil && state.work.Learned() > 0 {
+			sum += state.work.Learned()
+			known++
+		}
+	}
+	if known == 0 {
+		return assumedWork
+	}
+	return sum / known
+}
+
+// usualPace stands for the current over the usual work time of a server that does
+// not report it.
+const usualPace = 1
+
+// placeBounded chooses a plain server for the request and counts it in there, or
+// refuses it. The choice and the count are one step, so that requests which come
+// together do not all take the same free slot.
+func (a *admission) placeBounded(request *Request, view *knowledge.View, usable []*knowledge.Backend) (*placement, *Refusal) {
+	now := boottime.Now()
+	a.plain.mu.Lock()
+	defer a.plain.mu.Unlock()
+	servers, heard := a.lookPlain(usable, now)
+	choice := a.policy().Plain(policy.PlainRequest{
+		Target:     request.Route.TargetLatency,
+		Left:       request.Left(now),
+		Idempotent: request.Idempotent(),
+		Rank:       view.Index.Rank(request.Service, request.Route, request.Account),
+		Draw:       rand.Float64(),
+		Offset:     rand.IntN(len(servers)),
+	}, servers)
+	a.plain.waits(request.Service, choice.Wait)
+	backend := usable[choice.Server]
+	inputs := Inputs{Backend: backend.ID, Wait: choice.Wait, Budget: choice.Budget, Plain: true}
+	if !choice.Fits {
+		return nil, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonBusy, RetryAfter: choice.RetryAfter, Inputs: inputs}
+	}
+	place := &plainPlace{state: a.plain.state(backend.Incarnation, now)}
+	place.sent = policy.PlainSent{At: now, Rounds: policy.PlainRounds(heard[choice.Server], backend.Slots)}
+	place.state.work.Begin(&place.sent)
+	placed := &placement{backend: backend, load: BackendLoad{Running: 1}, plain: place, inputs: inputs}
+	a.loads.begin(backend.Incarnation, placed.load)
+	return placed, nil
+}
+
+// lookPlain returns the usable backend servers as candidates, and how many requests
+// each has as far as this router has heard. What is expected there is no measure of
+// how long an answer waited: requests are sent when little is expected.
+func (a *admission) lookPlain(usable []*knowledge.Backend, now boottime.Instant) ([]policy.PlainServer, []int) {
+	servers, heard := make([]policy.PlainServer, len(usable)), make([]int, len(usable))
+	mean, dither, routers := a.plain.mean(usable), rand.Float64(), a.peers.Routers()
+	for i, backend := range usable {
+		state := a.plain.state(backend.Incarnation, now)
+		own, _ := a.loads.get(backend.Incarnation)
+		others := a.peers.Load(backend.IncarnationHash).Running
+		heard[i] = own.Running + others
+		seen := policy.PlainSeen{Own: own.Running, Others: others, Slots: backend.Slots, Routers: routers}
+		servers[i] = policy.PlainServer{
+			Running: state.load.Expect(seen, dither, now),
+			Slots:   backend.Slots,
+			Near:    backend.Zone == a.zone,
+			Service: state.work.At(now, mean),
+			Pace:    usualPace,
+		}
+	}
+	return servers, heard
+}
+
+// plainAnswered notes an answer that is no failure of the server. took is the time
+// since the request was sent, and valid tells that the answer is a whole success.
+func (a *admission) plainAnswered(placed *placement, valid bool, took time.Duration) {
+	if placed.plain == nil {
+		return
+	}
+	a.plain.mu.Lock()
+	defer a.plain.mu.Unlock()
+	placed.plain.answered = true
+	if valid {
+		placed.plain.state.work.Note(&placed.plain.sent, took)
+	}
+}
+
+// leavePlain counts a request out at its plain server. One that ran and failed sooner
+// than its answer was due counts until then, here and at the other routers.
+func (a *admission) leavePlain(placed *placement, ran bool) {
+	place, now := placed.plain, boottime.Now()
+	a.plain.mu.Lock()
+	place.state.work.End(&place.sent)
+	rest := place.state.work.Rest(&place.sent, now)
+	a.plain.mu.Unlock()
+	leave := func() { a.loads.end(placed.backend.Incarnation, placed.load) }
+	if !ran || place.answered || rest == 0 {
+		leave()
+		return
+	}
+	time.AfterFunc(rest, leave)
+}
+
+// keep forgets plain servers that are no longer listed.
+func (p *plainServers) keep(backends map[string]*knowledge.Backend, now boottime.Instant) {
+	listed := make(map[string]bool, len(backends))
+	for _, backend := range backends {
+		listed[backend.Incarnation] = true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for incarnation, state := range p.states {
+		if !listed[incarnation] && now.Sub(state.lastUsed) > loadLife {
+			delete(p.states, incarnation)
+		}
+	}
+}
--- /dev/null
+++ b/internal/gate/plain_test.go
@@ -0,0 +1,129 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/daemon"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/policy"
+)
+
+// plainGate is a gate before one plain server with two slots.
+func plainGate(t *testing.T, plain PlainSettings, serve http.HandlerFunc) *Manager {
+	t.Helper()
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	state := knowledge.NewState()
+	state.SetConfiguration(&knowledge.Configuration{Version: 1, Routes: []knowledge.Route{{
+		Name: "commit", PathPrefix: "/", Host: "h", Public: true, Repeat: knowledge.RepeatNever,
+		Timeout: 3 * time.Second, TargetLatency: 300 * time.Millisecond,
+		Destinations: []knowledge.Destination{{Service: "s", Weight: 1}},
+	}}}, boottime.Now())
+	backend := knowledge.Backend{ID: "i", Service: "s", Address: fleet.Address(server.Listener.Addr().String()), Slots: 2}
+	state.SetBackends([]knowledge.Backend{backend}, knowledge.Position{Revision: 1}, boottime.Now())
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	return NewManager(Options{
+		Settings: Settings{
+			Freshness: Freshness{Keyed: 4 * time.Second, Final: 2 * time.Second},
+			Admission: policy.Defaults(), Plain: plain, BodyMemory: 1 << 20,
+		},
+		Dialect: plainDialect{}, State: state, Peers: noPeers{}, Logger: logger,
+		Readiness: daemon.NewReadiness(), Registerer: prometheus.NewRegistry(),
+	})
+}
+
+func askPlain(m *Manager) *http.Response {
+	recorder := httptest.NewRecorder()
+	request := httptest.NewRequest(http.MethodPost, "http://h/x", nil)
+	m.Handler().ServeHTTP(recorder, request)
+	return recorder.Result()
+}
+
+// askMany asks so many times at once and returns the answers by their status.
+func askMany(m *Manager, count int) map[int][]*http.Response {
+	answers := make(chan *http.Response)
+	for range count {
+		go func() { answers <- askPlain(m) }()
+	}
+	byStatus := make(map[int][]*http.Response)
+	for range count {
+		answer := <-answers
+		byStatus[answer.StatusCode] = append(byStatus[answer.StatusCode], answer)
+	}
+	return byStatus
+}
+
+// Guards against a crowded server getting everything, and against a refusal of a
+// request that was sent, or without a time to come back.
+func TestCrowdedPlainServerRefuses(t *testing.T) {
+	for _, admission := range []bool{false, true} {
+		var arrived atomic.Int32
+		slots := make(chan struct{}, 2)
+		m := plainGate(t, PlainSettings{Admission: admission}, func(http.ResponseWriter, *http.Request) {
+			arrived.Add(1)
+			slots <- struct{}{}
+			time.Sleep(60 * time.Millisecond)
+			<-slots
+		})
+		for range 3 {
+			askPlain(m) // to learn the service time
+		}
+		arrived.Store(0)
+		answers := askMany(m, 40)
+		given, refused := len(answers[http.StatusOK]), len(answers[http.StatusServiceUnavailable])
+		t.Logf("admission %v: %d answers, %d refused", admission, given, refused)
+		if given+refused != 40 || int(arrived.Load()) != given {
+			t.Errorf("%d answers, %d refused, %d were sent", given, refused, arrived.Load())
+		}
+		if admission != (refused > 0) || given < 4 || admission && given > 14 {
+			t.Errorf("admission %v: %d refused", admission, refused)
+		}
+		for _, refusal := range answers[http.StatusServiceUnavailable] {
+			after, err := strconv.ParseFloat(refusal.Header.Get("Retry-After"), 64)
+			if err != nil || after < 0.05 || after > 4 {
+				t.Errorf("retry after %q", refusal.Header.Get("Retry-After"))
+			}
+		}
+		if left := m.Loads(); len(left) != 0 {
+			t.Errorf("%v are left", left)
+		}
+	}
+}
+
+// Guards against a server that answers errors at once seeming to have free slots,
+// and against its failed requests being counted for good.
+func TestFailedPlainRequestsCountForAWhile(t *testing.T) {
+	var failing atomic.Bool
+	m := plainGate(t, PlainSettings{Admission: true}, func(w http.ResponseWriter, _ *http.Request) {
+		if failing.Load() {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	})
+	askPlain(m)
+	failing.Store(true)
+	askPlain(m)
+	if got := m.running(); got != 1 {
+		t.Errorf("%d are counted after a failure at once", got)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	for m.running() != 0 {
+		if time.Now().After(deadline) {
+			t.Fatal("the failed request is counted for good")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -133,6 +133,12 @@
 	if inputs.Standing > 0 {
 		fields["standing"] = math.Round(inputs.Standing*100) / 100
 	}
+	if inputs.Plain {
+		fields["backend"] = inputs.Backend
+		fields["wait_ms"] = inputs.Wait.Milliseconds()
+		fields["budget_ms"] = inputs.Budget.Milliseconds()
+		return
+	}
 	if inputs.Budget == 0 {
 		return
 	}
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -46,6 +46,9 @@
 	success := answer.Status < http.StatusMultipleChoices
 	sound := success && reply.sound(r.request)
 	r.handler.admission.loads.answered(placed.backend.Incarnation, sound, took)
+	if sound || !success && answer.Status < http.StatusInternalServerError {
+		r.handler.admission.plainAnswered(placed, sound, took)
+	}
 	if success && !sound {
 		r.handler.records.badAnswer(r.request, placed.backend, answer.Status)
 		return verdictBroken
--- a/internal/policy/servicetime.go
+++ b/internal/policy/servicetime.go
@@ -30,6 +30,7 @@
 	seconds float64
 	answers int // up to serviceTimeFirst
 	open    map[*PlainSent]struct{}
+	passed  boottime.Instant // when the last of the answered requests was sent
 }
 
 // Begin notes that a request is sent.
@@ -46,6 +47,7 @@
 // Note takes a valid answer after the time since it was sent. Others are not noted:
 // a server that answers errors at once does no work.
 func (s *ServiceTime) Note(sent *PlainSent, took time.Duration) {
+	s.passed = max(s.passed, sent.At)
 	work := took.Seconds() / sent.Rounds
 	switch {
 	case s.answers == 0:
@@ -66,14 +68,17 @@
 
 // At returns the service time at a moment; assumed is that of a server which has
 // not answered. Requests that wait for longer than it explains raise it: a server
-// that has turned slow answers too seldom to show it in time.
+// that has turned slow answers too seldom to show it in time. One that was sent before
+// a request which has been answered tells of its own work, not of the server.
 func (s *ServiceTime) At(now boottime.Instant, assumed time.Duration) time.Duration {
 	work := assumed
 	if s.answers > 0 {
 		work = s.Learned()
 	}
 	for sent := range s.open {
-		work = max(work, time.Duration(float64(now.Sub(sent.At))/sent.Rounds))
+		if sent.At >= s.passed {
+			work = max(work, time.Duration(float64(now.Sub(sent.At))/sent.Rounds))
+		}
 	}
 	return work
 }
--- a/internal/policy/servicetime_test.go
+++ b/internal/policy/servicetime_test.go
@@ -52,6 +52,12 @@
 	if got := times.At(start.Add(time.Second), work); got != time.Second/2 {
 		t.Errorf("%v after a second for two rounds", got)
 	}
+	times.Note(&PlainSent{At: start.Add(time.Millisecond), Rounds: 1}, work)
+	if got := times.At(start.Add(time.Second), 0); got != work {
+		t.Errorf("%v, but the server went on with later requests", got)
+	}
+	times = ServiceTime{}
+	times.Begin(sent)
 	times.End(sent)
 	if got := times.At(start.Add(time.Second), work); got != work {
 		t.Errorf("%v after the end", got)
