--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -73,7 +73,9 @@
 //  4. suspects: whether the request breaks backend servers.
 //  5. admission.place: the tier that the account's standing gives it, the backend
 //     servers that may take anything (not leaving, closed, evacuated, shunned, or cold
-//     with nothing left of their bound), and one among them within the tier's bounds.
+//     with nothing left of their bound), and one among them within the tier's bounds. For
+//     a plain service, with [plain] admission: one with a free slot, or a wait for one
+//     within the request's budget.
 //  6. retryBudget: for each further send, whether the fleet may still make one.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -127,3 +127,15 @@
 		time.Sleep(10 * time.Millisecond)
 	}
 }
+
+// Guards against the switch not reaching the decision, or being on by default.
+func TestPlainSettingsAreTaken(t *testing.T) {
+	config := Config{}
+	if config.Settings().Plain.Admission {
+		t.Error("admission control is on by default")
+	}
+	config.Plain.Admission = true
+	if !config.Settings().Plain.Admission {
+		t.Error("the switch is not taken")
+	}
+}
--- a/internal/gate/records_test.go
+++ b/internal/gate/records_test.go
@@ -20,10 +20,13 @@
 	records.refused(&Request{ID: "a"}, Refusal{Status: 503, Reason: ReasonBusy, Inputs: inputs})
 	records.failed(&Request{ID: "b"}, &knowledge.Backend{ID: "i-2"}, 500)
 	records.answered(&Request{ID: "b"}, &placement{backend: &knowledge.Backend{ID: "i-3"}}, 500, 2, false, nil)
+	plain := Inputs{Backend: "i-4", Plain: true, Wait: 300 * time.Millisecond, Budget: 180 * time.Millisecond}
+	records.refused(&Request{ID: "c"}, Refusal{Status: 503, Reason: ReasonBusy, Inputs: plain})
 	for i, want := range []map[string]any{
 		{"request": "a", "backend": "i-1", "standing": 1.23, "ahead_ms": int64(900), "budget_ms": int64(600)},
 		{"request": "b", "backend": "i-2", "status": 500},
 		{"request": "b", "backend": "i-3", "sends": 2},
+		{"request": "c", "backend": "i-4", "wait_ms": int64(300), "budget_ms": int64(180)},
 	} {
 		for name, value := range want {
 			if got := hook.AllEntries()[i].Data[name]; got != value {
