--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -18,6 +18,7 @@
 	Bounds    BoundsSection     `section:"bounds" doc:"What the users have agreed on."`
 	Admission AdmissionSection  `section:"admission" doc:"What is sent to model engines."`
 	Engines   EnginesSection    `section:"engines" doc:"What is made of how fast each backend server works."`
+	Plain     PlainSection      `section:"plain" doc:"What is sent to plain services."`
 	Log       daemon.LogSection `section:"log" doc:"Log records on standard output."`
 }
 
@@ -105,6 +106,11 @@
 	OwnZoneFirst   bool    `key:"own_zone_first" default:"false" doc:"Give prompt parts that are cheap to read, or asked for often, homes in the router's own availability zone."`
 }
 
+// PlainSection holds what is sent to plain services.
+type PlainSection struct {
+	Admission bool `key:"admission" default:"false" doc:"Refuse requests that would wait too long at plain backend servers."`
+}
+
 const (
 	// bodyMemoryShare is the part of the memory that requests' bodies may
 	// fill. The rest is for connections, answers and the runtime.
@@ -165,6 +171,7 @@
 		Evacuate:   c.Bounds.Evacuate,
 		Admission:  admission,
 		Engines:    EngineSettings{Pace: c.Engines.Pace, OwnZoneFirst: c.Engines.OwnZoneFirst},
+		Plain:      PlainSettings{Admission: c.Plain.Admission},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
 	}
 }
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -24,12 +24,14 @@
 	Backend  string        // the best choice, "" if none was looked at
 	Standing float64       // of the account, in parts of its share
 	Ahead    time.Duration // until the engine has read the prompts ahead
-	Budget   time.Duration // for that
+	Budget   time.Duration // for that, or for the wait at a plain server
 	Shared   bool          // the engine is the one that its shared parts prefer
 	Prefill  time.Duration // to read the prompts ahead and its own, at the speed of the moment
 	Gap      time.Duration // for that beside streams in progress, 0 for no bound
 	Disrupts bool          // streams in progress would pause for longer
 	Moved    bool          // another engine was chosen for the sake of streams at its homes
+	Plain    bool          // the request is for a plain service
+	Wait     time.Duration // expected at the plain server
 }
 
 // Reason names why a request was refused. Logs and metrics carry it.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -61,6 +61,7 @@
 		lag:       newLagMeter(options.Logger, options.Registerer),
 	}
 	admission.paces.watch(options.Logger, options.Registerer)
+	admission.plain.waits = h.metrics.plainWait
 	entry := newEntry(h, options.Connections, h.lag)
 	h.closing = entry.closing
 	return &Manager{options: options, handler: h, entry: entry, connections: connections}
@@ -118,6 +119,7 @@
 	m.forgetDead(before, view)
 	m.handler.admission.loads.keep(view.Backends)
 	m.handler.admission.paces.keep(view.Backends)
+	m.handler.admission.plain.keep(view.Backends, boottime.Now())
 	m.handler.admission.closures.keep(view.Backends, boottime.Now())
 }
 
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -227,7 +227,7 @@
 		}
 		if search.ranking.weighted {
 			estimate := search.ranking.snapshot.Engine(backend.IncarnationHash)
-			engine.Rate, engine.Slowdown = estimate.Rate, estimate.Now/estimate.Usual
+			engine.Rate, engine.Slowdown = estimate.Rate, estimate.Slowdown()
 		}
 		return engine
 	}
--- a/internal/pace/snapshot.go
+++ b/internal/pace/snapshot.go
@@ -8,14 +8,14 @@
 
 const (
 	// priorSeconds is the weight of the service's rate in an engine's own, in seconds
-	// of reading.
-	priorSeconds = 0.5
+	// of reading. Kept parts and streams in progress make single figures differ widely.
+	priorSeconds = 5
 	// contradictionSeconds is the reading that must have been seen before it counts
 	// against what a server reports. Single requests say little.
-	contradictionSeconds = 3
+	contradictionSeconds = 5
 	// contradictionRatio is how many times slower or faster than reported an engine must
-	// be for that.
-	contradictionRatio = 2
+	// be for that. Below it, what an engine happens to get explains the difference.
+	contradictionRatio = 4
 )
 
 // Estimate is what is expected of a backend server.
@@ -43,6 +43,10 @@
 // Speed returns how fast the server usually works, 1 being an average machine.
 func (e Estimate) Speed() float64 { return 1 / e.Usual }
 
+// Slowdown returns how long work takes at the server at the moment, in parts of its
+// usual time, 1 if unknown.
+func (e Estimate) Slowdown() float64 { return e.Now / e.Usual }
+
 // Snapshot holds the estimates of a moment. It does not change.
 type Snapshot struct{ estimates map[uint32]Estimate }
 
