--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -5,6 +5,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/selection"
 )
 
 // The load that this file answers: callers of all availability zones ask for the same
@@ -20,8 +21,20 @@
 	hotInterval = 2 * time.Second
 	// intervalMemory is the weight of the past in that mean.
 	intervalMemory = 0.7
+	// nearSlots is the part of an engine's slots by which one of the own zone may be
+	// fuller than the engine that is chosen from all zones. Without a bound, the engines
+	// of a zone with more callers than others would be full, and slow, while those of
+	// other zones have room.
+	nearSlots = 0.1
 )
 
+// worthIt tells whether an engine of the own zone is taken in place of the one that is
+// chosen from all zones.
+func worthIt(near, any selection.Choice, target time.Duration) bool {
+	tolerated := time.Duration(float64(target) * nearReading)
+	return near.Good() && near.Wait <= any.Wait+tolerated && near.Occupied <= any.Occupied+nearSlots
+}
+
 // near returns the usable engines of this router's zone where the request is to be
 // placed there if they have room for it, nil otherwise.
 func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) []*knowledge.Backend {
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -64,6 +64,8 @@
 	Ahead  time.Duration // expected until the prompts ahead are read
 	Wait   time.Duration // expected until the first event
 	Fits   bool          // within all limits
+	// Occupied is the part of the engine's slots that are taken, 0 if unknown.
+	Occupied float64
 	// Prefill is the expected time to read the prompts ahead and this one at the
 	// engine's speed of the moment.
 	Prefill time.Duration
@@ -132,6 +134,9 @@
 	ahead := readingTime(engine.Pending, rate)
 	own := readingTime(tokens, rate)
 	choice := Choice{Place: place, Tokens: tokens, Before: engine.Pending, Ahead: ahead, Wait: ahead + own}
+	if engine.Slots > 0 {
+		choice.Occupied = float64(engine.Running) / float64(engine.Slots)
+	}
 	choice.Prefill = time.Duration(float64(choice.Wait) * max(engine.Slowdown, 1))
 	choice.Disrupts = disrupts(engine, choice.Prefill, limits)
 	// Elsewhere the request's own length does not count: with it, long prompts
