gate: count a broken connection as a crash only when its server went down

A broken connection now waits for a verdict. It counts when its server has shown no sign of life in 1.5 s and no router reports requests running there, or when the server refused a connection. Other routers are told of such crashes only. A request that would be refused if its pending breaks were crashes is held until the verdict.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -35,5 +35,6 @@
 	GateStoreCalls    = Event{2131, logrus.InfoLevel, "calls to the store of the last seconds"}
 	GatePeerTraffic   = Event{2132, logrus.InfoLevel, "bytes between routers of the last seconds"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
+	GateBreaksJudged  = Event{2135, logrus.InfoLevel, "broken connections to a backend server judged"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- /dev/null
+++ b/internal/gate/break_watch_test.go
@@ -0,0 +1,281 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// breakStart is when the tests of this file begin.
+const breakStart = boottime.Instant(1_000_000 * time.Second)
+
+func idle(string) bool { return false }
+func busy(string) bool { return true }
+
+// watchFor calls judge as a router does that is not disturbed, and returns the moment
+// reached and what was judged.
+func watchFor(w *breakWatch, from boottime.Instant, lasts time.Duration, runs func(string) bool) (boottime.Instant, []judgedBreaks) {
+	var judged []judgedBreaks
+	end := from.Add(lasts)
+	for now := from; now <= end; now = now.Add(judgeInterval) {
+		judged = append(judged, w.judge(now, runs)...)
+	}
+	return end, judged
+}
+
+// verdictOf returns the one verdict, "" for none.
+func verdictOf(t *testing.T, judged []judgedBreaks) breakVerdict {
+	t.Helper()
+	switch len(judged) {
+	case 0:
+		return ""
+	case 1:
+		return judged[0].verdict
+	}
+	t.Fatalf("judged %d times: %+v", len(judged), judged)
+	return ""
+}
+
+// A request would be convicted before its server had time to show that it lives, or a
+// crash would never count.
+func TestSilentServerCountsAsDownAfterItsTime(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart.Add(time.Millisecond))
+	now, early := watchFor(w, breakStart, 1400*time.Millisecond, idle)
+	if got := verdictOf(t, early); got != "" || w.pending(7) != 1 {
+		t.Errorf("%q within 1.4 s, %d pending", got, w.pending(7))
+	}
+	_, judged := watchFor(w, now, 300*time.Millisecond, idle)
+	if got := verdictOf(t, judged); got != breakServerDown || w.pending(7) != 0 {
+		t.Errorf("%q after 1.7 s, %d pending", got, w.pending(7))
+	}
+}
+
+// A router that sees little of a server's traffic would take its silence for a crash,
+// although other routers have requests there.
+func TestServerThatRunsRequestsOfOthersIsNotDown(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	if _, judged := watchFor(w, breakStart, 3*time.Second, busy); verdictOf(t, judged) != breakServerWentOn {
+		t.Errorf("%+v", judged)
+	}
+}
+
+// A crash would be missed because other routers' figures of the server are still those of
+// the time before it.
+func TestOldFiguresOfOthersDoNotHideACrash(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	now, judged := watchFor(w, breakStart, 2*time.Second, busy)
+	if verdictOf(t, judged) != "" {
+		t.Errorf("judged %+v while it is in doubt", judged)
+	}
+	if _, judged = watchFor(w, now, 200*time.Millisecond, idle); verdictOf(t, judged) != breakServerDown {
+		t.Errorf("%+v", judged)
+	}
+}
+
+// A crash would be missed because the server's successor answers under the old entry, or
+// figures of others are old, although nothing listened at the address.
+func TestRefusedConnectionOutweighsLaterAnswers(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	w.refused("a@1", breakStart.Add(100*time.Millisecond))
+	if judged := w.alive("a@1", breakStart.Add(time.Second), breakStart.Add(time.Second)); len(judged.prints) > 0 {
+		t.Errorf("judged %+v by its successor's answer", judged)
+	}
+	if _, judged := watchFor(w, breakStart, 1700*time.Millisecond, busy); verdictOf(t, judged) != breakServerDown {
+		t.Errorf("%+v", judged)
+	}
+}
+
+// A connection that was refused before the break says nothing of what came after it.
+func TestEarlierRefusalIsNoEvidence(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart.Add(-time.Second), breakStart)
+	w.refused("a@1", breakStart.Add(-time.Millisecond))
+	if judged := w.alive("a@1", breakStart.Add(time.Millisecond), breakStart.Add(time.Millisecond)); judged.verdict != breakServerWentOn || len(judged.prints) != 1 {
+		t.Errorf("%+v", judged)
+	}
+}
+
+// A crash would be missed because events that arrived before it are read after it.
+func TestDataOfTheTimeBeforeTheBreakIsNoSignOfLife(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	if judged := w.alive("a@1", breakStart.Add(-time.Second), breakStart); len(judged.prints) > 0 {
+		t.Errorf("judged at once: %+v", judged)
+	}
+	now, _ := watchFor(w, breakStart, 400*time.Millisecond, idle)
+	if judged := w.alive("a@1", breakStart.Add(-time.Second), now); len(judged.prints) != 1 {
+		t.Error("a stream that goes on is no sign of life")
+	}
+}
+
+// Symptom: requests are refused as crashing servers after a router was suspended.
+// Events: a connection breaks; the router stands still for longer than the time to the
+// verdict; the server goes on meanwhile.
+// Cause: the time in which the router could see nothing counted as silence.
+func TestPausedRouterConvictsNothingByItsOwnSilence(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	watchFor(w, breakStart, 500*time.Millisecond, idle)
+	resumed := breakStart.Add(10 * time.Second)
+	// What waited in connections of the time before may be older than the break, both
+	// before and after the first look.
+	if judged := w.alive("a@1", breakStart.Add(-time.Second), resumed); len(judged.prints) > 0 {
+		t.Errorf("judged by data that may be old: %+v", judged)
+	}
+	if judged := w.judge(resumed, idle); len(judged) > 0 {
+		t.Fatalf("judged on waking: %+v", judged)
+	}
+	if judged := w.alive("a@1", breakStart.Add(-time.Second), resumed); len(judged.prints) > 0 {
+		t.Errorf("judged by data that may be old: %+v", judged)
+	}
+	if judged := w.alive("a@1", resumed, resumed); judged.verdict != breakServerWentOn || len(judged.prints) != 1 {
+		t.Errorf("%+v after an answer", judged)
+	}
+}
+
+// A router that was suspended would never convict a request whose crash it has seen.
+func TestPausedRouterStillConvicts(t *testing.T) {
+	w := newBreakWatch()
+	w.broke("a@1", 7, breakStart, breakStart)
+	if _, judged := watchFor(w, breakStart.Add(10*time.Second), 1600*time.Millisecond, idle); verdictOf(t, judged) != breakServerDown {
+		t.Errorf("%+v", judged)
+	}
+}
+
+// One crash under several copies of a request would count as several.
+func TestCopiesThatBreakTogetherCountOnce(t *testing.T) {
+	w := newBreakWatch()
+	for range 3 {
+		w.broke("a@1", 7, breakStart, breakStart.Add(time.Millisecond))
+	}
+	if got := w.pending(7); got != 1 {
+		t.Errorf("%d pending breaks", got)
+	}
+	w.broke("a@1", 7, breakStart.Add(2*time.Millisecond), breakStart.Add(3*time.Millisecond))
+	w.broke("b@1", 7, breakStart, breakStart.Add(time.Millisecond))
+	if got := w.pending(7); got != 3 {
+		t.Errorf("%d pending breaks with a later one and one at another server", got)
+	}
+}
+
+// Other routers would hear of resets, and count them as crashes.
+func TestOnlyCrashesAreToldAndCounted(t *testing.T) {
+	logger := logrus.New()
+	logger.SetOutput(io.Discard)
+	registry := prometheus.NewRegistry()
+	h := &handler{
+		breaks:   newBreakWatch(),
+		suspects: newSuspects(),
+		metrics:  newMetrics(registry),
+		records:  newRecords(logger, knowledge.NewState(), nil),
+	}
+	m := &Manager{handler: h}
+	h.breaks.broke("a@1", 7, breakStart, breakStart)
+	h.breaks.broke("b@1", 8, breakStart, breakStart)
+	h.heard(&knowledge.Backend{Incarnation: "a@1"}, breakStart.Add(time.Second), breakStart.Add(time.Second))
+	if told := m.TakeBroken(); len(told) > 0 {
+		t.Errorf("%v told before any crash", told)
+	}
+	_, judged := watchFor(h.breaks, breakStart, 2*time.Second, idle)
+	for _, some := range judged {
+		h.applyVerdict(some)
+	}
+	if told := m.TakeBroken(); len(told) != 1 || told[0] != 8 {
+		t.Errorf("%v told, want the one whose server went down", told)
+	}
+	counted := resetsCounted(t, registry)
+	if len(counted) != 2 || counted[breakServerDown] != 1 || counted[breakServerWentOn] != 1 {
+		t.Errorf("counted %v", counted)
+	}
+}
+
+// resetsCounted returns the metric of broken connections by its verdicts.
+func resetsCounted(t *testing.T, registry *prometheus.Registry) map[breakVerdict]float64 {
+	t.Helper()
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted := make(map[breakVerdict]float64)
+	for _, family := range families {
+		if family.GetName() != "bluebellchute_gate_resets_total" {
+			continue
+		}
+		for _, metric := range family.GetMetric() {
+			counted[breakVerdict(metric.GetLabel()[0].GetValue())] = metric.GetCounter().GetValue()
+		}
+	}
+	return counted
+}
+
+// Breaks would gather without a bound, stay without a verdict or get two, or a server that
+// was seen to go on would convict.
+func TestEachBreakGetsOneVerdict(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newBreakWatch()
+		now := breakStart
+		added, judged := 0, 0
+		disproved := make(map[string]bool) // breaks whose server has answered since
+		count := func(some judgedBreaks) {
+			judged += len(some.prints)
+			for _, print := range some.prints {
+				if some.verdict == breakServerDown && disproved[fmt.Sprint(some.incarnation, print)] {
+					t.Fatalf("%d is convicted by %s, which answered after the break", print, some.incarnation)
+				}
+			}
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.Int64Range(1, int64(300*time.Millisecond)).Draw(t, "passes")))
+			incarnation := rapid.SampledFrom([]string{"a@1", "a@2", "b@1"}).Draw(t, "incarnation")
+			switch rapid.IntRange(0, 4).Draw(t, "what") {
+			case 0:
+				before := w.count.Load()
+				w.broke(incarnation, uint64(added), now-1, now)
+				added += int(w.count.Load() - before)
+			case 1:
+				for _, b := range w.servers[incarnation] {
+					if !b.refused && b.at < now {
+						disproved[fmt.Sprint(incarnation, b.print)] = true
+					}
+				}
+				count(w.alive(incarnation, now, now))
+			case 2:
+				w.refused(incarnation, now)
+			default:
+				runs := rapid.Bool().Draw(t, "runs")
+				for _, some := range w.judge(now, func(string) bool { return runs }) {
+					count(some)
+				}
+			}
+		}
+		_, rest := watchFor(w, now, breakDoubt+time.Second, busy)
+		for _, some := range rest {
+			count(some)
+		}
+		if judged != added || w.count.Load() != 0 || len(w.servers) != 0 || len(w.prints) != 0 {
+			t.Fatalf("%d of %d breaks were judged, %d are left", judged, added, w.count.Load())
+		}
+	})
+}
+
+func TestPendingBreaksAreBounded(t *testing.T) {
+	w := newBreakWatch()
+	for print := range uint64(3 * pendingMost) {
+		w.broke(fmt.Sprint("i-", print%50), print, breakStart, breakStart)
+	}
+	if got := w.count.Load(); got != pendingMost || len(w.prints) != pendingMost {
+		t.Errorf("%d are pending, of %d requests", got, len(w.prints))
+	}
+}
--- /dev/null
+++ b/internal/gate/breaks.go
@@ -0,0 +1,130 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+const (
+	// judgeInterval is the pause between two looks at pending breaks, half of
+	// breakStepMost, so that a late look loses no watched time.
+	judgeInterval = breakStepMost / 2
+	// holdInterval is the pause between two looks at the breaks of a held request.
+	holdInterval = 20 * time.Millisecond
+)
+
+// judgeBreaks gives broken connections their verdicts until the context ends.
+func (h *handler) judgeBreaks(ctx context.Context) error {
+	ticker := time.NewTicker(judgeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			h.judge(boottime.Now())
+		}
+	}
+}
+
+// judge gives the verdicts that are due, unless that was done a moment ago.
+func (h *handler) judge(now boottime.Instant) {
+	if !h.breaks.due(now) {
+		return
+	}
+	running := h.runningAtBroken()
+	for _, judged := range h.breaks.judge(now, func(incarnation string) bool { return running[incarnation] }) {
+		h.applyVerdict(judged)
+	}
+}
+
+// runningAtBroken returns the listed incarnations with pending breaks at which this router
+// or another has requests. A crash breaks all of them, and new ones can't be sent there.
+func (h *handler) runningAtBroken() map[string]bool {
+	broken := h.breaks.incarnations()
+	if len(broken) == 0 {
+		return nil
+	}
+	running := make(map[string]bool, len(broken))
+	for _, backend := range h.state.View().Backends {
+		if !broken[backend.Incarnation] {
+			continue
+		}
+		own, _ := h.admission.loads.get(backend.Incarnation)
+		others := h.admission.peers.Load(backend.IncarnationHash)
+		running[backend.Incarnation] = own.Running+others.Running > 0
+	}
+	return running
+}
+
+// applyVerdict counts breaks by their verdict, and those by crashes against their requests.
+func (h *handler) applyVerdict(judged judgedBreaks) {
+	if len(judged.prints) == 0 {
+		return
+	}
+	h.metrics.judged(judged.verdict, len(judged.prints))
+	h.records.judged(judged)
+	if judged.verdict != breakServerDown {
+		return
+	}
+	for _, print := range judged.prints {
+		h.suspects.broke(print)
+	}
+}
+
+// heard notes that data of a backend server's were read now, for a request that was sent
+// at the moment.
+func (h *handler) heard(backend *knowledge.Backend, sent, now boottime.Instant) {
+	h.applyVerdict(h.breaks.alive(backend.Incarnation, sent, now))
+}
+
+// noteRefusal notes a connection that a backend server refused, for a request that was
+// placed at the moment.
+func (h *handler) noteRefusal(backend *knowledge.Backend, placed boottime.Instant, err error) {
+	if errors.Is(err, syscall.ECONNREFUSED) && backendconn.ProgressOf(err) == backendconn.ProgressNone {
+		h.breaks.refused(backend.Incarnation, placed)
+	}
+}
+
+// awaitVerdicts holds a request back that will be refused if its pending breaks turn out
+// to be crashes: a caller that tries again at once would else break a server with each
+// try until the first verdict. It returns the refusal, nil to run the request.
+func (h *handler) awaitVerdicts(ctx context.Context, request *Request) *Refusal {
+	for {
+		convicted := h.suspects.count(request.Fingerprint)
+		if convicted >= breaksMost {
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: suspectRetry}
+		}
+		if convicted+h.breaks.pending(request.Fingerprint) < breaksMost {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return h.endOfHold(ctx, request)
+		case <-time.After(holdInterval):
+			h.judge(boottime.Now())
+		}
+	}
+}
+
+// endOfHold returns the refusal of a request that was held until its time ran out or its
+// caller left. It has not run.
+func (h *handler) endOfHold(ctx context.Context, request *Request) *Refusal {
+	refusal := &Refusal{
+		Status:     http.StatusServiceUnavailable,
+		Reason:     ReasonLate,
+		RetryAfter: h.admission.retryAfter(request),
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		refusal.Reason = ReasonCallerGone
+	}
+	return refusal
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -53,6 +53,7 @@
 	admission *admission
 	budget    *retryBudget
 	suspects  *suspects
+	breaks    *breakWatch
 	records   *records
 	metrics   *metrics
 	started   boottime.Instant
@@ -69,7 +70,8 @@
 //  1. identify: route, account, and whether what is known is young enough for them.
 //  2. lagMeter: whether the processor gets on; what goes beyond the shares is cut first.
 //  3. readBody: whether there is memory for the body.
-//  4. suspects: whether the request breaks backend servers.
+//  4. suspects: whether the request breaks backend servers. It waits where that turns on
+//     breaks whose verdict is pending.
 //  5. admission.place: the tier that the account's standing gives it, the backend
 //     servers that may take anything (not leaving, closed, evacuated, shunned, or cold
 //     with nothing left of their bound), and one among them within the tier's bounds.
@@ -167,8 +169,8 @@
 // serve sends an identified request to a backend server.
 func (h *handler) serve(ctx context.Context, w http.ResponseWriter, request *Request) {
 	h.budget.earn(request.Service)
-	if h.suspects.refused(request.Fingerprint) {
-		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: suspectRetry})
+	if refusal := h.awaitVerdicts(ctx, request); refusal != nil {
+		h.refuse(w, request, *refusal)
 		return
 	}
 	run := &run{handler: h, request: request, writer: w, excluded: make(map[string]bool)}
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -29,8 +29,8 @@
 	return hashed
 }
 
-// TakeBroken returns the fingerprints of requests that broke a backend server
-// here since the last call.
+// TakeBroken returns the fingerprints of requests that were found here, since the
+// last call, to have run at a backend server that went down.
 func (m *Manager) TakeBroken() []uint64 { return m.handler.suspects.takeFresh() }
 
 // SetUses takes the uses of another router.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -55,6 +55,7 @@
 		admission: admission,
 		budget:    newRetryBudget(settings, options.Peers),
 		suspects:  newSuspects(),
+		breaks:    newBreakWatch(),
 		records:   newRecords(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
 		metrics:   newMetrics(options.Registerer),
 		lag:       newLagMeter(options.Logger, options.Registerer),
@@ -78,6 +79,7 @@
 	group.Go(func() error { return m.follow(ctx) })
 	group.Go(func() error { return m.watchReadiness(ctx) })
 	group.Go(func() error { return m.handler.lag.run(ctx) })
+	group.Go(func() error { return m.handler.judgeBreaks(ctx) })
 	group.Go(func() error {
 		if err := m.entry.run(ctx, m.options.Callers); err != nil {
 			return err
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -12,6 +12,7 @@
 type metrics struct {
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	resets   *prometheus.CounterVec
 	first    prometheus.Histogram
 	zones    prometheus.Gauge // evacuated
 	era      prometheus.Gauge // of the store
@@ -27,6 +28,10 @@
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
 		}, []string{"status", "reason"}),
+		resets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebellchute_gate_resets_total",
+			Help: "Connections that broke while a request ran, by what became of the backend server.",
+		}, []string{"verdict"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "bluebell_gate_first_event_seconds",
 			Help:    "Time from a streamed request's arrival to its first event.",
@@ -41,7 +46,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.first, m.zones, m.era)
+	registerer.MustRegister(m.answers, m.refusals, m.resets, m.first, m.zones, m.era)
 	return m
 }
 
@@ -53,6 +58,10 @@
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
 }
 
+func (m *metrics) judged(verdict breakVerdict, count int) {
+	m.resets.WithLabelValues(string(verdict)).Add(float64(count))
+}
+
 func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
 
 func (m *metrics) storeEra(era uint64) { m.era.Set(float64(era)) }
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -164,6 +164,15 @@
 	r.write(r.failures, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "error": err.Error()})
 }
 
+// judged writes what broken connections at a backend server were found to mean.
+func (r *records) judged(judged judgedBreaks) {
+	r.write(r.failures, event.GateBreaksJudged, nil, logrus.Fields{
+		"incarnation": judged.incarnation,
+		"verdict":     judged.verdict,
+		"count":       len(judged.prints),
+	})
+}
+
 func (r *records) badAnswer(request *Request, backend *knowledge.Backend, status int) {
 	r.write(r.failures, event.GateBadAnswer, request, logrus.Fields{"backend": backend.ID, "status": status})
 }
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -47,6 +47,7 @@
 		n, err := answer.Read(buffer)
 		if n > 0 {
 			now := boottime.Now()
+			h.heard(placed.backend, sent, now)
 			if pace.note(now) {
 				h.admission.began(r.request, placed, now.Sub(sent))
 				h.metrics.firstEvent(now.Sub(r.request.Received))
@@ -67,7 +68,7 @@
 		}
 		if err != nil {
 			h.records.sendFailed(r.request, placed.backend, err)
-			r.brokenBy(ctx, placed)
+			r.brokenBy(ctx, placed, sent)
 			return verdictBroken
 		}
 	}
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -38,7 +38,7 @@
 	_, err := io.Copy(&body, io.LimitReader(answer, wholeMost))
 	if err != nil {
 		r.handler.records.sendFailed(r.request, placed.backend, err)
-		r.brokenBy(ctx, placed)
+		r.brokenBy(ctx, placed, sent)
 		return verdictBroken
 	}
 	took := boottime.Now().Sub(sent)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -152,12 +152,15 @@
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(ctx, placed, sent))
 	if err != nil {
-		return r.sendFailed(ctx, placed, err)
+		return r.sendFailed(ctx, placed, sent, err)
 	}
 	defer answer.Close()
 	r.sends++
 	reply := h.dialect.Reply(answer.Status, answer.Header)
 	h.heed(placed.backend, reply)
+	if !reply.Replaced {
+		h.heard(placed.backend, sent, boottime.Now())
+	}
 	if reply.Refused || reply.Replaced {
 		h.records.declined(r.request, placed.backend, answer.Status, reply.Replaced)
 		h.admission.ended(r.request, placed, false)
@@ -265,7 +268,7 @@
 	return id == "" || id == r.request.ID
 }
 
-func (r *run) sendFailed(ctx context.Context, placed *placement, err error) verdict {
+func (r *run) sendFailed(ctx context.Context, placed *placement, sent boottime.Instant, err error) verdict {
 	h := r.handler
 	unsent := backendconn.ProgressOf(err) == backendconn.ProgressNone
 	h.admission.ended(r.request, placed, !unsent)
@@ -273,6 +276,7 @@
 		return r.callerGone()
 	}
 	h.records.sendFailed(r.request, placed.backend, err)
+	h.noteRefusal(placed.backend, sent, err)
 	if unsent {
 		r.connects++
 		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) && !errors.Is(err, errClosed) {
@@ -283,16 +287,16 @@
 	}
 	r.sends++
 	r.ran = true
-	r.brokenBy(ctx, placed)
+	r.brokenBy(ctx, placed, sent)
 	return verdictBroken
 }
 
-// brokenBy notes that a backend server broke while it had the request, unless
-// the caller or the clock ended it.
-func (r *run) brokenBy(ctx context.Context, placed *placement) {
+// brokenBy notes that the connection to a backend server broke while it had the
+// request, unless the caller or the clock ended it.
+func (r *run) brokenBy(ctx context.Context, placed *placement, sent boottime.Instant) {
 	if ctx.Err() != nil {
 		return
 	}
-	r.handler.suspects.broke(r.request.Fingerprint)
+	r.handler.breaks.broke(placed.backend.Incarnation, r.request.Fingerprint, sent, boottime.Now())
 	r.handler.admission.loads.answered(placed.backend.Incarnation, false, 0)
 }
--- a/internal/gate/suspects.go
+++ b/internal/gate/suspects.go
@@ -36,14 +36,15 @@
 
 // suspect is a request during which backend servers broke.
 type suspect struct {
-	own    int                    // breaks seen here
+	own    int                    // crashes of backend servers seen here
 	others map[fleet.Address]bool // routers that have seen a break
 	last   boottime.Instant
 }
 
 // suspects remembers which requests were running when a backend server broke.
 // Without it a request that crashes each backend server that runs it is sent
-// again by its caller until none is left.
+// again by its caller until none is left. A broken connection counts once
+// breakWatch has found that its server went down.
 type suspects struct {
 	mu    sync.Mutex
 	known map[uint64]*suspect
@@ -52,7 +53,7 @@
 
 func newSuspects() *suspects { return &suspects{known: make(map[uint64]*suspect)} }
 
-// broke notes that a backend server broke while it ran the request.
+// broke notes that a backend server went down while it ran the request.
 func (s *suspects) broke(print uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -95,14 +96,17 @@
 }
 
 // refused tells whether the request has broken too many backend servers.
-func (s *suspects) refused(print uint64) bool {
+func (s *suspects) refused(print uint64) bool { return s.count(print) >= breaksMost }
+
+// count returns how many backend servers the request has broken.
+func (s *suspects) count(print uint64) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	known := s.known[print]
 	if known == nil || boottime.Now().Sub(known.last) > suspectLife {
-		return false
+		return 0
 	}
-	return known.own+len(known.others) >= breaksMost
+	return known.own + len(known.others)
 }
 
 // takeFresh returns what broke here since the last call.
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -35,8 +35,8 @@
 	Uses() map[fleet.Account]shares.Use
 	// Loads returns what runs at backend servers, by their incarnations' hashes.
 	Loads() map[uint32]gate.BackendLoad
-	// TakeBroken returns the fingerprints of requests that broke a backend
-	// server here since the last call.
+	// TakeBroken returns the fingerprints of requests that were found here, since
+	// the last call, to have run at a backend server that went down.
 	TakeBroken() []uint64
 	// SetUses takes the uses of another router.
 	SetUses(router fleet.Address, uses map[fleet.Account]shares.Use)
