gate: judge silent servers by reports over half a second instead of one look

A server with little to do is idle at a single look, and a request that is being refused by a crashed one shows as running there. Both would have decided a verdict. An entry that is gone or replaced by a later start decides at once.

--- a/internal/gate/break_watch.go
+++ b/internal/gate/break_watch.go
@@ -5,6 +5,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
@@ -12,10 +14,17 @@
 	// breakSilence is how long a backend server must show no sign of life after a broken
 	// connection before it counts as down.
 	breakSilence = 1500 * time.Millisecond
-	// breakDoubt is how long it must, while requests are reported as running there. A
-	// router sees only a part of the answers, and what others report of a server that
-	// has crashed is older than a second only when those routers have stopped.
+	// breakDoubt is that time where requests have been reported as running there. A router
+	// sees only a part of the answers, and what others report of a crashed server is more
+	// than a second old only when those routers have stopped.
 	breakDoubt = 2500 * time.Millisecond
+	// breakRecent is the last part of both times, in which reports count. In the first
+	// part they may be older than the crash.
+	breakRecent = 500 * time.Millisecond
+	// breakRanLeast is how much of breakRecent requests must be reported as running for
+	// the server to count as alive. A request that is just being refused a connection
+	// shows in one report, which holds for a round of beats, 100 ms.
+	breakRanLeast = 150 * time.Millisecond
 	// breakStepMost bounds the time between two calls of judge that counts as watched. A
 	// router that was suspended has seen no sign of life, whatever the server did.
 	breakStepMost = 200 * time.Millisecond
@@ -43,6 +52,8 @@
 	at      boottime.Instant // when it was noticed
 	watched time.Duration    // since then, suspensions excluded
 	steady  time.Duration    // part of it since the last suspension
+	ran     time.Duration    // part of breakRecent in which requests were reported there
+	doubted bool             // whether breakDoubt applies
 	refused bool             // whether the server refused a connection afterwards
 }
 
@@ -128,35 +139,36 @@
 }
 
 // incarnations returns those with pending breaks.
-func (w *breakWatch) incarnations() map[string]bool {
+func (w *breakWatch) incarnations() []string {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	broken := make(map[string]bool, len(w.servers))
-	for incarnation := range w.servers {
-		broken[incarnation] = true
-	}
-	return broken
+	return lo.Keys(w.servers)
 }
 
+// serverReport is what is known of an incarnation without its answers.
+type serverReport int
+
+const (
+	reportIdle     serverReport = iota // no router reports requests there
+	reportRunning                      // this router or another has requests there
+	reportUnlisted                     // its entry is gone, or replaced by a later start
+)
+
 // judge returns the breaks that get their verdict now. Time counts as watched only while
-// it is called at least once in breakStepMost. runs tells whether the incarnation is
-// listed and anything is reported as running there, by this router or another.
-func (w *breakWatch) judge(now boottime.Instant, runs func(incarnation string) bool) []judgedBreaks {
+// it is called at least once in breakStepMost.
+func (w *breakWatch) judge(now boottime.Instant, report func(incarnation string) serverReport) []judgedBreaks {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	step := now.Sub(w.last)
 	w.last = now
 	var judged []judgedBreaks
 	for incarnation, breaks := range w.servers {
-		running := runs(incarnation)
+		reported := report(incarnation)
 		for i := range breaks {
-			breaks[i].watch(step, now)
+			breaks[i].watch(step, now, reported == reportRunning)
 		}
-		down := w.settle(incarnation, breakServerDown, func(b *pendingBreak) bool {
-			return b.watched >= breakSilence && (b.refused || !running)
-		})
-		wentOn := w.settle(incarnation, breakServerWentOn, func(b *pendingBreak) bool { return b.watched >= breakDoubt })
-		for _, some := range []judgedBreaks{down, wentOn} {
+		for _, verdict := range []breakVerdict{breakServerDown, breakServerWentOn} {
+			some := w.settle(incarnation, verdict, func(b *pendingBreak) bool { return b.verdict(reported) == verdict })
 			if len(some.prints) > 0 {
 				judged = append(judged, some)
 			}
@@ -166,15 +178,44 @@
 }
 
 // watch counts the time since the last look, or since the break if that was later.
-func (b *pendingBreak) watch(step time.Duration, now boottime.Instant) {
+func (b *pendingBreak) watch(step time.Duration, now boottime.Instant, running bool) {
 	step = max(min(step, now.Sub(b.at)), 0)
-	if step > breakStepMost {
-		b.watched += breakStepMost
-		b.steady = 0
-		return
-	}
+	suspended := step > breakStepMost
+	step = min(step, breakStepMost)
 	b.watched += step
 	b.steady += step
+	if suspended {
+		b.steady = 0
+	}
+	if running && b.watched > b.limit()-breakRecent {
+		b.ran += step
+	}
+	if !b.doubted && b.ran > 0 && b.watched >= breakSilence {
+		b.doubted, b.ran = true, 0
+	}
+}
+
+// limit returns how long the server may show no sign of life.
+func (b *pendingBreak) limit() time.Duration {
+	if b.doubted {
+		return breakDoubt
+	}
+	return breakSilence
+}
+
+// verdict returns what the break means by now, "" while that is open.
+func (b *pendingBreak) verdict(reported serverReport) breakVerdict {
+	switch {
+	case b.watched < breakSilence:
+		return ""
+	case b.refused || reported == reportUnlisted:
+		return breakServerDown
+	case b.watched < b.limit():
+		return ""
+	case b.ran >= breakRanLeast:
+		return breakServerWentOn
+	}
+	return breakServerDown
 }
 
 // settle removes the breaks at a server to which the verdict applies and returns them.
--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -40,29 +40,36 @@
 	if !h.breaks.due(now) {
 		return
 	}
-	running := h.runningAtBroken()
-	for _, judged := range h.breaks.judge(now, func(incarnation string) bool { return running[incarnation] }) {
+	reports := h.reportsOfBroken()
+	for _, judged := range h.breaks.judge(now, func(incarnation string) serverReport { return reports[incarnation] }) {
 		h.applyVerdict(judged)
 	}
 }
 
-// runningAtBroken returns the listed incarnations with pending breaks at which this router
-// or another has requests. A crash breaks all of them, and new ones can't be sent there.
-func (h *handler) runningAtBroken() map[string]bool {
-	broken := h.breaks.incarnations()
-	if len(broken) == 0 {
-		return nil
+// reportsOfBroken returns what is known of the incarnations with pending breaks. A crash
+// breaks all requests there, and new ones can't be sent.
+func (h *handler) reportsOfBroken() map[string]serverReport {
+	reports := make(map[string]serverReport)
+	for _, incarnation := range h.breaks.incarnations() {
+		reports[incarnation] = reportUnlisted
+	}
+	if len(reports) == 0 {
+		return reports
 	}
-	running := make(map[string]bool, len(broken))
 	for _, backend := range h.state.View().Backends {
-		if !broken[backend.Incarnation] {
-			continue
+		if _, broken := reports[backend.Incarnation]; broken {
+			reports[backend.Incarnation] = h.reportOf(backend)
 		}
-		own, _ := h.admission.loads.get(backend.Incarnation)
-		others := h.admission.peers.Load(backend.IncarnationHash)
-		running[backend.Incarnation] = own.Running+others.Running > 0
 	}
-	return running
+	return reports
+}
+
+func (h *handler) reportOf(backend *knowledge.Backend) serverReport {
+	own, _ := h.admission.loads.get(backend.Incarnation)
+	if own.Running+h.admission.peers.Load(backend.IncarnationHash).Running > 0 {
+		return reportRunning
+	}
+	return reportIdle
 }
 
 // applyVerdict counts breaks by their verdict, and those by crashes against their requests.
