gate: count only the half second before a verdict, not the look after it

One request being refused at each of two looks half a second apart could make a crashed server count as alive.

--- a/internal/gate/break_watch.go
+++ b/internal/gate/break_watch.go
@@ -187,8 +187,10 @@
 	if suspended {
 		b.steady = 0
 	}
-	if running && b.watched > b.limit()-breakRecent {
-		b.ran += step
+	if running {
+		// Only the part of the step that lies in breakRecent counts.
+		limit := b.limit()
+		b.ran += max(min(b.watched, limit)-max(b.watched-step, limit-breakRecent), 0)
 	}
 	if !b.doubted && b.ran > 0 && b.watched >= breakSilence {
 		b.doubted, b.ran = true, 0
