--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -37,5 +37,6 @@
 	GateEnginePace    = Event{2133, logrus.InfoLevel, "pace of a backend server has changed"}
 	GateConnections   = Event{2134, logrus.InfoLevel, "connections to backend servers opened in the last seconds"}
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
+	GateBreaksJudged  = Event{2135, logrus.InfoLevel, "broken connections to a backend server judged"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -16,6 +16,7 @@
 	refusals *prometheus.CounterVec
 	placed   *prometheus.CounterVec
 	disrupts *prometheus.CounterVec
+	resets   *prometheus.CounterVec
 	first    prometheus.Histogram
 	plain    *prometheus.GaugeVec // expected wait by service
 	zones    prometheus.Gauge     // evacuated
@@ -40,6 +41,10 @@
 			Name: "bluebell_gate_disruptive_total",
 			Help: "Prompts that would have made streams in progress pause for too long at their homes: moved to another engine, sent all the same or refused.",
 		}, []string{"outcome"}),
+		resets: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_resets_total",
+			Help: "Connections that broke while a request ran, by what became of the backend server.",
+		}, []string{"verdict"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "bluebell_gate_first_event_seconds",
 			Help:    "Time from a streamed request's arrival to its first event.",
@@ -58,7 +63,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.first, m.plain, m.zones, m.era)
+	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.resets, m.first, m.plain, m.zones, m.era)
 	return m
 }
 
@@ -100,6 +105,10 @@
 	m.plain.WithLabelValues(string(service)).Set(wait.Seconds())
 }
 
+func (m *metrics) judged(verdict breakVerdict, count int) {
+	m.resets.WithLabelValues(string(verdict)).Add(float64(count))
+}
+
 func (m *metrics) evacuated(zones int) { m.zones.Set(float64(zones)) }
 
 func (m *metrics) storeEra(era uint64) { m.era.Set(float64(era)) }
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -39,8 +39,8 @@
 	// Paces returns what this router has seen of how fast backend servers work, by their
 	// incarnations' hashes. It is nil if it has seen nothing.
 	Paces() map[uint32]pace.Observation
-	// TakeBroken returns the fingerprints of requests that broke a backend
-	// server here since the last call.
+	// TakeBroken returns the fingerprints of requests that were found here, since
+	// the last call, to have run at a backend server that went down.
 	TakeBroken() []uint64
 	// SetUses takes the uses of another router.
 	SetUses(router fleet.Address, uses map[fleet.Account]shares.Use)
