bluebellctl engines: how fast the engines work, as a router knows it

Operators had no way to tell a slow engine from a busy one. The command asks one router by Operation.Status and lists the engines, the slowest first.

--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -61,6 +61,7 @@
 		{"rollout", "Wait until a revision is in force at all nodes", &rollout{}},
 		{"status", "Show the nodes of the fleet", &status{}},
 		{"drain", "Let a backend server take no new work", &drain{}},
+		{"engines", "Show how fast the engines work, as a router knows it", &engineList{}},
 		{"losses", "Tell from routers' logs what callers asked, were owed and got", &lossesCommand{}},
 		{"explain", "Print one request's records, with what its routers believed", &explain{}},
 	}
--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -64,24 +64,34 @@
 
 // reports asks the routers that are named or that the store lists.
 func (o routerOptions) reports(ctx context.Context, s *session) ([]routerReport, error) {
+	reports, err := o.list(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	askRouters(ctx, reports)
+	return reports, nil
+}
+
+// list returns the routers that are named or that the store lists, not yet asked.
+func (o routerOptions) list(ctx context.Context, s *session) ([]routerReport, error) {
 	var reports []routerReport
 	for _, address := range o.Routers {
 		reports = append(reports, routerReport{Router: fleet.Address(address)})
 	}
-	if len(reports) == 0 {
-		store, err := s.store()
-		if err != nil {
-			return nil, err
-		}
-		entries, err := store.Routers(ctx)
-		if err != nil {
-			return nil, errors.WithMessage(err, "listing the routers; --router names them in an outage of the store")
-		}
-		for _, entry := range entries {
-			reports = append(reports, routerReport{Router: entry.Address, VM: entry.VM, Zone: entry.Zone})
-		}
+	if len(reports) > 0 {
+		return reports, nil
+	}
+	store, err := s.store()
+	if err != nil {
+		return nil, err
+	}
+	entries, err := store.Routers(ctx)
+	if err != nil {
+		return nil, errors.WithMessage(err, "listing the routers; --router names them in an outage of the store")
+	}
+	for _, entry := range entries {
+		reports = append(reports, routerReport{Router: entry.Address, VM: entry.VM, Zone: entry.Zone})
 	}
-	askRouters(ctx, reports)
 	return reports, nil
 }
 
--- a/internal/ctl/routers_test.go
+++ b/internal/ctl/routers_test.go
@@ -20,6 +20,7 @@
 	mu      sync.Mutex
 	drained bool
 	orders  int
+	engines []*peeringpb.EnginePace
 }
 
 func (r *fakeRouter) Status(context.Context, *peeringpb.StatusRequest) (*peeringpb.StatusReply, error) {
@@ -29,6 +30,7 @@
 		Vm: "vm-1", Zone: "z1", Version: 7, ConfigAge: 4e8, Backends: 3, Running: 2, Follows: true,
 		Evacuated: []string{"z2", "z9"},
 		Uses:      []*peeringpb.AccountUse{{Account: "small", Asked: 10, Got: 10}, {Account: "large", Asked: 900, Got: 300}},
+		Engines:   r.engines,
 	}
 	if r.drained {
 		reply.NotReady = "drained by an operator"
--- a/internal/ctl/session.go
+++ b/internal/ctl/session.go
@@ -17,7 +17,7 @@
 type globalOptions struct {
 	Config   string        `long:"config" value-name:"FILE" env:"BLUEBELL_CONFIG" description:"INI file with [platform] address and [control] token."`
 	Platform string        `long:"platform" value-name:"IP:PORT" env:"BLUEBELL_PLATFORM" description:"Address of the platform's object API; goes before the file."`
-	Store    string        `long:"store" value-name:"IP:PORT" env:"BLUEBELL_STORE" description:"Address of the platform's store; for router commands and account uses."`
+	Store    string        `long:"store" value-name:"IP:PORT" env:"BLUEBELL_STORE" description:"Address of the platform's store; for router commands, engines and account uses."`
 	Token    string        `long:"token" env:"BLUEBELL_TOKEN" description:"Secret that the nodes share; goes before the file."`
 	Output   string        `long:"output" choice:"table" choice:"json" default:"table" description:"Tables for people, JSON for scripts."`
 	Timeout  time.Duration `long:"timeout" default:"15s" description:"Give up after this time."`
