--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -19,6 +19,11 @@
 	judgeInterval = breakStepMost / 2
 	// holdInterval is the pause between two looks at the breaks of a held request.
 	holdInterval = 20 * time.Millisecond
+	// holdMost is how long a request is held. A server that lives and streams to other
+	// holdMost is how long a request is held. A server that lives and streams to other
+	// callers shows it sooner, as breakMargin and two looks have passed by then; for a
+	// later verdict the caller comes back.
+	holdMost = 500 * time.Millisecond
 )
 
 // judgeBreaks gives broken connections their verdicts until the context ends.
@@ -101,10 +106,12 @@
 	}
 }
 
-// awaitVerdicts holds a request back that will be refused if its pending breaks turn out
-// to be crashes: a caller that tries again at once would else break a server with each
-// try until the first verdict. It returns the refusal, nil to run the request.
+// awaitVerdicts holds a request back for a moment that will be refused if its pending
+// breaks turn out to be crashes: a caller that tries again at once would else break a
+// server with each try until the first verdict. It returns the refusal, nil to run the
+// request.
 func (h *handler) awaitVerdicts(ctx context.Context, request *Request) *Refusal {
+	until := boottime.Now().Add(holdMost)
 	for {
 		convicted := h.suspects.count(request.Fingerprint)
 		if convicted >= breaksMost {
@@ -113,6 +120,9 @@
 		if convicted+h.breaks.pending(request.Fingerprint) < breaksMost {
 			return nil
 		}
+		if boottime.Now() >= until {
+			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: breakSilence}
+		}
 		select {
 		case <-ctx.Done():
 			return h.endOfHold(ctx, request)
