Idle connections to backend servers are used until shortly before their stated timeout

Cause: connections were given up at 0.7 of the ten seconds that servers state; records of opened connections show that most idle ones were missed at 7 to 12 s. Of long timeouts half a second is left out now.

--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -15,8 +15,11 @@
 
 const (
 	// statedIdleShare is the part of a stated idle timeout for which a
-	// connection is used again. The rest covers the time on the way.
+	// connection is used again at least. The rest covers the time on the way.
 	statedIdleShare = 0.7
+	// idleMargin is the part of a long stated timeout that is left unused: the peer's
+	// time began when it had sent its answer, which may have waited here to be read.
+	idleMargin = 500 * time.Millisecond
 	// unstatedIdle is how long a connection is used again whose peer states no
 	// timeout. Timeouts below a second can't be stated.
 	unstatedIdle = 700 * time.Millisecond
@@ -222,15 +225,20 @@
 	}
 }
 
+// idleLife returns for how long an idle connection is used again whose peer states the
+// idle timeout, 0 for none.
+func idleLife(stated time.Duration) time.Duration {
+	if stated <= 0 {
+		return unstatedIdle
+	}
+	return max(time.Duration(float64(stated)*statedIdleShare), stated-idleMargin)
+}
+
 // put keeps a connection whose answer has been read to its end. stated is the
 // idle timeout that the backend server named, 0 for none.
 func (p *Pool) put(address fleet.Address, c *conn, stated time.Duration) {
-	life := unstatedIdle
-	if stated > 0 {
-		life = time.Duration(float64(stated) * statedIdleShare)
-	}
 	c.idleSince, c.stated = boottime.Now(), stated
-	c.usableUntil = c.idleSince.Add(life)
+	c.usableUntil = c.idleSince.Add(idleLife(stated))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
--- a/internal/backendconn/reason_test.go
+++ b/internal/backendconn/reason_test.go
@@ -245,3 +245,17 @@
 	mustExchange(t, pool, server.address, "3")
 	seen.check(t, ReasonFirst, ReasonExpired)
 }
+
+// Guards against connections that are given up while their server would still take
+// requests on them, and against ones that are used until the very end of their time.
+func TestStatedIdleTimeoutIsUsedButForAMargin(t *testing.T) {
+	for stated, want := range map[time.Duration]time.Duration{
+		time.Second:      700 * time.Millisecond,
+		10 * time.Second: 9500 * time.Millisecond,
+		0:                unstatedIdle,
+	} {
+		if got := idleLife(stated); got != want {
+			t.Errorf("stated %v: used for %v, want %v", stated, got, want)
+		}
+	}
+}
