--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -20,7 +20,6 @@
 	// holdInterval is the pause between two looks at the breaks of a held request.
 	holdInterval = 20 * time.Millisecond
 	// holdMost is how long a request is held. A server that lives and streams to other
-	// holdMost is how long a request is held. A server that lives and streams to other
 	// callers shows it sooner, as breakMargin and two looks have passed by then; for a
 	// later verdict the caller comes back.
 	holdMost = 500 * time.Millisecond
--- a/internal/policy/plain.go
+++ b/internal/policy/plain.go
@@ -2,21 +2,21 @@
 
 import "time"
 
-// The load that this file answers: callers ask plain servers for two or three
-// times what these can do. What has been sent waits there in the order of arrival
-// and can't be taken back, so without a bound every answer is late.
+// Admission control for overloaded plain services. A request that has been sent waits
+// at its server in the order of arrival and can't be withdrawn, so without a bound on
+// the wait every answer is late.
 
 const (
 	// plainTargetShare is the part of a route's target latency within which an
-	// answer is expected. The rest is for what other routers have sent meanwhile,
-	// of which this one hears 0.1 to 0.3 s later.
+	// answer is expected. The rest is for requests that other routers have sent and
+	// not yet reported.
 	plainTargetShare = 0.8
 	// plainReadShare is the part of the budget that a request has which may run
 	// twice: its caller can safely try again.
 	plainReadShare = 0.5
 	// plainTie is the part of the target latency by which the expected times of
 	// answers may differ and still count as equal. Routers that all chose the
-	// least busy server by figures 0.2 s old would all send to the same one.
+	// least busy server by the same outdated reports would all send to that one.
 	plainTie = 0.2
 	// plainJitter bounds the random part of the time to come back.
 	plainJitter = 0.25
--- a/internal/policy/plainload.go
+++ b/internal/policy/plainload.go
@@ -7,14 +7,14 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
-// The load that this file answers: many routers send to a few plain servers and
-// hear of each other's requests 0.2 s late, in which time such a server ends three
-// rounds of its slots. Routers that go by what they hear all send while a server
-// seems free and all stop after it is full.
+// Estimate of the requests at plain servers that many routers share. Routers report
+// their requests to each other with a delay of several service times. If they went by
+// these reports alone, all would send while a server seems free and all would stop
+// once it is full.
 
 const (
-	// plainLoadLife is how long the averages remember. It is ten times the delay
-	// at which routers hear of each other's requests.
+	// plainLoadLife is the time constant of the averages. It is a multiple of the delay
+	// of other routers' reports, so that the delay hardly changes the averages.
 	plainLoadLife = 2 * time.Second
 	// plainCrowded is the average part of the slots in use from which what is
 	// heard says too little of what is there now.
@@ -50,8 +50,8 @@
 // Expect notes what is seen and returns how many requests are expected at the
 // server. dither is a random number in [0, 1): a router whose part is not a whole
 // number of requests rounds it up now and then, the less often the more crowded the
-// server is: a whole dither at any crowding refuses many requests that a server which
-// is just full could take, and a small one lets in too many at a crowded one.
+// server is: a full dither at any load refuses many requests that a server which is
+// just full could take, and a small one admits too many to a crowded one.
 func (l *PlainLoad) Expect(seen PlainSeen, dither float64, now boottime.Instant) int {
 	heard := seen.Own + seen.Others
 	weight := 1 - math.Exp(-now.Sub(l.noted).Seconds()/plainLoadLife.Seconds())
--- a/internal/policy/servicetime.go
+++ b/internal/policy/servicetime.go
@@ -6,9 +6,8 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
-// The load that this file answers: plain servers turn slow, or answer errors at
-// once, and their answers take longer while requests wait there that the router
-// has not heard of.
+// Service times of plain servers. Servers turn slow or answer errors at once, and their
+// answers take longer while requests of which the router has not heard wait there.
 
 const (
 	// serviceTimeFirst is how many answers count by the shortest. A router that
