--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -79,9 +79,9 @@
 // refuses it. The choice and the count are one step, so that requests which come
 // together do not all take the same free slot.
 func (a *admission) placeBounded(request *Request, view *knowledge.View, usable []*knowledge.Backend) (*placement, *Refusal) {
-	now := boottime.Now()
 	a.plain.mu.Lock()
 	defer a.plain.mu.Unlock()
+	now := boottime.Now() // under the lock, so that moments follow each other
 	servers, heard := a.lookPlain(usable, now)
 	choice := a.policy().Plain(policy.PlainRequest{
 		Target:     request.Route.TargetLatency,
--- a/internal/policy/plainload.go
+++ b/internal/policy/plainload.go
@@ -54,6 +54,7 @@
 // just full could take, and a small one admits too many to a crowded one.
 func (l *PlainLoad) Expect(seen PlainSeen, dither float64, now boottime.Instant) int {
 	heard := seen.Own + seen.Others
+	now = max(now, l.noted) // the weight of an earlier moment would be negative
 	weight := 1 - math.Exp(-now.Sub(l.noted).Seconds()/plainLoadLife.Seconds())
 	l.noted = now
 	l.own += (float64(seen.Own) - l.own) * weight
--- a/internal/policy/servicetime_test.go
+++ b/internal/policy/servicetime_test.go
@@ -109,3 +109,21 @@
 		t.Errorf("%d expected, want about 80", got)
 	}
 }
+
+// Guards against averages that become negative when a request is decided by a moment
+// before that of the last one, as it was suspended before it got the lock.
+func TestEarlierMomentLeavesTheAveragesAlone(t *testing.T) {
+	var load PlainLoad
+	now := boottime.Instant(time.Hour)
+	seen := PlainSeen{Own: 2, Others: 38, Slots: 6, Routers: 20}
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		load.Expect(seen, 0, now)
+	}
+	seen.Own = 4
+	for _, moment := range []boottime.Instant{now.Add(-10 * time.Second), now} {
+		if got := load.Expect(seen, 0, moment); got < 76 || got > 80 {
+			t.Errorf("%d expected %v before, want about 80", got, now.Sub(moment))
+		}
+	}
+}
