--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -143,6 +143,11 @@
 	}
 }
 
+// failedCountMost bounds how long a failed request counts at its server. breakWatch takes
+// requests reported in breakRecent for a sign of life, so those that a crash has ended must
+// not be reported then.
+const failedCountMost = breakSilence - breakRecent
+
 // leavePlain counts a request out at its plain server. One that ran and failed sooner
 // than its answer was due counts until then, here and at the other routers.
 func (a *admission) leavePlain(placed *placement, ran bool) {
@@ -156,7 +161,7 @@
 		leave()
 		return
 	}
-	time.AfterFunc(rest, leave)
+	time.AfterFunc(min(rest, failedCountMost), leave)
 }
 
 // keep forgets plain servers that are no longer listed.
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -139,3 +139,23 @@
 		t.Error("the switch is not taken")
 	}
 }
+
+// Guards against requests that a crash has ended, and that still count at their server,
+// being taken for a sign that it lives: the request that crashed it would never be refused.
+func TestFailedPlainRequestsDoNotHideACrash(t *testing.T) {
+	m := plainGate(t, PlainSettings{Admission: true}, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for _, backend := range m.handler.state.View().Backends {
+		state := m.handler.admission.plain.state(backend.Incarnation, boottime.Now())
+		state.work.Note(&policy.PlainSent{Rounds: 1}, 10*time.Second)
+	}
+	askPlain(m)
+	var told []uint64
+	for ends := time.Now().Add(breakDoubt + time.Second); len(told) == 0 && time.Now().Before(ends); {
+		time.Sleep(judgeInterval)
+		m.handler.judge(boottime.Now())
+		told = m.TakeBroken()
+	}
+	if len(told) != 1 {
+		t.Errorf("%d requests were found to have crashed the server, want 1", len(told))
+	}
+}
