--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"syscall"
 	"time"
@@ -111,12 +112,15 @@
 // request.
 func (h *handler) awaitVerdicts(ctx context.Context, request *Request) *Refusal {
 	until := boottime.Now().Add(holdMost)
-	for {
+	for held := false; ; held = true {
 		convicted := h.suspects.count(request.Fingerprint)
 		if convicted >= breaksMost {
 			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: suspectRetry}
 		}
 		if convicted+h.breaks.pending(request.Fingerprint) < breaksMost {
+			if held {
+				return h.identifyAgain(request)
+			}
 			return nil
 		}
 		if boottime.Now() >= until {
@@ -131,6 +135,13 @@
 	}
 }
 
+// identifyAgain returns the refusal of a request that was held, nil to run it: its key may
+// have been withdrawn meanwhile, or what is known may have become too old for it.
+func (h *handler) identifyAgain(request *Request) *Refusal {
+	again := *request
+	return identify(&again, h.state.View(), h.settings.get().Freshness, rand.Float64())
+}
+
 // endOfHold returns the refusal of a request that was held until its time ran out or its
 // caller left. It has not run.
 func (h *handler) endOfHold(ctx context.Context, request *Request) *Refusal {
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -159,3 +159,46 @@
 		t.Errorf("%d requests were found to have crashed the server, want 1", len(told))
 	}
 }
+
+// Guards against a request with a withdrawn key being sent because it was held back, for
+// the sake of pending breaks, when the key was withdrawn.
+func TestHeldRequestLosesItsWithdrawnKey(t *testing.T) {
+	var arrived atomic.Int32
+	m := plainGate(t, PlainSettings{}, func(http.ResponseWriter, *http.Request) { arrived.Add(1) })
+	configure := func(version uint64, keys ...string) {
+		m.handler.state.SetConfiguration(&knowledge.Configuration{
+			Version: version, Keyed: true,
+			Routes: []knowledge.Route{{
+				Name: "commit", PathPrefix: "/", Host: "h", Repeat: knowledge.RepeatNever, Timeout: 3 * time.Second,
+				Destinations: []knowledge.Destination{{Service: "s", Weight: 1}},
+			}},
+			Accounts: []knowledge.Account{{Name: "kitchen", Keys: keys}},
+		}, boottime.Now())
+	}
+	for _, test := range []struct {
+		after  string
+		status int
+	}{{"key", http.StatusOK}, {"other", http.StatusUnauthorized}} {
+		configure(m.handler.state.View().Version()+1, "key")
+		request := &Request{Method: http.MethodGet, URI: "/x", Path: "/x", Host: "h", Key: "key", Header: http.Header{}, Received: boottime.Now()}
+		if refusal := identify(request, m.handler.state.View(), m.handler.settings.get().Freshness, 0); refusal != nil {
+			t.Fatal(refusal)
+		}
+		for _, incarnation := range []string{"a@1", "b@1"} {
+			m.handler.breaks.broke(incarnation, request.Fingerprint, request.Received, boottime.Now())
+		}
+		time.AfterFunc(holdInterval, func() {
+			configure(m.handler.state.View().Version()+1, test.after)
+			m.handler.breaks.alive("a@1", boottime.Now(), boottime.Now())
+			m.handler.breaks.alive("b@1", boottime.Now(), boottime.Now())
+		})
+		recorder := httptest.NewRecorder()
+		m.handler.serve(t.Context(), recorder, request)
+		if recorder.Code != test.status {
+			t.Errorf("status %d with %q valid after the hold, want %d", recorder.Code, test.after, test.status)
+		}
+	}
+	if got := arrived.Load(); got != 1 {
+		t.Errorf("%d requests were sent, want the one whose key is valid", got)
+	}
+}
