--- a/internal/gate/suspects.go
+++ b/internal/gate/suspects.go
@@ -37,7 +37,7 @@
 // suspect is a request during which backend servers broke.
 type suspect struct {
 	own    int                    // crashes of backend servers seen here
-	others map[fleet.Address]bool // routers that have seen a break
+	others map[fleet.Address]bool // routers that have seen a crash
 	last   boottime.Instant
 }
 
