--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -187,7 +187,7 @@
 		for _, incarnation := range []string{"a@1", "b@1"} {
 			m.handler.breaks.broke(incarnation, request.Fingerprint, request.Received, boottime.Now())
 		}
-		time.AfterFunc(holdInterval, func() {
+		time.AfterFunc(holdMost/2, func() {
 			configure(m.handler.state.View().Version()+1, test.after)
 			m.handler.breaks.alive("a@1", boottime.Now(), boottime.Now())
 			m.handler.breaks.alive("b@1", boottime.Now(), boottime.Now())
