--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -79,9 +79,9 @@
 // refuses it. The choice and the count are one step, so that requests which come
 // together do not all take the same free slot.
 func (a *admission) placeBounded(request *Request, view *knowledge.View, usable []*knowledge.Backend) (*placement, *Refusal) {
-	now := boottime.Now()
 	a.plain.mu.Lock()
 	defer a.plain.mu.Unlock()
+	now := boottime.Now() // under the lock, so that moments follow each other
 	servers, heard := a.lookPlain(usable, now)
 	choice := a.policy().Plain(policy.PlainRequest{
 		Target:     request.Route.TargetLatency,
@@ -143,6 +143,11 @@
 	}
 }
 
+// failedCountMost bounds how long a failed request counts at its server. breakWatch takes
+// requests reported in breakRecent for a sign of life, so those that a crash has ended must
+// not be reported then.
+const failedCountMost = breakSilence - breakRecent
+
 // leavePlain counts a request out at its plain server. One that ran and failed sooner
 // than its answer was due counts until then, here and at the other routers.
 func (a *admission) leavePlain(placed *placement, ran bool) {
@@ -156,7 +161,7 @@
 		leave()
 		return
 	}
-	time.AfterFunc(rest, leave)
+	time.AfterFunc(min(rest, failedCountMost), leave)
 }
 
 // keep forgets plain servers that are no longer listed.
