--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -97,6 +97,7 @@
 	Fetch            bool    `key:"fetch" default:"true" doc:"Let engines fetch kept prompt parts from each other."`
 	SecondPenalty    float64 `key:"second_penalty" default:"2" min:"0" max:"100" doc:"What reading the shared parts counts at an engine that does not keep them."`
 	RetryShare       float64 `key:"retry_share" default:"0.35" min:"0.01" max:"1" doc:"Part of a route's target latency after which refused callers are told to come back."`
+	RetrySpread      float64 `key:"retry_spread" default:"0" min:"0" max:"0.9" doc:"Part of that time by which it is shortened or lengthened, so that callers do not come back together; accounts that had least come first."`
 }
 
 // EnginesSection holds what is made of the differences between backend servers.
@@ -202,5 +203,6 @@
 		Fetch:            s.Fetch,
 		SecondPenalty:    s.SecondPenalty,
 		RetryShare:       s.RetryShare,
+		RetrySpread:      s.RetrySpread,
 	}
 }
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -42,9 +42,7 @@
 	case !choice.Fits:
 		return nil, a.refuseModel(request, tier, inputs)
 	case !search.protection.Allows(choice):
-		refusal := a.refuse(request, ReasonDisruptive)
-		refusal.Inputs = inputs
-		return nil, refusal
+		return nil, a.refuseInTurn(request, ReasonDisruptive, inputs)
 	}
 	placed := &placement{
 		backend: backend,
@@ -174,7 +172,13 @@
 	if tier == policy.TierIdle {
 		reason = ReasonShare
 	}
+	return a.refuseInTurn(request, reason, inputs)
+}
+
+// refuseInTurn refuses a request for want of room.
+func (a *admission) refuseInTurn(request *Request, reason Reason, inputs Inputs) *Refusal {
 	refusal := a.refuse(request, reason)
+	refusal.RetryAfter = a.policy().RetryInTurn(request.Route.TargetLatency, inputs.Standing, rand.Float64())
 	refusal.Inputs = inputs
 	return refusal
 }
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -66,15 +66,9 @@
 	// callers are told to come back. Their time counts from their first try,
 	// so what is left must suffice for an answer.
 	RetryShare float64
-}
-
-// leastRetry is the shortest time to come back: below it, callers would come
-// back before anything has changed.
-const leastRetry = 50 * time.Millisecond
-
-// RetryAfter returns the time to come back for a request that has not run.
-func (s *Settings) RetryAfter(target time.Duration) time.Duration {
-	return max(share(target, s.RetryShare), leastRetry)
+	// RetrySpread is the part of that time by which it is shortened and lengthened; see
+	// RetryInTurn. 0 tells all the same.
+	RetrySpread float64
 }
 
 // share returns a part of the time.
