peering: merge paces without holding the table's lock

Each router merges what all others reported ten times a second. With 350 routers and 630 engines this takes milliseconds, during which requests waited for the loads of engines.

--- a/internal/peering/paces.go
+++ b/internal/peering/paces.go
@@ -81,18 +81,29 @@
 	return p.usual
 }
 
-// Paces implements gate.Peers.
+// Paces implements gate.Peers. It merges without holding the lock: requests wait for it,
+// and the routers of a large fleet report on hundreds of servers each.
 func (t *table) Paces(now boottime.Instant) map[uint32]pace.Observation {
+	total := newPaces(now)
+	for _, reported := range t.reportedPaces(now) {
+		total.add(reported, now)
+	}
+	return total.merged()
+}
+
+// reportedPaces returns what each router that is heard reported, and the sums of other
+// zones. Their maps are replaced as a whole, never changed, so they may be read without
+// the lock.
+func (t *table) reportedPaces(now boottime.Instant) []paces {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	total := newPaces(now)
+	reported := make([]paces, 0, len(t.peers)+1)
 	for _, peer := range t.peers {
 		if t.hears(peer, now) {
-			total.add(peer.use.paces, now)
+			reported = append(reported, peer.use.paces)
 		}
 	}
-	total.add(t.otherPaces, now)
-	return total.merged()
+	return append(reported, t.otherPaces)
 }
 
 // pacesDue tells whether the beats of a round to targets that have their turn in so many
--- a/internal/peering/paces_test.go
+++ b/internal/peering/paces_test.go
@@ -238,3 +238,48 @@
 		t.Errorf("%v, want %v", status.Engines, want)
 	}
 }
+
+// reportingZone is a table that hears so many routers of its zone, each of which
+// reports on all engines.
+func reportingZone(routers, engines int, now boottime.Instant) *table {
+	t := newTable("10.0.0.1:1", "a")
+	for i := range routers {
+		usual := make(map[uint32]pace.Observation, engines)
+		for engine := range engines {
+			usual[uint32(engine)*2654435761] = pace.Observation{Usual: 1, ReadTokens: 100, ReadSeconds: 1, Streams: 3}
+		}
+		reported := use{paces: paces{usual: usual, at: now.Add(-time.Second)}, at: now}
+		t.peers[fleet.Address(fmt.Sprint("10.0.0.2:", i))] = &peer{zone: "a", heard: now, use: reported}
+	}
+	return t
+}
+
+// Guards against requests that wait for the load of an engine while what all routers
+// reported of paces is merged.
+func TestLoadsCanBeReadWhilePacesAreMerged(t *testing.T) {
+	now := boottime.Now()
+	table := reportingZone(100, 600, now)
+	merged := make(chan struct{})
+	go func() {
+		defer close(merged)
+		for range 20 {
+			table.Paces(now)
+		}
+	}()
+	looks, blocked := 0, 0
+	for done := false; !done; looks++ {
+		select {
+		case <-merged:
+			done = true
+		case <-time.After(100 * time.Microsecond):
+		}
+		if !table.mu.TryLock() {
+			blocked++
+			continue
+		}
+		table.mu.Unlock()
+	}
+	if blocked > looks/2 {
+		t.Errorf("the table was locked at %d of %d looks", blocked, looks)
+	}
+}
