--- a/internal/gate/paces.go
+++ b/internal/gate/paces.go
@@ -16,8 +16,9 @@
 	// figures for each request would cost more than the decision.
 	paceInterval = 100 * time.Millisecond
 	// paceStale is the age from which requests wait for a new snapshot, as after a pause
-	// of the process, instead of going by the last one while another request builds it.
-	paceStale = time.Second
+	// of the process, instead of going by the last one while the next one is built. It is
+	// no longer than a reported work time stands for the current one.
+	paceStale = 400 * time.Millisecond
 	// serviceSeconds is the reading that must have been seen of a service before its
 	// rate is compared with single engines'.
 	serviceSeconds = 3
@@ -141,8 +142,9 @@
 // noPaces are those of a gate in which they are switched off.
 var noPaces = &builtPaces{snapshot: &pace.Snapshot{}}
 
-// current returns the snapshot of the moment and builds it if it is due. It is read
-// without locks.
+// current returns the snapshot of the moment. One that is due is built in the background,
+// as merging what the routers of a large fleet report takes milliseconds; requests wait
+// for it only while the last one is too old to go by.
 func (p *paces) current() *builtPaces {
 	if !p.enabled() {
 		return noPaces
@@ -153,14 +155,24 @@
 		return built
 	}
 	if built.fresh(now, paceStale) {
-		if !p.building.TryLock() {
-			return built
+		if p.building.TryLock() {
+			go func() {
+				defer p.building.Unlock()
+				p.refresh(now)
+			}()
 		}
-	} else {
-		p.building.Lock()
+		return built
 	}
+	p.building.Lock()
 	defer p.building.Unlock()
-	if built = p.built.Load(); built.fresh(now, paceInterval) {
+	return p.refresh(now)
+}
+
+// refresh returns the snapshot of the moment and builds it if no one else has meanwhile.
+// Its caller holds the lock for building.
+func (p *paces) refresh(now boottime.Instant) *builtPaces {
+	built := p.built.Load()
+	if built.fresh(now, paceInterval) {
 		return built
 	}
 	built = p.build(now)
--- a/internal/gate/paces_test.go
+++ b/internal/gate/paces_test.go
@@ -55,8 +55,12 @@
 	f.due()
 }
 
-// due lets the next look build a snapshot.
-func (f *pacedFleet) due() { f.paces.built.Store(nil) }
+// due lets the next look build a snapshot, after one that is being built.
+func (f *pacedFleet) due() {
+	f.paces.building.Lock()
+	defer f.paces.building.Unlock()
+	f.paces.built.Store(nil)
+}
 
 // begins lets a request begin at an engine after the time.
 func (f *pacedFleet) begins(backend *knowledge.Backend, tokens float64, took time.Duration) {
@@ -161,6 +165,58 @@
 	}
 }
 
+// slowPeers is a fleet that takes long to tell of paces.
+type slowPeers struct {
+	noPeers
+	asked, told chan struct{}
+}
+
+func (p *slowPeers) Paces(boottime.Instant) map[uint32]pace.Observation {
+	p.asked <- struct{}{}
+	<-p.told
+	return nil
+}
+
+// Guards against requests that wait while a snapshot is built, which takes milliseconds
+// in large fleets, and against two builds at once.
+func TestRequestsDoNotWaitForASnapshot(t *testing.T) {
+	peers := &slowPeers{asked: make(chan struct{}, 2), told: make(chan struct{})}
+	p := newPaces(newCurrentSettings(Settings{Engines: EngineSettings{Pace: true}}), newLoads(), peers)
+	last := &builtPaces{snapshot: &pace.Snapshot{}, at: boottime.Now().Add(-paceInterval)}
+	p.built.Store(last)
+	looked := make(chan *builtPaces)
+	for range 2 {
+		go func() { looked <- p.current() }()
+	}
+	for range 2 {
+		select {
+		case built := <-looked:
+			if built != last && last.fresh(boottime.Now(), paceStale) {
+				t.Error("a request did not go by the last snapshot")
+			}
+		case <-time.After(2 * time.Second):
+			t.Fatal("a request waits for the snapshot")
+		}
+	}
+	<-peers.asked
+	close(peers.told)
+	p.building.Lock()
+	defer p.building.Unlock()
+	if p.built.Load() == last || len(peers.asked) != 0 {
+		t.Errorf("no snapshot was built, or %d more than one", len(peers.asked))
+	}
+}
+
+// Guards against a router that goes by paces from before a pause of its process.
+func TestRequestsWaitWhileTheSnapshotIsOld(t *testing.T) {
+	f := newPacedFleet(t, true)
+	f.peers.paces = map[uint32]pace.Observation{f.slow.IncarnationHash: {Usual: 3}}
+	f.paces.built.Store(&builtPaces{snapshot: &pace.Snapshot{}, at: boottime.Now().Add(-paceStale)})
+	if got := f.paces.engine(f.slow.IncarnationHash); got.Usual != 3 {
+		t.Errorf("%+v", got)
+	}
+}
+
 // Guards against routers that go by their own few answers alone.
 func TestOtherRoutersPacesCount(t *testing.T) {
 	f := newPacedFleet(t, true)
