gate: weigh lists of single requests by those of the view

While an engine is shunned, closed, cold or excluded, the list of usable engines is built for each request. Each of these lists was weighed anew under the lock of the list cache, and held by it until 64 of them had displaced the lists of the view. Their weights are now drawn from those of the view's list. A benchmark covers placement with paces known, with and without a shunned engine.

--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -17,7 +17,8 @@
 	if len(excluded)+len(view.Absent)+len(shunned)+len(closed) == 0 {
 		return serving
 	}
-	var sound, last []*knowledge.Backend
+	sound := make([]*knowledge.Backend, 0, len(serving))
+	var last []*knowledge.Backend
 	for _, backend := range serving {
 		if excluded[backend.ID] || closed[backend.Incarnation] != 0 {
 			continue
--- a/internal/gate/holder.go
+++ b/internal/gate/holder.go
@@ -94,7 +94,7 @@
 // does, nil if that is the chosen one or the prompt has no such part.
 func firstHome(search *modelSearch, chosen *knowledge.Backend) *knowledge.Backend {
 	parts := search.request.Prompt.Parts
-	serving := search.view.Serving[search.request.Service]
+	serving := search.serving()
 	if len(parts) < 3 || len(serving) == 0 {
 		return nil
 	}
--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -47,5 +47,8 @@
 	if !cheap && !hot {
 		return nil
 	}
+	if !sameList(usable, search.serving()) {
+		return inZone(usable, a.zone)
+	}
 	return a.lists.inZone(usable, a.zone)
 }
--- a/internal/gate/place_bench_test.go
+++ b/internal/gate/place_bench_test.go
@@ -8,6 +8,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
 )
@@ -16,11 +17,18 @@
 var sizes = []struct{ backends, routers, accounts int }{{10, 5, 16}, {45, 24, 16}, {630, 350, 1700}}
 
 // benchAdmission returns an admission that knows a fleet of the size with the load
-// at each backend server, and a request of one of its accounts.
+// at each backend server, and a request of one of its accounts. All backend servers are
+// in its availability zone.
 func benchAdmission(backends, routers, accounts int, load BackendLoad) (*admission, *knowledge.View, *Request) {
+	return benchAdmissionInZones(backends, routers, accounts, load, []fleet.Zone{"z"})
+}
+
+// benchAdmissionInZones is like benchAdmission with backend servers in so many
+// availability zones, of which the first one is its own.
+func benchAdmissionInZones(backends, routers, accounts int, load BackendLoad, zones []fleet.Zone) (*admission, *knowledge.View, *Request) {
 	configuration := &knowledge.Configuration{
 		Version:  1,
-		Routes:   []knowledge.Route{{PathPrefix: "/", TargetLatency: time.Second, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}}},
+		Routes:   []knowledge.Route{{PathPrefix: "/", TargetLatency: time.Second, TargetGap: 300 * time.Millisecond, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}}},
 		Services: []knowledge.ServiceSettings{{Name: "s", KVCapacity: 300_000, Fetches: true}},
 		Limits:   knowledge.Limits{TokensPerSecond: 50_000 * float64(backends)},
 	}
@@ -31,11 +39,11 @@
 	state.SetConfiguration(configuration, boottime.Now())
 	listed := make([]knowledge.Backend, backends)
 	for i := range listed {
-		listed[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: fleet.Address(fmt.Sprint("10.0.0.1:", i+1)), Slots: 64, Zone: "z"}
+		listed[i] = knowledge.Backend{ID: fmt.Sprint("i-", i), Service: "s", Address: fleet.Address(fmt.Sprint("10.0.0.1:", i+1)), Slots: 64, Zone: zones[i%len(zones)]}
 	}
 	state.SetBackends(listed, knowledge.Position{Revision: 1}, boottime.Now())
 	settings := newCurrentSettings(Settings{Admission: policy.Defaults()})
-	a := newAdmission(settings, "z", fleetOf(routers))
+	a := newAdmission(settings, zones[0], fleetOf(routers))
 	for router := range routers - 1 {
 		uses := make(map[fleet.Account]shares.Use)
 		for i := range min(accounts, 40) {
@@ -79,5 +87,47 @@
 	}
 }
 
+// BenchmarkPlaceModelByPace is BenchmarkPlaceModel with the settings of section [engines]
+// switched on, where all engines report a work time. shunned has one engine that gets
+// no requests, so that the list of usable engines is built for each request.
+func BenchmarkPlaceModelByPace(b *testing.B) {
+	for _, size := range sizes {
+		for name, load := range map[string]BackendLoad{"room": {Running: 3, Pending: 400}, "full": {Running: 64, Pending: 400}, "shunned": {Running: 3, Pending: 400}} {
+			b.Run(fmt.Sprintf("%d-%s", size.backends, name), func(b *testing.B) {
+				a, view, request := benchAdmissionInZones(size.backends, size.routers, size.accounts, load, []fleet.Zone{"z", "y", "x"})
+				reportWorkTimes(a, view)
+				if name == "shunned" {
+					a.loads.shunned[view.Backends["i-1"].Incarnation] = boottime.Now().Add(time.Hour)
+				}
+				b.ReportAllocs()
+				for b.Loop() {
+					a.asked(request)
+					placed, refusal := a.place(request, view, nil)
+					if refusal == nil {
+						a.ended(request, placed, false)
+					}
+				}
+			})
+		}
+	}
+}
+
+// reportWorkTimes switches the settings of section [engines] on and lets each backend
+// server report a work time, a quarter of them one of fast machines.
+func reportWorkTimes(a *admission, view *knowledge.View) {
+	settings := *a.settings.get()
+	settings.Engines = EngineSettings{Pace: true, OwnZoneFirst: true}
+	settings.Admission.GapShare = 0.7
+	a.settings.set(settings)
+	a.paces.keep(view.Backends)
+	for i, backend := range view.Serving["s"] {
+		workTime := 1.2
+		if i%4 == 0 {
+			workTime = 0.55
+		}
+		a.paces.heed(backend, Reply{Load: pace.Report{Slots: backend.Slots, WorkTime: workTime}}, boottime.Now())
+	}
+}
+
 // fleetOf is a fleet of so many routers.
 func fleetOf(count int) Peers { return routers(count) }
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -98,25 +98,37 @@
 // be one, and what it finds there. One of the router's own availability zone comes first
 // for some requests, where it has as much room as any other.
 func (a *admission) choose(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) (*knowledge.Backend, selection.Choice) {
-	backend, choice := a.chooseAmong(search, usable)
+	// While some engines get no requests, the list is built for each one.
+	drawn := !sameList(usable, search.serving())
+	backend, choice := a.chooseAmong(search, usable, drawn)
 	if backend.Zone == a.zone {
 		return backend, choice
 	}
 	if near := a.near(search, usable, now); len(near) > 0 {
-		if closer, found := a.chooseAmong(search, near); worthIt(found, choice, search.request.Route.TargetLatency) {
+		if closer, found := a.chooseAmong(search, near, drawn); worthIt(found, choice, search.request.Route.TargetLatency) {
 			return closer, found
 		}
 	}
 	return backend, choice
 }
 
-func (a *admission) chooseAmong(search *modelSearch, usable []*knowledge.Backend) (*knowledge.Backend, selection.Choice) {
-	ranked := search.ranking.rank(usable, search.part, search.protection.Engines(search.bounds))
+// chooseAmong chooses an engine of a list that is kept, or drawn from those that serve.
+func (a *admission) chooseAmong(search *modelSearch, usable []*knowledge.Backend, drawn bool) (*knowledge.Backend, selection.Choice) {
+	most := search.protection.Engines(search.bounds)
+	var ranked []int
+	if drawn {
+		ranked = search.ranking.rankDrawn(usable, search.serving(), search.part, most)
+	} else {
+		ranked = search.ranking.rank(usable, search.part, most)
+	}
 	engine := a.engines(search, usable, ranked)
 	choice := selection.Model(len(ranked), engine, search.demand, search.limits)
 	return usable[ranked[choice.Place]], choice
 }
 
+// serving returns the engines of the service that get requests, as the view lists them.
+func (s *modelSearch) serving() []*knowledge.Backend { return s.view.Serving[s.request.Service] }
+
 // inputs returns what decided on the place of the request.
 func (s *modelSearch) inputs(backend *knowledge.Backend, choice selection.Choice) Inputs {
 	return Inputs{
--- a/internal/gate/ranking.go
+++ b/internal/gate/ranking.go
@@ -30,6 +30,36 @@
 	return selection.RankWeighted(list, idHash, r.cache.weights(list, r), selection.Key(part), most)
 }
 
+// rankDrawn is like rank for a list that was drawn from a kept one, in its order.
+func (r ranking) rankDrawn(list, kept []*knowledge.Backend, part string, most int) []int {
+	if !r.weighted {
+		return r.rank(list, part, most)
+	}
+	weights, ok := drawWeights(list, kept, r.cache.weights(kept, r))
+	if !ok {
+		weights = r.weigh(list)
+	}
+	return selection.RankWeighted(list, idHash, weights, selection.Key(part), most)
+}
+
+// drawWeights returns the weights of the engines of a list that was drawn from a kept
+// one, given those of the kept one. It returns false if the list has other engines or
+// another order.
+func drawWeights(list, kept []*knowledge.Backend, weights []float64) ([]float64, bool) {
+	drawn := make([]float64, 0, len(list))
+	for i, backend := range kept {
+		if len(drawn) < len(list) && list[len(drawn)] == backend {
+			drawn = append(drawn, weights[i])
+		}
+	}
+	return drawn, len(drawn) == len(list)
+}
+
+// sameList tells whether both are one list.
+func sameList(a, b []*knowledge.Backend) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // weigh returns the weights of the engines in the order of the list.
 func (r ranking) weigh(list []*knowledge.Backend) []float64 {
 	return lo.Map(list, func(backend *knowledge.Backend, _ int) float64 {
@@ -37,12 +67,13 @@
 	})
 }
 
-// listCacheMost bounds the cached lists. Each view has two for each service, and each
-// request that was sent before has one of its own.
+// listCacheMost bounds the cached lists. Each view has a few for each service.
 const listCacheMost = 64
 
 // listCache keeps what follows from whole lists of engines, so that requests do not work
-// it out for hundreds of engines each. Its methods may be called concurrently.
+// it out for hundreds of engines each. It is for the lists of views, and those that it
+// returns: lists that are built for single requests would fill it and never be found
+// again. Its methods may be called concurrently.
 type listCache struct {
 	mu       sync.Mutex
 	snapshot *pace.Snapshot
@@ -105,7 +136,12 @@
 	if known := c.near[&list[0]]; len(known.list) == len(list) {
 		return known.near
 	}
-	near := lo.Filter(list, func(backend *knowledge.Backend, _ int) bool { return backend.Zone == zone })
+	near := inZone(list, zone)
 	c.near[&list[0]] = nearList{list: list, near: near}
 	return near
 }
+
+// inZone returns the engines of the list that stand in the availability zone.
+func inZone(list []*knowledge.Backend, zone fleet.Zone) []*knowledge.Backend {
+	return lo.Filter(list, func(backend *knowledge.Backend, _ int) bool { return backend.Zone == zone })
+}
