--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -40,14 +40,14 @@
 }
 
 // near returns the usable engines of this router's zone where the request is to be
-// placed there if they have room for it, nil otherwise.
-func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) []*knowledge.Backend {
+// placed there if they have room for it, nil otherwise. hot tells that its part is asked
+// for often.
+func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, hot bool) []*knowledge.Backend {
 	if !a.settings.get().Engines.OwnZoneFirst {
 		return nil
 	}
 	reading := time.Duration(search.demand.Shared / max(search.limits.Rate, 1) * float64(time.Second))
 	cheap := float64(reading) <= float64(search.request.Route.TargetLatency)*nearReading
-	hot := a.kept.asked(search.part, now) // counts the request, also where it is cheap
 	if !cheap && !hot {
 		return nil
 	}
@@ -56,3 +56,8 @@
 	}
 	return a.lists.inZone(usable, a.zone)
 }
+
+// hot counts a request for the part and tells whether it is asked for often.
+func (a *admission) hot(part string, now boottime.Instant) bool {
+	return a.settings.get().Engines.OwnZoneFirst && a.kept.asked(part, now)
+}
--- a/internal/gate/near_test.go
+++ b/internal/gate/near_test.go
@@ -113,3 +113,17 @@
 		t.Error("an engine of the own zone is taken that makes the request wait")
 	}
 }
+
+// Guards against parts that count as asked seldom because some of their requests find
+// room at homes in the own zone.
+func TestRequestsPlacedInTheOwnZoneCountAsAsked(t *testing.T) {
+	f := newZonedFleet(true)
+	for part := range 20 {
+		for range 3 {
+			f.ended(f.request, f.place(t, part), true)
+		}
+		if !f.kept.asked(f.request.Prompt.SharedPart(), boottime.Now()) {
+			t.Errorf("part %d does not count as asked often", part)
+		}
+	}
+}
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -98,13 +98,14 @@
 // be one, and what it finds there. One of the router's own availability zone comes first
 // for some requests, where it has as much room as any other.
 func (a *admission) choose(search *modelSearch, usable []*knowledge.Backend, now boottime.Instant) (*knowledge.Backend, selection.Choice) {
+	hot := a.hot(search.part, now) // counts the request, wherever it is placed
 	// While some engines get no requests, the list is built for each one.
 	drawn := !sameList(usable, search.serving())
 	backend, choice := a.chooseAmong(search, usable, drawn)
 	if backend.Zone == a.zone {
 		return backend, choice
 	}
-	if near := a.near(search, usable, now); len(near) > 0 {
+	if near := a.near(search, usable, hot); len(near) > 0 {
 		if closer, found := a.chooseAmong(search, near, drawn); worthIt(found, choice, search.request.Route.TargetLatency) {
 			return closer, found
 		}
