--- a/internal/gate/keptparts.go
+++ b/internal/gate/keptparts.go
@@ -18,9 +18,8 @@
 // this router. The order of a part's key alone does not tell that: when its first
 // home was full, the part is at the second, or further on.
 //
-// Without it, the first home reads anew what the second one keeps. Shared prompt
-// tokens read again under high load at 117 engines: 3.55 million without it, 2.9
-// million with it. It may be used concurrently.
+// Without it, the first home reads anew what the second one keeps, most of all under
+// high load. It may be used concurrently.
 type keptParts struct {
 	engines *lru.Cache[string, keeper] // by the part's id
 
--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -31,12 +31,12 @@
 // worthIt tells whether an engine of the own zone is taken in place of the one that is
 // chosen from all zones. It is, whatever the wait, where that one would refuse the request
 // or disrupt streams.
-func worthIt(near, any selection.Choice, target time.Duration) bool {
-	if !near.Good() || !any.Good() {
+func worthIt(near, elsewhere selection.Choice, target time.Duration) bool {
+	if !near.Good() || !elsewhere.Good() {
 		return near.Good()
 	}
 	tolerated := time.Duration(float64(target) * nearReading)
-	return near.Wait <= any.Wait+tolerated && near.Occupied <= any.Occupied+nearSlots
+	return near.Wait <= elsewhere.Wait+tolerated && near.Occupied <= elsewhere.Occupied+nearSlots
 }
 
 // near returns the usable engines of this router's zone where the request is to be
--- a/internal/gate/near_test.go
+++ b/internal/gate/near_test.go
@@ -101,11 +101,11 @@
 // those that its part prefers in all zones are full, and have less to read.
 func TestOwnZoneTakesWhatNoOtherEngineTakes(t *testing.T) {
 	near := selection.Choice{Fits: true, Wait: 200 * time.Millisecond, Occupied: 0.5}
-	for name, any := range map[string]selection.Choice{
+	for name, elsewhere := range map[string]selection.Choice{
 		"full":       {Wait: 100 * time.Millisecond, Occupied: 1},
 		"disruptive": {Fits: true, Disrupts: true, Wait: 100 * time.Millisecond, Occupied: 0.3},
 	} {
-		if !worthIt(near, any, time.Second) {
+		if !worthIt(near, elsewhere, time.Second) {
 			t.Errorf("the engine of the own zone is left out where the other one is %s", name)
 		}
 	}
--- a/internal/gate/place_bench_test.go
+++ b/internal/gate/place_bench_test.go
@@ -64,11 +64,9 @@
 	return a, view, request
 }
 
-// Microseconds a decision at 10, 45 and 630 backend servers: 5.2, 10.9 and 195 when
-// each request listed all engines and added up all routers; 2.0, 2.6 and 10.4 since
-// it looks at two candidates and at sums that are added up every 50 ms. With all
-// engines full, when up to eight are looked at: 2.2, 2.5 and 5.9 (refusing is less
-// work than placing).
+// BenchmarkPlaceModel is a decision at fleets of several sizes, with room at all engines
+// and with all of them full. It must not grow with the number of routers, and hardly with
+// that of engines: it looks at few candidates and at sums that are kept up to date.
 func BenchmarkPlaceModel(b *testing.B) {
 	for _, size := range sizes {
 		for name, load := range map[string]BackendLoad{"room": {Running: 3, Pending: 400}, "full": {Running: 64, Pending: 400}} {
--- a/internal/pace/doc.go
+++ b/internal/pace/doc.go
@@ -1,6 +1,6 @@
-// Package pace knows how fast each backend server works: what the server tells with
-// its answers, and what routers see of it. It is pure: moments are handed to it.
+// Package pace estimates how fast each backend server works, by what the server reports
+// with its answers and by what routers observe. It reads no clock: callers pass the time.
 //
-// Servers of one service differ, and share their machines with others. A router that
-// takes them for alike fills the slow ones and leaves the fast ones half empty.
+// Servers of one service differ in speed and share their machines with others. A router
+// that treats them alike overloads the slow ones while the fast ones have room.
 package pace
--- a/internal/pace/table.go
+++ b/internal/pace/table.go
@@ -44,15 +44,15 @@
 		known = &seen{began: now, sumsAt: now}
 		t.servers[server] = known
 	}
-	known.turn(now)
+	known.rotate(now)
 	known.least = leastKnown(known.least, report.WorkTime)
 	if now >= known.newestAt {
 		known.newest, known.newestAt = report.WorkTime, now
 	}
 }
 
-// turn begins new windows until the moment is in the one in progress.
-func (s *seen) turn(now boottime.Instant) {
+// rotate begins new windows until the moment is in the one in progress.
+func (s *seen) rotate(now boottime.Instant) {
 	passed := now.Sub(s.began)
 	if passed < window {
 		return
@@ -66,7 +66,7 @@
 
 // usual returns the least work time told in the two windows, 0 if none was told.
 func (s *seen) usual(now boottime.Instant) float64 {
-	s.turn(now)
+	s.rotate(now)
 	return leastKnown(s.least, s.before)
 }
 
--- a/internal/peering/control_bench_test.go
+++ b/internal/peering/control_bench_test.go
@@ -86,8 +86,7 @@
 
 // BenchmarkFleetSecondWithPaces is what a router sends in a second, on average over 24
 // routers with 43 engines whose paces are not known, known, or known with a tenth of the
-// engines in a slow phase. KB to the own zone: 38.6, 47.7 and 50.7; to other zones: 6.7,
-// 7.3 and 7.4.
+// engines in a slow phase.
 func BenchmarkFleetSecondWithPaces(b *testing.B) {
 	const zones, perZone, engines, perSecond = 3, 8, 43, int(time.Second / beatInterval)
 	for _, told := range []string{"no paces", "paces", "paces and slowed"} {
@@ -118,8 +117,8 @@
 	}
 }
 
-// BenchmarkMergePaces is what a router spends on one snapshot of what all others told:
-// 83 microseconds, and 3.1 milliseconds in a zone of 72 routers with 640 engines.
+// BenchmarkMergePaces is what a router spends on one snapshot of what all others
+// reported, ten times a second.
 func BenchmarkMergePaces(b *testing.B) {
 	for _, size := range []struct{ routers, engines int }{{24, 43}, {72, 640}} {
 		b.Run(fmt.Sprintf("%d routers, %d engines", size.routers, size.engines), func(b *testing.B) {
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -44,9 +44,8 @@
 	// does not prefer, in parts of reading them.
 	//
 	// It is more than 1: the parts take room at both engines then, and a fetch
-	// finds nothing while the first one still reads them. The choice is
-	// flat: under high load 8,411, 6,572 and 11,698 requests are in time with 1 at
-	// three fleets, 8,357, 6,586 and 11,664 with 2.
+	// finds nothing while the first one still reads them. Results hardly differ
+	// between 1 and 2.
 	SecondPenalty float64
 	// Gap bounds how long an engine may read prompts while it streams to others; 0 for
 	// no bound. See disrupts.
