--- a/internal/gate/near_test.go
+++ b/internal/gate/near_test.go
@@ -20,8 +20,12 @@
 
 // newZonedFleet returns one whose router gives parts homes in its own zone if told to.
 func newZonedFleet(ownZoneFirst bool) *zonedFleet {
+	return newFleetInZones(ownZoneFirst, []fleet.Zone{"z", "y", "x"})
+}
+
+func newFleetInZones(ownZoneFirst bool, zones []fleet.Zone) *zonedFleet {
 	f := &zonedFleet{}
-	f.admission, f.view, f.request = benchAdmissionInZones(30, 1, 4, BackendLoad{Running: 3}, []fleet.Zone{"z", "y", "x"})
+	f.admission, f.view, f.request = benchAdmissionInZones(30, 1, 4, BackendLoad{Running: 3}, zones)
 	f.request.Account = nil
 	settings := *f.settings.get()
 	settings.Engines.OwnZoneFirst = ownZoneFirst
@@ -114,6 +118,29 @@
 	}
 }
 
+// Guards against refusals while an engine of the own zone has room: also where the engine
+// that would refuse the request stands in the own zone.
+func TestLastEngineWithRoomIsFoundInTheOwnZone(t *testing.T) {
+	zones := make([]fleet.Zone, 15) // two engines in each
+	for i := range zones {
+		zones[i] = fleet.Zone(fmt.Sprint("z", i))
+	}
+	f := newFleetInZones(true, zones)
+	const withRoom = "i-15"
+	for id, backend := range f.view.Backends {
+		if id != withRoom {
+			f.loads.begin(backend.Incarnation, BackendLoad{Running: backend.Slots})
+		}
+	}
+	for part := range 200 {
+		placed := f.place(t, part)
+		if placed.backend.ID != withRoom {
+			t.Fatalf("part %d is placed at %s, which is full", part, placed.backend.ID)
+		}
+		f.ended(f.request, placed, true)
+	}
+}
+
 // Guards against parts that count as asked seldom because some of their requests find
 // room at homes in the own zone.
 func TestRequestsPlacedInTheOwnZoneCountAsAsked(t *testing.T) {
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -102,7 +102,7 @@
 	// While some engines get no requests, the list is built for each one.
 	drawn := !sameList(usable, search.serving())
 	backend, choice := a.chooseAmong(search, usable, drawn)
-	if backend.Zone == a.zone {
+	if backend.Zone == a.zone && choice.Good() {
 		return backend, choice
 	}
 	if near := a.near(search, usable, hot); len(near) > 0 {
