--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -99,21 +99,21 @@
 	hot := a.hot(search.part, now) // counts the request, wherever it is placed
 	// While some engines get no requests, the list is built for each one.
 	drawn := !sameList(usable, search.serving())
-	backend, choice := a.chooseAmong(search, usable, drawn)
+	backend, choice := a.chooseAmong(search, usable, drawn, search.protection.Engines(search.bounds))
 	if backend.Zone == a.zone && choice.Good() {
 		return backend, choice
 	}
 	if near := a.near(search, usable, hot); len(near) > 0 {
-		if closer, found := a.chooseAmong(search, near, drawn); worthIt(found, choice, search.request.Route.TargetLatency) {
+		if closer, found := a.chooseAmong(search, near, drawn, selection.Homes); worthIt(found, choice, search.request.Route.TargetLatency) {
 			return closer, found
 		}
 	}
 	return backend, choice
 }
 
-// chooseAmong chooses an engine of a list that is kept, or drawn from those that serve.
-func (a *admission) chooseAmong(search *modelSearch, usable []*knowledge.Backend, drawn bool) (*knowledge.Backend, selection.Choice) {
-	most := search.protection.Engines(search.bounds)
+// chooseAmong chooses among the first engines of a list that is kept, or drawn from those
+// that serve.
+func (a *admission) chooseAmong(search *modelSearch, usable []*knowledge.Backend, drawn bool, most int) (*knowledge.Backend, selection.Choice) {
 	var ranked []int
 	if drawn {
 		ranked = search.ranking.rankDrawn(usable, search.serving(), search.part, most)
@@ -249,6 +249,9 @@
 		if search.ranking.weighted {
 			estimate := search.ranking.snapshot.Engine(backend.IncarnationHash)
 			engine.Rate, engine.Slowdown = estimate.Rate, estimate.Slowdown()
+			if engine.Rate == 0 { // too little has been read yet to know the service's rate
+				engine.Rate = search.limits.Rate * estimate.Speed()
+			}
 		}
 		return engine
 	}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -57,9 +57,6 @@
 			r.giveUp(ctx, *refusal)
 			return
 		}
-		if placed.model {
-			r.handler.metrics.placedModel(placed, r.handler.admission.zone)
-		}
 		if r.sends > 0 && !r.handler.budget.spend(r.request.Service) {
 			r.handler.admission.ended(r.request, placed, false)
 			r.giveUp(ctx, r.failure())
@@ -152,6 +149,9 @@
 		h.admission.ended(r.request, placed, false)
 		return verdictUnsent
 	}
+	if placed.model {
+		h.metrics.placedModel(placed, h.admission.zone)
+	}
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoing(ctx, placed, sent))
 	if err != nil {
