Plain admission: a single answer raises the learned service time by a bounded part

Cause: answers that were read after this router had been suspended counted in full, and for some forty answers requests were refused whose servers had room.

--- a/internal/policy/servicetime.go
+++ b/internal/policy/servicetime.go
@@ -16,6 +16,8 @@
 	serviceTimeFirst = 8
 	// serviceTimeMemory is the weight of the newest answer after that.
 	serviceTimeMemory = 0.1
+	// serviceTimeStep is how many times the learned time a single answer counts at most.
+	serviceTimeStep = 4
 )
 
 // PlainSent is a request that has been sent to a plain server.
@@ -54,6 +56,9 @@
 	case s.answers < serviceTimeFirst:
 		s.seconds = min(s.seconds, work)
 	default:
+		// An answer that waited while this router was suspended tells nothing of the
+		// server. A server that has turned slow shows by its open requests as well.
+		work = min(work, s.seconds*serviceTimeStep)
 		s.seconds += (work - s.seconds) * serviceTimeMemory
 		return
 	}
--- a/internal/policy/servicetime_test.go
+++ b/internal/policy/servicetime_test.go
@@ -127,3 +127,19 @@
 		}
 	}
 }
+
+// Guards against a router that refuses what its servers have room for after it was
+// suspended: answers that waited meanwhile seemed to have taken seconds.
+func TestAnswersReadAfterASuspensionRaiseTheServiceTimeLittle(t *testing.T) {
+	var learned ServiceTime
+	now := boottime.Instant(time.Hour)
+	for range 20 {
+		learned.Note(&PlainSent{At: now, Rounds: 1}, 60*time.Millisecond)
+	}
+	for range 3 {
+		learned.Note(&PlainSent{At: now, Rounds: 1}, 5*time.Second)
+	}
+	if got := learned.Learned(); got > 150*time.Millisecond {
+		t.Errorf("%v learned, want some 60 ms", got)
+	}
+}
