--- a/internal/policy/plain_replay_test.go
+++ b/internal/policy/plain_replay_test.go
@@ -31,7 +31,7 @@
 	since int
 }
 
-// replay plays the load of HARD-LOAD.md in steps of a millisecond.
+// replay plays routers before a few plain servers in steps of a millisecond.
 type replay struct {
 	load      float64 // of what the servers can do
 	admission bool
