--- a/internal/pace/observation.go
+++ b/internal/pace/observation.go
@@ -30,8 +30,8 @@
 const (
 	// Life is how long after it was told a work time counts at most.
 	Life = 2 * window
-	// nowLife is how long the newest work time stands for the current one. Machines
-	// are slow for some 0.6 s at a time.
+	// nowLife is how long the newest work time stands for the current one. It is shorter
+	// than slow phases usually last, so that no server is avoided long after one.
 	nowLife = 400 * time.Millisecond
 	// sumMemory is the time constant of the decaying sums.
 	sumMemory = 10 * time.Second
