--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -28,16 +28,7 @@
 
 // judgeBreaks gives broken connections their verdicts until the context ends.
 func (h *handler) judgeBreaks(ctx context.Context) error {
-	ticker := time.NewTicker(judgeInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			h.judge(boottime.Now())
-		}
-	}
+	return every(ctx, judgeInterval, func() { h.judge(boottime.Now()) })
 }
 
 // judge gives the verdicts that are due, unless that was done a moment ago.
--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -109,16 +109,7 @@
 
 // run logs what was opened until the context ends.
 func (c *connections) run(ctx context.Context) error {
-	ticker := time.NewTicker(connectionsInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			c.write()
-		}
-	}
+	return every(ctx, connectionsInterval, c.write)
 }
 
 // write logs what was opened since the last call, if anything, and counts anew.
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -93,21 +93,14 @@
 
 // run measures until the context ends.
 func (m *lagMeter) run(ctx context.Context) error {
-	ticker := time.NewTicker(lagInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	return every(ctx, lagInterval, func() {
 		before := boottime.Now()
 		m.yielded.Store(int64(before))
 		runtime.Gosched()
 		m.yielded.Store(0)
 		now := boottime.Now()
 		m.note(now.Sub(before), now)
-	}
+	})
 }
 
 // note takes one measurement.
--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -28,10 +28,10 @@
 	nearSlots = 0.1
 )
 
-// worthIt tells whether an engine of the own zone is taken in place of the one that is
+// preferNear tells whether an engine of the own zone is taken in place of the one that is
 // chosen from all zones. It is, whatever the wait, where that one would refuse the request
 // or disrupt streams.
-func worthIt(near, elsewhere selection.Choice, target time.Duration) bool {
+func preferNear(near, elsewhere selection.Choice, target time.Duration) bool {
 	if !near.Good() || !elsewhere.Good() {
 		return near.Good()
 	}
--- a/internal/gate/near_test.go
+++ b/internal/gate/near_test.go
@@ -109,11 +109,11 @@
 		"full":       {Wait: 100 * time.Millisecond, Occupied: 1},
 		"disruptive": {Fits: true, Disrupts: true, Wait: 100 * time.Millisecond, Occupied: 0.3},
 	} {
-		if !worthIt(near, elsewhere, time.Second) {
+		if !preferNear(near, elsewhere, time.Second) {
 			t.Errorf("the engine of the own zone is left out where the other one is %s", name)
 		}
 	}
-	if worthIt(near, selection.Choice{Fits: true, Wait: 100 * time.Millisecond, Occupied: 0.5}, time.Second) {
+	if preferNear(near, selection.Choice{Fits: true, Wait: 100 * time.Millisecond, Occupied: 0.5}, time.Second) {
 		t.Error("an engine of the own zone is taken that makes the request wait")
 	}
 }
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -104,7 +104,7 @@
 		return backend, choice
 	}
 	if near := a.near(search, usable, hot); len(near) > 0 {
-		if closer, found := a.chooseAmong(search, near, drawn, selection.Homes); worthIt(found, choice, search.request.Route.TargetLatency) {
+		if closer, found := a.chooseAmong(search, near, drawn, selection.Homes); preferNear(found, choice, search.request.Route.TargetLatency) {
 			return closer, found
 		}
 	}
--- a/internal/peering/paces.go
+++ b/internal/peering/paces.go
@@ -13,7 +13,7 @@
 const (
 	// paceCycles is the number of cycles, in each of which all targets have their turn
 	// once, of which one carries paces. They change slowly.
-	paceCycles = 5
+	paceCycles = 20
 	// paceDigits converts work times to hundredths.
 	paceDigits = 100
 	// streamUnits is how many units a stream counts in beats.
