peering: usual work times of other zones are added up once a second, those of the own zone when they are told

Cause: summing routers merged what all routers of their zone report of thousands of servers in each round, and every router that of the other zones with each beat that carries sums, holding the table's lock.

--- a/internal/peering/paces.go
+++ b/internal/peering/paces.go
@@ -49,9 +49,10 @@
 	return own
 }
 
-// add adds what others told, as it has become until the moment.
-func (p *paces) add(other paces, now boottime.Instant) {
-	if passed := now.Sub(other.at); passed < pace.Life {
+// add adds what others told, as it has become until the moment, the usual work times only
+// if usual is set.
+func (p *paces) add(other paces, now boottime.Instant, usual bool) {
+	if passed := now.Sub(other.at); usual && passed < pace.Life {
 		for server, observation := range other.usual {
 			p.usual[server] = p.usual[server].Merge(observation.After(passed))
 		}
@@ -86,7 +87,7 @@
 func (t *table) Paces(now boottime.Instant) map[uint32]pace.Observation {
 	total := newPaces(now)
 	for _, reported := range t.reportedPaces(now) {
-		total.add(reported, now)
+		total.add(reported, now, true)
 	}
 	return total.merged()
 }
--- a/internal/peering/paces_test.go
+++ b/internal/peering/paces_test.go
@@ -283,3 +283,30 @@
 		t.Errorf("the table was locked at %d of %d looks", blocked, looks)
 	}
 }
+
+// Guards against paces of other zones that vanish between two additions, or that are added
+// up again with each beat.
+func TestUsualWorkTimesOfOtherZonesAreAddedUpOnceASecond(t *testing.T) {
+	const server = 7
+	now := boottime.Now()
+	table := newTable(self, "home")
+	tell := func(usual float64, at boottime.Instant) float64 {
+		told := newUse(at)
+		told.paces.usual[server] = pace.Observation{Usual: usual}
+		table.told["other"] = &sums{use: told, zones: []fleet.Zone{"away"}}
+		table.refreshOthers(at)
+		return table.Paces(at)[server].Usual
+	}
+	for _, step := range []struct {
+		after       time.Duration
+		tells, want float64
+	}{
+		{0, 2, 2},
+		{beatInterval, 3, 2},
+		{usualInterval, 3, 3},
+	} {
+		if got := tell(step.tells, now.Add(step.after)); got != step.want {
+			t.Errorf("after %v: %v, want %v", step.after, got, step.want)
+		}
+	}
+}
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -89,14 +89,14 @@
 		m.sendBeats(turn(others, roundOthers, m.beatsToOthers(m.Follows())), common, use{}, false, nil)
 		return
 	}
-	handedOn, covered := m.others(now)
+	handedOn, covered := m.others(now, pacesDue)
 	m.sendBeats(same, common, own, pacesDue, encodeSums(handedOn, covered, pacesDue))
 	summers := m.sumTargets(round, now)
 	others = turn(others, roundOthers, m.beatsToOthers(true))
 	m.sendBeats(lo.Without(others, summers...), common, use{}, false, nil)
 	// These are the rounds in which the standby routers get the sums too.
 	summersDue := round%standbyRounds == 0
-	m.sendBeats(summers, common, use{}, false, encodeSums(m.sumZone(own, now), []fleet.Zone{m.zone}, summersDue))
+	m.sendBeats(summers, common, use{}, false, encodeSums(m.sumZone(own, now, summersDue), []fleet.Zone{m.zone}, summersDue))
 }
 
 // beatsToOthers returns how many beats of a round go to other zones. leads tells
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -38,6 +38,10 @@
 	// router that would step in once. It is to know whom to expect, not to be up to
 	// date.
 	standbyRounds = 5
+	// usualInterval is the pause between two additions of the usual work times that
+	// other zones told. They change slowly, and small VMs would spend a good part of
+	// their processor on adding up thousands in each round.
+	usualInterval = time.Second
 	// elsewhere stands for the routers of other zones together where the name of
 	// one router is asked for.
 	elsewhere fleet.Address = "(other availability zones)"
@@ -52,8 +56,9 @@
 	at    boottime.Instant
 }
 
-// add adds what other tells, as it has become until the moment.
-func (u *use) add(other use, now boottime.Instant) {
+// add adds what other tells, as it has become until the moment. The usual work times of
+// backend servers, which are many in a large fleet, are left out unless usual is set.
+func (u *use) add(other use, now boottime.Instant, usual bool) {
 	for backend, load := range other.loads {
 		u.loads[backend] = u.loads[backend].Add(load)
 	}
@@ -61,7 +66,7 @@
 	for account, told := range other.uses {
 		u.uses[account] = u.uses[account].Add(told.After(passed))
 	}
-	u.paces.add(other.paces, now)
+	u.paces.add(other.paces, now, usual)
 }
 
 func newUse(now boottime.Instant) use {
@@ -123,7 +128,7 @@
 // it covers, the newest first and none twice. firstHand leaves out what was handed
 // on: two routers that sum one zone for a while would hand it to each other for
 // ever.
-func (t *table) sumOthers(now boottime.Instant, firstHand bool) (use, []fleet.Zone) {
+func (t *table) sumOthers(now boottime.Instant, firstHand, usual bool) (use, []fleet.Zone) {
 	fresh := make([]*sums, 0, len(t.told))
 	for from, told := range t.told {
 		if now.Sub(told.at) > sumsLife {
@@ -141,7 +146,7 @@
 		if len(lo.Intersect(told.zones, covered)) > 0 {
 			continue
 		}
-		total.add(told.use, now)
+		total.add(told.use, now, usual)
 		covered = append(covered, told.zones...)
 	}
 	return total, covered
@@ -152,17 +157,21 @@
 func (t *table) refreshOthers(now boottime.Instant) map[fleet.Account]shares.Use {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	total, covered := t.sumOthers(now, false)
+	usual := now.Sub(t.otherPaces.at) >= usualInterval
+	total, covered := t.sumOthers(now, false, usual)
+	if !usual {
+		total.paces.usual, total.paces.at = t.otherPaces.usual, t.otherPaces.at
+	}
 	t.otherLoads, t.otherPaces, t.covered = total.loads, total.paces, covered
 	return total.uses
 }
 
 // others returns what other zones use, for the routers of this one, and the zones
-// that it covers.
-func (t *table) others(now boottime.Instant) (use, []fleet.Zone) {
+// that it covers. usual tells whether to add up usual work times.
+func (t *table) others(now boottime.Instant, usual bool) (use, []fleet.Zone) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.sumOthers(now, true)
+	return t.sumOthers(now, true, usual)
 }
 
 // uses returns what a router told last of its accounts. It must not be changed.
@@ -175,15 +184,16 @@
 	return nil
 }
 
-// sumZone adds up what the routers of this zone use, this one's own included.
-func (t *table) sumZone(own use, now boottime.Instant) use {
+// sumZone adds up what the routers of this zone use, this one's own included. usual
+// tells whether to add up usual work times.
+func (t *table) sumZone(own use, now boottime.Instant, usual bool) use {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	total := newUse(now)
-	total.add(own, now)
+	total.add(own, now, usual)
 	for _, peer := range t.peers {
 		if peer.zone == t.zone && t.hears(peer, now) {
-			total.add(peer.use, now)
+			total.add(peer.use, now, usual)
 		}
 	}
 	return total
