peering: paces are told again before they are too old, however many routers a zone has

Cause: every twentieth turn is 20 s and more in zones of some 150 routers, and what was told counts for 20 s. Test: TestPacesAreToldAgainBeforeTheyAreTooOld.

--- a/internal/peering/paces.go
+++ b/internal/peering/paces.go
@@ -14,6 +14,10 @@
 	// paceCycles is the number of cycles, in each of which all targets have their turn
 	// once, of which one carries paces. They change slowly.
 	paceCycles = 20
+	// paceRounds bounds the rounds from one of these cycles to the next. In zones with
+	// hundreds of routers a cycle takes a second or more, and what was told must be
+	// replaced before it is too old to count.
+	paceRounds = int(pace.Life / 3 / beatInterval)
 	// paceDigits converts work times to hundredths.
 	paceDigits = 100
 	// streamUnits is how many units a stream counts in beats.
@@ -110,7 +114,8 @@
 // pacesDue tells whether the beats of a round to targets that have their turn in so many
 // rounds carry paces. Routers that start together have theirs in different rounds.
 func (t *table) pacesDue(round, turns int) bool {
-	return (round/turns+int(t.hash%paceCycles))%paceCycles == 0
+	cycles := max(min(paceCycles, paceRounds/turns), 1)
+	return (round/turns+int(t.hash%uint64(cycles)))%cycles == 0
 }
 
 // carry returns the parts that a beat carries, the usual work times only when due.
--- a/internal/peering/paces_test.go
+++ b/internal/peering/paces_test.go
@@ -310,3 +310,24 @@
 		}
 	}
 }
+
+// Guards against figures that are too old to count before they are told again, in zones
+// with hundreds of routers.
+func TestPacesAreToldAgainBeforeTheyAreTooOld(t *testing.T) {
+	table := newTable(self, "home")
+	for _, turns := range []int{1, 5, 10, 20, 60, 150} {
+		last, longest := -1, 0
+		for round := range 5000 {
+			if !table.pacesDue(round, turns) || round%turns != 0 {
+				continue
+			}
+			if last >= 0 {
+				longest = max(longest, round-last)
+			}
+			last = round
+		}
+		if gap := time.Duration(longest) * beatInterval; longest == 0 || gap > pace.Life*3/4 {
+			t.Errorf("%d turns: told every %v, counts for %v", turns, gap, pace.Life)
+		}
+	}
+}
