Time to read a prompt is worked out in one place

selection.ReadingTime serves the choice of engines, the weights of long prompts and the own zone, which had the same expression each. Whether a list is a request's own is looked at once, and a copied map uses maps.Clone. No behaviour changes.

--- a/internal/gate/near.go
+++ b/internal/gate/near.go
@@ -40,18 +40,18 @@
 }
 
 // near returns the usable engines of this router's zone where the request is to be
-// placed there if they have room for it, nil otherwise. hot tells that its part is asked
-// for often.
-func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, hot bool) []*knowledge.Backend {
+// placed there if they have room for it, nil otherwise. drawn tells that the list is
+// the request's own, and hot that its part is asked for often.
+func (a *admission) near(search *modelSearch, usable []*knowledge.Backend, drawn, hot bool) []*knowledge.Backend {
 	if !a.settings.get().Engines.OwnZoneFirst {
 		return nil
 	}
-	reading := time.Duration(search.demand.Shared / max(search.limits.Rate, 1) * float64(time.Second))
+	reading := selection.ReadingTime(search.demand.Shared, search.limits.Rate)
 	cheap := float64(reading) <= float64(search.request.Route.TargetLatency)*nearReading
 	if !cheap && !hot {
 		return nil
 	}
-	if !sameList(usable, search.serving()) {
+	if drawn {
 		return inZone(usable, a.zone)
 	}
 	return a.lists.inZone(usable, a.zone)
--- a/internal/gate/paces.go
+++ b/internal/gate/paces.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -241,10 +242,7 @@
 	if p.listed[backend.IncarnationHash] != nil {
 		return
 	}
-	listed := make(map[uint32]*knowledge.Backend, len(p.listed)+1) // snapshots hold the former map
-	for hash, known := range p.listed {
-		listed[hash] = known
-	}
+	listed := maps.Clone(p.listed) // snapshots hold the former map
 	listed[backend.IncarnationHash] = backend
 	p.listed = listed
 }
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -82,7 +81,7 @@
 	}
 	search.protection = a.policy().Protection(tier, view.Index.Gap(request.Service))
 	search.limits.Gap = search.protection.Gap
-	reading := time.Duration(search.demand.Own / max(search.limits.Rate, 1) * float64(time.Second))
+	reading := selection.ReadingTime(search.demand.Own, search.limits.Rate)
 	search.ranking = ranking{
 		weighted: true,
 		snapshot: a.paces.snapshot(),
@@ -103,7 +102,7 @@
 	if backend.Zone == a.zone && choice.Good() {
 		return backend, choice
 	}
-	if near := a.near(search, usable, hot); len(near) > 0 {
+	if near := a.near(search, usable, drawn, hot); len(near) > 0 {
 		if closer, found := a.chooseAmong(search, near, drawn, selection.Homes); preferNear(found, choice, search.request.Route.TargetLatency) {
 			return closer, found
 		}
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -130,8 +130,8 @@
 		tokens += demand.Shared * limits.SecondPenalty
 	}
 	rate := engine.rate(limits)
-	ahead := readingTime(engine.Pending, rate)
-	own := readingTime(tokens, rate)
+	ahead := ReadingTime(engine.Pending, rate)
+	own := ReadingTime(tokens, rate)
 	choice := Choice{Place: place, Tokens: tokens, Before: engine.Pending, Ahead: ahead, Wait: ahead + own}
 	if engine.Slots > 0 {
 		choice.Occupied = float64(engine.Running) / float64(engine.Slots)
@@ -158,14 +158,15 @@
 // rate returns the prompt tokens that the engine reads in a second.
 func (e Engine) rate(limits Limits) float64 {
 	if e.Rate > 0 {
-		return max(e.Rate, 1)
+		return e.Rate
 	}
-	return max(limits.Rate, 1)
+	return limits.Rate
 }
 
-// readingTime returns how long an engine of the rate reads the tokens.
-func readingTime(tokens, rate float64) time.Duration {
-	return time.Duration(tokens / rate * float64(time.Second))
+// ReadingTime returns how long an engine reads the prompt tokens that reads so many in a
+// second, at least one.
+func ReadingTime(tokens, rate float64) time.Duration {
+	return time.Duration(tokens / max(rate, 1) * float64(time.Second))
 }
 
 // disrupts tells whether streams at the engine would pause for too long while it reads
