gate: records and counts of requests taken and cut late in draining

Logs could not tell on which connection a request came that a draining router took 3.95 s after SIGTERM, nor how many requests are cut when draining ends.

Decisions are unchanged; tests of internal/gate, internal/event and internal/losses pass.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -3,18 +3,34 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
+// callerConn is a caller's connection.
+type callerConn struct {
+	conn     net.Conn
+	opened   boottime.Instant
+	requests atomic.Int64 // that were read from it
+}
+
 // callerConnKey is the context key of a caller's connection.
 type callerConnKey struct{}
 
 // withCallerConn keeps the connection in the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, conn)
+	return context.WithValue(ctx, callerConnKey{}, &callerConn{conn: conn, opened: boottime.Now()})
+}
+
+// callerConnOf returns the connection of a request, nil if it came on none.
+func callerConnOf(ctx context.Context) *callerConn {
+	conn, _ := ctx.Value(callerConnKey{}).(*callerConn)
+	return conn
 }
 
 // callerLeft tells whether the caller has closed its connection. The server
@@ -25,7 +41,11 @@
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return true
 	}
-	conn, ok := ctx.Value(callerConnKey{}).(syscall.Conn)
+	caller := callerConnOf(ctx)
+	if caller == nil {
+		return false
+	}
+	conn, ok := caller.conn.(syscall.Conn)
 	if !ok {
 		return false
 	}
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -55,8 +54,7 @@
 	current  *generation
 	all      []*generation
 
-	draining atomic.Bool
-	stopped  atomic.Bool // no connections are accepted any more
+	drain *drainState
 }
 
 // generation is a server with the limits of one configuration.
@@ -66,8 +64,8 @@
 	conns  *handedListener
 }
 
-func newEntry(handler http.Handler, connections int, load processor) *entry {
-	e := &entry{handler: handler, open: make(chan struct{}, connections), load: load}
+func newEntry(handler http.Handler, connections int, load processor, drain *drainState) *entry {
+	e := &entry{handler: handler, open: make(chan struct{}, connections), load: load, drain: drain}
 	e.apply(defaultLimits)
 	return e
 }
@@ -114,7 +112,7 @@
 // while one account's flood comes to three small VMs of 68: 25,354 with waiting,
 // 28,320 with resets.
 func (e *entry) run(ctx context.Context, address fleet.Address) error {
-	for ctx.Err() == nil && !e.stopped.Load() {
+	for ctx.Err() == nil && !e.drain.closed.Load() {
 		listener, err := e.listen(ctx, address)
 		if err != nil {
 			return fleet.Wrap(err, fleet.StepAccept, address)
@@ -138,7 +136,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.listener = listener
-	if e.stopped.Load() {
+	if e.drain.closed.Load() {
 		_ = listener.Close() // stopAccepting came first
 	}
 	return listener, nil
@@ -180,12 +178,12 @@
 // when the entry is closed.
 func (e *entry) awaitRelief(ctx context.Context) bool {
 	for !e.load.relieved() {
-		if ctx.Err() != nil || e.stopped.Load() {
+		if ctx.Err() != nil || e.drain.closed.Load() {
 			return false
 		}
 		time.Sleep(reliefPause)
 	}
-	return ctx.Err() == nil && !e.stopped.Load()
+	return ctx.Err() == nil && !e.drain.closed.Load()
 }
 
 // callerKeepAlive finds callers that vanished without closing.
@@ -196,7 +194,7 @@
 const crowdedShare = 0.4
 
 // closing tells whether a connection is to be closed after its answer.
-func (e *entry) closing() bool { return e.draining.Load() || e.crowded() }
+func (e *entry) closing() bool { return e.drain.draining() || e.crowded() }
 
 // crowded tells whether callers hold so many connections open that the rest
 // may not suffice. Callers that come back after a refusal open a new connection
@@ -210,26 +208,29 @@
 // until the end: closing them now would cut a request whose head has been read
 // and that the server does not count as begun yet, with a busy processor one in
 // several hundred.
-func (e *entry) beginDrain() { e.draining.Store(true) }
+func (e *entry) beginDrain() { e.drain.begin(boottime.Now()) }
 
 func (e *entry) stopAccepting() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.stopped.Store(true)
+	e.drain.closed.Store(true)
 	if e.listener != nil {
 		_ = e.listener.Close() // there is no use for it any more
 	}
 }
 
 // finish waits until no request is left or the context ends, and closes what
-// is left then.
-func (e *entry) finish(ctx context.Context) error {
+// is left then, after a call of cutting.
+func (e *entry) finish(ctx context.Context, cutting func()) error {
 	e.mu.Lock()
 	all := e.all
 	e.mu.Unlock()
 	var left error
 	for _, generation := range all {
 		if err := generation.server.Shutdown(ctx); err != nil {
+			if left == nil {
+				cutting()
+			}
 			left = errors.Wrap(err, "requests in progress were cut")
 			_ = generation.server.Close() // closes what is left
 		}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -66,9 +66,11 @@
 	metrics   *metrics
 	started   boottime.Instant
 	bodies    atomic.Int64 // bytes of the requests held
-	closing   func() bool  // whether connections are to be closed after their answers
-	isolated  atomic.Bool  // whether callers are served better elsewhere
-	drained   atomic.Bool  // whether an operator wants callers to go elsewhere
+	running   atomic.Int64 // requests in progress
+	drain     *drainState
+	closing   func() bool // whether connections are to be closed after their answers
+	isolated  atomic.Bool // whether callers are served better elsewhere
+	drained   atomic.Bool // whether an operator wants callers to go elsewhere
 	lag       *lagMeter
 }
 
@@ -88,6 +90,11 @@
 //  6. retryBudget: for each further send, whether the fleet may still make one.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
+	h.running.Add(1)
+	defer h.running.Add(-1)
+	if conn := callerConnOf(r.Context()); conn != nil {
+		conn.requests.Add(1)
+	}
 	if h.lag.busy(received) || h.closing() || h.isolated.Load() || h.drained.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -123,9 +130,19 @@
 	ctx, cancel := context.WithTimeout(r.Context(), request.Left(boottime.Now()))
 	defer cancel()
 	h.bound(w, request)
+	h.noteDrain(r.Context(), request)
 	h.serve(ctx, w, request)
 }
 
+// noteDrain tells of a request that is taken although no connections are accepted any more.
+func (h *handler) noteDrain(ctx context.Context, request *Request) {
+	if !h.drain.closed.Load() {
+		return
+	}
+	h.metrics.takenDraining()
+	h.records.takenDraining(request, h.drain.since(request.Received), callerConnOf(ctx))
+}
+
 // writeSlack is how long after its limit an answer may still be on its way to
 // a caller that reads slowly.
 const writeSlack = 2 * time.Second
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -47,7 +47,9 @@
 	settings := newCurrentSettings(options.Settings)
 	admission := newAdmission(settings, options.Zone, options.Peers)
 	connections := newConnections(options.Logger, options.Registerer)
+	drain := &drainState{}
 	h := &handler{
+		drain:     drain,
 		settings:  settings,
 		dialect:   options.Dialect,
 		state:     options.State,
@@ -63,7 +65,7 @@
 	}
 	admission.paces.watch(options.Logger, options.Registerer)
 	admission.plain.waits = h.metrics.plainWait
-	entry := newEntry(h, options.Connections, h.lag)
+	entry := newEntry(h, options.Connections, h.lag, drain)
 	h.closing = entry.closing
 	return &Manager{options: options, handler: h, entry: entry, connections: connections}
 }
@@ -299,5 +301,13 @@
 	case <-time.After(min(notice, m.options.Grace/2)):
 	}
 	m.entry.stopAccepting()
-	return m.entry.finish(ctx)
+	return m.entry.finish(ctx, m.noteCut)
+}
+
+// noteCut tells how many requests are in progress when draining ends.
+func (m *Manager) noteCut() {
+	if count := m.handler.running.Load(); count > 0 {
+		m.handler.metrics.cutDraining(count)
+		m.handler.records.cutDraining(count)
+	}
 }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -17,6 +17,7 @@
 	placed   *prometheus.CounterVec
 	disrupts *prometheus.CounterVec
 	resets   *prometheus.CounterVec
+	drained  *prometheus.CounterVec
 	first    prometheus.Histogram
 	plain    *prometheus.GaugeVec // expected wait by service
 	zones    prometheus.Gauge     // evacuated
@@ -45,6 +46,10 @@
 			Name: "bluebell_gate_resets_total",
 			Help: "Connections that broke while a request ran, by what became of the backend server.",
 		}, []string{"verdict"}),
+		drained: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_draining_requests_total",
+			Help: "Requests of a process that ends: taken although no connections were accepted any more, and cut as they were in progress at the end.",
+		}, []string{"outcome"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "bluebell_gate_first_event_seconds",
 			Help:    "Time from a streamed request's arrival to its first event.",
@@ -63,10 +68,20 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.resets, m.first, m.plain, m.zones, m.era)
+	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.resets, m.drained, m.first, m.plain, m.zones, m.era)
 	return m
 }
 
+// The outcomes of requests while the process drains.
+const (
+	drainTaken = "taken"
+	drainCut   = "cut"
+)
+
+func (m *metrics) takenDraining() { m.drained.WithLabelValues(drainTaken).Inc() }
+
+func (m *metrics) cutDraining(count int64) { m.drained.WithLabelValues(drainCut).Add(float64(count)) }
+
 func (m *metrics) answered(status int) {
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
 }
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -201,6 +201,26 @@
 	r.write(r.answers, event.GateCallerGone, request, logrus.Fields{})
 }
 
+// takenDraining writes that a request is taken so long after the signal to stop, on a
+// connection that is nil if unknown.
+func (r *records) takenDraining(request *Request, since time.Duration, conn *callerConn) {
+	if !r.allows(r.failures) {
+		return
+	}
+	now := boottime.Now()
+	fields := logrus.Fields{"since_stop_ms": since.Milliseconds(), "left_ms": request.Left(now).Milliseconds()}
+	if conn != nil {
+		fields["connection_age_ms"] = now.Sub(conn.opened).Milliseconds()
+		fields["connection_requests"] = conn.requests.Load()
+	}
+	r.put(event.GateDrainTaken, request, fields)
+}
+
+// cutDraining writes that so many requests are cut as they are in progress at the end.
+func (r *records) cutDraining(count int64) {
+	event.GateDrainCut.Log(r.logger, logrus.Fields{"count": count})
+}
+
 func (r *records) answered(request *Request, placed *placement, status, sends int, late bool, err error) {
 	r.tally.answered(request, status < http.StatusMultipleChoices && err == nil, late)
 	limiter := r.answers
