gate: requests that can't end before a draining process does are not taken

Cause: admission did not know of the end of the process. Whatever was read from an open connection was passed on, and what kept connections from being open were calls of http.Server.Shutdown, one server after the other: each change of the limits of callers' connections starts another server, and a stream on an older one held up the shutdown of the later ones, whose kept connections went on taking requests.

Change: once no connections are accepted any more, a request is taken only if its time limit ends before the process does, also when it was read earlier and is to be sent, or sent again, now; else it is refused at once with 503 and a time to come back. All servers close their idle connections at the same moment and are served on until no request is in progress, as a server in Shutdown reads a first request and drops it. Requests left at the end are ended with a cause of their own: those without a byte of an answer get 502, or 503 if they have not run, in place of a closed connection.

--- a/internal/gate/breaks.go
+++ b/internal/gate/breaks.go
@@ -133,9 +133,13 @@
 	return identify(&again, h.state.View(), h.settings.get().Freshness, rand.Float64())
 }
 
-// endOfHold returns the refusal of a request that was held until its time ran out or its
-// caller left. It has not run.
+// endOfHold returns the refusal of a request that was held until its time ran out, its
+// caller left or draining ended. It has not run.
 func (h *handler) endOfHold(ctx context.Context, request *Request) *Refusal {
+	if drained(ctx) {
+		refusal := drainRefusal()
+		return &refusal
+	}
 	refusal := &Refusal{
 		Status:     http.StatusServiceUnavailable,
 		Reason:     ReasonLate,
--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -38,7 +38,7 @@
 // be sent on for nobody. A caller whose time has run out is still there and
 // gets an answer.
 func callerLeft(ctx context.Context) bool {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(ctx.Err(), context.Canceled) && !drained(ctx) {
 		return true
 	}
 	caller := callerConnOf(ctx)
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -1,20 +1,50 @@
 package gate
 
 import (
+	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
+// drainRetry is the time to come back for a request that a draining router does not take.
+// Other routers serve it at once.
+const drainRetry = 50 * time.Millisecond
+
+// errDrained is the cause of the end of requests that are in progress when draining ends.
+var errDrained = errors.New("draining has ended")
+
 // drainState tells how far the process is on its way to its end. Its methods may be called
 // concurrently.
+//
+// Before the signal to stop, and while the balancer may not have heard of it, all requests
+// are taken. After that callers find other routers by themselves, and open connections are
+// the only way here: a request that comes on one is taken only if its time limit ends before
+// the process does, as it would be cut else. What is in progress at the end gets its final
+// answer.
 type drainState struct {
 	began  atomic.Int64 // boottime.Instant of the signal to stop, 0 before it
+	ends   atomic.Int64 // boottime.Instant at which requests in progress are ended
 	closed atomic.Bool  // no connections are accepted any more
+
+	requests context.Context         // that of all requests descends from it
+	cancel   context.CancelCauseFunc // ends it
 }
 
-func (d *drainState) begin(now boottime.Instant) { d.began.Store(int64(now)) }
+func newDrainState() *drainState {
+	requests, cancel := context.WithCancelCause(context.Background())
+	return &drainState{requests: requests, cancel: cancel}
+}
+
+// begin notes the signal to stop and when requests in progress will be ended.
+func (d *drainState) begin(now, ends boottime.Instant) {
+	d.ends.Store(int64(ends))
+	d.began.Store(int64(now))
+}
 
 func (d *drainState) draining() bool { return d.began.Load() != 0 }
 
@@ -22,3 +52,19 @@
 func (d *drainState) since(now boottime.Instant) time.Duration {
 	return now.Sub(boottime.Instant(d.began.Load()))
 }
+
+// takes tells whether the request may be sent to a backend server.
+func (d *drainState) takes(request *Request, now boottime.Instant) bool {
+	return !d.closed.Load() || request.Left(now) <= boottime.Instant(d.ends.Load()).Sub(now)
+}
+
+// end ends the requests in progress.
+func (d *drainState) end() { d.cancel(errDrained) }
+
+// drained tells whether the context ended because draining has ended.
+func drained(ctx context.Context) bool { return context.Cause(ctx) == errDrained }
+
+// drainRefusal is the answer to a request that may not be sent any more and has not run.
+func drainRefusal() Refusal {
+	return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonDraining, RetryAfter: drainRetry}
+}
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -205,3 +205,25 @@
 		t.Error("the end tells of no request that was cut")
 	}
 }
+
+// Guards against refusals of requests that end in time, and against requests beyond the end.
+func TestDrainStateTakesWhatEndsInTime(t *testing.T) {
+	d := newDrainState()
+	now := boottime.Now()
+	request := &Request{Received: now, Limit: time.Second}
+	if !d.takes(request, now) {
+		t.Error("a request is refused without a signal to stop")
+	}
+	d.begin(now, now.Add(5*time.Second))
+	if !d.takes(&Request{Received: now, Limit: time.Minute}, now) {
+		t.Error("a request is refused before the balancer has heard")
+	}
+	d.closed.Store(true)
+	if !d.takes(request, now) {
+		t.Error("a request that ends in time is refused")
+	}
+	late := now.Add(4500 * time.Millisecond)
+	if d.takes(&Request{Received: late, Limit: time.Second}, late) {
+		t.Error("a request is taken that may last beyond the end")
+	}
+}
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -47,6 +49,7 @@
 type entry struct {
 	handler http.Handler
 	open    chan struct{} // holds a token for each open connection
+	running atomic.Int64  // requests in progress
 	load    processor
 
 	mu       sync.Mutex
@@ -81,12 +84,13 @@
 		limits: limits,
 		conns:  newHandedListener(),
 		server: &http.Server{
-			Handler:           e.handler,
+			Handler:           http.HandlerFunc(e.serve),
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			// What callers send wrong is their matter and would flood the log.
 			ErrorLog:    log.New(io.Discard, "", 0),
+			BaseContext: func(net.Listener) context.Context { return e.drain.requests },
 			ConnContext: withCallerConn,
 			// OPTIONS * is a request like any other.
 			DisableGeneralOptionsHandler: true,
@@ -97,6 +101,16 @@
 	go func() { _ = next.server.Serve(next.conns) }() // ends with the listener only
 }
 
+// serve counts a request while it is in progress.
+func (e *entry) serve(w http.ResponseWriter, r *http.Request) {
+	e.running.Add(1)
+	defer e.running.Add(-1)
+	if conn := callerConnOf(r.Context()); conn != nil {
+		conn.requests.Add(1)
+	}
+	e.handler.ServeHTTP(w, r)
+}
+
 func sameEntryLimits(a, b knowledge.Limits) bool {
 	return a.HeaderBytes == b.HeaderBytes && a.HeaderTimeout == b.HeaderTimeout && a.IdleTimeout == b.IdleTimeout
 }
@@ -204,12 +218,6 @@
 	return float64(len(e.open)) > float64(cap(e.open))*crowdedShare
 }
 
-// beginDrain lets each connection end with its next answer. Idle ones stay open
-// until the end: closing them now would cut a request whose head has been read
-// and that the server does not count as begun yet, with a busy processor one in
-// several hundred.
-func (e *entry) beginDrain() { e.drain.begin(boottime.Now()) }
-
 func (e *entry) stopAccepting() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -219,25 +227,69 @@
 	}
 }
 
-// finish waits until no request is left or the context ends, and closes what
-// is left then, after a call of cutting.
-func (e *entry) finish(ctx context.Context, cutting func()) error {
-	e.mu.Lock()
-	all := e.all
-	e.mu.Unlock()
-	var left error
-	for _, generation := range all {
-		if err := generation.server.Shutdown(ctx); err != nil {
-			if left == nil {
-				cutting()
+const (
+	// drainLook is the pause between two looks at whether requests are in progress.
+	drainLook = 10 * time.Millisecond
+	// drainQuiet is how long none must be until draining ends before its time. A request
+	// may be on its way on a connection that was accepted just before the listener closed.
+	drainQuiet = 50 * time.Millisecond
+	// answerTime is how long requests that are ended have for their final answers.
+	answerTime = 150 * time.Millisecond
+)
+
+// finish waits until no request is in progress or the context ends, ends what is left, and
+// closes all connections. It returns how many requests were left.
+//
+// Idle connections are closed at once. Those that are not idle are served on: a server that
+// is shut down would read another request from them and drop it.
+func (e *entry) finish(ctx context.Context) int {
+	servers := e.servers()
+	for _, server := range servers {
+		server.SetKeepAlivesEnabled(false)
+	}
+	left := e.awaitQuiet(ctx)
+	if left > 0 {
+		e.drain.end()
+	}
+	shutdown, cancel := context.WithTimeout(context.Background(), answerTime)
+	defer cancel()
+	var group sync.WaitGroup
+	for _, server := range servers {
+		group.Go(func() {
+			if server.Shutdown(shutdown) != nil {
+				_ = server.Close() // closes what is left
 			}
-			left = errors.Wrap(err, "requests in progress were cut")
-			_ = generation.server.Close() // closes what is left
-		}
+		})
 	}
+	group.Wait()
 	return left
 }
 
+// servers returns those of all limits that were in force since the start.
+func (e *entry) servers() []*http.Server {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return lo.Map(e.all, func(g *generation, _ int) *http.Server { return g.server })
+}
+
+// awaitQuiet waits until no request has been in progress for a moment or the context ends.
+// It returns how many are in progress then.
+func (e *entry) awaitQuiet(ctx context.Context) int {
+	quiet := time.Duration(0)
+	for quiet < drainQuiet {
+		select {
+		case <-ctx.Done():
+			return int(e.running.Load())
+		case <-time.After(drainLook):
+		}
+		quiet += drainLook
+		if e.running.Load() > 0 {
+			quiet = 0
+		}
+	}
+	return 0
+}
+
 // countedConn gives its place back when it is closed.
 type countedConn struct {
 	net.Conn
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -66,7 +66,6 @@
 	metrics   *metrics
 	started   boottime.Instant
 	bodies    atomic.Int64 // bytes of the requests held
-	running   atomic.Int64 // requests in progress
 	drain     *drainState
 	closing   func() bool // whether connections are to be closed after their answers
 	isolated  atomic.Bool // whether callers are served better elsewhere
@@ -78,23 +77,19 @@
 // refuses at once, and the cheaper ones come first:
 //
 //  1. identify: route, account, and whether what is known is young enough for them.
-//  2. lagMeter: whether the processor gets on; what goes beyond the shares is cut first.
-//  3. readBody: whether there is memory for the body.
-//  4. suspects: whether the request breaks backend servers. It waits where that turns on
+//  2. drainState: whether it ends before the process does, once that drains.
+//  3. lagMeter: whether the processor gets on; what goes beyond the shares is cut first.
+//  4. readBody: whether there is memory for the body.
+//  5. suspects: whether the request breaks backend servers. It waits where that turns on
 //     breaks whose verdict is pending.
-//  5. admission.place: the tier that the account's standing gives it, the backend
+//  6. admission.place: the tier that the account's standing gives it, the backend
 //     servers that may take anything (not leaving, closed, evacuated, shunned, or cold
 //     with nothing left of their bound), and one among them within the tier's bounds. For
 //     a plain service, with [plain] admission: one with a free slot, or a wait for one
 //     within the request's budget.
-//  6. retryBudget: for each further send, whether the fleet may still make one.
+//  7. retryBudget: for each further send, whether the fleet may still make one.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
-	h.running.Add(1)
-	defer h.running.Add(-1)
-	if conn := callerConnOf(r.Context()); conn != nil {
-		conn.requests.Add(1)
-	}
 	if h.lag.busy(received) || h.closing() || h.isolated.Load() || h.drained.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -110,6 +105,11 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
+	if !h.drain.takes(request, received) {
+		h.admission.shut(request)
+		h.refuse(w, request, drainRefusal())
+		return
+	}
 	// What is refused counts too: the others would else use the account's part.
 	h.admission.asked(request)
 	h.records.tally.asked(request)
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
@@ -47,7 +48,7 @@
 	settings := newCurrentSettings(options.Settings)
 	admission := newAdmission(settings, options.Zone, options.Peers)
 	connections := newConnections(options.Logger, options.Registerer)
-	drain := &drainState{}
+	drain := newDrainState()
 	h := &handler{
 		drain:     drain,
 		settings:  settings,
@@ -290,24 +291,23 @@
 // Drain implements daemon.Service: it tells the balancer, takes connections
 // until the balancer has heard, and lets the requests in progress end.
 func (m *Manager) Drain(ctx context.Context) error {
-	deadline := time.Now().Add(m.options.Grace - endMargin)
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	left := m.options.Grace - endMargin
+	ctx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	now := boottime.Now()
+	m.handler.drain.begin(now, now.Add(left))
 	m.options.Readiness.SetDraining()
 	event.GateReady.Log(m.options.Logger, logrus.Fields{"ready": false})
-	m.entry.beginDrain()
 	select {
 	case <-ctx.Done():
 	case <-time.After(min(notice, m.options.Grace/2)):
 	}
 	m.entry.stopAccepting()
-	return m.entry.finish(ctx, m.noteCut)
-}
-
-// noteCut tells how many requests are in progress when draining ends.
-func (m *Manager) noteCut() {
-	if count := m.handler.running.Load(); count > 0 {
-		m.handler.metrics.cutDraining(count)
-		m.handler.records.cutDraining(count)
+	count := m.entry.finish(ctx)
+	if count == 0 {
+		return nil
 	}
+	m.handler.metrics.cutDraining(count)
+	m.handler.records.cutDraining(count)
+	return errors.Errorf("%d requests in progress were ended", count)
 }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -80,7 +80,7 @@
 
 func (m *metrics) takenDraining() { m.drained.WithLabelValues(drainTaken).Inc() }
 
-func (m *metrics) cutDraining(count int64) { m.drained.WithLabelValues(drainCut).Add(float64(count)) }
+func (m *metrics) cutDraining(count int) { m.drained.WithLabelValues(drainCut).Add(float64(count)) }
 
 func (m *metrics) answered(status int) {
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -191,9 +191,10 @@
 	r.write(r.failures, event.GateFailed, request, logrus.Fields{"backend": backend.ID, "status": status})
 }
 
-func (r *records) brokeOff(request *Request, sends int) {
+// brokeOff writes that a stream ends early, by the backend server or the end of draining.
+func (r *records) brokeOff(request *Request, sends int, drained bool) {
 	r.tally.answered(request, false, false)
-	r.write(r.failures, event.GateBrokeOff, request, logrus.Fields{"sends": sends})
+	r.write(r.failures, event.GateBrokeOff, request, logrus.Fields{"sends": sends, "drained": drained})
 }
 
 func (r *records) callerGone(request *Request) {
@@ -217,7 +218,7 @@
 }
 
 // cutDraining writes that so many requests are cut as they are in progress at the end.
-func (r *records) cutDraining(count int64) {
+func (r *records) cutDraining(count int) {
 	event.GateDrainCut.Log(r.logger, logrus.Fields{"count": count})
 }
 
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -51,6 +51,10 @@
 // connection towards its own.
 func (r *run) loop(ctx context.Context) {
 	for {
+		if !r.handler.drain.takes(r.request, boottime.Now()) {
+			r.giveUp(ctx, drainRefusal())
+			return
+		}
 		view := r.handler.state.View()
 		placed, refusal := r.handler.admission.place(r.request, view, r.excluded)
 		if refusal != nil {
@@ -106,26 +110,35 @@
 	if r.stream.started {
 		// The head of an answer has been sent. Only a connection that ends
 		// early tells the caller that the stream is not complete.
-		r.handler.records.brokeOff(r.request, r.sends)
+		r.handler.records.brokeOff(r.request, r.sends, drained(ctx))
 		panic(http.ErrAbortHandler)
 	}
 	if r.saved != nil {
 		r.deliver(r.saved)
 		return
 	}
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		refusal = r.timedOut()
-	}
 	if r.ran && refusal.Status == http.StatusServiceUnavailable {
 		// 503 promises that the request has not run.
 		refusal = Refusal{Status: http.StatusBadGateway, Reason: ReasonBroken}
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
+	switch {
+	case drained(ctx):
+		refusal = r.drainEnded()
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		refusal = r.timedOut()
+	case errors.Is(ctx.Err(), context.Canceled):
 		refusal.Reason = ReasonCallerGone
 	}
 	r.handler.refuse(r.writer, r.request, refusal)
 }
 
+func (r *run) drainEnded() Refusal {
+	if r.ran {
+		return Refusal{Status: http.StatusBadGateway, Reason: ReasonDraining}
+	}
+	return drainRefusal()
+}
+
 func (r *run) timedOut() Refusal {
 	if r.ran {
 		return Refusal{Status: http.StatusGatewayTimeout, Reason: ReasonTimeout}
