gate: a draining router closes no connection from which a request has been read

Cause, by the moment and by elimination, not by a trace: net/http counts a connection as idle until the head of a request has been read whole and parsed, and a server in Shutdown drops what it reads. On a busy processor both take a request whose bytes have been read. Waiting for Shutdown also in the code before.

Change: the gate knows the state of each connection from the first byte that is read. Idle ones are closed by a read deadline, which does not take bytes that have been read already; draining ends when no connection has a request that is read or in progress; servers are not shut down any more.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"net"
+	"net/http"
+	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
@@ -12,11 +15,156 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
+// callerConns are the open connections of callers. Its methods may be called concurrently.
+type callerConns struct {
+	places chan struct{} // holds a token for each
+
+	mu   sync.Mutex
+	open map[*callerConn]bool
+}
+
+func newCallerConns(most int) *callerConns {
+	return &callerConns{places: make(chan struct{}, most), open: make(map[*callerConn]bool)}
+}
+
+// add adds a connection for which a place has been taken. The connection gives it back when
+// it is closed.
+func (c *callerConns) add(conn net.Conn) *callerConn {
+	added := &callerConn{Conn: conn, conns: c, opened: boottime.Now()}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open[added] = true
+	return added
+}
+
+func (c *callerConns) remove(conn *callerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open[conn] {
+		delete(c.open, conn)
+		<-c.places
+	}
+}
+
+// all returns the open connections.
+func (c *callerConns) all() []*callerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := make([]*callerConn, 0, len(c.open))
+	for conn := range c.open {
+		all = append(all, conn)
+	}
+	return all
+}
+
+// busy returns how many connections have a request that is not answered.
+func (c *callerConns) busy() int {
+	busy := 0
+	for _, conn := range c.all() {
+		if conn.busy() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// closeIdle closes the connections on which an answer was the last that happened.
+func (c *callerConns) closeIdle() {
+	for _, conn := range c.all() {
+		conn.closeIfIdle()
+	}
+}
+
+// connState is how far the requests of a connection have got.
+type connState int
+
+const (
+	connNew     connState = iota // nothing has been read
+	connReading                  // the first bytes of a request have been read
+	connServing                  // its head has been read whole
+	connIdle                     // it has been answered
+)
+
 // callerConn is a caller's connection.
+//
+// The server's own state of a connection stays idle until the head of a request has been
+// read whole and parsed, which takes long on a busy processor.
 type callerConn struct {
-	conn     net.Conn
+	net.Conn
+	conns    *callerConns
 	opened   boottime.Instant
-	requests atomic.Int64 // that were read from it
+	requests atomic.Int64 // that were served
+
+	mu    sync.Mutex
+	state connState
+}
+
+// Read implements net.Conn.
+func (c *callerConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.began()
+	}
+	return n, err
+}
+
+// began notes that bytes have been read.
+func (c *callerConn) began() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connNew || c.state == connIdle {
+		c.state = connReading
+	}
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	if c.conns != nil {
+		c.conns.remove(c)
+	}
+	return c.Conn.Close()
+}
+
+func (c *callerConn) busy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == connReading || c.state == connServing
+}
+
+// closeIfIdle lets the server close the connection if it waits for a request. A read that
+// has got bytes still returns them, so that no request is read and then dropped.
+func (c *callerConn) closeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connIdle {
+		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if it is closed already
+	}
+}
+
+// noteState follows the server's state of a connection. The server calls it.
+func noteState(conn net.Conn, state http.ConnState) {
+	c, ok := conn.(*callerConn)
+	if !ok {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.state = connServing
+		c.requests.Add(1)
+	case http.StateIdle:
+		c.state = connIdle
+	}
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("no connection of the system's")
+	}
+	return conn.SyscallConn()
 }
 
 // callerConnKey is the context key of a caller's connection.
@@ -24,7 +172,7 @@
 
 // withCallerConn keeps the connection in the context of its requests.
 func withCallerConn(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, callerConnKey{}, &callerConn{conn: conn, opened: boottime.Now()})
+	return context.WithValue(ctx, callerConnKey{}, conn)
 }
 
 // callerConnOf returns the connection of a request, nil if it came on none.
@@ -41,12 +189,8 @@
 	if errors.Is(ctx.Err(), context.Canceled) && !drained(ctx) {
 		return true
 	}
-	caller := callerConnOf(ctx)
-	if caller == nil {
-		return false
-	}
-	conn, ok := caller.conn.(syscall.Conn)
-	if !ok {
+	conn := callerConnOf(ctx)
+	if conn == nil {
 		return false
 	}
 	raw, err := conn.SyscallConn()
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -127,16 +127,9 @@
 	g := startDrainingGate(t, 15*time.Second, endless)
 	g.startStream(t)
 	g.applyOtherLimits()
-	conn := g.connect(t)
-	response, err := request(conn, "/none")
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
-		t.Fatalf("closing %v, %v; want a kept connection", response.Close, err)
-	}
+	conn := g.keptConnection(t)
 	g.stop()
-	response, err = request(conn, "/stream/x")
+	response, err := request(conn, "/stream/x")
 	if g.arrived.Load() != 1 {
 		t.Error("the backend server runs it")
 	}
@@ -165,6 +158,45 @@
 	}
 }
 
+// Guards against closing a kept connection from which a part of a request has been read: on a
+// busy processor its caller gets no answer.
+func TestRequestReadWhenTheListenerClosesIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := startDrainingGate(t, 15*time.Second, endless)
+	g.startStream(t)
+	conn := g.keptConnection(t)
+	const head = "GET /stream/x HTTP/1.1\r\nHost: h\r\n\r\n"
+	go func() {
+		time.Sleep(testGrace / 4)
+		_, _ = io.WriteString(conn, head[:10]) // a failure shows below
+	}()
+	g.stop()
+	if _, err := io.WriteString(conn, head[10:]); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if reason := reasonIn(t, response); reason != ReasonDraining {
+		t.Errorf("status %d for %q, want a refusal", response.StatusCode, reason)
+	}
+}
+
+// keptConnection returns a connection that stays open after an answer.
+func (g *drainingGate) keptConnection(t *testing.T) net.Conn {
+	t.Helper()
+	conn := g.connect(t)
+	response, err := request(conn, "/none")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		t.Fatalf("closing %v, %v; want a kept connection", response.Close, err)
+	}
+	return conn
+}
+
 // startStream starts a stream that goes on until the gate has drained.
 func (g *drainingGate) startStream(t *testing.T) {
 	t.Helper()
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -7,8 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,8 +46,7 @@
 // were in force when it was opened.
 type entry struct {
 	handler http.Handler
-	open    chan struct{} // holds a token for each open connection
-	running atomic.Int64  // requests in progress
+	callers *callerConns
 	load    processor
 
 	mu       sync.Mutex
@@ -68,7 +65,7 @@
 }
 
 func newEntry(handler http.Handler, connections int, load processor, drain *drainState) *entry {
-	e := &entry{handler: handler, open: make(chan struct{}, connections), load: load, drain: drain}
+	e := &entry{handler: handler, callers: newCallerConns(connections), load: load, drain: drain}
 	e.apply(defaultLimits)
 	return e
 }
@@ -84,7 +81,7 @@
 		limits: limits,
 		conns:  newHandedListener(),
 		server: &http.Server{
-			Handler:           http.HandlerFunc(e.serve),
+			Handler:           e.handler,
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
@@ -92,6 +89,7 @@
 			ErrorLog:    log.New(io.Discard, "", 0),
 			BaseContext: func(net.Listener) context.Context { return e.drain.requests },
 			ConnContext: withCallerConn,
+			ConnState:   e.noteState,
 			// OPTIONS * is a request like any other.
 			DisableGeneralOptionsHandler: true,
 		},
@@ -101,16 +99,6 @@
 	go func() { _ = next.server.Serve(next.conns) }() // ends with the listener only
 }
 
-// serve counts a request while it is in progress.
-func (e *entry) serve(w http.ResponseWriter, r *http.Request) {
-	e.running.Add(1)
-	defer e.running.Add(-1)
-	if conn := callerConnOf(r.Context()); conn != nil {
-		conn.requests.Add(1)
-	}
-	e.handler.ServeHTTP(w, r)
-}
-
 func sameEntryLimits(a, b knowledge.Limits) bool {
 	return a.HeaderBytes == b.HeaderBytes && a.HeaderTimeout == b.HeaderTimeout && a.IdleTimeout == b.IdleTimeout
 }
@@ -162,26 +150,26 @@
 	stop := context.AfterFunc(ctx, e.stopAccepting)
 	defer stop()
 	for {
-		e.open <- struct{}{}
+		e.callers.places <- struct{}{}
 		if e.load.standing() {
-			<-e.open
+			<-e.callers.places
 			e.load.shed()
 			return
 		}
 		conn, err := listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
-			<-e.open
+			<-e.callers.places
 			return
 		}
 		if err != nil {
-			<-e.open
+			<-e.callers.places
 			time.Sleep(acceptPause)
 			continue
 		}
 		e.mu.Lock()
 		current := e.current
 		e.mu.Unlock()
-		current.conns.hand(&countedConn{Conn: conn, open: e.open})
+		current.conns.hand(e.callers.add(conn))
 	}
 }
 
@@ -215,7 +203,8 @@
 // each time and leave it open; once none can be accepted any more, requests
 // wait a second for their connection and are read after their callers left.
 func (e *entry) crowded() bool {
-	return float64(len(e.open)) > float64(cap(e.open))*crowdedShare
+	places := e.callers.places
+	return float64(len(places)) > float64(cap(places))*crowdedShare
 }
 
 func (e *entry) stopAccepting() {
@@ -240,28 +229,19 @@
 // finish waits until no request is in progress or the context ends, ends what is left, and
 // closes all connections. It returns how many requests were left.
 //
-// Idle connections are closed at once. Those that are not idle are served on: a server that
-// is shut down would read another request from them and drop it.
+// The servers are not shut down: they would read a request, drop it and close its connection.
 func (e *entry) finish(ctx context.Context) int {
-	servers := e.servers()
-	for _, server := range servers {
-		server.SetKeepAlivesEnabled(false)
-	}
+	e.callers.closeIdle()
 	left := e.awaitQuiet(ctx)
 	if left > 0 {
 		e.drain.end()
+		answers, cancel := context.WithTimeout(context.Background(), answerTime)
+		defer cancel()
+		e.awaitQuiet(answers)
 	}
-	shutdown, cancel := context.WithTimeout(context.Background(), answerTime)
-	defer cancel()
-	var group sync.WaitGroup
-	for _, server := range servers {
-		group.Go(func() {
-			if server.Shutdown(shutdown) != nil {
-				_ = server.Close() // closes what is left
-			}
-		})
+	for _, server := range e.servers() {
+		_ = server.Close() // nobody waits on its connections any more
 	}
-	group.Wait()
 	return left
 }
 
@@ -279,37 +259,24 @@
 	for quiet < drainQuiet {
 		select {
 		case <-ctx.Done():
-			return int(e.running.Load())
+			return e.callers.busy()
 		case <-time.After(drainLook):
 		}
 		quiet += drainLook
-		if e.running.Load() > 0 {
+		if e.callers.busy() > 0 {
 			quiet = 0
 		}
 	}
 	return 0
 }
 
-// countedConn gives its place back when it is closed.
-type countedConn struct {
-	net.Conn
-	open chan struct{}
-	once sync.Once
-}
-
-// SyscallConn implements syscall.Conn.
-func (c *countedConn) SyscallConn() (syscall.RawConn, error) {
-	conn, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return nil, errors.New("no connection of the system's")
+// noteState follows the server's state of a connection. One that gets idle late in draining
+// has had no answer that told its end.
+func (e *entry) noteState(conn net.Conn, state http.ConnState) {
+	noteState(conn, state)
+	if state == http.StateIdle && e.drain.closed.Load() {
+		_ = conn.Close() // its caller may have closed it
 	}
-	return conn.SyscallConn()
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.once.Do(func() { <-c.open })
-	return c.Conn.Close()
 }
 
 // handedListener is a net.Listener whose connections are handed to it.
--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -168,7 +168,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	ctx := withCallerConn(context.Background(), &countedConn{Conn: conn})
+	ctx := withCallerConn(context.Background(), &callerConn{Conn: conn})
 	if callerLeft(ctx) {
 		t.Error("the caller is there")
 	}
