gate: a caller that leaves is not recorded as a failed backend server

Operators saw warnings of failed backend servers (2104) at engines that answered all others. Cause: when a caller leaves, the router closes its connection to the backend server, and the failed read of that was recorded as a failure there, followed by a stream broken off (2106) or a refusal (2102) in place of the caller that left (2107).

Change: an exchange that fails once the server has noticed that the caller left ends with 2107 alone; one that the end of draining has ended is no failure of the backend server either, and 2106 says drained.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -181,12 +181,17 @@
 	return conn
 }
 
+// callerCanceled tells whether the server has noticed that the caller closed its connection.
+func callerCanceled(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !drained(ctx)
+}
+
 // callerLeft tells whether the caller has closed its connection. The server
 // notices that as well, but on a busy processor long after: the request would
 // be sent on for nobody. A caller whose time has run out is still there and
 // gets an answer.
 func callerLeft(ctx context.Context) bool {
-	if errors.Is(ctx.Err(), context.Canceled) && !drained(ctx) {
+	if callerCanceled(ctx) {
 		return true
 	}
 	conn := callerConnOf(ctx)
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
@@ -29,6 +29,7 @@
 type drainingGate struct {
 	*Manager
 	address string
+	records *test.Hook
 	arrived atomic.Int32
 	drained chan error
 }
@@ -43,8 +44,8 @@
 		serve(w, r)
 	}))
 	t.Cleanup(func() { server.CloseClientConnections(); server.Close() })
-	logger := logrus.New()
-	logger.SetOutput(io.Discard)
+	logger, hook := test.NewNullLogger()
+	g.records = hook
 	state := knowledge.NewState()
 	destinations := []knowledge.Destination{{Service: "s", Weight: 1}}
 	state.SetConfiguration(&knowledge.Configuration{Version: 1, Limits: defaultLimits, Routes: []knowledge.Route{
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -67,9 +67,7 @@
 			err = errEventTooLong
 		}
 		if err != nil {
-			h.records.sendFailed(r.request, placed.backend, err)
-			r.brokenBy(ctx, placed, sent)
-			return verdictBroken
+			return r.answerFailed(ctx, placed, sent, err)
 		}
 	}
 }
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -37,9 +37,7 @@
 	}
 	_, err := io.Copy(&body, io.LimitReader(answer, wholeMost))
 	if err != nil {
-		r.handler.records.sendFailed(r.request, placed.backend, err)
-		r.brokenBy(ctx, placed, sent)
-		return verdictBroken
+		return r.answerFailed(ctx, placed, sent, err)
 	}
 	took := boottime.Now().Sub(sent)
 	r.handler.admission.began(r.request, placed, took)
@@ -132,6 +130,9 @@
 		_, err = io.Copy(r.writer, answer)
 	}
 	if err != nil {
+		if callerLeft(ctx) {
+			return r.callerGone()
+		}
 		r.giveUp(ctx, Refusal{})
 	}
 	r.handler.records.answered(r.request, placed, status, r.sends, r.late(), nil)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -289,10 +289,10 @@
 	h := r.handler
 	unsent := backendconn.ProgressOf(err) == backendconn.ProgressNone
 	h.admission.ended(r.request, placed, !unsent)
-	if errors.Is(err, backendconn.ErrAbandoned) {
+	if errors.Is(err, backendconn.ErrAbandoned) || callerCanceled(ctx) {
 		return r.callerGone()
 	}
-	h.records.sendFailed(r.request, placed.backend, err)
+	r.noteFailed(ctx, placed, err)
 	h.noteRefusal(placed.backend, sent, err)
 	if unsent {
 		r.connects++
@@ -308,6 +308,23 @@
 	return verdictBroken
 }
 
+// answerFailed ends an answer that could not be read to its end.
+func (r *run) answerFailed(ctx context.Context, placed *placement, sent boottime.Instant, err error) verdict {
+	if callerCanceled(ctx) {
+		return r.callerGone()
+	}
+	r.noteFailed(ctx, placed, err)
+	r.brokenBy(ctx, placed, sent)
+	return verdictBroken
+}
+
+// noteFailed writes that an exchange failed, unless this router has ended it.
+func (r *run) noteFailed(ctx context.Context, placed *placement, err error) {
+	if !drained(ctx) {
+		r.handler.records.sendFailed(r.request, placed.backend, err)
+	}
+}
+
 // brokenBy notes that the connection to a backend server broke while it had the
 // request, unless the caller or the clock ended it.
 func (r *run) brokenBy(ctx context.Context, placed *placement, sent boottime.Instant) {
