gate: answers of a draining router tell that their connections end

A request that came before SIGTERM and was answered after it had no Connection: close, though the connection is closed after the answer, so its caller's next request met that close. Formerly a server in Shutdown added the header; servers are not shut down any more since.

The head of an answer is written in one place, which adds the header while the process drains.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -213,6 +213,15 @@
 	Error Reason `json:"error"`
 }
 
+// writeHead writes the head of an answer. A request may have come before the signal to stop,
+// so it is known only now whether its connection will be closed.
+func (h *handler) writeHead(w http.ResponseWriter, status int) {
+	if h.drain.draining() {
+		w.Header().Set("Connection", "close")
+	}
+	w.WriteHeader(status)
+}
+
 // refuse answers a request that no backend server has answered.
 func (h *handler) refuse(w http.ResponseWriter, request *Request, refusal Refusal) {
 	h.records.refused(request, refusal)
@@ -227,6 +236,6 @@
 		panic(err) // a string can always be encoded
 	}
 	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(refusal.Status)
+	h.writeHead(w, refusal.Status)
 	_, _ = w.Write(body) // a caller that has gone needs no answer
 }
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -102,7 +102,7 @@
 	}
 	r.stream.started = true
 	maps.Copy(r.writer.Header(), fleet.EndToEnd(answer.Header))
-	r.writer.WriteHeader(answer.Status)
+	r.handler.writeHead(r.writer, answer.Status)
 }
 
 // endStream ends a stream that its backend server has ended whole.
--- a/internal/gate/relay_whole.go
+++ b/internal/gate/relay_whole.go
@@ -108,7 +108,7 @@
 	header := r.writer.Header()
 	maps.Copy(header, whole.header)
 	header.Set("Content-Length", strconv.Itoa(len(whole.body)))
-	r.writer.WriteHeader(status)
+	r.handler.writeHead(r.writer, status)
 	_, err := r.writer.Write(whole.body)
 	r.handler.records.answered(r.request, whole.placed, status, r.sends, r.late(), err)
 	r.handler.metrics.answered(status)
@@ -124,7 +124,7 @@
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	r.stream.started = true
-	r.writer.WriteHeader(status)
+	r.handler.writeHead(r.writer, status)
 	_, err := r.writer.Write(read)
 	if err == nil {
 		_, err = io.Copy(r.writer, answer)
