gate: a request sent before the end of the notice is repeated in draining

Found by review: an idempotent request that was taken before SIGTERM, and whose backend server broke after the listener was closed, got 502, although another server was free and seconds were left: the bound for late requests was applied to each send. It is applied to the first one only.

--- /dev/null
+++ b/internal/gate/drain_answers_test.go
@@ -0,0 +1,92 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Guards against an answer that does not tell that its connection is closed: the caller's next
+// request meets the close.
+func TestAnswerWhileDrainingTellsTheClose(t *testing.T) {
+	t.Parallel()
+	release := make(chan struct{})
+	g := startDrainingGate(t, 15*time.Second, func(http.ResponseWriter, *http.Request) { <-release })
+	conn := g.connect(t)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		response, err := request(conn, "/whole/x")
+		if err != nil {
+			t.Errorf("no answer: %v", err)
+		}
+		answered <- response
+	}()
+	for g.arrived.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.stop()
+	close(release)
+	if response := <-answered; response != nil && !response.Close {
+		t.Error("the answer does not tell that the connection is closed")
+	}
+}
+
+// Guards against giving up a request that was taken before draining, may be repeated, and has
+// time left, when a backend server breaks its connection.
+func TestRequestTakenBeforeDrainingIsRepeated(t *testing.T) {
+	t.Parallel()
+	broken := make(chan struct{})
+	var g *drainingGate
+	serve := func(w http.ResponseWriter, _ *http.Request) {
+		if g.arrived.Load() == 1 {
+			<-broken
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "whole")
+	}
+	g = startDrainingGate(t, 15*time.Second, serve)
+	g.addRepeatingRoute()
+	answered := make(chan *http.Response, 1)
+	conn := g.connect(t)
+	go func() {
+		response, err := request(conn, "/again/x")
+		if err != nil {
+			t.Errorf("no answer: %v", err)
+		}
+		answered <- response
+	}()
+	for g.arrived.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	g.stop()
+	close(broken)
+	if response := <-answered; response != nil && response.StatusCode != http.StatusOK {
+		t.Errorf("status %d, want the answer of the second backend server", response.StatusCode)
+	}
+}
+
+// addRepeatingRoute adds a route at /again/ whose requests may be repeated, and a second
+// backend server at the address of the first.
+func (g *drainingGate) addRepeatingRoute() {
+	now, state := boottime.Now(), g.options.State
+	var address fleet.Address
+	for _, backend := range state.View().Backends {
+		address = backend.Address
+	}
+	state.SetConfiguration(&knowledge.Configuration{Version: 2, Limits: defaultLimits, Routes: []knowledge.Route{{
+		Name: "again", PathPrefix: "/again/", Host: "h", Public: true, Repeat: knowledge.RepeatAlways, MaxAttempts: 3,
+		Timeout: 15 * time.Second, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}},
+	}}}, now)
+	state.SetBackends([]knowledge.Backend{
+		{ID: "i", Service: "s", Address: address, Slots: 8},
+		{ID: "j", Service: "s", Address: address, Slots: 8},
+	}, knowledge.Position{Revision: 2}, now)
+	settings := *g.handler.settings.get()
+	settings.Budget = BudgetSettings{Window: time.Minute, Extra: 10}
+	g.ApplyConfig(settings)
+}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -51,7 +51,7 @@
 // connection towards its own.
 func (r *run) loop(ctx context.Context) {
 	for {
-		if !r.handler.drain.takes(r.request, boottime.Now()) {
+		if r.sends == 0 && r.connects == 0 && !r.handler.drain.takes(r.request, boottime.Now()) {
 			r.giveUp(ctx, drainRefusal())
 			return
 		}
