gate: no connection whose request has arrived is closed when draining ends

Connections are closed only if no bytes wait in them, idle ones while requests are in progress, and at the end also those without a request yet, repeatedly, as the server sets deadlines of its own. What is read meanwhile is refused. Servers are closed once nothing is open, or after answerTime.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/samber/lo"
 	"golang.org/x/sys/unix"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -57,24 +59,31 @@
 	return all
 }
 
-// busy returns how many connections have a request that is not answered.
-func (c *callerConns) busy() int {
-	busy := 0
-	for _, conn := range c.all() {
-		if conn.busy() {
-			busy++
-		}
-	}
-	return busy
+// count returns how many connections are in one of the states.
+func (c *callerConns) count(states ...connState) int {
+	return lo.CountBy(c.all(), func(conn *callerConn) bool { return conn.in(states...) })
 }
 
+// busy tells whether a request is being read or served.
+func (c *callerConns) busy() bool { return c.count(connReading, connServing) > 0 }
+
 // closeIdle closes the connections on which an answer was the last that happened.
 func (c *callerConns) closeIdle() {
 	for _, conn := range c.all() {
-		conn.closeIfIdle()
+		conn.closeIf(connIdle)
 	}
 }
 
+// closeQuiet closes the connections on which nothing was read since the last answer. It
+// returns how many are open.
+func (c *callerConns) closeQuiet() int {
+	all := c.all()
+	for _, conn := range all {
+		conn.closeIf(connIdle, connNew)
+	}
+	return len(all)
+}
+
 // connState is how far the requests of a connection have got.
 type connState int
 
@@ -125,20 +134,48 @@
 	return c.Conn.Close()
 }
 
-func (c *callerConn) busy() bool {
+func (c *callerConn) in(states ...connState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.state == connReading || c.state == connServing
+	return slices.Contains(states, c.state)
 }
 
-// closeIfIdle lets the server close the connection if it waits for a request. A read that
-// has got bytes still returns them, so that no request is read and then dropped.
-func (c *callerConn) closeIfIdle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.state == connIdle {
-		_ = c.SetReadDeadline(time.Unix(1, 0)) // fails if it is closed already
+// closeIf lets the server close the connection if it is in one of the states and no bytes
+// have arrived that wait to be read: on a busy processor they may wait for long. A read that
+// has got bytes still returns them, so that no request is read and then dropped. The server
+// may set a deadline of its own at the same moment, so the call is to be repeated.
+func (c *callerConn) closeIf(states ...connState) {
+	if c.in(states...) && !c.unread() {
+		_ = c.SetReadDeadline(longAgo) // fails if it is closed already
+	}
+}
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
+// unread tells whether bytes have arrived that were not read.
+func (c *callerConn) unread() bool {
+	n, err := c.peek()
+	return err == nil && n > 0
+}
+
+// peek returns how many bytes, one at most, can be read now. It is 0 when the caller has
+// closed the connection, and an error when there are none.
+func (c *callerConn) peek() (int, error) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	n, peekErr := 0, error(nil)
+	// Control, not Read: the server's own read holds the lock of Read.
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0, err
 	}
+	return n, peekErr
 }
 
 // noteState follows the server's state of a connection. The server calls it.
@@ -198,16 +235,6 @@
 	if conn == nil {
 		return false
 	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return false
-	}
-	left := false
-	// Control, not Read: the server's own read holds the lock of Read.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, err := unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		left = (n == 0 && err == nil) || err == unix.ECONNRESET
-	})
-	return err == nil && left
+	n, err := conn.peek()
+	return (n == 0 && err == nil) || err == unix.ECONNRESET
 }
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -24,8 +24,8 @@
 // Before the signal to stop, and while the balancer may not have heard of it, all requests
 // are taken. After that callers find other routers by themselves, and open connections are
 // the only way here: a request that comes on one is taken only if its time limit ends before
-// the process does, as it would be cut else. What is in progress at the end gets its final
-// answer.
+// the process does, as it would be cut else. One that was sent before may be sent again until
+// the end. What is in progress then gets its final answer.
 type drainState struct {
 	began  atomic.Int64 // boottime.Instant of the signal to stop, 0 before it
 	ends   atomic.Int64 // boottime.Instant at which requests in progress are ended
@@ -53,12 +53,18 @@
 	return now.Sub(boottime.Instant(d.began.Load()))
 }
 
-// takes tells whether the request may be sent to a backend server.
+// takes tells whether a request that has not been sent to a backend server may be.
 func (d *drainState) takes(request *Request, now boottime.Instant) bool {
-	return !d.closed.Load() || request.Left(now) <= boottime.Instant(d.ends.Load()).Sub(now)
+	switch {
+	case !d.closed.Load():
+		return true
+	case d.requests.Err() != nil:
+		return false
+	}
+	return request.Left(now) <= boottime.Instant(d.ends.Load()).Sub(now)
 }
 
-// end ends the requests in progress.
+// end ends the requests in progress and takes none any more.
 func (d *drainState) end() { d.cancel(errDrained) }
 
 // drained tells whether the context ended because draining has ended.
--- /dev/null
+++ b/internal/gate/drain_idle_test.go
@@ -0,0 +1,44 @@
+package gate
+
+import (
+	"bufio"
+	"net/http"
+	"runtime"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Guards against closing a kept connection whose next request has arrived and waits for a busy
+// processor.
+func TestRequestThatHasArrivedWhenIdleConnectionsAreClosedIsAnswered(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	const trials = 20
+	lost := 0
+	for range trials {
+		g := startDrainingGate(t, time.Second, func(http.ResponseWriter, *http.Request) {})
+		conn := g.keptConnection(t)
+		raw, err := conn.(syscall.Conn).SyscallConn()
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond) // until the connection is idle
+		g.entry.drain.closed.Store(true)
+		err = raw.Control(func(fd uintptr) {
+			// The server can't run between the two.
+			_, _ = unix.Write(int(fd), []byte("GET /none HTTP/1.1\r\nHost: h\r\n\r\n"))
+			g.entry.callers.closeIdle()
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil {
+			lost++
+		}
+	}
+	if lost > 0 {
+		t.Errorf("%d of %d requests were not answered", lost, trials)
+	}
+}
--- /dev/null
+++ b/internal/gate/drain_race_test.go
@@ -0,0 +1,96 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// calm is a processor that bears all callers.
+type calm struct{}
+
+func (calm) standing() bool       { return false }
+func (calm) shed()                {}
+func (calm) relieved() bool       { return true }
+func (calm) relief(time.Duration) {}
+
+// Guards against a request that is read after the last look for requests in progress, and
+// whose connection is then closed without an answer.
+func TestRequestReadWhenDrainingEndsIsAnswered(t *testing.T) {
+	const trials, together = 200, 8
+	var lost atomic.Int32
+	for first := 0; first < trials; first += together {
+		var group sync.WaitGroup
+		for i := range together {
+			// Around the moment at which no request has been in progress for long enough.
+			moment := drainQuiet + time.Duration((first+i)%50)*100*time.Microsecond
+			group.Go(func() { lost.Add(lostAtEnd(t, moment)) })
+		}
+		group.Wait()
+	}
+	if n := lost.Load(); n > 0 {
+		t.Errorf("%d requests were read and not answered", n)
+	}
+}
+
+// lostAtEnd sends requests on new connections so long after draining has begun. It returns
+// how many are read and not answered.
+func lostAtEnd(t *testing.T, moment time.Duration) int32 {
+	const requests = 10
+	drain := newDrainState()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+	})
+	e := newEntry(handler, 4*requests, calm{}, drain)
+	address := freeAddress(t)
+	go func() { _ = e.run(t.Context(), fleet.Address(address)) }() // ends with the listener
+	awaitListener(t, address)
+	conns := make([]net.Conn, requests)
+	for i := range conns {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			t.Error(err)
+			return 0
+		}
+		defer conn.Close()
+		conns[i] = conn
+	}
+	time.Sleep(20 * time.Millisecond) // until they are accepted
+	at := make(map[string]*callerConn)
+	for _, conn := range e.callers.all() {
+		at[conn.RemoteAddr().String()] = conn
+	}
+	e.stopAccepting()
+	finished := make(chan struct{})
+	go func() {
+		defer close(finished)
+		e.finish(context.Background())
+	}()
+	time.Sleep(moment)
+	var lost atomic.Int32
+	var group sync.WaitGroup
+	for _, conn := range conns {
+		group.Go(func() {
+			if _, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				return // it was closed before
+			}
+			if _, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				return
+			}
+			if server := at[conn.LocalAddr().String()]; server != nil && server.in(connReading, connServing) {
+				lost.Add(1)
+			}
+		})
+	}
+	group.Wait()
+	<-finished
+	return lost.Load()
+}
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -231,16 +231,11 @@
 //
 // The servers are not shut down: they would read a request, drop it and close its connection.
 func (e *entry) finish(ctx context.Context) int {
-	e.callers.closeIdle()
 	left := e.awaitQuiet(ctx)
-	if left > 0 {
-		e.drain.end()
-		answers, cancel := context.WithTimeout(context.Background(), answerTime)
-		defer cancel()
-		e.awaitQuiet(answers)
-	}
+	e.drain.end()
+	e.awaitClosed()
 	for _, server := range e.servers() {
-		_ = server.Close() // nobody waits on its connections any more
+		_ = server.Close() // callers that stall have what is left
 	}
 	return left
 }
@@ -253,23 +248,34 @@
 }
 
 // awaitQuiet waits until no request has been in progress for a moment or the context ends.
-// It returns how many are in progress then.
+// It closes idle connections meanwhile, and returns how many requests are in progress then.
 func (e *entry) awaitQuiet(ctx context.Context) int {
 	quiet := time.Duration(0)
 	for quiet < drainQuiet {
+		e.callers.closeIdle()
 		select {
 		case <-ctx.Done():
-			return e.callers.busy()
+			return e.callers.count(connServing)
 		case <-time.After(drainLook):
 		}
 		quiet += drainLook
-		if e.callers.busy() > 0 {
+		if e.callers.busy() {
 			quiet = 0
 		}
 	}
 	return 0
 }
 
+// awaitClosed closes connections as soon as nothing that was read from them waits for an
+// answer, for answerTime at most.
+func (e *entry) awaitClosed() {
+	for ends := boottime.Now().Add(answerTime); boottime.Now() < ends; time.Sleep(drainLook) {
+		if e.callers.closeQuiet() == 0 {
+			return
+		}
+	}
+}
+
 // noteState follows the server's state of a connection. One that gets idle late in draining
 // has had no answer that told its end.
 func (e *entry) noteState(conn net.Conn, state http.ConnState) {
