--- a/internal/peering/sums_test.go
+++ b/internal/peering/sums_test.go
@@ -78,9 +78,10 @@
 	round   int
 	routers map[fleet.Address]*Manager
 	locals  map[fleet.Address]*fakeLocal
-	cut     func(from, to *Manager) bool   // whether a beat gets lost
-	bytes   int                            // between zones
-	arrived func(data []byte, to *Manager) // is told of each beat that arrives, if set
+	cut     func(from, to *Manager) bool                       // whether a beat gets lost
+	bytes   int                                                // between zones
+	arrived func(data []byte, to *Manager)                     // is told of each beat that arrives, if set
+	took    func(beat *peeringpb.Beat, bytes int, to *Manager) // the same, decoded
 }
 
 // newFabric returns zones with so many routers each. Each router has as many
@@ -143,6 +144,9 @@
 	if f.arrived != nil {
 		f.arrived(data, to)
 	}
+	if f.took != nil {
+		f.took(&beat, len(data), to)
+	}
 	to.takeBeat(context.Background(), &beat, f.now)
 }
 
