Sums of zones are told as changes since what the receiver holds

Each beat of a summing router carried what whole zones use, 40 KB at 630 engines and 1,700 accounts. Now each router tells in its beats up to which clock it holds the sums of those to whom it sends (field held), and they tell it what has changed since (field sum_changes): absolute values, by numbers that stand for names, accounts only where they differ from the decayed value by more than 5% of themselves and of the mean. Without a base that the sender knows, the whole is told; a router that can't apply changes keeps what it has and is told from its base in the next turn. Routers of the version before tell no clock and get wholes in the field that they know.

The property test found that a whole which came late counted too much until the account's next change: decay now goes by the sender's clock. It passed 20,000 checks.

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -71,15 +71,17 @@
 // Manager exchanges beats with the other routers. It implements gate.Peers.
 type Manager struct {
 	*table
-	options Options
-	local   Local
-	started boottime.Instant
-	network Network
-	puller  *puller
-	records *peerRecords
-	traffic *traffic
-	broken  []brokenEntry
-	looked  atomic.Bool // whether the directory has answered
+	options   Options
+	local     Local
+	started   boottime.Instant
+	network   Network
+	puller    *puller
+	records   *peerRecords
+	traffic   *traffic
+	broken    []brokenEntry
+	zoneLog   sumLog      // what this zone uses, as the other zones are told
+	othersLog sumLog      // what other zones use, as this one is told
+	looked    atomic.Bool // whether the directory has answered
 }
 
 // NewManager returns a manager that is silent until Run.
@@ -144,7 +146,7 @@
 		m.add(fleet.Address(address), zoneUnknown, now)
 	}
 	m.local.SetUses(router, m.uses(router))
-	if beat.Sums != nil {
+	if beat.Sums != nil || beat.SumChanges != nil {
 		m.local.SetUses(elsewhere, m.refreshOthers(now))
 	}
 	for _, fingerprint := range beat.Broken {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -75,7 +75,7 @@
 	common := m.common(now, len(targets))
 	own := use{loads: m.local.Loads(), uses: m.local.Uses(), paces: ownPaces(m.local.Paces(), now), at: now}
 	if len(targets) <= smallFleet {
-		m.sendBeats(targets, common, own, m.pacesDue(round, 1), nil)
+		m.sendBeats(targets, common, own, m.pacesDue(round, 1), summed{})
 		return
 	}
 	same, others := m.zoneTargets(targets)
@@ -85,18 +85,29 @@
 	// tell one router in the same round, and then none for as long as a turn takes.
 	roundOthers := round + int(m.hash%uint64(len(targets)))
 	if !m.summing(now) {
-		m.sendBeats(same, common, own, pacesDue, nil)
-		m.sendBeats(turn(others, roundOthers, m.beatsToOthers(m.Follows())), common, use{}, false, nil)
+		m.sendBeats(same, common, own, pacesDue, summed{})
+		others = turn(others, roundOthers, m.beatsToOthers(m.Follows()))
+		if round%standbyRounds == 0 {
+			others = lo.Union(others, m.sumSenders())
+		}
+		m.sendBeats(others, common, use{}, false, summed{})
 		return
 	}
 	handedOn, covered := m.others(now, pacesDue)
-	m.sendBeats(same, common, own, pacesDue, encodeSums(handedOn, covered, pacesDue))
+	m.othersLog.update(handedOn, now)
+	for receiver, group := range m.byBase(same, &m.othersLog) {
+		m.sendBeats(group, common, own, pacesDue, receiver.told(&m.othersLog, handedOn, covered, pacesDue))
+	}
 	summers := m.sumTargets(round, now)
 	others = turn(others, roundOthers, m.beatsToOthers(true))
-	m.sendBeats(lo.Without(others, summers...), common, use{}, false, nil)
+	m.sendBeats(lo.Without(others, summers...), common, use{}, false, summed{})
 	// These are the rounds in which the standby routers get the sums too.
 	summersDue := round%standbyRounds == 0
-	m.sendBeats(summers, common, use{}, false, encodeSums(m.sumZone(own, now, summersDue), []fleet.Zone{m.zone}, summersDue))
+	total := m.sumZone(own, now, summersDue)
+	m.zoneLog.update(total, now)
+	for receiver, group := range m.byBase(summers, &m.zoneLog) {
+		m.sendBeats(group, common, use{}, false, receiver.told(&m.zoneLog, total, []fleet.Zone{m.zone}, summersDue))
+	}
 }
 
 // beatsToOthers returns how many beats of a round go to other zones. leads tells
@@ -143,8 +154,8 @@
 }
 
 // sendBeats sends to the targets what all are told, what this router uses, with the usual
-// work times that it has seen when they are due, and the sums of whole zones, nil for none.
-func (m *Manager) sendBeats(targets []fleet.Address, common *peeringpb.Beat, own use, pacesDue bool, summed *peeringpb.Sums) {
+// work times that it has seen when they are due, and the sums of whole zones.
+func (m *Manager) sendBeats(targets []fleet.Address, common *peeringpb.Beat, own use, pacesDue bool, sums summed) {
 	if len(targets) == 0 {
 		return
 	}
@@ -153,13 +164,14 @@
 	beat.Uses = encodeUses(own.uses)
 	beat.Loads = encodeLoads(own.loads)
 	beat.Paces, beat.Slowed = own.paces.carry(pacesDue, boottime.Instant(common.Clock))
-	beat.Sums = summed
+	beat.Held = m.held(targets)
+	beat.Sums, beat.SumChanges = sums.whole, sums.changes
 	data, err := proto.Marshal(beat)
 	if err != nil {
 		panic(err) // only text that is no UTF-8 can't be encoded
 	}
 	what := messageBeat
-	if summed != nil {
+	if sums != (summed{}) {
 		what = messageSums
 	}
 	for _, target := range targets {
--- a/internal/peering/sums.go
+++ b/internal/peering/sums.go
@@ -34,6 +34,9 @@
 	silentTurns = 4
 	// sumsLife is how long sums count that are not replaced.
 	sumsLife = 10 * beatInterval
+	// heldLife is how long sums that do not count any more are kept, so that changes can
+	// be applied to them.
+	heldLife = 10 * time.Second
 	// standbyRounds is the number of rounds in which the sums of a zone go to the
 	// router that would step in once. It is to know whom to expect, not to be up to
 	// date.
@@ -82,6 +85,12 @@
 type sums struct {
 	use
 	zones []fleet.Zone
+
+	// clock is that of the sender's beat up to which changes are applied, 0 if none can
+	// be. The numbers are those that changes go by.
+	clock    int64
+	backends map[uint32]uint32
+	accounts map[uint32]fleet.Account
 }
 
 func decodeSums(encoded *peeringpb.Sums, now boottime.Instant) *sums {
@@ -131,8 +140,10 @@
 func (t *table) sumOthers(now boottime.Instant, firstHand, usual bool) (use, []fleet.Zone) {
 	fresh := make([]*sums, 0, len(t.told))
 	for from, told := range t.told {
-		if now.Sub(told.at) > sumsLife {
-			delete(t.told, from)
+		if age := now.Sub(told.at); age > sumsLife {
+			if age > heldLife {
+				delete(t.told, from)
+			}
 			continue
 		}
 		if len(told.zones) == 1 || !firstHand {
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -43,6 +43,10 @@
 	zone        fleet.Zone       // zoneUnknown until it is told
 	use         use              // as it told last
 	contact     boottime.Instant // when the store answered it, 0 for never
+	// takesChanges tells whether it takes sums as changes, and held is the clock of this
+	// router up to which it holds them, 0 for none.
+	takesChanges bool
+	held         boottime.Instant
 }
 
 // table holds what is known of the other routers.
@@ -212,6 +216,7 @@
 	pacesBefore := known.use.paces
 	if beat.Incarnation != known.incarnation {
 		pacesBefore = paces{}
+		t.endChanges(address)
 	}
 	known.incarnation, known.clock, known.heard = beat.Incarnation, beat.Clock, now
 	t.heardLast = now
@@ -225,7 +230,9 @@
 		paces: decodePaces(beat.Paces, beat.Slowed, now).or(pacesBefore),
 		at:    now,
 	})
+	t.takeHeld(known, beat.Held)
 	t.takeSums(decodeSums(beat.Sums, now), address)
+	t.takeChanges(beat.SumChanges, beat.Clock, address, now)
 	if appeared {
 		t.count(now)
 	}
