--- a/internal/peering/sum_changes.go
+++ b/internal/peering/sum_changes.go
@@ -26,8 +26,10 @@
 	// disagreement lasts.
 	sumsRefresh = 5 * time.Minute
 	// unusedNumbers is how many numbers may belong to nothing in use, beyond twice those
-	// that do, until all are given anew.
+	// that do, until all are given anew, and renumberPause the least time between: while
+	// sums get lost for a moment, nothing seems to be in use.
 	unusedNumbers = 100
+	renumberPause = 30 * time.Second
 	// loadTolerance is the part by which prompt tokens and memory may differ from what
 	// the receiver knows.
 	loadTolerance = 0.05
@@ -72,8 +74,7 @@
 // update takes what the sums are at the moment, which is the clock of the beats that tell
 // them.
 func (l *sumLog) update(total use, now boottime.Instant) {
-	inUse := len(total.loads) + len(total.uses)
-	if l.began == 0 || now.Sub(l.began) > sumsRefresh || len(l.loads)+len(l.uses) > 2*inUse+unusedNumbers {
+	if l.endsAt(total, now) {
 		*l = sumLog{began: now, loadOf: make(map[uint32]*loadEntry), useOf: make(map[fleet.Account]*useEntry)}
 	}
 	l.last = now
@@ -81,6 +82,16 @@
 	l.updateUses(total.uses, now)
 }
 
+// endsAt tells whether all are told the whole anew, with new numbers.
+func (l *sumLog) endsAt(total use, now boottime.Instant) bool {
+	age := now.Sub(l.began)
+	if l.began == 0 || age > sumsRefresh {
+		return true
+	}
+	inUse := len(total.loads) + len(total.uses)
+	return age > renumberPause && len(l.loads)+len(l.uses) > 2*inUse+unusedNumbers
+}
+
 func (l *sumLog) updateLoads(loads map[uint32]gate.BackendLoad, now boottime.Instant) {
 	for backend := range loads {
 		if l.loadOf[backend] == nil {
--- a/internal/peering/sum_changes_test.go
+++ b/internal/peering/sum_changes_test.go
@@ -109,6 +109,9 @@
 		round := func(trouble bool) {
 			now = now.Add(beatInterval)
 			happens := func(what string) bool { return trouble && rapid.IntRange(0, 3).Draw(t, what) == 0 }
+			if happens("all stand still") && happens("for long") {
+				now = now.Add(sumsRefresh)
+			}
 			if happens("receiver starts again") && happens("indeed") {
 				receiver, receiverIncarnation = newTable(self, "zone0"), uint64(now)
 			}
@@ -177,6 +180,35 @@
 	}
 }
 
+// Guards against wholes to all routers each time that sums get lost for a moment, and against
+// numbers that grow without bound as accounts come and go.
+func TestNumbersAreGivenAnewSeldom(t *testing.T) {
+	var log sumLog
+	now := boottime.Instant(time.Hour)
+	renewed := 0
+	const rounds, perRound = 3000, 20
+	for i := range rounds {
+		total := newUse(now)
+		for j := range perRound {
+			if i%3 != 0 {
+				total.uses[fleet.Account(fmt.Sprint(i, j))] = shares.Use{Asked: 1000, Got: 1000}
+			}
+		}
+		began := log.began
+		log.update(total, now)
+		if log.began != began {
+			renewed++
+		}
+		if most := perRound*int(renumberPause/beatInterval) + unusedNumbers; len(log.uses) > most {
+			t.Fatalf("%d numbers are given, at most %d are due", len(log.uses), most)
+		}
+		now = now.Add(beatInterval)
+	}
+	if most := rounds*int(beatInterval)/int(renumberPause) + 1; renewed > most {
+		t.Errorf("numbers were given anew %d times, want %d at most", renewed, most)
+	}
+}
+
 // Guards against sums that are wrong or missing while some routers run the version before:
 // those send and take sums as a whole, and know nothing of changes.
 func TestSumsAmongOldAndNewRouters(t *testing.T) {
