--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -39,6 +39,6 @@
 	GateHistoryGone   = Event{2127, logrus.InfoLevel, "store has no changes since the known revision"}
 	GateBreaksJudged  = Event{2135, logrus.InfoLevel, "broken connections to a backend server judged"}
 	GateDrainTaken    = Event{2136, logrus.InfoLevel, "request taken late in draining"}
-	GateDrainCut      = Event{2137, logrus.WarnLevel, "requests in progress ended with draining"}
+	GateDrainEnded    = Event{2137, logrus.WarnLevel, "requests in progress ended with draining"}
 	GateDrained       = Event{2121, logrus.InfoLevel, "operator ordered a change of draining"}
 )
--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -178,12 +178,8 @@
 	return n, peekErr
 }
 
-// noteState follows the server's state of a connection. The server calls it.
-func noteState(conn net.Conn, state http.ConnState) {
-	c, ok := conn.(*callerConn)
-	if !ok {
-		return
-	}
+// follow takes the server's state of the connection.
+func (c *callerConn) follow(state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -276,10 +276,12 @@
 	}
 }
 
-// noteState follows the server's state of a connection. One that gets idle late in draining
-// has had no answer that told its end.
+// noteState follows a server's state of a connection. One that gets idle late in draining
+// may have had no answer that told its end.
 func (e *entry) noteState(conn net.Conn, state http.ConnState) {
-	noteState(conn, state)
+	if caller, ok := conn.(*callerConn); ok {
+		caller.follow(state)
+	}
 	if state == http.StateIdle && e.drain.closed.Load() {
 		_ = conn.Close() // its caller may have closed it
 	}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -307,7 +307,7 @@
 	if count == 0 {
 		return nil
 	}
-	m.handler.metrics.cutDraining(count)
-	m.handler.records.cutDraining(count)
+	m.handler.metrics.endedDraining(count)
+	m.handler.records.endedDraining(count)
 	return errors.Errorf("%d requests in progress were ended", count)
 }
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -48,7 +48,7 @@
 		}, []string{"verdict"}),
 		drained: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_draining_requests_total",
-			Help: "Requests of a process that ends: taken although no connections were accepted any more, and cut as they were in progress at the end.",
+			Help: "Requests of a process that ends: taken although no connections were accepted any more, and ended as they were in progress at the end.",
 		}, []string{"outcome"}),
 		first: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "bluebell_gate_first_event_seconds",
@@ -75,12 +75,12 @@
 // The outcomes of requests while the process drains.
 const (
 	drainTaken = "taken"
-	drainCut   = "cut"
+	drainEnded = "ended"
 )
 
 func (m *metrics) takenDraining() { m.drained.WithLabelValues(drainTaken).Inc() }
 
-func (m *metrics) cutDraining(count int) { m.drained.WithLabelValues(drainCut).Add(float64(count)) }
+func (m *metrics) endedDraining(count int) { m.drained.WithLabelValues(drainEnded).Add(float64(count)) }
 
 func (m *metrics) answered(status int) {
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -217,9 +217,9 @@
 	r.put(event.GateDrainTaken, request, fields)
 }
 
-// cutDraining writes that so many requests are cut as they are in progress at the end.
-func (r *records) cutDraining(count int) {
-	event.GateDrainCut.Log(r.logger, logrus.Fields{"count": count})
+// endedDraining writes that so many requests were ended as they were in progress at the end.
+func (r *records) endedDraining(count int) {
+	event.GateDrainEnded.Log(r.logger, logrus.Fields{"count": count})
 }
 
 func (r *records) answered(request *Request, placed *placement, status, sends int, late bool, err error) {
