--- a/internal/gate/drain_answers_test.go
+++ b/internal/gate/drain_answers_test.go
@@ -17,18 +17,7 @@
 	t.Parallel()
 	release := make(chan struct{})
 	g := startDrainingGate(t, 15*time.Second, func(http.ResponseWriter, *http.Request) { <-release })
-	conn := g.connect(t)
-	answered := make(chan *http.Response, 1)
-	go func() {
-		response, err := request(conn, "/whole/x")
-		if err != nil {
-			t.Errorf("no answer: %v", err)
-		}
-		answered <- response
-	}()
-	for g.arrived.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	answered := g.startRequest(t, "/whole/x")
 	g.stop()
 	close(release)
 	if response := <-answered; response != nil && !response.Close {
@@ -51,18 +40,7 @@
 	}
 	g = startDrainingGate(t, 15*time.Second, serve)
 	g.addRepeatingRoute()
-	answered := make(chan *http.Response, 1)
-	conn := g.connect(t)
-	go func() {
-		response, err := request(conn, "/again/x")
-		if err != nil {
-			t.Errorf("no answer: %v", err)
-		}
-		answered <- response
-	}()
-	for g.arrived.Load() == 0 {
-		time.Sleep(time.Millisecond)
-	}
+	answered := g.startRequest(t, "/again/x")
 	g.stop()
 	close(broken)
 	if response := <-answered; response != nil && response.StatusCode != http.StatusOK {
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -104,6 +104,23 @@
 	return http.ReadResponse(bufio.NewReader(conn), nil)
 }
 
+// startRequest sends a request that must be answered, and returns when it has reached the
+// backend server. The head of its answer, nil for none, comes by the channel.
+func (g *drainingGate) startRequest(t *testing.T, path string) <-chan *http.Response {
+	t.Helper()
+	conn := g.connect(t)
+	answered := make(chan *http.Response, 1)
+	go func() {
+		response, err := request(conn, path)
+		if err != nil {
+			t.Errorf("no answer: %v", err)
+		}
+		answered <- response
+	}()
+	awaitCount(t, "arrivals", func() int { return int(g.arrived.Load()) })
+	return answered
+}
+
 // reasonIn returns the reason of a refusal.
 func reasonIn(t *testing.T, response *http.Response) Reason {
 	t.Helper()
@@ -217,15 +234,7 @@
 func TestRequestInProgressIsAnsweredWhenDrainingEnds(t *testing.T) {
 	t.Parallel()
 	g := startDrainingGate(t, 15*time.Second, func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
-	answered := make(chan *http.Response, 1)
-	conn := g.connect(t)
-	go func() {
-		response, err := request(conn, "/whole/x")
-		if err != nil {
-			t.Errorf("no answer: %v", err)
-		}
-		answered <- response
-	}()
+	answered := g.startRequest(t, "/whole/x")
 	g.stop()
 	response := <-answered
 	if response == nil {
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -110,9 +110,7 @@
 // connection costs a small VM so much that more callers than it can refuse bring
 // everything to a standstill for as long as they come. A connection that is reset
 // by the kernel costs it nothing, and its caller tries another router at once; one
-// that waits to be accepted is given up only after a second. Requests in time
-// while one account's flood comes to three small VMs of 68: 25,354 with waiting,
-// 28,320 with resets.
+// that waits to be accepted is given up only after a second.
 func (e *entry) run(ctx context.Context, address fleet.Address) error {
 	for ctx.Err() == nil && !e.drain.closed.Load() {
 		listener, err := e.listen(ctx, address)
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -26,18 +26,15 @@
 	// to others. A request waits for its turn several times.
 	overloadedFrom = 30 * time.Millisecond
 	// pendingFrom is the lag from which a measurement that is not over yet counts
-	// as overload, and callers are turned away. At 150 ms requests in hand stand
-	// for seconds.
+	// as overload, and callers are turned away. With a longer one requests in hand
+	// stand for seconds.
 	pendingFrom = 40 * time.Millisecond
 	// relievedAt is the average lag at which it takes callers again.
 	relievedAt = 10 * time.Millisecond
 	// shareCut is what is left of the share of requests that are taken after
 	// each measurement above overloadedFrom, shareLeast bounds it, and
-	// shareRise is added after each measurement below relievedAt. While all
-	// callers of the largest account come to one small VM, the users' mark of the
-	// service is 0.555 with everything refused, 0.61 with a least share of 0.05,
-	// 0.63 with 0.3. Refusals cost a third of what answers cost, so a smaller one gains
-	// little time.
+	// shareRise is added after each measurement below relievedAt. A refusal costs a good
+	// part of what an answer costs, so a smaller least share gains little time.
 	shareCut   = 0.8
 	shareLeast = 0.3
 	shareRise  = 0.01
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -168,8 +168,7 @@
 
 // isolated tells whether the store answers others but not this router. What it
 // knows comes from the others then, who serve its callers better: they hear of
-// a withdrawn key or a new route first. With two of five routers cut off under high
-// load, the users' mark of the service is 0.52 without this and 0.63 with it.
+// a withdrawn key or a new route first.
 //
 // When the store answers nobody, last contacts still differ by as much as the
 // routers' calls lie apart, so another's must be newer by the whole time.
--- a/internal/gate/records.go
+++ b/internal/gate/records.go
@@ -18,8 +18,7 @@
 
 const (
 	// failuresPerSecond and failuresBurst bound the records of requests that
-	// did not go well. A record costs some 15 microseconds of a core, and the
-	// smallest VMs have a seventh of one.
+	// did not go well, as they cost small VMs a good part of their processor.
 	failuresPerSecond = 20
 	failuresBurst     = 100
 	// answersPerSecond and answersBurst bound the records of requests that
@@ -28,8 +27,7 @@
 	answersBurst     = 10
 	// leftOutInterval is the pause between two records of what was left out.
 	leftOutInterval = 5 * time.Second
-	// tallyInterval is the pause between two records of counts. One costs some
-	// fifty microseconds of a core.
+	// tallyInterval is the pause between two records of counts.
 	tallyInterval = time.Second
 )
 
--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -57,14 +57,7 @@
 //
 // An account that has had little of what is served finds wider bounds: its prompts may
 // be long, and with the narrow ones they would fit nowhere while engines have nothing to
-// do and other accounts get their part in short prompts. Requests in time, without and
-// with that, 38 engines being asked for twice the stated capacity: 2,573 and 2,874 long
-// ones, 11,108 and 12,111 middling, 4,011 and 5,366 short. Each kind gains at five other
-// fleets as well.
-//
-// With the own prompt left out of the budget, 8,907, 6,737 and 11,721 requests
-// were in time under high load at three deployments, at a credit of 0.855,
-// 0.752 and 0.737; with it 10,588, 7,537 and 13,073 at 0.872, 0.735 and 0.750.
+// do and other accounts get their part in short prompts.
 func (s *Settings) idleBounds(facts Facts) Bounds {
 	tightest := facts.Tightest
 	if tightest == 0 {
--- a/internal/policy/headroom.go
+++ b/internal/policy/headroom.go
@@ -18,11 +18,6 @@
 // Headroom is the part of the budgets that is used at a service, from
 // Settings.LeastHeadroom to 1. Late answers lower it and others raise it, so
 // that it settles where the tolerated part is late.
-//
-// Engines at 0.4 of the speed that the stated capacity assumes, requests served
-// in time under high load with the headroom, the observed capacity and the
-// idle tier, and without the three: 4,951 and 3,281, 4,079 and 3,504, 5,661 and
-// 3,389 at three deployments.
 type Headroom struct {
 	// lowered is how far the headroom is below 1, so that the zero value is a
 	// whole one.
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -16,9 +16,7 @@
 	// OwedEngines is how many engines are looked at for a request that its
 	// account is owed, before it is refused. Engines with few slots are often
 	// full for a moment; with the two homes alone, accounts that asked for less
-	// than their share missed up to a third of it. Part of what callers were owed
-	// that they got under high load, two runs, before 117 engines of 12 slots: 0.929
-	// and 0.876 with 2, 0.945 and 0.886 with 8.
+	// than their share missed a good part of it.
 	OwedEngines int
 
 	// SurplusShare is the part of the budget for requests of accounts that
