--- a/internal/testrelay/relay.go
+++ b/internal/testrelay/relay.go
@@ -1,19 +1,30 @@
-// Package testrelay stands between two ends of a TCP connection and lets it go
-// silent: the connection stays open and carries nothing more, as on a network
-// that has forgotten it. Only tests use it.
+// Package testrelay stands between two ends of a TCP connection and lets the
+// network between them fail: it delays, holds back, trickles, resets, or goes
+// silent, so that the connection stays open and carries nothing more, as on a
+// network that has forgotten it. Only tests use it.
 package testrelay
 
 import (
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
+
+	"github.com/pkg/errors"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
-// bufferSize is the most that is carried at once, in bytes.
-const bufferSize = 4096
+const (
+	// bufferSize is the most that is carried at once, in bytes.
+	bufferSize = 4096
+	// holdPause is the pause between two looks at whether data is still held back.
+	holdPause = 5 * time.Millisecond
+	// tricklePause is the pause between two parts that trickle.
+	tricklePause = 10 * time.Millisecond
+)
 
 // Config tells what a relay does.
 type Config struct {
@@ -24,21 +35,32 @@
 	AnswerLimit int
 }
 
+// Trouble is what goes wrong on all connections while it lasts. Nothing is lost by it.
+type Trouble struct {
+	Delay    time.Duration // before each piece of data and each end
+	HoldTo   bool          // holds back what goes to the target
+	HoldFrom bool          // holds back what comes from it
+	Trickle  int           // bytes that are carried at once, 0 for no bound
+}
+
 // Relay forwards connections to a target. Connections that are made after
-// Silence work.
+// Silence or Reset work.
 type Relay struct {
 	config   Config
 	listener net.Listener
 	limited  chan struct{} // closed when the limit has silenced a connection
 	once     sync.Once
 	dropped  atomic.Int64
+	trouble  atomic.Pointer[Trouble]
 
 	mu          sync.Mutex
-	connections []*connection
+	connections map[*connection]bool // those that are open
+	made        int
 }
 
 // connection is one connection with its two ends.
 type connection struct {
+	relay     *Relay
 	near, far net.Conn // the client's and the target's end
 	silent    atomic.Bool
 }
@@ -53,12 +75,20 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &Relay{config: config, listener: listener, limited: make(chan struct{})}
+	r := &Relay{config: config, listener: listener, limited: make(chan struct{}), connections: make(map[*connection]bool)}
+	r.SetTrouble(Trouble{})
 	go r.run()
-	t.Cleanup(func() { listener.Close() })
+	t.Cleanup(r.Close)
 	return r
 }
 
+// Close ends the relay and resets its connections.
+func (r *Relay) Close() {
+	r.listener.Close()
+	r.SetTrouble(Trouble{}) // held data would keep its goroutines
+	r.Reset()
+}
+
 // Address is where the relay listens.
 func (r *Relay) Address() fleet.Address { return fleet.Address(r.listener.Addr().String()) }
 
@@ -72,16 +102,35 @@
 func (r *Relay) Connections() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.connections)
+	return r.made
 }
 
+// SetTrouble changes what goes wrong from now on.
+func (r *Relay) SetTrouble(trouble Trouble) { r.trouble.Store(&trouble) }
+
 // Silence makes all connections so far silent.
 func (r *Relay) Silence() {
+	for _, c := range r.open() {
+		c.silent.Store(true)
+	}
+}
+
+// Reset resets all connections so far at both ends.
+func (r *Relay) Reset() {
+	for _, c := range r.open() {
+		reset(c.near)
+		reset(c.far)
+	}
+}
+
+func (r *Relay) open() []*connection {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range r.connections {
-		c.silent.Store(true)
+	open := make([]*connection, 0, len(r.connections))
+	for c := range r.connections {
+		open = append(open, c)
 	}
+	return open
 }
 
 func (r *Relay) run() {
@@ -90,18 +139,28 @@
 		if err != nil {
 			return
 		}
-		far, err := net.Dial("tcp", string(r.config.Target))
-		if err != nil {
-			near.Close()
-			continue
-		}
-		c := &connection{near: near, far: far}
-		r.mu.Lock()
-		r.connections = append(r.connections, c)
-		r.mu.Unlock()
-		go c.forward(near, far, func(data []byte) []byte { return data }, func(int) {})
-		go c.forward(far, near, r.limit(c), func(lost int) { r.dropped.Add(int64(lost)) })
+		go r.connect(near)
+	}
+}
+
+func (r *Relay) connect(near net.Conn) {
+	far, err := net.Dial("tcp", string(r.config.Target))
+	if err != nil {
+		reset(near)
+		return
 	}
+	c := &connection{relay: r, near: near, far: far}
+	r.mu.Lock()
+	r.made++
+	r.connections[c] = true
+	r.mu.Unlock()
+	var ways sync.WaitGroup
+	ways.Go(func() { c.forward(near, far, func(data []byte) []byte { return data }, func(int) {}) })
+	ways.Go(func() { c.forward(far, near, r.limit(c), func(lost int) { r.dropped.Add(int64(lost)) }) })
+	ways.Wait()
+	r.mu.Lock()
+	delete(r.connections, c)
+	r.mu.Unlock()
 }
 
 // limit returns a function that gives back what of an answer's next bytes is
@@ -138,12 +197,60 @@
 			}
 			continue
 		}
+		c.wait(to)
 		if err != nil {
-			to.Close()
+			end(to, err)
 			return
 		}
-		if _, err := to.Write(carried(buffer[:n])); err != nil {
+		if err := c.write(to, carried(buffer[:n])); err != nil {
+			reset(from) // what it has sent is lost, and it must not look like an end
 			return
 		}
 	}
 }
+
+// wait delays or holds back what goes to the end.
+func (c *connection) wait(to net.Conn) {
+	time.Sleep(c.relay.trouble.Load().Delay)
+	for c.held(to) {
+		time.Sleep(holdPause)
+	}
+}
+
+func (c *connection) held(to net.Conn) bool {
+	trouble := c.relay.trouble.Load()
+	return (trouble.HoldTo && to == c.far) || (trouble.HoldFrom && to == c.near)
+}
+
+// write writes the data, in small parts while it trickles.
+func (c *connection) write(to net.Conn, data []byte) error {
+	for len(data) > 0 {
+		part := data
+		if most := c.relay.trouble.Load().Trickle; most > 0 && most < len(data) {
+			part = data[:most]
+			time.Sleep(tricklePause)
+		}
+		if _, err := to.Write(part); err != nil {
+			return err
+		}
+		data = data[len(part):]
+	}
+	return nil
+}
+
+// end passes on how the other end was closed: a reset must not look like the end of the data.
+func end(to net.Conn, err error) {
+	if errors.Is(err, io.EOF) {
+		to.Close()
+		return
+	}
+	reset(to)
+}
+
+// reset closes a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // of a closed connection nothing is left to reset
+	}
+	conn.Close()
+}
