--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -67,15 +67,15 @@
 // busy tells whether a request is being read or served.
 func (c *callerConns) busy() bool { return c.count(connReading, connServing) > 0 }
 
-// closeIdle closes the connections on which an answer was the last that happened.
+// closeIdle closes the connections that wait for another request after an answer.
 func (c *callerConns) closeIdle() {
 	for _, conn := range c.all() {
 		conn.closeIf(connIdle)
 	}
 }
 
-// closeQuiet closes the connections on which nothing was read since the last answer. It
-// returns how many are open.
+// closeQuiet closes the connections that wait for a request, the first one included. It
+// returns how many were open.
 func (c *callerConns) closeQuiet() int {
 	all := c.all()
 	for _, conn := range all {
@@ -141,9 +141,9 @@
 }
 
 // closeIf lets the server close the connection if it is in one of the states and no bytes
-// have arrived that wait to be read: on a busy processor they may wait for long. A read that
-// has got bytes still returns them, so that no request is read and then dropped. The server
-// may set a deadline of its own at the same moment, so the call is to be repeated.
+// wait in it to be read, as a request may do on a busy processor. The read deadline does not
+// take back bytes that a read has got, so that no request is read and then dropped. The
+// server may replace the deadline by its own, so the call has to be repeated.
 func (c *callerConn) closeIf(states ...connState) {
 	if c.in(states...) && !c.unread() {
 		_ = c.SetReadDeadline(longAgo) // fails if it is closed already
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -22,10 +22,10 @@
 // concurrently.
 //
 // Before the signal to stop, and while the balancer may not have heard of it, all requests
-// are taken. After that callers find other routers by themselves, and open connections are
-// the only way here: a request that comes on one is taken only if its time limit ends before
-// the process does, as it would be cut else. One that was sent before may be sent again until
-// the end. What is in progress then gets its final answer.
+// are taken. After that the listener is closed and requests come on open connections only.
+// Such a request is taken only if its time limit ends before the process does: otherwise it
+// might be cut in the middle. A request that has been sent to a backend server may be sent to
+// another one until the end. What is in progress then gets a final answer.
 type drainState struct {
 	began  atomic.Int64 // boottime.Instant of the signal to stop, 0 before it
 	ends   atomic.Int64 // boottime.Instant at which requests in progress are ended
--- a/internal/gate/entry.go
+++ b/internal/gate/entry.go
@@ -233,7 +233,7 @@
 	e.drain.end()
 	e.awaitClosed()
 	for _, server := range e.servers() {
-		_ = server.Close() // callers that stall have what is left
+		_ = server.Close() // only connections of stalled callers are left
 	}
 	return left
 }
@@ -264,8 +264,8 @@
 	return 0
 }
 
-// awaitClosed closes connections as soon as nothing that was read from them waits for an
-// answer, for answerTime at most.
+// awaitClosed closes each connection once no request is being read or served on it. It
+// returns when all are closed, or after answerTime.
 func (e *entry) awaitClosed() {
 	for ends := boottime.Now().Add(answerTime); boottime.Now() < ends; time.Sleep(drainLook) {
 		if e.callers.closeQuiet() == 0 {
