boottime: the clock never goes back, and a stall does not leave it behind

What callers could see: fleet state that counts as fresher than it is (configuration, withdrawn keys, evacuated zones). Not traced to a caller.

Cause: renewAnchor read the boot-time clock, then the monotonic one, and took both for one time. A stall in between made the anchor low by its length, and nothing renewed it, as the wall offset was right. The same held for the first anchor, and for a suspension between the two reads.

With simulated clocks and a stall of 500 ms between the reads the old order of reads went back by 499.9994 ms and stayed 500.0002 ms behind; with a suspension there it stayed 3.0000002 s behind; with the kernel's clocks and five goroutines it went back by 2.4 to 10.4 us. All five tests of clock_test.go fail with the old renewAnchor.

Change: the boot-time clock is read between two readings of the monotonic clock, so the offset is a lower bound and its error is known; an inexact anchor is read again. The true offset never decreases, so the largest lower bound is kept, also among goroutines. The wall offset is read first, so that a later suspension is detected.

BenchmarkNow 103 to 109 ns (106 before).

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -17,48 +17,27 @@
 // compared.
 type Instant int64
 
-// anchor relates the monotonic clock to the boot-time clock. The two advance alike except
-// during suspensions.
-type anchor struct {
-	bootOffset int64 // boot-time clock minus monotonic clock, nanoseconds
-	wallOffset int64 // wall clock minus monotonic clock, nanoseconds
-}
-
 // start is the origin of the monotonic readings.
 var start = time.Now()
 
 var current atomic.Pointer[anchor]
 
-// tolerance is how far wall clock and monotonic clock may drift apart before the anchor is
-// renewed. A suspension, like a step of the wall clock, moves them apart by its full
-// length; one shorter than this does not matter to any age.
-const tolerance = int64(time.Millisecond)
+var system = clock{local: readLocal, boot: readKernel, anchor: &current}
 
-// Now returns the current time.
+// Now returns the current time. It never decreases.
 //
 // The kernel serves the boot-time clock only by a system call of several hundred
 // nanoseconds, and every request reads it some twenty times. Wall clock and monotonic clock
 // are read without one, and together they show when the machine has been suspended. This
 // takes 106 ns instead of 269 ns (BenchmarkNow, BenchmarkRead).
-func Now() Instant {
-	now := time.Now()
-	monotonic := int64(now.Sub(start))
-	wallOffset := now.UnixNano() - monotonic
-	currentAnchor := current.Load()
-	if currentAnchor == nil || wallOffset-currentAnchor.wallOffset > tolerance || currentAnchor.wallOffset-wallOffset > tolerance {
-		currentAnchor = renewAnchor()
-	}
-	return Instant(monotonic + currentAnchor.bootOffset)
-}
+func Now() Instant { return system.now() }
 
-// renewAnchor reads all clocks and stores a new anchor.
-func renewAnchor() *anchor {
-	boot := readKernel()
+// readLocal reads the clocks that need no system call: the monotonic clock, from start, and
+// the wall clock minus the monotonic clock, both in nanoseconds.
+func readLocal() (monotonic, wallOffset int64) {
 	now := time.Now()
-	monotonic := int64(now.Sub(start))
-	renewed := &anchor{bootOffset: boot - monotonic, wallOffset: now.UnixNano() - monotonic}
-	current.Store(renewed)
-	return renewed
+	monotonic = int64(now.Sub(start))
+	return monotonic, now.UnixNano() - monotonic
 }
 
 // readKernel reads the boot-time clock from the kernel, in nanoseconds.
