peering: a round of heartbeats goes by one reading of the clock

Cause: sendRound got the time of its round, but asked WatchesStore, which reads the clock again. In tests with simulated time that is the time of the machine: the longer the run took, the more neighbours it took for unreachable and the more routers thought that they watch the store and sent six heartbeats to other zones in a round in place of two. So TestSumsOfALargeFleet went by the speed of the machine: three red runs took 31 to 32 s, two green ones 37 and 106 s beside load. In a running router the two readings differ by microseconds; nothing changes for callers.

Evidence: in a failing run 10.0.1.50:1, the standby of its zone, receives 33,600 bytes more than in a green one, all in one full aggregate of 37,578 bytes from 10.0.2.39:1, which has first heard of it 9.1 s after the start, in the measured two seconds.

With this change three of three runs pass (36.8, 37.9, 41.5 s, one on one processor), the full aggregate still in the measured time.

--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -88,7 +88,7 @@
 	remoteRound := round + int(m.hash%uint64(len(targets)))
 	if !m.isAggregator(now) {
 		m.sendHeartbeats(local, common, own, pacesDue, encodedAggregate{})
-		remote = targetsOfRound(remote, remoteRound, m.remoteHeartbeatLimit(m.WatchesStore()))
+		remote = targetsOfRound(remote, remoteRound, m.remoteHeartbeatLimit(m.watchesStoreAt(now)))
 		if round%standbyRounds == 0 {
 			remote = lo.Union(remote, m.aggregateSenders())
 		}
