gate: the last log records are written before the process exits

Cause: records go through a queue that a goroutine writes, and the process exited with records still queued.

--- a/cmd/bluebell-gate/main.go
+++ b/cmd/bluebell-gate/main.go
@@ -5,6 +5,7 @@
 import (
 	"os"
 	"runtime/debug"
+	"time"
 
 	"github.com/samber/do/v2"
 
@@ -22,6 +23,10 @@
 // higher because memory costs money as well.
 const gcPercent = 200
 
+// flushTimeout is the time that the last log records have to be written. A reader that does
+// not read must not delay the exit.
+const flushTimeout = 50 * time.Millisecond
+
 func main() { os.Exit(run()) }
 
 // run runs the program and returns its exit status.
@@ -33,7 +38,9 @@
 	}
 	debug.SetMemoryLimit(config.VM.HeapLimit())
 	debug.SetGCPercent(gcPercent)
-	logger := daemon.NewLogger(config.Log, daemon.NewAsyncWriter(os.Stdout)).WithField("node", config.Node.Name)
+	output := daemon.NewAsyncWriter(os.Stdout)
+	defer output.Flush(flushTimeout)
+	logger := daemon.NewLogger(config.Log, output).WithField("node", config.Node.Name)
 	injector := do.New()
 	gatewiring.Wire(injector, config, parsed.ConfigPath, logger)
 	service, err := do.Invoke[*gatewiring.Service](injector)
--- a/internal/daemon/reload_test.go
+++ b/internal/daemon/reload_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -118,3 +119,44 @@
 		t.Error("dropped records are not counted")
 	}
 }
+
+// Guards against an exit without the records that tell its cause, which were still queued.
+func TestFlushWaitsForQueuedRecords(t *testing.T) {
+	output := &slowWriter{}
+	writer := NewAsyncWriter(output)
+	const records = 20
+	for range records {
+		_, _ = writer.Write([]byte("record"))
+	}
+	writer.Flush(time.Minute)
+	if got := output.written.Load(); got != records {
+		t.Errorf("%d of %d records are written", got, records)
+	}
+}
+
+// Guards against a process that never exits because nobody reads its log.
+func TestFlushOfABlockedWriterEnds(t *testing.T) {
+	writer := NewAsyncWriter(blockedWriter{})
+	for range 2 * asyncQueueSize {
+		_, _ = writer.Write([]byte("record"))
+	}
+	done := make(chan struct{})
+	go func() {
+		writer.Flush(time.Millisecond)
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(10 * time.Second):
+		t.Error("the flush does not end")
+	}
+}
+
+// slowWriter takes a while for each record.
+type slowWriter struct{ written atomic.Int64 }
+
+func (w *slowWriter) Write(record []byte) (int, error) {
+	time.Sleep(time.Millisecond)
+	w.written.Add(1)
+	return len(record), nil
+}
