peering: the standby of a zone is soon known to the other zones

What was seen: TestSumsOfALargeFleet, red in series: a standby receives 61,290 bytes of aggregates a second, bound 60,000. Callers see nothing of it.

Cause: the standby sent two heartbeats a round to other zones, like any router, where aggregators and watchers of the store send six. With 261 routers there the aggregators learned of it up to 13 s after the start, sent their aggregates to other routers until then, and to it in full (37,578 bytes) in the measured time. Evidence: a record of each aggregate received, in red and green runs; first heartbeat at 9.1 s, full aggregate at 9.4 s.

Change: the standby sends six, as the aggregator does.

--- a/internal/peering/aggregates.go
+++ b/internal/peering/aggregates.go
@@ -233,23 +233,40 @@
 
 // isAggregator reports whether this router aggregates its zone: it is the first of the
 // zone's reachable routers, or no heartbeats of those before it have arrived for
-// maxMissedTurns cycles.
+// maxMissedCycles cycles.
 func (t *table) isAggregator(now boottime.Instant) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	zoneRouters := 0
+	ahead, zoneRouters := t.zoneOrder(now)
 	newest := boottime.Instant(0) // newest heartbeat of a router that comes before this one
+	for _, peer := range ahead {
+		newest = max(newest, peer.lastHeartbeat)
+	}
+	maxSilence := time.Duration(maxMissedCycles*roundsPerCycle(zoneRouters, maxZoneHeartbeats)) * heartbeatInterval
+	return newest == 0 || now.Sub(newest) > maxSilence
+}
+
+// isStandby reports whether this router is the first to replace the zone's aggregator.
+func (t *table) isStandby(now boottime.Instant) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ahead, _ := t.zoneOrder(now)
+	return len(ahead) > 0 && len(ahead) < maxAggregateReceivers
+}
+
+// zoneOrder returns the reachable routers of this zone that come before this one, and the
+// number of all reachable ones. t.mu must be held.
+func (t *table) zoneOrder(now boottime.Instant) (ahead []*peer, zoneRouters int) {
 	for _, peer := range t.peers {
 		if peer.zone != t.zone || !t.reachable(peer, now) {
 			continue
 		}
 		zoneRouters++
 		if peer.hash < t.hash {
-			newest = max(newest, peer.lastHeartbeat)
+			ahead = append(ahead, peer)
 		}
 	}
-	maxSilence := time.Duration(maxMissedCycles*roundsPerCycle(zoneRouters, maxZoneHeartbeats)) * heartbeatInterval
-	return newest == 0 || now.Sub(newest) > maxSilence
+	return ahead, zoneRouters
 }
 
 // aggregateReceivers returns, for each other zone, the reachable routers that receive this
--- a/internal/peering/aggregates_test.go
+++ b/internal/peering/aggregates_test.go
@@ -1,6 +1,7 @@
 package peering
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -224,6 +225,33 @@
 	f.checkUsage("after the loss of an aggregator")
 }
 
+// Guards against aggregates sent to routers that will not replace an aggregator, and to the
+// one that will only in full and late, because its heartbeats to other zones are rare.
+func TestAggregatorsSoonKnowTheStandbysOfOtherZones(t *testing.T) {
+	const zones, perZone = 4, 25
+	f := newSimNetwork(t, zones, perZone)
+	f.run(zoneCycleRounds(perZone) + roundsPerCycle((zones-1)*perZone, maxRemoteHeartbeatsOfLead))
+	want := make(map[fleet.Zone][]fleet.Address)
+	for address, router := range f.routers {
+		zone := router.options.Zone
+		want[zone] = append(want[zone], address)
+	}
+	for zone, addresses := range want {
+		slices.SortFunc(addresses, func(a, b fleet.Address) int { return cmp.Compare(addressHash(a), addressHash(b)) })
+		want[zone] = addresses[:maxAggregateReceivers]
+	}
+	for address, router := range f.routers {
+		if !router.isAggregator(f.now) {
+			continue
+		}
+		for zone, receivers := range router.aggregateReceivers(f.now) {
+			if !slices.Equal(receivers, want[zone]) {
+				t.Errorf("%s sends aggregates to %v in %s, want %v", address, receivers, zone, want[zone])
+			}
+		}
+	}
+}
+
 // Whichever heartbeats are lost, no usage may count twice, and all usage must be known
 // again soon after the last loss.
 func TestLostHeartbeatsNeverCountTwice(t *testing.T) {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -26,7 +26,9 @@
 	maxZoneHeartbeats   = 16
 	maxRemoteHeartbeats = 2
 	// maxRemoteHeartbeatsOfLead replaces maxRemoteHeartbeats at a router that watches the
-	// store or aggregates its zone, since its state is newer than that of others.
+	// store, whose state is newer than that of others, and at the aggregator and the
+	// standby of a zone, which the aggregators of other zones must know to send them
+	// aggregates.
 	maxRemoteHeartbeatsOfLead = 6
 	// maxUrgentRemoteHeartbeats replaces maxRemoteHeartbeats in rounds that carry a
 	// fingerprint: until all routers have it, the request goes on crashing backend
@@ -88,7 +90,7 @@
 	remoteRound := round + int(m.hash%uint64(len(targets)))
 	if !m.isAggregator(now) {
 		m.sendHeartbeats(local, common, own, pacesDue, encodedAggregate{})
-		remote = targetsOfRound(remote, remoteRound, m.remoteHeartbeatLimit(m.watchesStoreAt(now)))
+		remote = targetsOfRound(remote, remoteRound, m.remoteHeartbeatLimit(m.watchesStoreAt(now) || m.isStandby(now)))
 		if round%standbyRounds == 0 {
 			remote = lo.Union(remote, m.aggregateSenders())
 		}
@@ -113,7 +115,8 @@
 }
 
 // remoteHeartbeatLimit returns the maximum number of heartbeats of a round to other
-// zones. leads is set for a router that watches the store or aggregates its zone.
+// zones. leads is set for a router that watches the store, aggregates its zone or is the
+// standby.
 func (m *Manager) remoteHeartbeatLimit(leads bool) int {
 	switch {
 	case len(m.fingerprints) > 0:
