gate: the grace counts from when the stop signal may have been sent

What callers see: requests in progress are cut without an answer when the process is killed at the end of its grace.

Cause: Drain counts the grace from when the signal is handled. If the process does not run when the signal comes, it outlives its grace by the length of the stall less 0.4 s.

Change: the ticks of the lag meter tell when the process ran last. A signal handled within a stall or just after it counts from the begin of the stall, by half of the grace at most; event 2138 records it.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -40,5 +40,6 @@
 	GateDisconnectsClassified = Event{2135, logrus.InfoLevel, "broken connections to a backend server classified"}
 	GateAdmittedWhileDraining = Event{2136, logrus.InfoLevel, "request accepted late in the drain"}
 	GateAbortedByDrain        = Event{2137, logrus.WarnLevel, "requests aborted at the end of the drain"}
+	GateStopHandledLate       = Event{2138, logrus.WarnLevel, "stop signal handled after a stall"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -69,6 +69,7 @@
 	averageLag        atomic.Int64     // nanoseconds
 	lastShed          atomic.Int64     // boottime.Instant when connections were last refused
 	lastOverload      boottime.Instant // when an overload was last seen
+	stalls            stallTracker
 }
 
 func newLagMeter(logger logrus.FieldLogger, registerer prometheus.Registerer) *lagMeter {
@@ -94,6 +95,7 @@
 func (m *lagMeter) run(ctx context.Context) error {
 	return every(ctx, lagInterval, func() {
 		before := boottime.Now()
+		m.stalls.tick(before)
 		m.yieldedAt.Store(int64(before))
 		runtime.Gosched()
 		m.yieldedAt.Store(0)
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -288,14 +288,26 @@
 	shutdownMargin = 400 * time.Millisecond
 )
 
+// signalTime returns when a stop signal that is handled now may have been sent. After a
+// stall that is earlier, and the process is killed earlier too; requests in progress would
+// then be cut without an answer. At most half of the grace is given up.
+func (m *Manager) signalTime(now boottime.Instant) boottime.Instant {
+	signalled := max(m.handler.lag.stalls.earliest(now), now.Add(-m.options.Grace/2))
+	if signalled < now {
+		event.GateStopHandledLate.Log(m.options.Logger, logrus.Fields{"stalled_ms": now.Sub(signalled).Milliseconds()})
+	}
+	return signalled
+}
+
 // Drain implements daemon.Service: it reports that the router is not ready, accepts
 // connections until the load balancer has noticed, and lets the requests in progress end.
 func (m *Manager) Drain(ctx context.Context) error {
-	timeLeft := m.options.Grace - shutdownMargin
-	ctx, cancel := context.WithTimeout(ctx, timeLeft)
-	defer cancel()
 	now := boottime.Now()
-	m.handler.drain.start(now, now.Add(timeLeft))
+	signalled := m.signalTime(now)
+	deadline := signalled.Add(m.options.Grace - shutdownMargin)
+	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
+	defer cancel()
+	m.handler.drain.start(signalled, deadline)
 	m.options.Readiness.SetDraining()
 	event.GateReadinessChanged.Log(m.options.Logger, logrus.Fields{"ready": false})
 	select {
