gate: a request that arrived before its deadline is read after a stall

What callers see: a reset in place of an answer.

Cause: a read returns an expired deadline though bytes are waiting, and after a stall of the process the deadline is often found first. net/http then closes the connection with the request unread, which resets it. Limits for heads and for idle connections alike. Evidence: with the process stopped while the limit passes, a request that had come 0.3 s before it was reset in one of three runs (TestRequestReadAfterAStallIsAnswered); a read with a deadline in the past and 3 bytes waiting returns none in every run (TestRequestThatArrivedBeforeItsDeadlineIsRead).

Change: a read of a head whose deadline has passed is tried again for 0.5 s if bytes are waiting, once for each request. During a request deadlines hold, as net/http lets them pass to end its own reads.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -104,19 +105,41 @@
 	opened   boottime.Instant
 	requests atomic.Int64 // requests served
 
-	mu    sync.Mutex
-	state connState
+	mu       sync.Mutex
+	state    connState
+	extended bool // the read deadline was extended for the next request
 }
 
-// Read implements net.Conn.
+// lateReadTime is the time for which a read deadline is extended.
+const lateReadTime = 500 * time.Millisecond
+
+// Read implements net.Conn. If its deadline has passed while bytes of a request were
+// waiting, it reads them: a read that returns after the process was stalled reports the
+// deadline first, and the server would reset the connection of a request that had arrived
+// in time.
 func (c *callerConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.extendReadDeadline() {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.markReading()
 	}
 	return n, err
 }
 
+// extendReadDeadline extends the read deadline, once for each request, if bytes of the
+// header are waiting. During a request, net/http lets deadlines pass to end its reads.
+func (c *callerConn) extendReadDeadline() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.extended || c.state == connServing || !c.unread() {
+		return false
+	}
+	c.extended = true
+	return c.SetReadDeadline(time.Now().Add(lateReadTime)) == nil
+}
+
 // markReading records that bytes have been read.
 func (c *callerConn) markReading() {
 	c.mu.Lock()
@@ -186,6 +209,7 @@
 	switch state {
 	case http.StateActive:
 		c.state = connServing
+		c.extended = false
 		c.requests.Add(1)
 	case http.StateIdle:
 		c.state = connIdle
