daemon: a draining node never becomes ready again

What callers see: connections refused by a router that the load balancer never took out of rotation, from the moment its listener closes until the process ends.

Cause: SetDraining set the reason under the lock, released it, and set the mark that makes it permanent under the lock again. A SetReady in between won, for the rest of the drain. It takes a router that becomes ready, or recovers from overload, at the moment of the signal.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -236,3 +237,29 @@
 	defer listener.Close()
 	return fleet.Address(listener.Addr().String())
 }
+
+// Guards against a router that the load balancer never takes out of rotation while it
+// drains, because it became ready at the moment of the stop signal.
+func TestDrainingNodeNeverBecomesReadyAgain(t *testing.T) {
+	const (
+		tries    = 5000
+		setters  = 4
+		setTimes = 50
+	)
+	for range tries {
+		readiness := NewReadiness()
+		var group sync.WaitGroup
+		for range setters {
+			group.Go(func() {
+				for range setTimes {
+					readiness.SetReady()
+				}
+			})
+		}
+		readiness.SetDraining()
+		group.Wait()
+		if readiness.NotReady() == "" {
+			t.Fatal("the node is ready although it drains")
+		}
+	}
+}
--- a/internal/daemon/readiness.go
+++ b/internal/daemon/readiness.go
@@ -5,6 +5,9 @@
 // startingReason is the reason reported before the first call of SetReady.
 const startingReason = "starting"
 
+// drainingReason is the reason reported from SetDraining on.
+const drainingReason = "draining"
+
 // Readiness records whether the node should receive work. It is safe for
 // concurrent use.
 type Readiness struct {
@@ -24,9 +27,9 @@
 
 // SetDraining marks the node not ready permanently.
 func (r *Readiness) SetDraining() {
-	r.set("draining")
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.reason = drainingReason
 	r.draining = true
 }
 
