gate: a drain after a stall goes on until the last sixth of the grace

Cause: the begin of the stall is the earliest time at which the signal may have come; it may as well have come at its end.

Change: not more is given up than keeps draining going until the last sixth of the grace.

--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -155,7 +155,7 @@
 		}
 		isolated := isolatedFor >= isolatedChecks
 		m.handler.isolated.Store(isolated)
-		if now := m.notReady(view, isolated); now != reason {
+		if now := m.notReady(view, isolated); now != reason && !m.handler.drain.draining() {
 			reason = now
 			m.setReady(reason)
 		}
@@ -286,13 +286,18 @@
 	drainNotice = 2500 * time.Millisecond
 	// shutdownMargin is the time reserved for shutting down before the process is killed.
 	shutdownMargin = 400 * time.Millisecond
+	// lastGraceShare is the last part of the grace, in which requests in progress may be
+	// cut. Callers rely on the rest.
+	lastGraceShare = 1.0 / 6
 )
 
 // signalTime returns when a stop signal that is handled now may have been sent. After a
 // stall that is earlier, and the process is killed earlier too; requests in progress would
-// then be cut without an answer. At most half of the grace is given up.
+// then be cut without an answer. The signal may also have come at the end of the stall, so
+// no more than the last part of the grace is given up.
 func (m *Manager) signalTime(now boottime.Instant) boottime.Instant {
-	signalled := max(m.handler.lag.stalls.earliest(now), now.Add(-m.options.Grace/2))
+	lastPart := time.Duration(float64(m.options.Grace) * lastGraceShare)
+	signalled := max(m.handler.lag.stalls.earliest(now), now.Add(-max(lastPart-shutdownMargin, 0)))
 	if signalled < now {
 		event.GateStopHandledLate.Log(m.options.Logger, logrus.Fields{"stalled_ms": now.Sub(signalled).Milliseconds()})
 	}
