--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -29,6 +29,7 @@
 // progress then get a final answer.
 type drainState struct {
 	startedAt      atomic.Int64 // boottime.Instant of the stop signal, 0 before it
+	noticeEnd      atomic.Int64 // boottime.Instant from which requests count as late, 0 if not set
 	deadline       atomic.Int64 // boottime.Instant at which requests in progress are cancelled
 	listenerClosed atomic.Bool
 
@@ -55,10 +56,21 @@
 	return now.Sub(boottime.Instant(d.startedAt.Load()))
 }
 
+// setNoticeEnd sets the time from which requests count as late.
+func (d *drainState) setNoticeEnd(at boottime.Instant) { d.noticeEnd.Store(int64(at)) }
+
+// late reports whether the load balancer has had time to notice the stop. It goes by the
+// time too: after a stall of the process, requests that arrived in it may be read before
+// the listener is closed.
+func (d *drainState) late(now boottime.Instant) bool {
+	end := boottime.Instant(d.noticeEnd.Load())
+	return d.listenerClosed.Load() || (end != 0 && now >= end)
+}
+
 // accepts reports whether a request that has not been sent to a backend server yet may be.
 func (d *drainState) accepts(request *Request, now boottime.Instant) bool {
 	switch {
-	case !d.listenerClosed.Load():
+	case !d.late(now):
 		return true
 	case d.requests.Err() != nil:
 		return false
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -271,3 +271,25 @@
 		t.Error("a request is accepted that may outlast draining")
 	}
 }
+
+// Guards against a stream that is cut when draining ends: it arrived while the process was
+// stalled, and is read before the listener is closed, whose time has passed.
+func TestRequestReadAfterAStallInDrainingIsRefused(t *testing.T) {
+	t.Parallel()
+	g := startDrainingGate(t, 15*time.Second, endlessStream)
+	g.startStream(t)
+	conn := g.connect(t)
+	now := boottime.Now()
+	g.handler.drain.start(now, now.Add(testGrace))
+	g.handler.drain.setNoticeEnd(now)
+	response, err := request(conn, "/stream/x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if g.arrived.Load() != 1 {
+		t.Error("the backend server runs it")
+	}
+	if response.StatusCode != http.StatusServiceUnavailable || response.Header.Get("Retry-After") == "" {
+		t.Errorf("status %d, header %v; want a refusal", response.StatusCode, response.Header)
+	}
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -137,10 +137,9 @@
 	h.serve(ctx, w, request)
 }
 
-// recordAcceptedDraining counts and logs a request that is accepted after the listener was
-// closed.
+// recordAcceptedDraining counts and logs a request that is accepted late in the drain.
 func (h *handler) recordAcceptedDraining(ctx context.Context, request *Request) {
-	if !h.drain.listenerClosed.Load() {
+	if !h.drain.late(request.Received) {
 		return
 	}
 	h.metrics.acceptedDraining()
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -284,6 +284,9 @@
 	// drainNotice is how long connections are still accepted after the stop signal. The
 	// load balancer checks readiness once a second and reacts after two failed checks.
 	drainNotice = 2500 * time.Millisecond
+	// maxDrainNotice is the time after the stop signal from which requests are accepted only
+	// if they can end before the process does, also if the signal was handled late.
+	maxDrainNotice = 3 * time.Second
 	// shutdownMargin is the time reserved for shutting down before the process is killed.
 	shutdownMargin = 400 * time.Millisecond
 	// lastGraceShare is the last part of the grace, in which requests in progress may be
@@ -312,12 +315,14 @@
 	deadline := signalled.Add(m.options.Grace - shutdownMargin)
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
+	notice := min(drainNotice, m.options.Grace/2)
 	m.handler.drain.start(signalled, deadline)
+	m.handler.drain.setNoticeEnd(min(now.Add(notice), signalled.Add(maxDrainNotice)))
 	m.options.Readiness.SetDraining()
 	event.GateReadinessChanged.Log(m.options.Logger, logrus.Fields{"ready": false})
 	select {
 	case <-ctx.Done():
-	case <-time.After(min(drainNotice, m.options.Grace/2)):
+	case <-time.After(notice):
 	}
 	m.acceptor.stopAccepting()
 	count := m.acceptor.finish(ctx)
