gate: the listener stays open until the balancer has noticed the stop

What callers see: refused connections at routers that stop, while the balancer still sends them there.

Cause: the listener was closed 2.5 s after the signal, whatever the balancer had been told by then. Ruled out: a router that answered "ready" in its drain (the checks are recorded now).

Change: the readiness records the checks that it answers. After 2.5 s the listener stays open until the balancer was told twice, the last time 0.3 s ago, for 3 s after the signal at most.

TestListenerStaysOpenUntilTheBalancerHasNoticed fails without the change.

--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -293,3 +293,48 @@
 		t.Errorf("status %d, header %v; want a refusal", response.StatusCode, response.Header)
 	}
 }
+
+// Guards against callers that are refused connections because the load balancer, which was
+// slow, still sends them to a router that drains.
+func TestListenerStaysOpenUntilTheBalancerHasNoticed(t *testing.T) {
+	t.Parallel()
+	const (
+		afterNotice = testGrace/2 + 150*time.Millisecond
+		afterMost   = testGrace*6/10 + 150*time.Millisecond
+	)
+	for _, test := range []struct {
+		name       string
+		checks     int // while draining
+		stillTaken bool
+	}{
+		{"told once", 1, true},
+		{"told twice", 2, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			g := startDrainingGate(t, time.Second, func(http.ResponseWriter, *http.Request) {})
+			readiness := g.options.Readiness
+			readiness.Check()
+			start := time.Now()
+			go func() { g.drained <- g.Drain(context.Background()) }()
+			time.Sleep(testGrace / 4)
+			for range test.checks {
+				readiness.Check()
+			}
+			for _, at := range []struct {
+				after time.Duration
+				want  bool
+			}{{afterNotice, test.stillTaken}, {afterMost, false}} {
+				time.Sleep(time.Until(start.Add(at.after)))
+				conn, err := net.Dial("tcp", g.address)
+				if taken := err == nil; taken != at.want {
+					t.Errorf("%v after the signal a connection is accepted: %t", at.after, taken)
+				}
+				if err == nil {
+					conn.Close()
+				}
+			}
+			<-g.drained
+		})
+	}
+}
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -284,9 +284,17 @@
 	// drainNotice is how long connections are still accepted after the stop signal. The
 	// load balancer checks readiness once a second and reacts after two failed checks.
 	drainNotice = 2500 * time.Millisecond
-	// maxDrainNotice is the time after the stop signal from which requests are accepted only
-	// if they can end before the process does, also if the signal was handled late.
+	// maxDrainNotice replaces drainNotice if the load balancer has not noticed by then. From
+	// then on requests are accepted only if they can end before the process does, also if
+	// the signal was handled late.
 	maxDrainNotice = 3 * time.Second
+	// noticeShare and maxNoticeShare are the fractions of the grace that bound the two.
+	noticeShare    = 0.5
+	maxNoticeShare = 0.6
+	// noticeSettle is the time that the load balancer has to act on the last failed check.
+	noticeSettle = 300 * time.Millisecond
+	// noticePollInterval is the interval at which draining checks whether it has noticed.
+	noticePollInterval = 20 * time.Millisecond
 	// shutdownMargin is the time reserved for shutting down before the process is killed.
 	shutdownMargin = 400 * time.Millisecond
 	// lastGraceShare is the last part of the grace, in which requests in progress may be
@@ -307,6 +315,28 @@
 	return signalled
 }
 
+// boundedNotice returns the notice, or the fraction of the grace if that is shorter.
+func (m *Manager) boundedNotice(notice time.Duration, share float64) time.Duration {
+	return min(notice, time.Duration(share*float64(m.options.Grace)))
+}
+
+// awaitNotice waits until the load balancer has noticed that the router drains, for
+// drainNotice at least and until maxDrainNotice after the stop signal at most.
+func (m *Manager) awaitNotice(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(m.boundedNotice(drainNotice, noticeShare)):
+	}
+	for !m.handler.drain.late(boottime.Now()) && !m.options.Readiness.Noticed(noticeSettle) {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(noticePollInterval):
+		}
+	}
+}
+
 // Drain implements daemon.Service: it reports that the router is not ready, accepts
 // connections until the load balancer has noticed, and lets the requests in progress end.
 func (m *Manager) Drain(ctx context.Context) error {
@@ -315,15 +345,11 @@
 	deadline := signalled.Add(m.options.Grace - shutdownMargin)
 	ctx, cancel := context.WithTimeout(ctx, deadline.Sub(now))
 	defer cancel()
-	notice := min(drainNotice, m.options.Grace/2)
 	m.handler.drain.start(signalled, deadline)
-	m.handler.drain.setNoticeEnd(min(now.Add(notice), signalled.Add(maxDrainNotice)))
+	m.handler.drain.setNoticeEnd(signalled.Add(m.boundedNotice(maxDrainNotice, maxNoticeShare)))
 	m.options.Readiness.SetDraining()
 	event.GateReadinessChanged.Log(m.options.Logger, logrus.Fields{"ready": false})
-	select {
-	case <-ctx.Done():
-	case <-time.After(notice):
-	}
+	m.awaitNotice(ctx)
 	m.acceptor.stopAccepting()
 	count := m.acceptor.finish(ctx)
 	if count == 0 {
--- a/internal/gate/status.go
+++ b/internal/gate/status.go
@@ -15,7 +15,7 @@
 func ServeReadiness(ctx context.Context, address fleet.Address, path string, readiness *daemon.Readiness) error {
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, func(w http.ResponseWriter, _ *http.Request) {
-		reason := readiness.NotReady()
+		reason := readiness.Check()
 		if reason != "" {
 			http.Error(w, reason, http.StatusServiceUnavailable)
 			return
