tests: addresses of servers can't be taken by another test

TestCallerThatLeavesIsNoFailureOfTheServer failed once: "listen tcp 127.0.0.1:44263: bind: address already in use"; a run of internal/gate before it failed once too, its output was not kept. Cause: freeAddress found a free port on 127.0.0.1 and closed it, and a parallel test or an outgoing connection took it before the gate listened. No check changed.

--- a/internal/daemon/daemon_test.go
+++ b/internal/daemon/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -20,6 +19,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/control"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
+	"github.com/bluebellchute/bluebellchute/internal/testaddr"
 )
 
 const validConfig = `[node]
@@ -184,7 +184,7 @@
 // TestNodeAnswersWhileDraining checks that a draining node replies to its peers
 // and reports that it isn't ready until its work in progress has finished.
 func TestNodeAnswersWhileDraining(t *testing.T) {
-	address := freeAddress(t)
+	address := fleet.Address(testaddr.Free(t))
 	config := &Common{Node: NodeSection{Control: address}, Control: ControlSection{Token: "secret"}}
 	logger := quietLogger()
 	injector := NewInjector(config, logger)
@@ -227,17 +227,6 @@
 	return err
 }
 
-// freeAddress returns a loopback address on which nothing listens.
-func freeAddress(t *testing.T) fleet.Address {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return fleet.Address(listener.Addr().String())
-}
-
 // Guards against a router that the load balancer never takes out of rotation while it
 // drains, because it became ready at the moment of the stop signal.
 func TestDrainingNodeNeverBecomesReadyAgain(t *testing.T) {
--- a/internal/gate/acceptor_test.go
+++ b/internal/gate/acceptor_test.go
@@ -19,6 +19,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
+	"github.com/bluebellchute/bluebellchute/internal/testaddr"
 )
 
 // noPeers is the Peers of a fleet with one router.
@@ -46,7 +47,7 @@
 // address.
 func listeningGate(t *testing.T, connections int) (*Manager, string) {
 	t.Helper()
-	address := freeAddress(t)
+	address := testaddr.Free(t)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
 	manager := NewManager(Options{
@@ -74,16 +75,6 @@
 	return manager, address
 }
 
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return listener.Addr().String()
-}
-
 func awaitListener(t *testing.T, address string) {
 	t.Helper()
 	for range 200 {
@@ -253,7 +244,7 @@
 func TestConnectionsAreRefusedWhileRequestsAreStalled(t *testing.T) {
 	cpu := new(fakeCPU)
 	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusNoContent) })
-	address := freeAddress(t)
+	address := testaddr.Free(t)
 	e := newAcceptor(handler, 100, cpu, newDrainState())
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
@@ -289,7 +280,7 @@
 func TestStopWhileConnectionsAreRefused(t *testing.T) {
 	cpu := new(fakeCPU)
 	cpu.isStalled.Store(true)
-	address := freeAddress(t)
+	address := testaddr.Free(t)
 	e := newAcceptor(http.NotFoundHandler(), 100, cpu, newDrainState())
 	ended := make(chan error, 1)
 	go func() { ended <- e.run(t.Context(), fleet.Address(address)) }()
--- a/internal/gate/drain_race_test.go
+++ b/internal/gate/drain_race_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/testaddr"
 )
 
 // idleCPU is a cpuMonitor that never reports a stall.
@@ -51,7 +52,7 @@
 		w.Header().Set("Connection", "close")
 	})
 	e := newAcceptor(handler, 4*requests, idleCPU{}, drain)
-	address := freeAddress(t)
+	address := testaddr.Free(t)
 	go func() { _ = e.run(t.Context(), fleet.Address(address)) }() // ends with the listener
 	awaitListener(t, address)
 	conns := make([]net.Conn, requests)
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -20,6 +20,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/policy"
+	"github.com/bluebellchute/bluebellchute/internal/testaddr"
 )
 
 // testGrace is the grace period of gates that tests drain. They accept connections for half
@@ -39,7 +40,7 @@
 // requests at /whole/, both with serve and the time limit.
 func startDrainingGate(t *testing.T, limit time.Duration, serve http.HandlerFunc) *drainingGate {
 	t.Helper()
-	g := &drainingGate{address: freeAddress(t), drained: make(chan error, 1)}
+	g := &drainingGate{address: testaddr.Free(t), drained: make(chan error, 1)}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.arrived.Add(1)
 		serve(w, r)
