gate: a test of requests that arrive while an idle connection is closed

What callers see: neither an answer nor a refusal around a planned stop (LOST). It was suspected that requests that had arrived were dropped there; the two ways mended so far were a request that waits when idle connections are closed, and one read at the end.

There was a third: the deadline that makes the server close an idle connection passes, and the request arrives before the server's goroutine runs, on a busy processor long after. Its read returned the deadline, not the request, and the connection was reset.

--- a/internal/gate/drain_idle_test.go
+++ b/internal/gate/drain_idle_test.go
@@ -14,6 +14,25 @@
 // Guards against closing a keep-alive connection whose next request has arrived and waits
 // to be read on a busy processor.
 func TestRequestThatHasArrivedWhenIdleConnectionsAreClosedIsAnswered(t *testing.T) {
+	checkIdleCloseRace(t, func(send, closeIdle func()) {
+		send()
+		closeIdle()
+	})
+}
+
+// Guards against dropping a request that arrives after its idle connection was to be closed,
+// but before the server, on a busy processor, gets to close it.
+func TestRequestThatArrivesBeforeItsIdleConnectionIsClosedIsAnswered(t *testing.T) {
+	checkIdleCloseRace(t, func(send, closeIdle func()) {
+		closeIdle()
+		send()
+	})
+}
+
+// checkIdleCloseRace lets race send a request on an idle connection and close idle
+// connections, and checks that the request is answered.
+func checkIdleCloseRace(t *testing.T, race func(send, closeIdle func())) {
+	t.Helper()
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
 	const trials = 20
 	lost := 0
@@ -28,8 +47,8 @@
 		g.acceptor.drain.listenerClosed.Store(true)
 		err = raw.Control(func(fd uintptr) {
 			// The server can't run between the two.
-			_, _ = unix.Write(int(fd), []byte("GET /none HTTP/1.1\r\nHost: h\r\n\r\n"))
-			g.acceptor.callers.closeIdle()
+			send := func() { _, _ = unix.Write(int(fd), []byte("GET /none HTTP/1.1\r\nHost: h\r\n\r\n")) }
+			race(send, g.acceptor.callers.closeIdle)
 		})
 		if err != nil {
 			t.Fatal(err)
