backendconn: a long request is not written after its caller disconnects

TestLongRequestIsNotWrittenAfterTheCallerDisconnects fails before (the request is written), passes after, also with the race detector.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -37,8 +37,8 @@
 	MatchesRequest func(header http.Header) bool
 	// MaxConnections bounds the connections to the backend server, 0 for no bound.
 	MaxConnections int
-	// BeforeSend is called once the connection is open. If it returns an error, nothing is
-	// sent. It may be nil.
+	// BeforeSend is called once the connection is open, and again right before a long request
+	// is written. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
 	// OnSend is called right before the first byte is sent. It may be nil.
 	OnSend func()
@@ -56,7 +56,7 @@
 	address       fleet.Address
 	conn          *conn
 	stop          func() bool
-	written       *atomic.Bool
+	sending       *sending
 	keepAlive     bool
 	statedTimeout time.Duration
 	complete      bool
@@ -94,13 +94,18 @@
 		request.OnSend()
 	}
 	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
-	written := new(atomic.Bool)
-	if err := write(c, request, written); err != nil {
+	sending := new(sending)
+	if err := write(c, request, sending); err != nil {
 		stop()
 		p.discard(address, c, c.failureReason())
 		return nil, newError(err, ProgressSent, fleet.StepSend, address)
 	}
 	response, err := readHead(c, request)
+	if reason := sending.cancelledBy(); reason != nil {
+		stop()
+		p.discard(address, c, ReasonAbandoned)
+		return nil, newError(reason, ProgressNone, fleet.StepSend, address)
+	}
 	if err != nil {
 		stop()
 		p.discard(address, c, c.failureReason())
@@ -115,27 +120,46 @@
 		address:       address,
 		conn:          c,
 		stop:          stop,
-		written:       written,
+		sending:       sending,
 		keepAlive:     !response.Close,
 		statedTimeout: parseKeepAliveTimeout(response.Header),
 	}, nil
 }
 
-// write sends the request. written becomes true once all of it has been passed to the
-// connection.
-func write(c *conn, request *Request, written *atomic.Bool) error {
+// sending is the state of a request that is being sent.
+type sending struct {
+	written   atomic.Bool           // all of it has been passed to the connection
+	cancelled atomic.Pointer[error] // why nothing of it was sent, nil otherwise
+}
+
+// cancelledBy returns why nothing was sent, or nil.
+func (s *sending) cancelledBy() error {
+	if reason := s.cancelled.Load(); reason != nil {
+		return *reason
+	}
+	return nil
+}
+
+// write sends the request.
+func write(c *conn, request *Request, sending *sending) error {
 	data := encode(request)
 	if len(data) <= maxSynchronousRequest {
 		if _, err := c.Write(data); err != nil {
 			return err
 		}
-		written.Store(true)
+		sending.written.Store(true)
 		return nil
 	}
 	go func() {
+		// On a busy processor the caller may have disconnected before this runs.
+		if err := request.checkBeforeSend(); err != nil {
+			sending.cancelled.Store(&err)
+			c.abort()
+			return
+		}
 		// The reader sees a failure too, since the connection is broken then.
 		if _, err := c.Write(data); err == nil {
-			written.Store(true)
+			sending.written.Store(true)
 		}
 	}()
 	return nil
@@ -218,7 +242,7 @@
 // closes the connection, which makes the backend server stop.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	clean := a.complete && a.keepAlive && stopped && a.written.Load() && a.conn.reader.Buffered() == 0
+	clean := a.complete && a.keepAlive && stopped && a.sending.written.Load() && a.conn.reader.Buffered() == 0
 	if !clean {
 		a.conn.idleSince, a.conn.statedTimeout = boottime.Now(), a.statedTimeout
 		a.pool.discard(a.address, a.conn, a.closeReason(stopped))
@@ -233,7 +257,7 @@
 	switch {
 	case a.broken:
 		return ReasonBroken
-	case a.complete && stopped && a.written.Load():
+	case a.complete && stopped && a.sending.written.Load():
 		return ReasonClosed // announced by the peer, or bytes follow the answer
 	}
 	return ReasonAbandoned
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -375,3 +375,34 @@
 		t.Errorf("%d connections were opened, want 2", got)
 	}
 }
+
+// Guards against sending a long request whose caller has disconnected while the goroutine
+// that writes it waited for the processor.
+func TestLongRequestIsNotWrittenAfterTheCallerDisconnects(t *testing.T) {
+	received := make(chan int64, 1)
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		n, _ := io.Copy(io.Discard, reader) // ends with the connection
+		received <- n
+	})
+	checks := 0
+	request := newRequest("1")
+	request.Body = make([]byte, 2*maxSynchronousRequest)
+	request.BeforeSend = func() error {
+		checks++
+		if checks == 1 {
+			return nil
+		}
+		return ErrCallerDisconnected
+	}
+	pool := NewPool()
+	_, err := pool.Do(t.Context(), server.address, request)
+	if !errors.Is(err, ErrCallerDisconnected) || ProgressOf(err) != ProgressNone {
+		t.Errorf("error %v, progress %v; want that nothing was sent", err, ProgressOf(err))
+	}
+	if n := <-received; n != 0 {
+		t.Errorf("%d bytes are sent", n)
+	}
+	if open := pool.Open(server.address); open != 0 {
+		t.Errorf("%d connections are open", open)
+	}
+}
