gate: a caller whose connection has failed in any way is disconnected

Cause: the look at the caller's socket before a send counted only its end and a reset; a connection that had timed out, or that the router itself had closed, counted as connected, and the request was sent in vain (GONE). Found by reading.

TestFailedConnectionCountsAsDisconnected fails before; tests of internal/gate pass.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -258,5 +258,8 @@
 		return false
 	}
 	n, err := conn.peek()
-	return (n == 0 && err == nil) || err == unix.ECONNRESET
+	if err != nil {
+		return !errors.Is(err, unix.EAGAIN)
+	}
+	return n == 0
 }
--- a/internal/gate/callerconn_test.go
+++ b/internal/gate/callerconn_test.go
@@ -76,3 +76,17 @@
 		t.Errorf("during a request %d bytes are read (%v), want an expired deadline", n, err)
 	}
 }
+
+// Guards against sending requests for callers whose connections ended otherwise than by a
+// close or a reset.
+func TestFailedConnectionCountsAsDisconnected(t *testing.T) {
+	conn, _ := connPair(t)
+	ctx := withCallerConn(t.Context(), conn)
+	if callerDisconnected(ctx) {
+		t.Fatal("an open connection counts as disconnected")
+	}
+	conn.Conn.Close()
+	if !callerDisconnected(ctx) {
+		t.Error("a connection that has failed counts as connected")
+	}
+}
