--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -149,21 +148,8 @@
 }
 
 func TestDisconnectedCallerIsNoticedImmediately(t *testing.T) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	caller, err := net.Dial("tcp", listener.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	conn, err := listener.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer conn.Close()
-	ctx := withCallerConn(context.Background(), &callerConn{Conn: conn})
+	conn, caller := connPair(t)
+	ctx := withCallerConn(context.Background(), conn)
 	if callerDisconnected(ctx) {
 		t.Error("a connected caller counts as disconnected")
 	}
