--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -49,7 +49,8 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body, -1 if unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 
 	body          io.ReadCloser
 	pool          *Pool
@@ -115,6 +116,7 @@
 		Status:        response.StatusCode,
 		Header:        response.Header,
 		Length:        response.ContentLength,
+		Framing:       framingOf(response),
 		body:          response.Body,
 		pool:          p,
 		address:       address,
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -6,6 +6,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -13,6 +14,7 @@
 // statuses and the reasons, never by accounts or requests.
 type metrics struct {
 	answers          *prometheus.CounterVec
+	streamEnds       *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
@@ -30,6 +32,10 @@
 			Name: "bluebell_gate_answers_total",
 			Help: "Answers of backend servers handed to callers, by status.",
 		}, []string{"status"}),
+		streamEnds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_stream_ends_total",
+			Help: "Ends of streams of backend servers, by how the answer marks its end (length, chunks or close) and by where it ended: after an event, inside one, or by an error.",
+		}, []string{"framing", "end"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -68,7 +74,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -88,6 +94,19 @@
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
 }
 
+// streamEnd says where a stream ended. Its values are those of the metric's label.
+type streamEnd string
+
+const (
+	endAfterEvent  streamEnd = "after_event"
+	endInsideEvent streamEnd = "inside_event"
+	endByError     streamEnd = "error"
+)
+
+func (m *metrics) streamEnded(framing backendconn.Framing, end streamEnd) {
+	m.streamEnds.WithLabelValues(string(framing), string(end)).Inc()
+}
+
 func (m *metrics) refused(refusal Refusal) {
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
 	if refusal.Reason == ReasonDisruptive {
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -58,6 +58,7 @@
 			}
 		}
 		if err == io.EOF {
+			h.metrics.streamEnded(answer.Framing, endOf(partial))
 			if !h.lag.busy(boottime.Now()) {
 				h.admission.recordStreamEnd(r.request.Service, placed, timing.late)
 			}
@@ -67,11 +68,20 @@
 			err = errEventTooLong
 		}
 		if err != nil {
+			h.metrics.streamEnded(answer.Framing, endByError)
 			return r.answerFailed(ctx, placed, sent, err)
 		}
 	}
 }
 
+// endOf returns where a stream ended that left the partial data.
+func endOf(partial []byte) streamEnd {
+	if len(partial) > 0 {
+		return endInsideEvent
+	}
+	return endAfterEvent
+}
+
 // forwardEvents writes the complete events of the partial data and keeps the rest. It
 // returns false when the caller can't be reached.
 func (r *relay) forwardEvents(answer *backendconn.Answer, partial *[]byte) bool {
