gate: a stream that ends inside an event has been broken off

Resumable streams were not resumed either.

Cause: the router took the end of an answer as its framing states it for the end of its stream. An answer with neither a length nor chunks ends with its connection, so that a backend server that exits ends it properly; one that fails may also send the last chunk, or state a length, in the middle of an event. The rest of the event was forwarded as the end of the body. Class: an end that the transport marks is taken for the end of the content.

Change: package eventstream finds the ends of events (lines that end with LF, CRLF or CR). A stream that ends elsewhere counts as broken, as after a reset: it is resumed where its route allows it, answered with 502 if nothing has been forwarded, aborted otherwise; the crash detector and the server's statistics count it, and its connection is not kept. One without length, chunks and events counts as broken too, unless the caller takes it up, when nothing may be left. The same holds for streams on routes of plain answers and for those too long to be buffered. Whole streams stay, also those whose lines end with CRLF or CR, which are now forwarded event by event; so do plain answers without a length.

Why it works: the body itself shows whether it ends between events, whatever the framing. What it can't show is a stream without length and chunks that breaks off exactly between two events.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -240,11 +240,15 @@
 	return n, err
 }
 
+// Discard makes Close close the connection of a body that was read to its end and is not
+// whole. It has no effect before the end.
+func (a *Answer) Discard() { a.broken = a.broken || a.complete }
+
 // Close returns the connection to the pool if the complete body has been read. Otherwise it
 // closes the connection, which makes the backend server stop.
 func (a *Answer) Close() {
 	stopped := a.stop()
-	clean := a.complete && a.keepAlive && stopped && a.sending.written.Load() && a.conn.reader.Buffered() == 0
+	clean := a.complete && !a.broken && a.keepAlive && stopped && a.sending.written.Load() && a.conn.reader.Buffered() == 0
 	if !clean {
 		a.conn.idleSince, a.conn.statedTimeout = boottime.Now(), a.statedTimeout
 		a.pool.discard(a.address, a.conn, a.closeReason(stopped))
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -1,12 +1,15 @@
 package gate
 
 import (
+	"io"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -103,7 +106,18 @@
 	endByError     streamEnd = "error"
 )
 
-func (m *metrics) streamEnded(framing backendconn.Framing, end streamEnd) {
+// streamEnded counts the end of a stream; err is that of its last read, io.EOF for a proper
+// end and nil if the stream goes on.
+func (m *metrics) streamEnded(framing backendconn.Framing, err error) {
+	end := endByError
+	switch {
+	case err == nil:
+		return
+	case err == io.EOF:
+		end = endAfterEvent
+	case errors.Is(err, eventstream.ErrInsideEvent):
+		end = endInsideEvent
+	}
 	m.streamEnds.WithLabelValues(string(framing), string(end)).Inc()
 }
 
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -225,12 +225,9 @@
 		Request:     r.request,
 		Backend:     placed.backend,
 		Remaining:   r.request.Remaining(now),
-		LastEventID: r.stream.lastEventID,
+		LastEventID: r.lastEventID(),
 		FetchSource: placed.fetchSource,
 	}
-	if forward.LastEventID == "" {
-		forward.LastEventID = r.request.LastEventID
-	}
 	return &backendconn.Request{
 		Method:         r.request.Method,
 		URI:            r.request.URI,
@@ -244,6 +241,14 @@
 	}
 }
 
+// lastEventID returns the id of the last event that the caller has received, "" for none.
+func (r *relay) lastEventID() string {
+	if r.stream.lastEventID != "" {
+		return r.stream.lastEventID
+	}
+	return r.request.LastEventID
+}
+
 // errRejecting is returned if the backend server has started to reject new requests since
 // the request was placed there.
 var errRejecting = errors.New("the backend server rejects new requests")
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -10,7 +10,9 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 // maxBufferedAnswer is the maximum size of an answer that is read to its end before it is
@@ -31,12 +33,14 @@
 
 // relayBuffered reads an answer to its end and forwards it.
 func (r *relay) relayBuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
+	reader := bodyReader(answer, r.request.Route)
 	var body bytes.Buffer
 	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
 		body.Grow(int(answer.Length) + bytes.MinRead)
 	}
-	_, err := io.Copy(&body, io.LimitReader(answer, maxBufferedAnswer))
+	_, err := io.Copy(&body, io.LimitReader(reader, maxBufferedAnswer))
 	if err != nil {
+		answer.Discard()
 		return r.answerFailed(ctx, placed, sent, err)
 	}
 	took := boottime.Now().Sub(sent)
@@ -52,7 +56,7 @@
 		return outcomeBroken
 	}
 	if body.Len() == maxBufferedAnswer {
-		return r.relayUnbuffered(ctx, placed, answer, reply, body.Bytes())
+		return r.relayUnbuffered(ctx, placed, answer, reply, io.MultiReader(&body, reader))
 	}
 	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
@@ -65,6 +69,15 @@
 	return outcomeDone
 }
 
+// bodyReader returns a reader of the answer's body that returns io.EOF only at the end of a
+// whole one, as far as the body shows that it is not.
+func bodyReader(answer *backendconn.Answer, route *knowledge.Route) io.Reader {
+	if answer.Status < http.StatusMultipleChoices && isEventStream(answer, route) {
+		return eventstream.NewReader(answer)
+	}
+	return answer
+}
+
 // late reports whether an answer completed now misses its route's latency target.
 func (r *relay) late() bool {
 	target := r.request.Route.TargetLatency
@@ -114,9 +127,8 @@
 	r.handler.metrics.answered(status)
 }
 
-// relayUnbuffered forwards an answer that is too long to be buffered: first what has been
-// read, then the rest.
-func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, read []byte) sendOutcome {
+// relayUnbuffered forwards an answer that is too long to be buffered, while it reads body.
+func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, body io.Reader) sendOutcome {
 	status := callerStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.callerHeader(answer, reply))
@@ -125,11 +137,8 @@
 	}
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
-	_, err := r.writer.Write(read)
-	if err == nil {
-		_, err = io.Copy(r.writer, answer)
-	}
-	if err != nil {
+	if _, err := io.Copy(r.writer, body); err != nil {
+		answer.Discard()
 		if callerDisconnected(ctx) {
 			return r.callerDisconnected()
 		}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"maps"
@@ -12,7 +11,9 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 // streamState is what the caller has received of a stream.
@@ -31,6 +32,10 @@
 // errEventTooLong ends a stream with an event larger than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errNoEvents ends a stream that has no events and no marked end: its backend server may
+// have exited before the first one.
+var errNoEvents = errors.New("the stream ended before its first event, with its connection")
+
 // relayStream forwards a stream event by event. It forwards complete events only, so that
 // another backend server can repeat an event that breaks off.
 func (r *relay) relayStream(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
@@ -41,7 +46,7 @@
 		return outcomeBroken
 	}
 	buffer := make([]byte, streamBufferBytes)
-	var partial []byte
+	events := &eventForwarder{relay: r, answer: answer}
 	timing := newStreamTiming(r.request)
 	for {
 		n, err := answer.Read(buffer)
@@ -52,56 +57,94 @@
 				h.admission.recordFirstEvent(r.request, placed, now.Sub(sent))
 				h.metrics.firstEvent(now.Sub(r.request.Received))
 			}
-			partial = append(partial, buffer[:n]...)
-			if !r.forwardEvents(answer, &partial) {
+			if !events.forward(buffer[:n]) {
 				return r.callerDisconnected()
 			}
 		}
+		switch {
+		case err == io.EOF:
+			err = events.checkEnd()
+		case err == nil && len(events.rest) > maxEventBytes:
+			err = errEventTooLong
+		}
+		h.metrics.streamEnded(answer.Framing, err)
 		if err == io.EOF {
-			h.metrics.streamEnded(answer.Framing, endOf(partial))
 			if !h.lag.busy(boottime.Now()) {
 				h.admission.recordStreamEnd(r.request.Service, placed, timing.late)
 			}
-			return r.finishStream(placed, answer, partial, timing.late)
-		}
-		if err == nil && len(partial) > maxEventBytes {
-			err = errEventTooLong
+			return r.finishStream(placed, answer, events.rest, timing.late)
 		}
 		if err != nil {
-			h.metrics.streamEnded(answer.Framing, endByError)
+			answer.Discard()
 			return r.answerFailed(ctx, placed, sent, err)
 		}
 	}
 }
 
-// endOf returns where a stream ended that left the partial data.
-func endOf(partial []byte) streamEnd {
-	if len(partial) > 0 {
-		return endInsideEvent
-	}
-	return endAfterEvent
+// eventForwarder forwards the complete events of a stream.
+type eventForwarder struct {
+	relay   *relay
+	answer  *backendconn.Answer
+	scanner eventstream.Scanner
+	rest    []byte // of an event in progress
 }
 
-// forwardEvents writes the complete events of the partial data and keeps the rest. It
-// returns false when the caller can't be reached.
-func (r *relay) forwardEvents(answer *backendconn.Answer, partial *[]byte) bool {
-	end := completeEventsLen(*partial)
-	if end == 0 {
+// forward writes the events that the next bytes of the stream complete, and keeps the rest.
+// It returns false when the caller can't be reached.
+func (f *eventForwarder) forward(data []byte) bool {
+	ended := f.scanner.Scan(data)
+	if ended == 0 {
+		f.rest = append(f.rest, data...)
 		return true
 	}
-	events := (*partial)[:end]
-	if id := lastEventID(events); id != "" {
+	events := data[:ended]
+	if len(f.rest) > 0 {
+		events = append(f.rest, events...)
+	}
+	if !f.relay.writeEvents(f.answer, events) {
+		return false
+	}
+	f.rest = append(f.rest[:0], data[ended:]...)
+	return true
+}
+
+// checkEnd returns io.EOF if the stream may end here, or else why it has been broken off. An
+// answer's framing alone doesn't tell: without length and chunks any end of the connection is
+// a proper one, and a backend server that fails may also frame half an event properly.
+func (f *eventForwarder) checkEnd() error {
+	switch {
+	case !isEventStream(f.answer, f.relay.request.Route):
+		return io.EOF
+	case !f.scanner.Whole():
+		return eventstream.ErrInsideEvent
+	case f.answer.Framing == backendconn.FramingClose && !f.scanner.Events() && f.relay.lastEventID() == "":
+		return errNoEvents
+	}
+	return io.EOF
+}
+
+// isEventStream reports whether an answer is a stream of events. An answer that doesn't state
+// its type is one if its route is for streams.
+func isEventStream(answer *backendconn.Answer, route *knowledge.Route) bool {
+	stated := answer.Header.Get("Content-Type")
+	if stated == "" {
+		return route.Stream
+	}
+	mediaType, _, _ := strings.Cut(stated, ";")
+	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
+}
+
+// writeEvents sends complete events to the caller. It returns false when the caller can't be
+// reached.
+func (r *relay) writeEvents(answer *backendconn.Answer, events []byte) bool {
+	if id := eventstream.LastID(events); id != "" {
 		r.stream.lastEventID = id
 	}
 	r.startStream(answer)
 	if _, err := r.writer.Write(events); err != nil {
 		return false
 	}
-	if err := http.NewResponseController(r.writer).Flush(); err != nil {
-		return false
-	}
-	*partial = append((*partial)[:0], (*partial)[end:]...)
-	return true
+	return http.NewResponseController(r.writer).Flush() == nil
 }
 
 // startStream writes the header of the answer, once: a stream that is resumed at another
@@ -115,11 +158,11 @@
 	r.handler.writeHead(r.writer, answer.Status)
 }
 
-// finishStream ends a stream that its backend server has completed.
+// finishStream ends a stream that its backend server has completed. rest is what follows
+// the last event, of an answer that is no stream of events.
 func (r *relay) finishStream(placed *placement, answer *backendconn.Answer, rest []byte, late bool) sendOutcome {
 	r.startStream(answer)
 	if len(rest) > 0 {
-		// Bytes after the last event belong to the body too.
 		if _, err := r.writer.Write(rest); err != nil {
 			return r.callerDisconnected()
 		}
@@ -137,31 +180,3 @@
 	r.handler.requestLog.callerDisconnected(r.request)
 	panic(http.ErrAbortHandler)
 }
-
-// eventSeparator ends an event.
-var eventSeparator = []byte("\n\n")
-
-// completeEventsLen returns the length of the complete events at the start of data.
-func completeEventsLen(data []byte) int {
-	at := bytes.LastIndex(data, eventSeparator)
-	if at < 0 {
-		return 0
-	}
-	return at + len(eventSeparator)
-}
-
-// lastEventID returns the id of the last event that has one, or "".
-func lastEventID(events []byte) string {
-	const field = "id:"
-	at := bytes.LastIndex(events, []byte("\n"+field))
-	switch {
-	case at >= 0:
-		at += 1 + len(field)
-	case bytes.HasPrefix(events, []byte(field)):
-		at = len(field)
-	default:
-		return ""
-	}
-	line, _, _ := bytes.Cut(events[at:], []byte("\n"))
-	return strings.TrimSpace(string(line))
-}
