gate: software versions of backend servers are known and logged

It is kept with the entry of a backend server and compared between routers (the digest has it, so routers of this and the version before pull lists from each other and the store more often while they run side by side), and is logged with answers (2101), failures (2104) and the list (2111). bluebell_gate_streams_continued_total counts streams that go on at another server by who resumes them and whether the version is the same. No change of what callers get.

An entry received again without a version keeps the one that it had: a router of the version before forwards entries without it.

--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -275,11 +275,20 @@
 	slices.Sort(removed)
 	slices.Sort(draining)
 	event.GateBackendsChanged.Log(m.options.Logger, logrus.Fields{
-		"added": added, "removed": removed, "leaving": draining,
+		"added": added, "removed": removed, "leaving": draining, "versions": versionsOf(view),
 		"era": view.Position.Era, "revision": view.Position.Revision,
 	})
 }
 
+// versionsOf returns how many backend servers of each service run which software version.
+func versionsOf(view *knowledge.View) map[fleet.Service]map[string]int {
+	versions := make(map[fleet.Service]map[string]int, len(view.ByService))
+	for service, backends := range view.ByService {
+		versions[service] = lo.CountValuesBy(backends, func(backend *knowledge.Backend) string { return backend.Version })
+	}
+	return versions
+}
+
 const (
 	// drainNotice is how long connections are still accepted after the stop signal. The
 	// load balancer checks readiness once a second and reacts after two failed checks.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -18,6 +18,7 @@
 type metrics struct {
 	answers          *prometheus.CounterVec
 	streamEnds       *prometheus.CounterVec
+	continued        *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
@@ -39,6 +40,10 @@
 			Name: "bluebell_gate_stream_ends_total",
 			Help: "Ends of streams of backend servers, by how the answer marks its end (length, chunks or close) and by where it ended: after an event, inside one, or by an error.",
 		}, []string{"framing", "end"}),
+		continued: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_streams_continued_total",
+			Help: "Streams sent to a backend server that did not begin them, by who resumes (router or caller) and the software version there: same, other, or unknown.",
+		}, []string{"by", "version"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -77,7 +82,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -97,6 +102,17 @@
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
 }
 
+// The values of the labels of streams that are continued.
+const (
+	byRouter       = "router"
+	byCaller       = "caller"
+	versionSame    = "same"
+	versionOther   = "other"
+	versionUnknown = "unknown"
+)
+
+func (m *metrics) streamContinued(by, version string) { m.continued.WithLabelValues(by, version).Inc() }
+
 // streamEnd says where a stream ended. Its values are those of the metric's label.
 type streamEnd string
 
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -169,6 +169,7 @@
 	if placed.model {
 		h.metrics.placedModel(placed, h.admission.zone)
 	}
+	r.countContinued(placed.backend)
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoingRequest(ctx, placed, sent))
 	if err != nil {
@@ -203,6 +204,18 @@
 	return r.relayBuffered(ctx, placed, answer, reply, sent)
 }
 
+// countContinued counts a stream that is about to be continued at the backend server.
+func (r *relay) countContinued(backend *knowledge.Backend) {
+	switch begunAt := r.stream.begunAt; {
+	case begunAt == nil && r.request.Route.Stream && r.request.LastEventID != "":
+		r.handler.metrics.streamContinued(byCaller, versionUnknown)
+	case begunAt != nil && begunAt.Service == backend.Service && begunAt.Version == backend.Version:
+		r.handler.metrics.streamContinued(byRouter, versionSame)
+	case begunAt != nil:
+		r.handler.metrics.streamContinued(byRouter, versionOther)
+	}
+}
+
 // observeReply records what the backend server reports about itself with an answer.
 func (h *handler) observeReply(backend *knowledge.Backend, reply Reply) {
 	if reply.Replaced {
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -19,7 +19,8 @@
 // streamState is what the caller has received of a stream.
 type streamState struct {
 	started     bool
-	lastEventID string // id of the last event forwarded, "" for none
+	lastEventID string             // id of the last event forwarded, "" for none
+	begunAt     *knowledge.Backend // nil before the first event
 }
 
 const (
@@ -46,7 +47,7 @@
 		return outcomeBroken
 	}
 	buffer := make([]byte, streamBufferBytes)
-	events := &eventForwarder{relay: r, answer: answer}
+	events := &eventForwarder{relay: r, placed: placed, answer: answer}
 	timing := newStreamTiming(r.request)
 	for {
 		n, err := answer.Read(buffer)
@@ -84,6 +85,7 @@
 // eventForwarder forwards the complete events of a stream.
 type eventForwarder struct {
 	relay   *relay
+	placed  *placement
 	answer  *backendconn.Answer
 	scanner eventstream.Scanner
 	rest    []byte // of an event in progress
@@ -101,7 +103,7 @@
 	if len(f.rest) > 0 {
 		events = append(f.rest, events...)
 	}
-	if !f.relay.writeEvents(f.answer, events) {
+	if !f.relay.writeEvents(f.placed, f.answer, events) {
 		return false
 	}
 	f.rest = append(f.rest[:0], data[ended:]...)
@@ -136,7 +138,10 @@
 
 // writeEvents sends complete events to the caller. It returns false when the caller can't be
 // reached.
-func (r *relay) writeEvents(answer *backendconn.Answer, events []byte) bool {
+func (r *relay) writeEvents(placed *placement, answer *backendconn.Answer, events []byte) bool {
+	if r.stream.begunAt == nil {
+		r.stream.begunAt = placed.backend
+	}
 	if id := eventstream.LastID(events); id != "" {
 		r.stream.lastEventID = id
 	}
--- a/internal/gate/request_log.go
+++ b/internal/gate/request_log.go
@@ -172,7 +172,7 @@
 }
 
 func (r *requestLog) sendFailed(request *Request, backend *knowledge.Backend, err error) {
-	r.write(r.failureLimit, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "error": err.Error()})
+	r.write(r.failureLimit, event.GateSendFailed, request, logrus.Fields{"backend": backend.ID, "version": backend.Version, "error": err.Error()})
 }
 
 // resetsJudged logs the verdict on reset connections at a backend server.
@@ -235,7 +235,7 @@
 	}
 	fields := logrus.Fields{"status": status, "sends": sends, "late": late}
 	addInputs(fields, placed.inputs)
-	fields["backend"] = placed.backend.ID
+	fields["backend"], fields["version"] = placed.backend.ID, placed.backend.Version
 	if err != nil {
 		fields["error"] = err.Error()
 	}
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -56,9 +56,12 @@
 	received.Incarnation = incarnation(received.ID, received.StartedAt)
 	received.IncarnationHash = IncarnationHash(received.Incarnation)
 	received.IDHash = xxhash.Sum64String(received.ID)
+	if received.Version == "" && known != nil && sameEntry(known, received) {
+		received.Version = known.Version // received from a router that doesn't forward versions
+	}
 	// Only whether the server is cold is hashed: the remaining time changes constantly, and
 	// each new digest makes all routers fetch the list.
-	received.entryHash = xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t %t", received.ID, received.StartedAt, received.Service, received.Address, received.Draining, received.ColdRemaining > 0))
+	received.entryHash = xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t %t %s", received.ID, received.StartedAt, received.Service, received.Address, received.Draining, received.ColdRemaining > 0, received.Version))
 	received.FirstSeen = now
 	if v.ListConfirmedAt == 0 {
 		received.FirstSeen = 0 // listed before this router started; its age is unknown
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -101,8 +101,10 @@
 	Service         fleet.Service
 	Address         fleet.Address
 	Zone            fleet.Zone
-	Slots           int  // requests that it runs concurrently
-	Draining        bool `json:"Leaving"` // takes no new requests
+	// Version is that of the server's software, "" if its entry leaves it out.
+	Version  string
+	Slots    int  // requests that it runs concurrently
+	Draining bool `json:"Leaving"` // takes no new requests
 	// Position is that of the last change of the entry.
 	Position
 	// Sequence numbers the entries that this incarnation has written.
