gate: a stream goes on at the software version that began it

Cause: nothing outside platform/ knew the version of a backend server, so a router that resumed a stream, and one where a caller took it up, chose among all servers of the service. Class: a run is continued by whoever is free, without what the first part depends on.

Change: a stream that has begun has as candidates only the servers of the same service and version. For callers that take a stream up at any router, the router that begins it sends a record (hashes of the attempt's id and of service and version) to two others before the first event is forwarded; they follow from the stream's hash by rendezvous. A router without the record asks up to eight. Where none knows, the stream goes on only if the route's servers have had one version for the time in which it can have begun, which routers remember and tell those that have just started. Else, and while no server of the version serves, the answer is 503 at once.

Why it works: a stream goes on only with positive knowledge of where it began; lost messages, partitions and restarts lead to a refusal, never to a guess. The record is at two other routers before the caller has the event by which it could take the stream up.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -27,7 +27,7 @@
 	do.ProvideValue(injector, logger)
 	do.ProvideValue(injector, registry)
 	do.ProvideValue(injector, daemon.NewReadiness())
-	do.ProvideValue(injector, knowledge.NewState())
+	do.ProvideValue(injector, newState(config))
 	do.ProvideValue(injector, platform.NewStore(config.Store.Address))
 	do.Provide(injector, newPeering)
 	do.Provide(injector, newGate)
@@ -39,6 +39,14 @@
 	do.Provide(injector, newService)
 }
 
+func newState(config *gate.Config) *knowledge.State {
+	state := knowledge.NewState()
+	if config.Node.NewFleet {
+		state.SetNewFleet()
+	}
+	return state
+}
+
 func newPeering(injector do.Injector) (*peering.Manager, error) {
 	config := do.MustInvoke[*gate.Config](injector)
 	logger := do.MustInvoke[logrus.FieldLogger](injector)
@@ -66,6 +74,7 @@
 		Dialect:     platform.Dialect{},
 		State:       do.MustInvoke[*knowledge.State](injector),
 		Peers:       peers,
+		Streams:     peers,
 		Readiness:   do.MustInvoke[*daemon.Readiness](injector),
 		Registerer:  do.MustInvoke[*prometheus.Registry](injector),
 		Logger:      do.MustInvoke[logrus.FieldLogger](injector),
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -108,7 +108,7 @@
 func (a *admission) place(request *Request, view *knowledge.View, excluded map[string]bool) (*placement, *Refusal) {
 	now := boottime.Now()
 	cold := a.cold.bounds(view, request.Service, now)
-	candidates := a.candidates(view, request.Service, excluded, now)
+	candidates := a.candidates(view, request, excluded, now)
 	usable := a.cold.usable(cold, candidates, now)
 	if len(usable) == 0 {
 		a.recordUnrelatedRefusal(request)
--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -8,11 +8,17 @@
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
-// candidates returns the backend servers of the service that may take a request. Ejected
+// candidates returns the backend servers of the service that may take a request: for a stream
+// that goes on, only those of the software that began it. Ejected
 // ones and those missing from the list are returned only if there is no other; unavailable
 // ones never are.
-func (a *admission) candidates(view *knowledge.View, service fleet.Service, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
-	serving := view.Serving[service]
+func (a *admission) candidates(view *knowledge.View, request *Request, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
+	serving := view.Serving[request.Service]
+	if request.Software != 0 {
+		serving = lo.Filter(serving, func(backend *knowledge.Backend, _ int) bool {
+			return view.SoftwareID(backend) == request.Software
+		})
+	}
 	ejected := a.loads.ejectedAt(now)
 	unavailable := a.unavailable.at(now)
 	if len(excluded)+len(view.MissingSince)+len(ejected)+len(unavailable) == 0 {
@@ -41,6 +47,9 @@
 // accepts requests again would be refused again. The route's usual delay is added to the
 // time until then, so that callers do not all retry at that time.
 func (a *admission) refuseAll(request *Request, view *knowledge.View, candidates int, now boottime.Instant) *Refusal {
+	if request.Software != 0 && candidates == 0 {
+		return a.refuse(request, ReasonOtherVersion)
+	}
 	refusal := a.refuse(request, noBackendReason(view, request.Service, candidates))
 	if refusal.Reason != ReasonNoBackend {
 		return refusal
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -63,6 +63,7 @@
 	budget            *retryBudget
 	suspects          *suspects
 	crashDetector     *crashDetector
+	streams           StreamOrigins
 	requestLog        *requestLog
 	metrics           *metrics
 	startedAt         boottime.Instant
@@ -82,14 +83,15 @@
 //  3. lagMeter: whether the processor keeps up; requests beyond their account's share are
 //     refused first.
 //  4. readBody: whether there is memory for the body.
-//  5. suspects: whether the request crashes backend servers. It waits if that depends on
+//  5. resolveOrigin: for a stream that the caller takes up, at which software it began.
+//  6. suspects: whether the request crashes backend servers. It waits if that depends on
 //     reset connections whose verdict is pending.
-//  6. admission.place: the tier by the account's usage, the backend servers that may get
+//  7. admission.place: the tier by the account's usage, the backend servers that may get
 //     requests (not draining, rejecting, evacuated, excluded after failures, or cold with
 //     their bound used up), and one of them within the tier's limits. For a plain service
 //     with [plain] admission: one with a free slot, or a wait for one within the request's
 //     budget.
-//  7. retryBudget: for each retry, whether the fleet may still send one.
+//  8. retryBudget: for each retry, whether the fleet may still send one.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	received := boottime.Now()
 	if h.lag.busy(received) || h.closeAfterAnswer() || h.isolated.Load() || h.drainedByOperator.Load() {
@@ -198,6 +200,10 @@
 
 // serve sends an identified request to a backend server.
 func (h *handler) serve(ctx context.Context, w http.ResponseWriter, request *Request) {
+	if refusal := h.resolveOrigin(ctx, request); refusal != nil {
+		h.refuse(w, request, *refusal)
+		return
+	}
 	h.budget.credit(request.Service)
 	if refusal := h.awaitVerdicts(ctx, request); refusal != nil {
 		h.refuse(w, request, *refusal)
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -62,7 +62,9 @@
 	ReasonMemory             Reason = "memory"
 	ReasonOverloaded         Reason = "router-overloaded"
 	ReasonTooLate            Reason = "too-late"
-	ReasonDraining           Reason = "draining" // the process would stop before the request ends
+	ReasonDraining           Reason = "draining"        // the process would stop before the request ends
+	ReasonOtherVersion       Reason = "other-version"   // no usable backend server has the stream's software version
+	ReasonUnknownStream      Reason = "unknown-version" // no reachable router knows at which version the stream began
 )
 
 // Freshness bounds the age of the configuration for some decisions.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 )
 
 // Options configure a Manager.
@@ -30,6 +31,7 @@
 	Dialect     Dialect
 	State       *knowledge.State
 	Peers       Peers
+	Streams     StreamOrigins // nil for a router that knows no others
 	Readiness   *daemon.Readiness
 	Registerer  prometheus.Registerer
 	Logger      logrus.FieldLogger
@@ -59,11 +61,15 @@
 		admission:     admission,
 		budget:        newRetryBudget(settings, options.Peers),
 		suspects:      newSuspects(),
+		streams:       options.Streams,
 		crashDetector: newCrashDetector(),
 		requestLog:    newRequestLog(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
 		metrics:       newMetrics(options.Registerer),
 		lag:           newLagMeter(options.Logger, options.Registerer),
 	}
+	if h.streams == nil {
+		h.streams = ownOrigins{table: streamorigin.NewTable()}
+	}
 	admission.paces.export(options.Logger, options.Registerer)
 	admission.plain.observeWait = h.metrics.plainWait
 	acceptor := newAcceptor(h, options.Connections, h.lag, drain)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -19,6 +19,7 @@
 	answers          *prometheus.CounterVec
 	streamEnds       *prometheus.CounterVec
 	continued        *prometheus.CounterVec
+	takenUp          *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
@@ -44,6 +45,10 @@
 			Name: "bluebell_gate_streams_continued_total",
 			Help: "Streams sent to a backend server that did not begin them, by who resumes (router or caller) and the software version there: same, other, or unknown.",
 		}, []string{"by", "version"}),
+		takenUp: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_streams_taken_up_total",
+			Help: "Streams that callers take up, by how the software version is known at which they began: recorded, only (there was no other), or unknown.",
+		}, []string{"origin"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -82,7 +87,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -102,6 +107,9 @@
 	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
 }
 
+// streamTakenUp counts a stream that a caller takes up.
+func (m *metrics) streamTakenUp(origin originKnown) { m.takenUp.WithLabelValues(string(origin)).Inc() }
+
 // The values of the labels of streams that are continued.
 const (
 	byRouter       = "router"
--- /dev/null
+++ b/internal/gate/origins.go
@@ -0,0 +1,123 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
+)
+
+// Events of two software versions don't fit together, so a stream goes on only at backend
+// servers of the software that began it. Its router knows that; a caller that takes its
+// stream up elsewhere names the attempt that began it, and routers keep the software of each
+// for one another. Where none knows it, the stream goes on only if there has been no choice.
+
+// StreamOrigins keeps at which software streams began, together with the other routers.
+type StreamOrigins interface {
+	// RecordOrigin records that a stream began, or goes on, at the software, and that it may
+	// be taken up for so long. It does not wait for other routers.
+	RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration)
+	// FindOrigin returns the software at which a stream began, 0 if no router that can be
+	// reached knows. It waits for other routers for some hundred milliseconds at most.
+	FindOrigin(ctx context.Context, stream streamorigin.Stream) knowledge.SoftwareID
+}
+
+const (
+	// takeUpTime is how long after its last event, and after the end of the caller's
+	// deadline, a stream may be taken up.
+	takeUpTime = 30 * time.Second
+	// maxOriginListAge is the age of the list of backend servers up to which a router may
+	// conclude that there is one software version only.
+	maxOriginListAge = 3 * time.Second
+)
+
+// ownOrigins implements StreamOrigins for a router that knows no others.
+type ownOrigins struct{ table *streamorigin.Table }
+
+// RecordOrigin implements StreamOrigins.
+func (o ownOrigins) RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration) {
+	now := boottime.Now()
+	o.table.Set(stream, streamorigin.Origin{Software: software, Until: now.Add(lasts)}, now)
+}
+
+// FindOrigin implements StreamOrigins.
+func (o ownOrigins) FindOrigin(_ context.Context, stream streamorigin.Stream) knowledge.SoftwareID {
+	origin, _ := o.table.Find(stream, boottime.Now())
+	return origin.Software
+}
+
+// takenUp reports whether the caller takes up a stream of which it has received events.
+func (r *Request) takenUp() bool {
+	return r.LastEventID != "" && r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume
+}
+
+// originTime returns how long the request's stream may be taken up from now on.
+func (r *Request) originTime(now boottime.Instant) time.Duration {
+	return max(r.Remaining(now), r.Deadline-now.Sub(r.Received), 0) + takeUpTime
+}
+
+// originKnown says how it is known at which software a stream began. Its values are those of
+// the metric's label.
+type originKnown string
+
+const (
+	originRecorded originKnown = "recorded" // a router has the record
+	originOnly     originKnown = "only"     // no other software could have begun it
+	originUnknown  originKnown = "unknown"
+)
+
+// resolveOrigin directs a request whose caller takes up a stream to the software that began
+// it, or returns a refusal.
+func (h *handler) resolveOrigin(ctx context.Context, request *Request) *Refusal {
+	if !request.takenUp() {
+		return nil
+	}
+	software, known := h.findOrigin(ctx, request)
+	h.metrics.streamTakenUp(known)
+	if software == 0 {
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream, RetryAfter: h.admission.retryAfter(request)}
+	}
+	request.Software = software
+	// A route may be split between services.
+	view := h.state.View()
+	for _, service := range request.Route.Services() {
+		if view.HasSoftware(service, software) {
+			request.Service = service
+		}
+	}
+	return nil
+}
+
+// findOrigin returns the software at which a stream goes on that the caller takes up, 0 if
+// that is unknown.
+func (h *handler) findOrigin(ctx context.Context, request *Request) (knowledge.SoftwareID, originKnown) {
+	if request.Resumes != "" {
+		if software := h.streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); software != 0 {
+			return software, originRecorded
+		}
+	}
+	window := request.Route.Timeout + takeUpTime
+	if software := h.state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now()); software != 0 {
+		return software, originOnly
+	}
+	return 0, originUnknown
+}
+
+// recordOrigin records the software of the backend server that is about to begin the request's
+// stream, or to go on with one that the caller takes up, and keeps the request there.
+func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend) {
+	if request.Route.Repeat != knowledge.RepeatResume {
+		return
+	}
+	if request.Software == 0 {
+		request.Software = h.state.View().SoftwareID(backend)
+	}
+	attempt := request.ID
+	if request.takenUp() && request.Resumes != "" {
+		attempt = request.Resumes
+	}
+	h.streams.RecordOrigin(streamorigin.StreamOf(attempt), request.Software, request.originTime(boottime.Now()))
+}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -206,14 +206,21 @@
 
 // countContinued counts a stream that is about to be continued at the backend server.
 func (r *relay) countContinued(backend *knowledge.Backend) {
-	switch begunAt := r.stream.begunAt; {
-	case begunAt == nil && r.request.Route.Stream && r.request.LastEventID != "":
-		r.handler.metrics.streamContinued(byCaller, versionUnknown)
-	case begunAt != nil && begunAt.Service == backend.Service && begunAt.Version == backend.Version:
-		r.handler.metrics.streamContinued(byRouter, versionSame)
-	case begunAt != nil:
-		r.handler.metrics.streamContinued(byRouter, versionOther)
+	by := byRouter
+	switch {
+	case r.stream.begunAt == nil && (!r.request.Route.Stream || r.request.LastEventID == ""):
+		return
+	case r.stream.begunAt == nil:
+		by = byCaller
+	}
+	version := versionOther
+	switch r.request.Software {
+	case 0:
+		version = versionUnknown
+	case r.handler.state.View().SoftwareID(backend):
+		version = versionSame
 	}
+	r.handler.metrics.streamContinued(by, version)
 }
 
 // observeReply records what the backend server reports about itself with an answer.
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -141,6 +141,7 @@
 func (r *relay) writeEvents(placed *placement, answer *backendconn.Answer, events []byte) bool {
 	if r.stream.begunAt == nil {
 		r.stream.begunAt = placed.backend
+		r.handler.recordOrigin(r.request, placed.backend)
 	}
 	if id := eventstream.LastID(events); id != "" {
 		r.stream.lastEventID = id
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -23,13 +23,18 @@
 	Prompt   Prompt
 	// LastEventID is the id of the last event that the caller has received, "" for none.
 	LastEventID string
-	Received    boottime.Instant
+	// Resumes is the ID of the attempt that brought the first event of the stream that the
+	// caller takes up, "" if it names none.
+	Resumes  string
+	Received boottime.Instant
 
 	Route       *knowledge.Route
 	Account     *knowledge.Account // nil on public routes
 	Service     fleet.Service
 	Timeout     time.Duration // from Received to the final answer
 	Fingerprint uint64        // the same when the caller sends the request again
+	// Software is that of the backend servers at which the stream may go on, 0 for any.
+	Software knowledge.SoftwareID
 }
 
 // Prompt describes a model request. Its zero value stands for a request to a plain service.
--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -59,11 +59,15 @@
 // replaceList sets the list at the position, known to be complete at confirmedAt,
 // and reports whether its content changed.
 func (v *View) replaceList(listed map[string]*Backend, missingSince map[string]boottime.Instant, at Position, confirmedAt, now boottime.Instant) bool {
-	before := v.Backends
-	changed := !sameBackends(before, listed)
+	before := *v
+	changed := !sameBackends(before.Backends, listed)
 	if changed {
 		v.setBackends(listed)
-		v.recordRemovals(before, at, now)
+		v.recordRemovals(before.Backends, at, now)
+		v.recordVersions(&before, now)
+	}
+	if first := v.ListConfirmedAt == 0; first && !v.newFleet || !first && confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge {
+		v.beginVersionLog(now)
 	}
 	v.MissingSince = missingSince
 	v.Position = at
@@ -123,14 +127,15 @@
 			return false // an older era's changes do not apply to the restored store
 		}
 		now := boottime.Now()
-		before := view.Backends
+		before := *view
 		backends := view.withChanges(changes, now)
 		view.Position = Newest(view.Position, upTo)
 		if backends == nil {
 			return false
 		}
 		view.setBackends(backends)
-		view.recordRemovals(before, upTo, now)
+		view.recordRemovals(before.Backends, upTo, now)
+		view.recordVersions(&before, now)
 		return true
 	})
 }
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -19,8 +19,10 @@
 	v.Backends = backends
 	v.ByService = make(map[fleet.Service][]*Backend)
 	v.Serving = make(map[fleet.Service][]*Backend)
+	v.versioned = make(map[fleet.Service]bool)
 	for _, backend := range backends {
 		v.ByService[backend.Service] = append(v.ByService[backend.Service], backend)
+		v.versioned[backend.Service] = v.versioned[backend.Service] || backend.Version != ""
 	}
 	for service, group := range v.ByService {
 		slices.SortFunc(group, func(a, b *Backend) int { return cmp.Compare(a.ID, b.ID) })
@@ -56,6 +58,7 @@
 	received.Incarnation = incarnation(received.ID, received.StartedAt)
 	received.IncarnationHash = IncarnationHash(received.Incarnation)
 	received.IDHash = xxhash.Sum64String(received.ID)
+	received.softwareID = softwareID(received.Service, received.Version)
 	if received.Version == "" && known != nil && sameEntry(known, received) {
 		received.Version = known.Version // received from a router that doesn't forward versions
 	}
--- a/internal/knowledge/index.go
+++ b/internal/knowledge/index.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -161,3 +163,10 @@
 	}
 	return "", false
 }
+
+// Services returns the services to which the route sends requests.
+func (r *Route) Services() []fleet.Service {
+	return lo.FilterMap(r.Destinations, func(destination Destination, _ int) (fleet.Service, bool) {
+		return destination.Service, destination.Weight > 0
+	})
+}
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -34,6 +34,10 @@
 	// copy, 0 for never.
 	RestoredAt boottime.Instant
 	removed    map[string]removal // removed backend servers by ID
+	// versioned holds the services of which a backend server states its version.
+	versioned map[fleet.Service]bool
+	versions  versionLog
+	newFleet  bool // the whole fleet started with this process
 	// outageAge is the age of the current list beyond which the store counts as having been
 	// unreachable. The next list is then the first after an outage and may be incomplete.
 	outageAge time.Duration
--- a/internal/knowledge/types.go
+++ b/internal/knowledge/types.go
@@ -119,6 +119,8 @@
 	// FirstSeen is when this router learned of this incarnation, 0 if it was in the first
 	// list that the router received.
 	FirstSeen boottime.Instant `json:"-"`
+	// softwareID identifies the service at the version; see View.SoftwareID.
+	softwareID SoftwareID
 	// entryHash is the contribution of this entry to the digest of the list.
 	entryHash uint64
 }
--- /dev/null
+++ b/internal/knowledge/versions.go
@@ -0,0 +1,172 @@
+package knowledge
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+// SoftwareID identifies a service at one version of its software, 0 for none. A stream goes
+// on only at backend servers with the SoftwareID of the one that began it.
+type SoftwareID uint64
+
+// VersionHistory is how far back software versions that are no longer listed are remembered.
+const VersionHistory = 10 * time.Minute
+
+// maxFormerVersions bounds the versions that are remembered. Beyond it the oldest are
+// forgotten, and the history counts as known only since then.
+const maxFormerVersions = 256
+
+// versionLog is what a router knows of the software versions that backend servers had.
+type versionLog struct {
+	// since is the time from which on no version was listed without being noticed, 0 if
+	// there were no backend servers before.
+	since boottime.Instant
+	// unlisted is when each version was last listed that is not listed any more.
+	unlisted map[SoftwareID]formerVersion
+}
+
+// formerVersion is a software version that is not listed any more.
+type formerVersion struct {
+	service  uint64 // hash of its name
+	unlisted boottime.Instant
+}
+
+// softwareID returns the ID of a service at a version.
+func softwareID(service fleet.Service, version string) SoftwareID {
+	return SoftwareID(xxhash.Sum64String(string(service) + "\x00" + version))
+}
+
+// ServiceHash returns the hash by which routers refer to a service.
+func ServiceHash(service fleet.Service) uint64 { return xxhash.Sum64String(string(service)) }
+
+// SoftwareID returns the ID of the backend server's software. A server whose entry leaves its
+// version out may have any, so it shares its ID with no other, unless the service states no
+// versions at all.
+func (v *View) SoftwareID(backend *Backend) SoftwareID {
+	if backend.Version == "" && v.versioned[backend.Service] {
+		return softwareID(backend.Service, "\x00"+backend.Incarnation)
+	}
+	return backend.softwareID
+}
+
+// OnlySoftware returns the ID of the software of the services if all their backend servers
+// have had the same within the window before now, as far as the router can tell. It returns 0
+// if they have not, or if the router's list is older than maxAge.
+func (v *View) OnlySoftware(services []fleet.Service, window, maxAge time.Duration, now boottime.Instant) SoftwareID {
+	if window > VersionHistory || now.Sub(v.ListConfirmedAt) > maxAge || now.Sub(v.versions.since) < window && v.versions.since != 0 {
+		return 0
+	}
+	var only SoftwareID
+	for _, service := range services {
+		for _, backend := range v.ByService[service] {
+			id := v.SoftwareID(backend)
+			if only != 0 && id != only {
+				return 0
+			}
+			only = id
+		}
+		for id, former := range v.versions.unlisted {
+			if former.service == ServiceHash(service) && id != only && now.Sub(former.unlisted) <= window {
+				return 0
+			}
+		}
+	}
+	return only
+}
+
+// beginVersionLog notes that versions may have been listed before now unnoticed.
+func (v *View) beginVersionLog(now boottime.Instant) { v.versions.since = now }
+
+// recordVersions records which software versions of the view before are not listed any more.
+func (v *View) recordVersions(before *View, now boottime.Instant) {
+	log := versionLog{since: v.versions.since, unlisted: make(map[SoftwareID]formerVersion)}
+	for id, former := range v.versions.unlisted {
+		if now.Sub(former.unlisted) <= VersionHistory {
+			log.unlisted[id] = former
+		}
+	}
+	for _, backend := range before.Backends {
+		log.unlisted[before.SoftwareID(backend)] = formerVersion{service: ServiceHash(backend.Service), unlisted: now}
+	}
+	for _, backend := range v.Backends {
+		delete(log.unlisted, v.SoftwareID(backend))
+	}
+	if len(log.unlisted) > maxFormerVersions {
+		log.unlisted, log.since = make(map[SoftwareID]formerVersion), now
+	}
+	v.versions = log
+}
+
+// FormerVersion is a software version that a router remembers.
+type FormerVersion struct {
+	Software SoftwareID
+	Service  uint64 // see ServiceHash
+	Unlisted boottime.Instant
+}
+
+// FormerVersions returns the software versions that were listed within VersionHistory and are
+// not any more, and since when the router would have noticed each, 0 for ever.
+func (v *View) FormerVersions(now boottime.Instant) (former []FormerVersion, since boottime.Instant) {
+	for id, version := range v.versions.unlisted {
+		if now.Sub(version.unlisted) <= VersionHistory {
+			former = append(former, FormerVersion{Software: id, Service: version.service, Unlisted: version.unlisted})
+		}
+	}
+	return former, v.versions.since
+}
+
+// AddFormerVersions adds what another router remembers. since is the time from which it would
+// have noticed each version. It is used only if the other router stated it after the time
+// statedAfter, and this router's own record does not begin later.
+func (s *State) AddFormerVersions(former []FormerVersion, since, statedAfter boottime.Instant) {
+	s.update(func(view *View) bool {
+		if len(former) > 0 {
+			view.versions.unlisted = view.withFormerVersions(former)
+		}
+		if own := view.versions.since; own != 0 && since < own && own <= statedAfter {
+			view.versions.since = since
+		}
+		return false
+	})
+}
+
+// withFormerVersions returns the former versions with the given ones added, at most
+// maxFormerVersions.
+func (v *View) withFormerVersions(added []FormerVersion) map[SoftwareID]formerVersion {
+	merged := make(map[SoftwareID]formerVersion, len(v.versions.unlisted)+len(added))
+	maps.Copy(merged, v.versions.unlisted)
+	for _, version := range added {
+		if known := merged[version.Software]; v.listsSoftware(version.Software) || known.unlisted >= version.Unlisted {
+			continue
+		}
+		if len(merged) < maxFormerVersions {
+			merged[version.Software] = formerVersion{service: version.Service, unlisted: version.Unlisted}
+		}
+	}
+	return merged
+}
+
+// HasSoftware reports whether a backend server of the service has the software.
+func (v *View) HasSoftware(service fleet.Service, id SoftwareID) bool {
+	return lo.SomeBy(v.ByService[service], func(backend *Backend) bool { return v.SoftwareID(backend) == id })
+}
+
+// listsSoftware reports whether a backend server of any service has the software.
+func (v *View) listsSoftware(id SoftwareID) bool {
+	return lo.SomeBy(lo.Keys(v.ByService), func(service fleet.Service) bool { return v.HasSoftware(service, id) })
+}
+
+// SetNewFleet states that the whole fleet starts for the first time: no backend server has
+// served anyone. It must be called before the first list is applied.
+func (s *State) SetNewFleet() {
+	s.update(func(view *View) bool {
+		view.newFleet = true
+		return false
+	})
+}
--- /dev/null
+++ b/internal/knowledge/versions_test.go
@@ -0,0 +1,156 @@
+package knowledge
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+)
+
+const testWindow = 40 * time.Second
+
+// listVersions applies a list of servers of service "s" with these versions.
+func listVersions(state *State, revision uint64, versions ...string) {
+	var backends []Backend
+	for i, version := range versions {
+		id := string(rune('a' + i))
+		backends = append(backends, Backend{ID: id, Service: "s", Version: version, Address: "10.0.0.1:1", Position: Position{Revision: revision}})
+	}
+	state.SetBackends(backends, Position{Revision: revision}, boottime.Now())
+}
+
+// only returns OnlySoftware of service "s" after the time has passed, with a list as fresh as
+// now.
+func only(state *State, after time.Duration) SoftwareID {
+	now := boottime.Now()
+	return state.View().OnlySoftware([]fleet.Service{"s"}, testWindow, time.Hour, now.Add(after))
+}
+
+// Guards against a stream that goes on at the only version listed although another one, listed
+// lately, may have begun it.
+func TestOnlySoftwareConsidersFormerVersions(t *testing.T) {
+	state := NewState()
+	state.SetNewFleet()
+	listVersions(state, 1, "v1", "v1")
+	if got := only(state, 0); got != softwareID("s", "v1") {
+		t.Errorf("%x, want the ID of v1", got)
+	}
+	listVersions(state, 2, "v1", "v2")
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x while two versions are listed", got)
+	}
+	listVersions(state, 3, "v2", "v2")
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x just after v1 has gone", got)
+	}
+	if got := only(state, testWindow+time.Second); got != softwareID("s", "v2") {
+		t.Errorf("%x after the window, want the ID of v2", got)
+	}
+	listVersions(state, 4, "v1", "v1")
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x when v1 has replaced v2 again", got)
+	}
+}
+
+// Guards against the same conclusion by a router that has just started, or that was without a
+// current list for a while, and did not see which versions were listed.
+func TestOnlySoftwareIsUnknownWithoutHistory(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "v1")
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x at the start", got)
+	}
+	if got := only(state, testWindow+time.Second); got == 0 {
+		t.Error("still unknown after the window")
+	}
+	if got := state.View().OnlySoftware([]fleet.Service{"s"}, testWindow, time.Second, boottime.Now().Add(testWindow+time.Second)); got != 0 {
+		t.Errorf("%x with a list that is too old", got)
+	}
+	now := boottime.Now()
+	statedBefore := state.View().versions.since - 1
+	state.AddFormerVersions(nil, now.Add(-VersionHistory), statedBefore)
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x by a history from before this router's list", got)
+	}
+	state.AddFormerVersions(nil, now.Add(-VersionHistory), now)
+	if got := only(state, 0); got == 0 {
+		t.Error("unknown although another router remembers no other version")
+	}
+	state.AddFormerVersions([]FormerVersion{{Software: softwareID("s", "v0"), Service: ServiceHash("s"), Unlisted: now}}, now, now)
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x although another router remembers v0", got)
+	}
+}
+
+// Guards against a list received after a long gap that hides versions which came and went.
+func TestGapInTheListEndsTheHistory(t *testing.T) {
+	state := NewState()
+	state.SetNewFleet()
+	state.SetBackends([]Backend{{ID: "a", Service: "s", Version: "v1", Address: "10.0.0.1:1"}}, Position{Revision: 1}, boottime.Now().Add(-time.Minute))
+	if got := only(state, 0); got == 0 {
+		t.Error("unknown in a new fleet")
+	}
+	listVersions(state, 2, "v1")
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x after a gap", got)
+	}
+}
+
+// Guards against servers without a stated version that share one with each other, or with none
+// where the whole service states none.
+func TestServersOfUnstatedVersionShareNone(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "", "")
+	view := state.View()
+	if a, b := view.SoftwareID(view.Backends["a"]), view.SoftwareID(view.Backends["b"]); a != b {
+		t.Error("two servers of a service without versions differ")
+	}
+	listVersions(state, 2, "", "", "v1")
+	view = state.View()
+	ids := map[SoftwareID]bool{}
+	for _, backend := range view.Backends {
+		ids[view.SoftwareID(backend)] = true
+	}
+	if len(ids) != 3 {
+		t.Errorf("%d IDs of three servers, two of which state no version", len(ids))
+	}
+}
+
+// Guards against a version that is lost when a router that doesn't forward versions sends the
+// entry again, and against one that stays when the server has written another entry.
+func TestVersionOfTheSameEntryIsKept(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "v1")
+	state.SetBackends([]Backend{{ID: "a", Service: "s", Address: "10.0.0.1:1", Position: Position{Revision: 1}}}, Position{Revision: 2}, boottime.Now())
+	if got := state.View().Backends["a"].Version; got != "v1" {
+		t.Errorf("version %q of the same entry", got)
+	}
+	listVersions(state, 3, "")
+	if got := state.View().Backends["a"].Version; got != "" {
+		t.Errorf("version %q of a later entry that leaves it out", got)
+	}
+}
+
+// Guards against a change of the version alone that other routers do not notice.
+func TestVersionIsPartOfTheDigest(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "v1")
+	before := state.View().Digest
+	listVersions(state, 2, "v2")
+	if state.View().Digest == before {
+		t.Error("the digest does not change with the version")
+	}
+}
+
+// Guards against a record of former versions that grows without a bound.
+func TestFormerVersionsAreBounded(t *testing.T) {
+	state := NewState()
+	state.SetNewFleet()
+	for i := range 4 * maxFormerVersions {
+		listVersions(state, uint64(i+1), time.Duration(i).String())
+	}
+	if former, since := state.View().FormerVersions(boottime.Now()); len(former) > maxFormerVersions || since == 0 {
+		t.Errorf("%d versions are remembered, since %v", len(former), since)
+	}
+}
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -70,26 +70,32 @@
 	Network     Network // nil for sockets at Address
 }
 
-// Manager exchanges heartbeats with the other routers. It implements gate.Peers.
+// Manager exchanges heartbeats with the other routers. It implements gate.Peers and
+// gate.StreamOrigins.
 type Manager struct {
 	*table
-	options       Options
-	local         Local
-	started       boottime.Instant
-	network       Network
-	puller        *puller
-	peerLog       *peerLog
-	traffic       *traffic
-	fingerprints  []fingerprintEntry // to be sent to the other routers
-	zoneLog       aggregateLog       // usage of this zone as sent to other zones
-	otherZonesLog aggregateLog       // usage of other zones as sent within this zone
-	directoryRead atomic.Bool        // set after the first successful read of the directory
+	options Options
+	local   Local
+	started boottime.Instant
+	network Network
+	puller  *puller
+	peerLog *peerLog
+	traffic *traffic
+	origins *origins
+	// historyWantedUntil is until when heartbeats carry the history of software versions, on
+	// the boot-time clock.
+	historyWantedUntil atomic.Int64
+	fingerprints       []fingerprintEntry // to be sent to the other routers
+	zoneLog            aggregateLog       // usage of this zone as sent to other zones
+	otherZonesLog      aggregateLog       // usage of other zones as sent within this zone
+	directoryRead      atomic.Bool        // set after the first successful read of the directory
 }
 
 // NewManager returns a manager that sends nothing until Run.
 func NewManager(options Options) *Manager {
 	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now()}
 	m.peerLog = &peerLog{logger: options.Logger}
+	m.origins = newOrigins()
 	m.traffic = newTraffic(options.Logger, m.started)
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	m.puller.onReply = m.countPulled
@@ -113,6 +119,7 @@
 		m.network = sockets
 	}
 	m.puller.network = m.network
+	m.origins.network.Store(&m.network)
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return m.network.Serve(ctx, m.receiver()) })
 	group.Go(func() error { return m.send(ctx) })
@@ -128,6 +135,10 @@
 			if err := proto.Unmarshal(data, &heartbeat); err != nil {
 				return // not a heartbeat
 			}
+			if heartbeat.StreamOrigin != nil {
+				m.handleOrigin(fleet.Address(heartbeat.Address), heartbeat.StreamOrigin, boottime.Now())
+				return
+			}
 			m.handleHeartbeat(ctx, &heartbeat, boottime.Now())
 		},
 		Knowledge: &server{state: m.options.State},
@@ -143,6 +154,9 @@
 		return
 	}
 	router := fleet.Address(heartbeat.Address)
+	if heartbeat.WantsHistory {
+		m.historyWantedUntil.Store(int64(now.Add(historyTellTime)))
+	}
 	if joined {
 		m.peerLog.addReachable(router)
 	}
@@ -171,6 +185,7 @@
 		echo = 0
 	}
 	applyEvacuations(m.options.State, heartbeat.Evacuations, echo, now)
+	applySoftwareHistory(m.options.State, heartbeat, echo, now)
 	if echo == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/peering/origins_test.go
@@ -0,0 +1,178 @@
+package peering
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
+)
+
+// originFleet are routers that know each other and exchange messages on origins at once. It
+// has no time of its own.
+type originFleet struct {
+	routers map[fleet.Address]*Manager
+	lost    map[fleet.Address]bool // routers that get nothing
+	bytes   int
+}
+
+// originLink implements Network for one router.
+type originLink struct {
+	Network
+	fleet *originFleet
+}
+
+func (l originLink) Send(data []byte, to fleet.Address) {
+	l.fleet.bytes += len(data)
+	router := l.fleet.routers[to]
+	if router == nil || l.fleet.lost[to] {
+		return
+	}
+	var message peeringpb.Beat
+	if err := proto.Unmarshal(data, &message); err != nil {
+		panic(err)
+	}
+	router.handleOrigin(fleet.Address(message.Address), message.StreamOrigin, boottime.Now())
+}
+
+func newOriginFleet(zones, perZone int) *originFleet {
+	f := &originFleet{routers: make(map[fleet.Address]*Manager), lost: make(map[fleet.Address]bool)}
+	logger := logrus.New()
+	for i := range zones * perZone {
+		address := fleet.Address(fmt.Sprintf("10.0.%d.%d:8241", i/200, i%200+1))
+		manager := NewManager(Options{Address: address, Zone: fleet.Zone(fmt.Sprint("z", i%zones)), State: knowledge.NewState(), Logger: logger})
+		var network Network = originLink{fleet: f}
+		manager.origins.network.Store(&network)
+		f.routers[address] = manager
+	}
+	for address, router := range f.routers {
+		for _, other := range f.routers {
+			heartbeat := newHeartbeat(string(address), 1, 1)
+			heartbeat.Zone = string(router.zone)
+			other.applyHeartbeat(heartbeat, boottime.Now())
+		}
+	}
+	return f
+}
+
+// any returns a router that is not among the excluded ones.
+func (f *originFleet) any(excluded ...*Manager) *Manager {
+	for _, router := range f.routers {
+		usable := !f.lost[router.self]
+		for _, other := range excluded {
+			usable = usable && router != other
+		}
+		if usable {
+			return router
+		}
+	}
+	return nil
+}
+
+// Guards against a stream whose version nobody knows after the router that began it, or that
+// one and another, were killed.
+func TestOriginIsFoundAfterRoutersAreLost(t *testing.T) {
+	f := newOriginFleet(4, 5)
+	for i := range 200 {
+		stream := streamorigin.Stream(i)
+		clear(f.lost)
+		began := f.any()
+		began.RecordOrigin(stream, 7, time.Minute)
+		f.lost[began.self] = true
+		if i%2 == 1 {
+			f.lost[f.any(began).self] = true
+		}
+		asked := f.any(began)
+		if got := asked.FindOrigin(t.Context(), stream); got != 7 {
+			t.Errorf("stream %d: %d, want 7", i, got)
+		}
+		if origin, known := asked.origins.table.Find(stream, boottime.Now()); !known || origin.Software != 7 {
+			t.Error("the router that asked does not keep it")
+		}
+	}
+}
+
+// Guards against callers that wait although it is known at once that no router knows.
+func TestUnknownOriginIsReportedAtOnce(t *testing.T) {
+	f := newOriginFleet(4, 5)
+	started := time.Now()
+	if got := f.any().FindOrigin(t.Context(), 7); got != 0 {
+		t.Errorf("software %d of an unknown stream", got)
+	}
+	if took := time.Since(started); took >= queryIntervals[0] {
+		t.Errorf("it took %v, with all routers in reach", took)
+	}
+}
+
+// Guards against callers that wait for routers that do not answer, and against a query that is
+// sent once only although datagrams get lost.
+func TestQueryOfSilentRoutersEnds(t *testing.T) {
+	f := newOriginFleet(1, 3)
+	asking := f.any()
+	for address := range f.routers {
+		f.lost[address] = address != asking.self
+	}
+	if got := asking.FindOrigin(t.Context(), 7); got != 0 {
+		t.Errorf("software %d of an unknown stream", got)
+	}
+	if len(asking.origins.queries) != 0 {
+		t.Error("the query is kept")
+	}
+	query, err := proto.Marshal(&peeringpb.Beat{Address: string(asking.self), StreamOrigin: &peeringpb.StreamOrigin{Stream: 7, Asks: true}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want := len(query) * 2 * len(queryIntervals); f.bytes != want {
+		t.Errorf("%d bytes were sent, want %d: to both routers in each interval", f.bytes, want)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	started := time.Now()
+	asking.FindOrigin(ctx, 8)
+	if took := time.Since(started); took >= queryIntervals[0] {
+		t.Errorf("it took %v after the caller had gone", took)
+	}
+}
+
+// Guards against messages of which other routers make a heartbeat.
+func TestOriginMessageIsNoHeartbeat(t *testing.T) {
+	f := newOriginFleet(1, 2)
+	router := f.any()
+	other := f.any(router)
+	before := *router.peers[other.self]
+	message := &peeringpb.Beat{Address: string(other.self), StreamOrigin: &peeringpb.StreamOrigin{Stream: 7, Software: 8, LastsMs: 9000}}
+	if accepted, _ := router.applyHeartbeat(message, boottime.Now()); accepted {
+		t.Error("a router that doesn't know such messages takes it for a heartbeat")
+	}
+	data, err := proto.Marshal(message)
+	if err != nil {
+		t.Fatal(err)
+	}
+	router.receiver().Heartbeat(t.Context(), data)
+	if after := *router.peers[other.self]; after.lastHeartbeat != before.lastHeartbeat {
+		t.Error("it counts as a heartbeat")
+	}
+	if origin, _ := router.origins.table.Find(7, boottime.Now()); origin.Software != 8 {
+		t.Errorf("software %d, want 8", origin.Software)
+	}
+}
+
+// BenchmarkOriginBytes reports the bytes that a router of a large fleet sends for each stream
+// that begins there, and the time that takes.
+func BenchmarkOriginBytes(b *testing.B) {
+	f := newOriginFleet(4, 89)
+	router := f.any()
+	b.ResetTimer()
+	for i := range b.N {
+		router.RecordOrigin(streamorigin.Stream(i), 7, 45*time.Second)
+	}
+	b.ReportMetric(float64(f.bytes)/float64(b.N), "bytes/op")
+}
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -190,7 +190,7 @@
 // targets.
 func (m *Manager) commonHeartbeat(now boottime.Instant, targets int) *peeringpb.Beat {
 	view := m.options.State.View()
-	return &peeringpb.Beat{
+	heartbeat := &peeringpb.Beat{
 		Address:     string(m.options.Address),
 		Zone:        string(m.options.Zone),
 		Incarnation: m.options.Incarnation,
@@ -206,6 +206,8 @@
 		Broken:      m.nextFingerprints(roundsPerCycle(targets, maxUrgentRemoteHeartbeats)),
 		Routers:     lo.Map(lo.Samples(m.reachableRouters(now), addressesPerHeartbeat), func(address fleet.Address, _ int) string { return string(address) }),
 	}
+	m.addSoftwareHistory(heartbeat, view, now)
+	return heartbeat
 }
 
 // ageAt returns the age in nanoseconds, -1 if the time is unknown.
--- /dev/null
+++ b/internal/streamorigin/table.go
@@ -0,0 +1,86 @@
+// Package streamorigin remembers at which software streams began, and decides which routers
+// keep that. It does no I/O.
+package streamorigin
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+)
+
+// Stream identifies a stream: the hash of the id of the attempt that brought its first event.
+type Stream uint64
+
+// StreamOf returns the stream that the attempt began.
+func StreamOf(attempt string) Stream { return Stream(xxhash.Sum64String(attempt)) }
+
+// Origin is where a stream began.
+type Origin struct {
+	// Software is that of the backend server that began it. It is 0 if streams of several
+	// began with one id, which callers must not reuse.
+	Software knowledge.SoftwareID
+	Until    boottime.Instant // the stream can't be taken up afterwards
+}
+
+// MaxOrigins is how many origins a table holds. It then forgets those that were set first.
+const MaxOrigins = 1 << 15
+
+// Table holds the origins of streams that may still be taken up. Its methods may be called
+// concurrently.
+type Table struct {
+	mu      sync.Mutex
+	origins *simplelru.LRU[Stream, Origin]
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	origins, err := simplelru.NewLRU[Stream, Origin](MaxOrigins, nil)
+	if err != nil {
+		panic(err) // the size is positive
+	}
+	return &Table{origins: origins}
+}
+
+// Set records where a stream began. An origin is forgotten when its time is over.
+func (t *Table) Set(stream Stream, origin Origin, now boottime.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.expire(now)
+	if known, found := t.origins.Peek(stream); found && known.Until > now {
+		origin.Until = max(origin.Until, known.Until)
+		if known.Software != origin.Software {
+			origin.Software = 0
+		}
+	}
+	t.origins.Add(stream, origin)
+}
+
+// expire removes the oldest origins while their time is over.
+func (t *Table) expire(now boottime.Instant) {
+	for {
+		stream, origin, found := t.origins.GetOldest()
+		if !found || origin.Until > now {
+			return
+		}
+		t.origins.Remove(stream)
+	}
+}
+
+// Find returns the origin of a stream, false if it is unknown or the time is over.
+func (t *Table) Find(stream Stream, now boottime.Instant) (Origin, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	origin, found := t.origins.Peek(stream)
+	return origin, found && origin.Until > now
+}
+
+// Len returns the number of origins held.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.origins.Len()
+}
