gate: an aborted answer without framing is reset

A caller of HTTP/1.0 gets no chunks, so a stream, or a long answer without a length, ends for it with its connection. When the router aborts such an answer (its backend server breaks off, a write fails, draining ends), net/http closes the connection as it does after a whole one, and the caller takes the part that it has for the whole answer.

Seen in TestAbortedAnswerWithoutFramingIsReset (a stream of one event and an answer of over a megabyte, whose backend server then closes its connection) and TestAnswerWithoutFramingCutByDrainingIsReset, which failed on: the caller reads 112 and 1048672 bytes and then a proper end.

While a request of HTTP/1.0 is answered, closing its connection resets it (SO_LINGER of 0). That is taken back once the whole answer has been passed to the kernel, so an abort anywhere in between is seen, as is the end of the process. Callers of HTTP/1.1 get chunks or a length and are not affected. Without the two parts (taking it back, the check of the last flush) a test of this commit fails.

--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -81,7 +81,7 @@
 		limits: limits,
 		conns:  newChanListener(),
 		server: &http.Server{
-			Handler:           a.handler,
+			Handler:           resetUnfinished(a.handler),
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -216,6 +216,38 @@
 	}
 }
 
+// setResetOnClose sets whether the end of the connection, also by the end of the process, is
+// a reset.
+func (c *callerConn) setResetOnClose(reset bool) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	seconds := -1 // the default of the system
+	if reset {
+		seconds = 0
+	}
+	_ = tcp.SetLinger(seconds) // fails only if the connection is closed already
+}
+
+// resetUnfinished returns a handler that resets the connection of a caller without chunks
+// (HTTP/1.0) if its answer is not written to the end. Such an answer may end with its
+// connection, and one that is closed early would look complete.
+func resetUnfinished(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn := callerConnOf(r.Context())
+		if r.ProtoAtLeast(1, 1) || conn == nil {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		conn.setResetOnClose(true)
+		handler.ServeHTTP(w, r) // panics if it aborts the answer
+		if http.NewResponseController(w).Flush() == nil {
+			conn.setResetOnClose(false)
+		}
+	})
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
