peering: a reply whose end is not marked is refused

Routers answer calls with a length, but the caller took a reply with neither a length nor chunks as well. Such a reply ends with its connection. When that ends early, what has arrived may be a valid protobuf message: changes without the removed backend servers, or a list that counts as confirmed just now, as the fields that are missing are zero.

Seen in TestReplyThatIsBrokenOffIsNotApplied, which failed on the code before: of the 48 proper parts of a reply, 10 were accepted without framing, none with a length or chunks.

The transport now fails responses without framing, before the reply is decoded. Compression is off, as it would hide the length of a response; routers don't compress.

--- a/internal/peering/network.go
+++ b/internal/peering/network.go
@@ -54,8 +54,10 @@
 		address: address,
 		socket:  socket,
 		client: &http.Client{
-			Timeout:   pullTimeout,
-			Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true},
+			Timeout: pullTimeout,
+			Transport: fleet.RequireFraming(&http.Transport{
+				DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
+			}),
 		},
 	}, nil
 }
