ctl: a status whose end is not marked is an error

The command line took a reply of a router with neither a length nor chunks. Where such a reply breaks off, it is a shorter message: without any byte, the router is shown as ready, with no backend servers and no requests, and the command ends with exit status 0.

Calls to routers now go through the transport that refuses such responses, as those between routers do.

--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -33,9 +33,13 @@
 	return platform.Operators{Store: platform.NewStore(fleet.Address(s.options.Store)), Logger: logger}, nil
 }
 
+// routerTransport is the transport of all calls to routers. A reply that breaks off must not
+// pass for that of a router without requests.
+var routerTransport = fleet.RequireFraming(http.DefaultTransport)
+
 // routerAt returns the operators' interface of a router.
 func routerAt(address fleet.Address) peeringpb.Operation {
-	client := &http.Client{Timeout: routerCallTimeout}
+	client := &http.Client{Timeout: routerCallTimeout, Transport: routerTransport}
 	return peeringpb.NewOperationProtobufClient("http://"+string(address), client)
 }
 
--- a/internal/ctl/routers_test.go
+++ b/internal/ctl/routers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -159,3 +160,25 @@
 		t.Errorf("exit status %d: %s", status, &out)
 	}
 }
+
+// Guards against a status that breaks off, where it may end early unnoticed, and is shown as
+// that of a router with nothing to do.
+func TestStatusThatIsBrokenOffIsNoStatus(t *testing.T) {
+	for framing, header := range map[string]string{"close": "", "length": "Content-Length: 40\r\n", "chunks": "Transfer-Encoding: chunked\r\n"} {
+		t.Run(framing, func(t *testing.T) {
+			e := newRouterEnv(t)
+			broken := e.serve(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer conn.Close()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+header+"\r\n")
+			}))
+			if out, status := e.run("router", "list", "--router", broken); status == 0 || !strings.Contains(out, broken) {
+				t.Errorf("exit %d, want a failure that shows the router:\n%s", status, out)
+			}
+		})
+	}
+}
