agent: a stream that ends inside an event has been broken off

The agent took any end of an answer that its framing allows for a proper one. So a stream of its backend server that ended inside an event was held and handed out as complete: without length and chunks after a crash, and also with a last chunk or the stated length, if the server itself gave up midway. A model engine was not asked to go on, and a crash was not counted.

Seen in TestStreamThatEndsInsideAnEventFails (each cut inside an event, under each framing, and an empty stream that ends with its connection: all ended as complete before) and TestStreamThatEndsInsideAnEventIsResumed (20 of 30 bytes held as complete before).

At the end of a body of type text/event-stream the agent now checks that no line and no event is open. If one is, the run has failed like one whose connection broke: a plain call isn't sent again, a model engine is asked for the rest, and a server that fails its health check has crashed. Lines may end with CR, LF or both, and comments may follow the last event (TestWholeAnswersAreHeld). Answers with a length or chunks that end early failed before as well (TestAnswerThatIsBrokenOffFails).

Not covered: a stream without framing that ends between two events, and bodies of other types without framing.

--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -89,6 +89,7 @@
 	policy  settings.ServicePolicy
 
 	events   eventCounter
+	boundary eventBoundary
 	reported time.Time
 }
 
@@ -151,11 +152,14 @@
 	return nil
 }
 
-// copyBody takes the body of a response as it comes.
+// copyBody takes the body of a response as it comes, and checks that it is whole.
 func (r *run) copyBody(response *fasthttp.Response) error {
 	stream := response.BodyStream()
 	if stream == nil {
-		return r.take(response.Body())
+		if err := r.take(response.Body()); err != nil {
+			return err
+		}
+		return r.checkEnd(response)
 	}
 	buffer := make([]byte, copyBuffer)
 	for {
@@ -164,7 +168,7 @@
 			return taken
 		}
 		if err == io.EOF {
-			return nil
+			return r.checkEnd(response)
 		}
 		if err != nil {
 			return errors.WithStack(err)
@@ -181,6 +185,7 @@
 		return errTooLarge
 	}
 	r.events.write(p)
+	r.boundary.write(p)
 	r.answer.write(p)
 	if now := time.Now(); now.Sub(r.reported) >= progressInterval {
 		r.reported = now
