internal/platform: a reply whose end is not marked is refused

The client took an object from a reply with neither a length nor chunks, which ends with its connection, and so looks complete where it breaks off.

Seen in TestReplyThatIsBrokenOffIsNoReply: before, Get returned each of the 13 parts of an object without framing; with a length or chunks it failed, and lists and watches are protected by the syntax of JSON.

The library states the length of a body that it has read, whatever the framing was. So the client now reads the body itself and fails reads without framing as calls without a reply, which are made again. Writes need the header only. Time limits and the reuse of connections are as before (TestReplyThatStopsTimesOut, TestConnectionIsKeptAfterAReply).

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -51,6 +51,7 @@
 			Dial:                      dial,
 			MaxIdleConnDuration:       idleConnectionTimeout,
 			MaxIdemponentCallAttempts: 1,
+			StreamResponseBody:        true, // the framing is not known of a body that was read
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) {
 				return false, false
 			},
--- a/internal/platform/client_call.go
+++ b/internal/platform/client_call.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"slices"
 	"strconv"
 	"time"
@@ -71,6 +72,11 @@
 	if err := c.http.DoDeadline(httpRequest, httpReply, deadline); err != nil {
 		return reply{}, errorWithoutReply(request, err)
 	}
+	defer func() { _ = httpReply.CloseBodyStream() }()
+	body, err := readBody(httpReply)
+	if err != nil {
+		return reply{}, errorWithoutReply(request, err)
+	}
 	status := httpReply.StatusCode()
 	if err := errorFromStatus(status); err != nil {
 		if request.write && status == fasthttp.StatusInternalServerError {
@@ -78,8 +84,23 @@
 		}
 		return reply{}, err
 	}
+	if !request.write && httpReply.Header.ContentLength() == identityLength {
+		return reply{}, errors.Wrap(ErrUnavailable, "the reply has neither a length nor chunks")
+	}
 	version, _ := strconv.ParseUint(string(httpReply.Header.Peek(headerVersion)), 10, 64)
-	return reply{version: Version(version), body: slices.Clone(httpReply.Body())}, nil
+	return reply{version: Version(version), body: body}, nil
+}
+
+// identityLength is the length that the HTTP library gives a body that ends with its
+// connection. If such a body breaks off, it looks complete.
+const identityLength = -2
+
+func readBody(httpReply *fasthttp.Response) ([]byte, error) {
+	stream := httpReply.BodyStream()
+	if stream == nil {
+		return slices.Clone(httpReply.Body()), nil
+	}
+	return io.ReadAll(stream)
 }
 
 // errorWithoutReply returns the error of a call that got no reply. A write that
