gate: a resumed stream isn't complete before an event that had begun

A backend server breaks off inside an event, the one that resumes the stream answers 200 and ends before any event, or with half an event in an answer that states another type, and the caller got a stream that ends as complete, without an event of which its router had seen a part.

Cause: what the first server had shown was forgotten, and the type that an answer states decided alone whether it is a stream. Now a router remembers that an event has begun, and an answer that goes on with a stream is one.

The end of a stream is checked by brokenOff, which returns nil for a proper one; Answer.MarkBroken is the former Discard.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -240,9 +240,9 @@
 	return n, err
 }
 
-// Discard makes Close close the connection of a body that was read to its end and is not
-// whole. It has no effect before the end.
-func (a *Answer) Discard() { a.broken = a.broken || a.complete }
+// MarkBroken states that a body which was read to its end is not whole, so that Close closes
+// the connection.
+func (a *Answer) MarkBroken() { a.broken = a.broken || a.complete }
 
 // Close returns the connection to the pool if the complete body has been read. Otherwise it
 // closes the connection, which makes the backend server stop.
--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -66,11 +66,15 @@
 	s.lineBytes = false
 }
 
-// Whole reports whether the stream may end here: no event and no line is in progress.
+// Whole reports whether the stream may end here: no event and no line is in progress. So may
+// an empty one.
 func (s *Scanner) Whole() bool {
 	return !s.fields && !s.lineBytes && (!s.afterCR || s.singleCR)
 }
 
+// InsideEvent reports whether an event has begun and not ended.
+func (s *Scanner) InsideEvent() bool { return s.fields || s.lineBytes && !s.comment }
+
 // Events reports whether an event has ended.
 func (s *Scanner) Events() bool { return s.events }
 
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -131,12 +131,10 @@
 )
 
 // streamEnded counts the end of a stream; err is that of its last read, io.EOF for a proper
-// end and nil if the stream goes on.
+// end.
 func (m *metrics) streamEnded(framing backendconn.Framing, err error) {
 	end := endByError
 	switch {
-	case err == nil:
-		return
 	case err == io.EOF:
 		end = endAfterEvent
 	case errors.Is(err, eventstream.ErrInsideEvent):
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -40,7 +40,7 @@
 	}
 	_, err := io.Copy(&body, io.LimitReader(reader, maxBufferedAnswer))
 	if err != nil {
-		answer.Discard()
+		answer.MarkBroken()
 		return r.answerFailed(ctx, placed, sent, err)
 	}
 	took := boottime.Now().Sub(sent)
@@ -138,7 +138,7 @@
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
 	if _, err := io.Copy(r.writer, body); err != nil {
-		answer.Discard()
+		answer.MarkBroken()
 		if callerDisconnected(ctx) {
 			return r.callerDisconnected()
 		}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -21,6 +21,9 @@
 	started     bool
 	lastEventID string             // id of the last event forwarded, "" for none
 	begunAt     *knowledge.Backend // nil before the first event
+	// cut says that a backend server broke off inside the event after the forwarded ones, so
+	// that the stream has at least one more.
+	cut bool
 }
 
 const (
@@ -33,9 +36,8 @@
 // errEventTooLong ends a stream with an event larger than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
-// errNoEvents ends a stream that has no events and no marked end: its backend server may
-// have exited before the first one.
-var errNoEvents = errors.New("the stream ended before its first event, with its connection")
+// errNoEvents ends a stream that must have more events than it has.
+var errNoEvents = errors.New("the stream ended before its first event")
 
 // relayStream forwards a stream event by event. It forwards complete events only, so that
 // another backend server can repeat an event that breaks off.
@@ -62,13 +64,15 @@
 				return r.callerDisconnected()
 			}
 		}
-		switch {
-		case err == io.EOF:
-			err = events.checkEnd()
-		case err == nil && len(events.rest) > maxEventBytes:
+		if broken := events.brokenOff(); err == io.EOF && broken != nil {
+			err = broken
+		}
+		if err == nil && len(events.rest) > maxEventBytes {
 			err = errEventTooLong
 		}
-		h.metrics.streamEnded(answer.Framing, err)
+		if err != nil {
+			h.metrics.streamEnded(answer.Framing, err)
+		}
 		if err == io.EOF {
 			if !h.lag.busy(boottime.Now()) {
 				h.admission.recordStreamEnd(r.request.Service, placed, timing.late)
@@ -76,7 +80,8 @@
 			return r.finishStream(placed, answer, events.rest, timing.late)
 		}
 		if err != nil {
-			answer.Discard()
+			r.stream.cut = r.stream.cut || events.insideEvent()
+			answer.MarkBroken()
 			return r.answerFailed(ctx, placed, sent, err)
 		}
 	}
@@ -106,23 +111,37 @@
 	if !f.relay.writeEvents(f.placed, f.answer, events) {
 		return false
 	}
+	if f.scanner.Events() {
+		f.relay.stream.cut = false
+	}
 	f.rest = append(f.rest[:0], data[ended:]...)
 	return true
 }
 
-// checkEnd returns io.EOF if the stream may end here, or else why it has been broken off. An
-// answer's framing alone doesn't tell: without length and chunks any end of the connection is
-// a proper one, and a backend server that fails may also frame half an event properly.
-func (f *eventForwarder) checkEnd() error {
+// isStream reports whether the answer is a stream of events. One that goes on with a stream is,
+// whatever type it states.
+func (f *eventForwarder) isStream() bool {
+	return f.relay.lastEventID() != "" || isEventStream(f.answer, f.relay.request.Route)
+}
+
+// insideEvent reports whether an event of the stream has begun and not ended.
+func (f *eventForwarder) insideEvent() bool { return f.isStream() && f.scanner.InsideEvent() }
+
+// brokenOff returns why a stream can't be whole that ends here, or nil. An answer's framing
+// alone doesn't tell: without length and chunks any end of the connection is a proper one, and
+// a backend server that fails may also frame half an event properly.
+func (f *eventForwarder) brokenOff() error {
 	switch {
-	case !isEventStream(f.answer, f.relay.request.Route):
-		return io.EOF
+	case !f.isStream():
+		return nil
 	case !f.scanner.Whole():
 		return eventstream.ErrInsideEvent
-	case f.answer.Framing == backendconn.FramingClose && !f.scanner.Events() && f.relay.lastEventID() == "":
+	case f.scanner.Events():
+		return nil
+	case f.relay.stream.cut, f.answer.Framing == backendconn.FramingClose && f.relay.lastEventID() == "":
 		return errNoEvents
 	}
-	return io.EOF
+	return nil
 }
 
 // isEventStream reports whether an answer is a stream of events. An answer that doesn't state
