gate: a server that marks the end of half a stream has not crashed

Now it counts as a failed answer only; without a length and chunks the connection may have ended with the server, and it counts as before.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -240,6 +240,9 @@
 	return n, err
 }
 
+// EndMarked reports whether the body was read to an end that its framing marks.
+func (a *Answer) EndMarked() bool { return a.complete && a.Framing != FramingClose }
+
 // MarkBroken states that a body which was read to its end is not whole, so that Close closes
 // the connection.
 func (a *Answer) MarkBroken() { a.broken = a.broken || a.complete }
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -340,12 +340,17 @@
 	return outcomeBroken
 }
 
-// answerFailed handles an answer that could not be read to its end.
-func (r *relay) answerFailed(ctx context.Context, placed *placement, sent boottime.Instant, err error) sendOutcome {
+// answerFailed handles an answer that could not be read to its end, or that is not whole.
+func (r *relay) answerFailed(ctx context.Context, placed *placement, answer *backendconn.Answer, sent boottime.Instant, err error) sendOutcome {
 	if callerCanceled(ctx) {
 		return r.callerDisconnected()
 	}
 	r.logSendFailure(ctx, placed, err)
+	if answer.EndMarked() {
+		// The server itself has ended it, so it did not crash.
+		r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
+		return outcomeBroken
+	}
 	r.recordReset(ctx, placed, sent)
 	return outcomeBroken
 }
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -41,7 +41,7 @@
 	_, err := io.Copy(&body, io.LimitReader(reader, maxBufferedAnswer))
 	if err != nil {
 		answer.MarkBroken()
-		return r.answerFailed(ctx, placed, sent, err)
+		return r.answerFailed(ctx, placed, answer, sent, err)
 	}
 	took := boottime.Now().Sub(sent)
 	r.handler.admission.recordFirstEvent(r.request, placed, took)
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -82,7 +82,7 @@
 		if err != nil {
 			r.stream.cut = r.stream.cut || events.insideEvent()
 			answer.MarkBroken()
-			return r.answerFailed(ctx, placed, sent, err)
+			return r.answerFailed(ctx, placed, answer, sent, err)
 		}
 	}
 }
