gate: a long stream that ends inside an event doesn't look complete

Found by the review of: a stream over 1 MB on a route for plain answers whose length was stated was forwarded with that length, all of it had been written before it was known that it ends inside an event, and breaking the connection then showed its caller nothing. Such a stream is forwarded in chunks now.

TestLongStreamThatIsBrokenOffIsNotEndedCleanly failed in the two cases with a length of six and passes.

--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -56,7 +56,7 @@
 		return outcomeBroken
 	}
 	if body.Len() == maxBufferedAnswer {
-		return r.relayUnbuffered(ctx, placed, answer, reply, io.MultiReader(&body, reader))
+		return r.relayUnbuffered(ctx, placed, answer, reply, &body, reader)
 	}
 	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
@@ -69,15 +69,19 @@
 	return outcomeDone
 }
 
-// bodyReader returns a reader of the answer's body that returns io.EOF only at the end of a
-// whole one, as far as the body shows that it is not.
+// bodyReader returns a reader of the answer's body that returns an error in place of io.EOF if
+// the body shows that it is not whole.
 func bodyReader(answer *backendconn.Answer, route *knowledge.Route) io.Reader {
-	if answer.Status < http.StatusMultipleChoices && isEventStream(answer, route) {
+	if isSuccessfulStream(answer, route) {
 		return eventstream.NewReader(answer)
 	}
 	return answer
 }
 
+func isSuccessfulStream(answer *backendconn.Answer, route *knowledge.Route) bool {
+	return answer.Status < http.StatusMultipleChoices && isEventStream(answer, route)
+}
+
 // late reports whether an answer completed now misses its route's latency target.
 func (r *relay) late() bool {
 	target := r.request.Route.TargetLatency
@@ -127,17 +131,23 @@
 	r.handler.metrics.answered(status)
 }
 
-// relayUnbuffered forwards an answer that is too long to be buffered, while it reads body.
-func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, body io.Reader) sendOutcome {
+// relayUnbuffered forwards an answer that is too long to be buffered: first what has been
+// read, then the rest of the body.
+func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, read *bytes.Buffer, body io.Reader) sendOutcome {
 	status := callerStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.callerHeader(answer, reply))
-	if answer.Length >= 0 {
+	if answer.Length >= 0 && !isSuccessfulStream(answer, r.request.Route) {
+		// With its length, a caller could not tell that a stream ends inside an event.
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
-	if _, err := io.Copy(r.writer, body); err != nil {
+	_, err := read.WriteTo(r.writer)
+	if err == nil {
+		_, err = io.Copy(r.writer, body)
+	}
+	if err != nil {
 		answer.MarkBroken()
 		if callerDisconnected(ctx) {
 			return r.callerDisconnected()
