gate: a stream that began with a comment is sent again after it breaks off

Lines that are no event were forwarded, which counted as the start of the stream, and without the id of an event it was not resumed.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -12,14 +12,15 @@
 	comment   bool // the current line is a comment
 	fields    bool // the current event has lines other than comments
 	events    bool // an event has ended
+	blank     bool // the last line was blank
 
 	afterCR  bool // the last byte was a CR, which an LF may follow
 	singleCR bool // lines of the stream end with a CR alone
 }
 
-// Scan scans the next bytes of the stream. It returns how many of them belong to events and
-// comments that have ended; the rest belongs to an event in progress. A CR at the end of
-// data counts to the rest if an LF may follow that belongs to it.
+// Scan scans the next bytes of the stream. It returns how many of them, up to a blank line,
+// belong to groups of lines that have ended. A CR at the end of data counts to the rest if an
+// LF may follow that belongs to it.
 func (s *Scanner) Scan(data []byte) int {
 	ended := 0
 	for i, b := range data {
@@ -36,7 +37,7 @@
 			s.resolveCR()
 			s.addByte(b)
 		}
-		if s.Whole() {
+		if s.blank && s.Whole() {
 			ended = i + 1
 		}
 	}
@@ -63,6 +64,7 @@
 	case s.lineBytes && !s.comment:
 		s.fields = true
 	}
+	s.blank = !s.lineBytes
 	s.lineBytes = false
 }
 
--- a/internal/eventstream/scanner_test.go
+++ b/internal/eventstream/scanner_test.go
@@ -59,10 +59,11 @@
 		{"id: 1\r\ndata: a\r\n\r\n", 18, true},
 		{"id: 1\r\ndata: a\r\n\r", 0, false}, // the LF of the blank line is missing
 		{"id: 1\rdata: a\r\r", 15, true},
-		{": comment\n", 10, true},
+		{": comment\n", 0, true},
+		{": comment\n\n", 11, true},
 		{": comment", 0, false},
 		{"\n\n", 2, true},
-		{"data: a\n\n: end\n", 15, true},
+		{"data: a\n\n: end\n", 9, true},
 		{"data: a\n: comment\n", 0, false},
 	} {
 		var scanner Scanner
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -86,7 +86,8 @@
 	case r.sends >= max(r.request.Route.MaxAttempts, 1), r.connectFailures >= maxConnectFailures:
 		return false
 	case r.stream.started:
-		return r.request.Route.Repeat == knowledge.RepeatResume && r.stream.lastEventID != ""
+		// Without events, only comments have been forwarded, and the stream can begin again.
+		return r.request.Route.Repeat == knowledge.RepeatResume && (r.stream.lastEventID != "" || !r.stream.events)
 	case result == outcomeBroken, result == outcomeFailed:
 		return r.request.Idempotent()
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -20,6 +20,7 @@
 type streamState struct {
 	started     bool
 	lastEventID string             // id of the last event forwarded, "" for none
+	events      bool               // an event has been forwarded
 	begunAt     *knowledge.Backend // nil before the first event
 	// cut says that a backend server broke off inside the event after the forwarded ones, so
 	// that the stream has at least one more.
@@ -87,7 +88,7 @@
 	}
 }
 
-// eventForwarder forwards the complete events of a stream.
+// eventForwarder forwards the complete events of a stream, and the comments before them.
 type eventForwarder struct {
 	relay   *relay
 	placed  *placement
@@ -112,7 +113,7 @@
 		return false
 	}
 	if f.scanner.Events() {
-		f.relay.stream.cut = false
+		f.relay.stream.events, f.relay.stream.cut = true, false
 	}
 	f.rest = append(f.rest[:0], data[ended:]...)
 	return true
