backendconn: an answer without a body has no missing end

Found by the review of: an answer to HEAD on a route for streams, with neither a length nor chunks, was taken for a stream that ended before its first event, and its caller got 502. An answer that has no body by its method or status now counts as one whose end is marked.

--- a/internal/backendconn/framing.go
+++ b/internal/backendconn/framing.go
@@ -18,6 +18,8 @@
 
 func framingOf(response *http.Response) Framing {
 	switch {
+	case response.Body == http.NoBody:
+		return FramingLength // the header says that there is none, also with an answer to HEAD
 	case len(response.TransferEncoding) > 0:
 		return FramingChunks
 	case response.ContentLength >= 0:
