gate: an answer of unstated type is a stream if it looks like one

They count as streams now if an event has come or if they begin with a field of one. Types are compared without case and parameters, as before, which no test had shown.

--- a/internal/eventstream/scanner.go
+++ b/internal/eventstream/scanner.go
@@ -99,3 +99,17 @@
 	}
 	return string(bytes.TrimSpace(line))
 }
+
+// eventFields are the beginnings of the lines of events.
+var eventFields = []string{"id:", "data:", "event:", "retry:"}
+
+// BeginsEvent reports whether the first line of the data is one of an event, for a stream that
+// does not state its type.
+func BeginsEvent(data []byte) bool {
+	for _, field := range eventFields {
+		if bytes.HasPrefix(data, []byte(field)) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -12,7 +12,6 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
-	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 // maxBufferedAnswer is the maximum size of an answer that is read to its end before it is
@@ -33,7 +32,7 @@
 
 // relayBuffered reads an answer to its end and forwards it.
 func (r *relay) relayBuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
-	reader := bodyReader(answer, r.request.Route)
+	reader := bodyReader(answer)
 	var body bytes.Buffer
 	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
 		body.Grow(int(answer.Length) + bytes.MinRead)
@@ -71,15 +70,15 @@
 
 // bodyReader returns a reader of the answer's body that returns an error in place of io.EOF if
 // the body shows that it is not whole.
-func bodyReader(answer *backendconn.Answer, route *knowledge.Route) io.Reader {
-	if isSuccessfulStream(answer, route) {
+func bodyReader(answer *backendconn.Answer) io.Reader {
+	if isSuccessfulStream(answer) {
 		return eventstream.NewReader(answer)
 	}
 	return answer
 }
 
-func isSuccessfulStream(answer *backendconn.Answer, route *knowledge.Route) bool {
-	return answer.Status < http.StatusMultipleChoices && isEventStream(answer, route)
+func isSuccessfulStream(answer *backendconn.Answer) bool {
+	return answer.Status < http.StatusMultipleChoices && isEventStream(answer)
 }
 
 // late reports whether an answer completed now misses its route's latency target.
@@ -137,7 +136,7 @@
 	status := callerStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.callerHeader(answer, reply))
-	if answer.Length >= 0 && !isSuccessfulStream(answer, r.request.Route) {
+	if answer.Length >= 0 && !isSuccessfulStream(answer) {
 		// With its length, a caller could not tell that a stream ends inside an event.
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -120,9 +120,15 @@
 }
 
 // isStream reports whether the answer is a stream of events. One that goes on with a stream is,
-// whatever type it states.
+// whatever type it states, and one that states none if it looks like one.
 func (f *eventForwarder) isStream() bool {
-	return f.relay.lastEventID() != "" || isEventStream(f.answer, f.relay.request.Route)
+	switch {
+	case f.relay.lastEventID() != "":
+		return true
+	case f.answer.Header.Get("Content-Type") == "":
+		return f.scanner.Events() || eventstream.BeginsEvent(f.rest)
+	}
+	return isEventStream(f.answer)
 }
 
 // insideEvent reports whether an event of the stream has begun and not ended.
@@ -145,14 +151,9 @@
 	return nil
 }
 
-// isEventStream reports whether an answer is a stream of events. An answer that doesn't state
-// its type is one if its route is for streams.
-func isEventStream(answer *backendconn.Answer, route *knowledge.Route) bool {
-	stated := answer.Header.Get("Content-Type")
-	if stated == "" {
-		return route.Stream
-	}
-	mediaType, _, _ := strings.Cut(stated, ";")
+// isEventStream reports whether an answer states that it is a stream of events.
+func isEventStream(answer *backendconn.Answer) bool {
+	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
