gate: an empty stream without a marked end is broken on plain routes too

Found by the review of: a stream of events without length, chunks and events was delivered as complete on a route for plain answers, where the rule of the stream routes was not applied.

TestEmptyStreamWithoutAMarkedEndIsBrokenOff failed there (200, empty body) and passes.

--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -32,12 +32,7 @@
 
 // relayBuffered reads an answer to its end and forwards it.
 func (r *relay) relayBuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
-	reader := bodyReader(answer)
-	var body bytes.Buffer
-	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
-		body.Grow(int(answer.Length) + bytes.MinRead)
-	}
-	_, err := io.Copy(&body, io.LimitReader(reader, maxBufferedAnswer))
+	body, rest, err := r.readBuffered(answer)
 	if err != nil {
 		answer.MarkBroken()
 		return r.answerFailed(ctx, placed, answer, sent, err)
@@ -55,7 +50,7 @@
 		return outcomeBroken
 	}
 	if body.Len() == maxBufferedAnswer {
-		return r.relayUnbuffered(ctx, placed, answer, reply, &body, reader)
+		return r.relayUnbuffered(ctx, placed, answer, reply, body, rest)
 	}
 	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
@@ -68,6 +63,21 @@
 	return outcomeDone
 }
 
+// readBuffered reads up to maxBufferedAnswer bytes of the answer's body. It returns them and a
+// reader of the rest, or an error if the body is not whole.
+func (r *relay) readBuffered(answer *backendconn.Answer) (*bytes.Buffer, io.Reader, error) {
+	reader := bodyReader(answer)
+	body := new(bytes.Buffer)
+	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
+		body.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	_, err := io.Copy(body, io.LimitReader(reader, maxBufferedAnswer))
+	if err == nil && body.Len() == 0 && isSuccessfulStream(answer) && r.mayLackEvents(answer) {
+		err = errNoEvents
+	}
+	return body, reader, err
+}
+
 // bodyReader returns a reader of the answer's body that returns an error in place of io.EOF if
 // the body shows that it is not whole.
 func bodyReader(answer *backendconn.Answer) io.Reader {
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -145,12 +145,18 @@
 		return eventstream.ErrInsideEvent
 	case f.scanner.Events():
 		return nil
-	case f.relay.stream.cut, f.answer.Framing == backendconn.FramingClose && f.relay.lastEventID() == "":
+	case f.relay.stream.cut, f.relay.mayLackEvents(f.answer):
 		return errNoEvents
 	}
 	return nil
 }
 
+// mayLackEvents reports whether a stream without events may have been broken off before the
+// first one: its end is not marked, and the caller asks for more than the end of a stream.
+func (r *relay) mayLackEvents(answer *backendconn.Answer) bool {
+	return answer.Framing == backendconn.FramingClose && r.lastEventID() == ""
+}
+
 // isEventStream reports whether an answer states that it is a stream of events.
 func isEventStream(answer *backendconn.Answer) bool {
 	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
