backendconn: interim answers don't count as stray ones

Up to 16 are skipped now, apart from stray answers.

TestInterimAnswersAreSkipped failed (the answer belongs to another request) and passes.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -24,6 +24,8 @@
 	// maxStrayAnswers is how many answers to earlier requests are skipped on one
 	// connection.
 	maxStrayAnswers = 2
+	// maxInterimAnswers is how many answers of status 1xx may precede one.
+	maxInterimAnswers = 16
 )
 
 // Request is a request as it is sent.
@@ -206,13 +208,10 @@
 func readHead(c *conn, request *Request) (*http.Response, error) {
 	sent := &http.Request{Method: request.Method}
 	for range maxStrayAnswers + 1 {
-		response, err := http.ReadResponse(c.reader, sent)
+		response, err := readFinalHead(c, sent)
 		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK {
-			continue
-		}
 		if request.MatchesRequest(response.Header) {
 			return response, nil
 		}
@@ -226,6 +225,17 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
+// readFinalHead reads the head of the next answer that is not an interim one.
+func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
+	for range maxInterimAnswers {
+		response, err := http.ReadResponse(c.reader, sent)
+		if err != nil || response.StatusCode >= http.StatusOK {
+			return response, err
+		}
+	}
+	return nil, errors.New("too many interim answers")
+}
+
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -130,6 +130,19 @@
 	}
 }
 
+// Guards against an answer that is given up on because several interim ones precede it.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	const interim = "HTTP/1.1 103 Early Hints\r\n\r\n"
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		io.WriteString(conn, strings.Repeat(interim, 5)+answer("1", "whole"))
+		readRequest(reader)
+	})
+	if body, err := exchange(t, NewPool(), server.address, newRequest("1")); err != nil || body != "whole" {
+		t.Errorf("answer %q, %v", body, err)
+	}
+}
+
 // Bytes arrive on an idle connection. They belong to no request and would be mixed into the
 // next answer.
 func TestConnectionWithStrayBytesIsNotReused(t *testing.T) {
