--- a/internal/agent/event_stream.go
+++ b/internal/agent/event_stream.go
@@ -5,38 +5,9 @@
 
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
-)
-
-// errInsideEvent tells that a stream ended as its framing allows, but not where a whole
-// stream can end.
-var errInsideEvent = errors.New("the stream ended inside an event")
-
-// eventBoundary tells whether a server-sent event stream, given in pieces of any size, is
-// inside an event. Lines end with CR, LF or both.
-type eventBoundary struct {
-	insideLine  bool
-	insideEvent bool // a line that is no comment came since the last empty one
-	carriage    bool // the last byte was a CR
-}
 
-func (e *eventBoundary) write(p []byte) {
-	for _, b := range p {
-		secondOfLineEnd := e.carriage && b == '\n'
-		e.carriage = b == '\r'
-		switch {
-		case secondOfLineEnd:
-		case b == '\r' || b == '\n':
-			e.insideEvent = e.insideEvent && e.insideLine
-			e.insideLine = false
-		default:
-			e.insideEvent = e.insideEvent || !e.insideLine && b != ':'
-			e.insideLine = true
-		}
-	}
-}
-
-// whole reports whether a stream may end here.
-func (e *eventBoundary) whole() bool { return !e.insideEvent && !e.insideLine }
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
+)
 
 // identityLength is the length that the HTTP library gives a body that ends with its
 // connection.
@@ -49,8 +20,8 @@
 	if !strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream") {
 		return nil
 	}
-	if !r.boundary.whole() || r.answer.size() == 0 && response.Header.ContentLength() == identityLength {
-		return errors.WithStack(errInsideEvent)
+	if !r.scanner.Whole() || r.answer.size() == 0 && response.Header.ContentLength() == identityLength {
+		return errors.WithStack(eventstream.ErrInsideEvent)
 	}
 	return nil
 }
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
@@ -89,7 +90,7 @@
 	policy  settings.ServicePolicy
 
 	events   eventCounter
-	boundary eventBoundary
+	scanner  eventstream.Scanner
 	reported time.Time
 }
 
@@ -185,7 +186,7 @@
 		return errTooLarge
 	}
 	r.events.write(p)
-	r.boundary.write(p)
+	r.scanner.Scan(p)
 	r.answer.write(p)
 	if now := time.Now(); now.Sub(r.reported) >= progressInterval {
 		r.reported = now
