gate: only events bind a stream to a software version

A comment before the first event bound a stream to the version of the server that sent it, so that the stream was broken off although it could begin at any other (TestStreamWithoutEventsBeginsAtAnyVersion failed where no server of that version was left, and passes). The origin is recorded right before the first event is forwarded.

--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -8,10 +8,9 @@
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
-// candidates returns the backend servers of the service that may take a request: for a stream
-// that goes on, only those of the software that began it. Ejected
-// ones and those missing from the list are returned only if there is no other; unavailable
-// ones never are.
+// candidates returns the backend servers of the request's service that may take it. For a stream
+// that goes on, they are those of the software that began it. Ejected ones and those missing
+// from the list are returned only if there is no other; unavailable ones never are.
 func (a *admission) candidates(view *knowledge.View, request *Request, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
 	serving := view.Serving[request.Service]
 	if request.Software != 0 {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -87,7 +87,7 @@
 		return false
 	case r.stream.started:
 		// Without events, only comments have been forwarded, and the stream can begin again.
-		return r.request.Route.Repeat == knowledge.RepeatResume && (r.stream.lastEventID != "" || !r.stream.events)
+		return r.request.Route.Repeat == knowledge.RepeatResume && (r.stream.lastEventID != "" || r.stream.begunAt == nil)
 	case result == outcomeBroken, result == outcomeFailed:
 		return r.request.Idempotent()
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -20,8 +20,7 @@
 type streamState struct {
 	started     bool
 	lastEventID string             // id of the last event forwarded, "" for none
-	events      bool               // an event has been forwarded
-	begunAt     *knowledge.Backend // nil before the first event
+	begunAt     *knowledge.Backend // sent the first event, nil before that
 	// cut says that a backend server broke off inside the event after the forwarded ones, so
 	// that the stream has at least one more.
 	cut bool
@@ -109,11 +108,11 @@
 	if len(f.rest) > 0 {
 		events = append(f.rest, events...)
 	}
-	if !f.relay.writeEvents(f.placed, f.answer, events) {
-		return false
-	}
 	if f.scanner.Events() {
-		f.relay.stream.events, f.relay.stream.cut = true, false
+		f.relay.noteEvents(f.placed.backend)
+	}
+	if !f.relay.writeEvents(f.answer, events) {
+		return false
 	}
 	f.rest = append(f.rest[:0], data[ended:]...)
 	return true
@@ -163,13 +162,19 @@
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
-// writeEvents sends complete events to the caller. It returns false when the caller can't be
-// reached.
-func (r *relay) writeEvents(placed *placement, answer *backendconn.Answer, events []byte) bool {
+// noteEvents records that events of the backend server are about to be forwarded. From then on
+// the stream goes on only at the same software.
+func (r *relay) noteEvents(backend *knowledge.Backend) {
+	r.stream.cut = false
 	if r.stream.begunAt == nil {
-		r.stream.begunAt = placed.backend
-		r.handler.recordOrigin(r.request, placed.backend)
+		r.stream.begunAt = backend
+		r.handler.recordOrigin(r.request, backend)
 	}
+}
+
+// writeEvents sends complete events to the caller. It returns false when the caller can't be
+// reached.
+func (r *relay) writeEvents(answer *backendconn.Answer, events []byte) bool {
 	if id := eventstream.LastID(events); id != "" {
 		r.stream.lastEventID = id
 	}
