--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
 	"github.com/bluebellchute/bluebellchute/internal/settings"
@@ -89,6 +90,7 @@
 	policy  settings.ServicePolicy
 
 	events   eventCounter
+	scanner  eventstream.Scanner
 	reported time.Time
 }
 
@@ -151,11 +153,14 @@
 	return nil
 }
 
-// copyBody takes the body of a response as it comes.
+// copyBody takes the body of a response as it comes, and checks that it is whole.
 func (r *run) copyBody(response *fasthttp.Response) error {
 	stream := response.BodyStream()
 	if stream == nil {
-		return r.take(response.Body())
+		if err := r.take(response.Body()); err != nil {
+			return err
+		}
+		return r.checkEnd(response)
 	}
 	buffer := make([]byte, copyBuffer)
 	for {
@@ -164,7 +169,7 @@
 			return taken
 		}
 		if err == io.EOF {
-			return nil
+			return r.checkEnd(response)
 		}
 		if err != nil {
 			return errors.WithStack(err)
@@ -181,6 +186,7 @@
 		return errTooLarge
 	}
 	r.events.write(p)
+	r.scanner.Scan(p)
 	r.answer.write(p)
 	if now := time.Now(); now.Sub(r.reported) >= progressInterval {
 		r.reported = now
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/event"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 )
 
 // Options configure a Manager.
@@ -30,6 +31,7 @@
 	Dialect     Dialect
 	State       *knowledge.State
 	Peers       Peers
+	Streams     StreamOrigins // nil for a router that knows no others
 	Readiness   *daemon.Readiness
 	Registerer  prometheus.Registerer
 	Logger      logrus.FieldLogger
@@ -59,11 +61,15 @@
 		admission:     admission,
 		budget:        newRetryBudget(settings, options.Peers),
 		suspects:      newSuspects(),
+		streams:       options.Streams,
 		crashDetector: newCrashDetector(),
 		requestLog:    newRequestLog(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
 		metrics:       newMetrics(options.Registerer),
 		lag:           newLagMeter(options.Logger, options.Registerer),
 	}
+	if h.streams == nil {
+		h.streams = ownOrigins{table: streamorigin.NewTable()}
+	}
 	admission.paces.export(options.Logger, options.Registerer)
 	admission.plain.observeWait = h.metrics.plainWait
 	acceptor := newAcceptor(h, options.Connections, h.lag, drain)
@@ -275,11 +281,20 @@
 	slices.Sort(removed)
 	slices.Sort(draining)
 	event.GateBackendsChanged.Log(m.options.Logger, logrus.Fields{
-		"added": added, "removed": removed, "leaving": draining,
+		"added": added, "removed": removed, "leaving": draining, "versions": versionsOf(view),
 		"era": view.Position.Era, "revision": view.Position.Revision,
 	})
 }
 
+// versionsOf returns how many backend servers of each service run which software version.
+func versionsOf(view *knowledge.View) map[fleet.Service]map[string]int {
+	versions := make(map[fleet.Service]map[string]int, len(view.ByService))
+	for service, backends := range view.ByService {
+		versions[service] = lo.CountValuesBy(backends, func(backend *knowledge.Backend) string { return backend.Version })
+	}
+	return versions
+}
+
 const (
 	// drainNotice is how long connections are still accepted after the stop signal. The
 	// load balancer checks readiness once a second and reacts after two failed checks.
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -86,7 +86,8 @@
 	case r.sends >= max(r.request.Route.MaxAttempts, 1), r.connectFailures >= maxConnectFailures:
 		return false
 	case r.stream.started:
-		return r.request.Route.Repeat == knowledge.RepeatResume && r.stream.lastEventID != ""
+		// Without events, only comments have been forwarded, and the stream can begin again.
+		return r.request.Route.Repeat == knowledge.RepeatResume && (r.stream.lastEventID != "" || r.stream.begunAt == nil)
 	case result == outcomeBroken, result == outcomeFailed:
 		return r.request.Idempotent()
 	}
@@ -169,6 +170,7 @@
 	if placed.model {
 		h.metrics.placedModel(placed, h.admission.zone)
 	}
+	r.countContinued(placed.backend)
 	sent := boottime.Now()
 	answer, err := h.pool.Do(ctx, placed.backend.Address, r.outgoingRequest(ctx, placed, sent))
 	if err != nil {
@@ -203,6 +205,25 @@
 	return r.relayBuffered(ctx, placed, answer, reply, sent)
 }
 
+// countContinued counts a stream that is about to be continued at the backend server.
+func (r *relay) countContinued(backend *knowledge.Backend) {
+	by := byRouter
+	switch {
+	case r.stream.begunAt == nil && (!r.request.Route.Stream || r.request.LastEventID == ""):
+		return
+	case r.stream.begunAt == nil:
+		by = byCaller
+	}
+	version := versionOther
+	switch r.request.Software {
+	case 0:
+		version = versionUnknown
+	case r.handler.state.View().SoftwareID(backend):
+		version = versionSame
+	}
+	r.handler.metrics.streamContinued(by, version)
+}
+
 // observeReply records what the backend server reports about itself with an answer.
 func (h *handler) observeReply(backend *knowledge.Backend, reply Reply) {
 	if reply.Replaced {
@@ -320,12 +341,17 @@
 	return outcomeBroken
 }
 
-// answerFailed handles an answer that could not be read to its end.
-func (r *relay) answerFailed(ctx context.Context, placed *placement, sent boottime.Instant, err error) sendOutcome {
+// answerFailed handles an answer that could not be read to its end, or that is not whole.
+func (r *relay) answerFailed(ctx context.Context, placed *placement, answer *backendconn.Answer, sent boottime.Instant, err error) sendOutcome {
 	if callerCanceled(ctx) {
 		return r.callerDisconnected()
 	}
 	r.logSendFailure(ctx, placed, err)
+	if answer.EndMarked() {
+		// The server itself has ended it, so it did not crash.
+		r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
+		return outcomeBroken
+	}
 	r.recordReset(ctx, placed, sent)
 	return outcomeBroken
 }
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -12,7 +12,6 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/eventstream"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
-	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 // maxBufferedAnswer is the maximum size of an answer that is read to its end before it is
@@ -33,15 +32,10 @@
 
 // relayBuffered reads an answer to its end and forwards it.
 func (r *relay) relayBuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
-	reader := bodyReader(answer, r.request.Route)
-	var body bytes.Buffer
-	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
-		body.Grow(int(answer.Length) + bytes.MinRead)
-	}
-	_, err := io.Copy(&body, io.LimitReader(reader, maxBufferedAnswer))
+	body, rest, err := r.readBuffered(answer)
 	if err != nil {
-		answer.Discard()
-		return r.answerFailed(ctx, placed, sent, err)
+		answer.MarkBroken()
+		return r.answerFailed(ctx, placed, answer, sent, err)
 	}
 	took := boottime.Now().Sub(sent)
 	r.handler.admission.recordFirstEvent(r.request, placed, took)
@@ -56,7 +50,7 @@
 		return outcomeBroken
 	}
 	if body.Len() == maxBufferedAnswer {
-		return r.relayUnbuffered(ctx, placed, answer, reply, io.MultiReader(&body, reader))
+		return r.relayUnbuffered(ctx, placed, answer, reply, body, rest)
 	}
 	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.Bytes()}
 	if answer.Status >= http.StatusInternalServerError {
@@ -69,15 +63,34 @@
 	return outcomeDone
 }
 
-// bodyReader returns a reader of the answer's body that returns io.EOF only at the end of a
-// whole one, as far as the body shows that it is not.
-func bodyReader(answer *backendconn.Answer, route *knowledge.Route) io.Reader {
-	if answer.Status < http.StatusMultipleChoices && isEventStream(answer, route) {
+// readBuffered reads up to maxBufferedAnswer bytes of the answer's body. It returns them and a
+// reader of the rest, or an error if the body is not whole.
+func (r *relay) readBuffered(answer *backendconn.Answer) (*bytes.Buffer, io.Reader, error) {
+	reader := bodyReader(answer)
+	body := new(bytes.Buffer)
+	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
+		body.Grow(int(answer.Length) + bytes.MinRead)
+	}
+	_, err := io.Copy(body, io.LimitReader(reader, maxBufferedAnswer))
+	if err == nil && body.Len() == 0 && isSuccessfulStream(answer) && r.mayLackEvents(answer) {
+		err = errNoEvents
+	}
+	return body, reader, err
+}
+
+// bodyReader returns a reader of the answer's body that returns an error in place of io.EOF if
+// the body shows that it is not whole.
+func bodyReader(answer *backendconn.Answer) io.Reader {
+	if isSuccessfulStream(answer) {
 		return eventstream.NewReader(answer)
 	}
 	return answer
 }
 
+func isSuccessfulStream(answer *backendconn.Answer) bool {
+	return answer.Status < http.StatusMultipleChoices && isEventStream(answer)
+}
+
 // late reports whether an answer completed now misses its route's latency target.
 func (r *relay) late() bool {
 	target := r.request.Route.TargetLatency
@@ -127,18 +140,24 @@
 	r.handler.metrics.answered(status)
 }
 
-// relayUnbuffered forwards an answer that is too long to be buffered, while it reads body.
-func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, body io.Reader) sendOutcome {
+// relayUnbuffered forwards an answer that is too long to be buffered: first what has been
+// read, then the rest of the body.
+func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, read *bytes.Buffer, body io.Reader) sendOutcome {
 	status := callerStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.callerHeader(answer, reply))
-	if answer.Length >= 0 {
+	if answer.Length >= 0 && !isSuccessfulStream(answer) {
+		// With its length, a caller could not tell that a stream ends inside an event.
 		header.Set("Content-Length", strconv.FormatInt(answer.Length, 10))
 	}
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
-	if _, err := io.Copy(r.writer, body); err != nil {
-		answer.Discard()
+	_, err := read.WriteTo(r.writer)
+	if err == nil {
+		_, err = io.Copy(r.writer, body)
+	}
+	if err != nil {
+		answer.MarkBroken()
 		if callerDisconnected(ctx) {
 			return r.callerDisconnected()
 		}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -19,7 +19,11 @@
 // streamState is what the caller has received of a stream.
 type streamState struct {
 	started     bool
-	lastEventID string // id of the last event forwarded, "" for none
+	lastEventID string             // id of the last event forwarded, "" for none
+	begunAt     *knowledge.Backend // sent the first event, nil before that
+	// cut says that a backend server broke off inside the event after the forwarded ones, so
+	// that the stream has at least one more.
+	cut bool
 }
 
 const (
@@ -32,9 +36,8 @@
 // errEventTooLong ends a stream with an event larger than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
-// errNoEvents ends a stream that has no events and no marked end: its backend server may
-// have exited before the first one.
-var errNoEvents = errors.New("the stream ended before its first event, with its connection")
+// errNoEvents ends a stream that must have more events than it has.
+var errNoEvents = errors.New("the stream ended before its first event")
 
 // relayStream forwards a stream event by event. It forwards complete events only, so that
 // another backend server can repeat an event that breaks off.
@@ -46,7 +49,7 @@
 		return outcomeBroken
 	}
 	buffer := make([]byte, streamBufferBytes)
-	events := &eventForwarder{relay: r, answer: answer}
+	events := &eventForwarder{relay: r, placed: placed, answer: answer}
 	timing := newStreamTiming(r.request)
 	for {
 		n, err := answer.Read(buffer)
@@ -61,13 +64,15 @@
 				return r.callerDisconnected()
 			}
 		}
-		switch {
-		case err == io.EOF:
-			err = events.checkEnd()
-		case err == nil && len(events.rest) > maxEventBytes:
+		if broken := events.brokenOff(); err == io.EOF && broken != nil {
+			err = broken
+		}
+		if err == nil && len(events.rest) > maxEventBytes {
 			err = errEventTooLong
 		}
-		h.metrics.streamEnded(answer.Framing, err)
+		if err != nil {
+			h.metrics.streamEnded(answer.Framing, err)
+		}
 		if err == io.EOF {
 			if !h.lag.busy(boottime.Now()) {
 				h.admission.recordStreamEnd(r.request.Service, placed, timing.late)
@@ -75,15 +80,17 @@
 			return r.finishStream(placed, answer, events.rest, timing.late)
 		}
 		if err != nil {
-			answer.Discard()
-			return r.answerFailed(ctx, placed, sent, err)
+			r.stream.cut = r.stream.cut || events.insideEvent()
+			answer.MarkBroken()
+			return r.answerFailed(ctx, placed, answer, sent, err)
 		}
 	}
 }
 
-// eventForwarder forwards the complete events of a stream.
+// eventForwarder forwards the complete events of a stream, and the comments before them.
 type eventForwarder struct {
 	relay   *relay
+	placed  *placement
 	answer  *backendconn.Answer
 	scanner eventstream.Scanner
 	rest    []byte // of an event in progress
@@ -101,6 +108,9 @@
 	if len(f.rest) > 0 {
 		events = append(f.rest, events...)
 	}
+	if f.scanner.Events() {
+		f.relay.noteEvents(f.placed.backend)
+	}
 	if !f.relay.writeEvents(f.answer, events) {
 		return false
 	}
@@ -108,32 +118,60 @@
 	return true
 }
 
-// checkEnd returns io.EOF if the stream may end here, or else why it has been broken off. An
-// answer's framing alone doesn't tell: without length and chunks any end of the connection is
-// a proper one, and a backend server that fails may also frame half an event properly.
-func (f *eventForwarder) checkEnd() error {
+// isStream reports whether the answer is a stream of events. One that goes on with a stream is,
+// whatever type it states, and one that states none if it looks like one.
+func (f *eventForwarder) isStream() bool {
+	switch {
+	case f.relay.lastEventID() != "":
+		return true
+	case f.answer.Header.Get("Content-Type") == "":
+		return f.scanner.Events() || eventstream.BeginsEvent(f.rest)
+	}
+	return isEventStream(f.answer)
+}
+
+// insideEvent reports whether an event of the stream has begun and not ended.
+func (f *eventForwarder) insideEvent() bool { return f.isStream() && f.scanner.InsideEvent() }
+
+// brokenOff returns why a stream can't be whole that ends here, or nil. An answer's framing
+// alone doesn't tell: without length and chunks any end of the connection is a proper one, and
+// a backend server that fails may also frame half an event properly.
+func (f *eventForwarder) brokenOff() error {
 	switch {
-	case !isEventStream(f.answer, f.relay.request.Route):
-		return io.EOF
+	case !f.isStream():
+		return nil
 	case !f.scanner.Whole():
 		return eventstream.ErrInsideEvent
-	case f.answer.Framing == backendconn.FramingClose && !f.scanner.Events() && f.relay.lastEventID() == "":
+	case f.scanner.Events():
+		return nil
+	case f.relay.stream.cut, f.relay.mayLackEvents(f.answer):
 		return errNoEvents
 	}
-	return io.EOF
+	return nil
 }
 
-// isEventStream reports whether an answer is a stream of events. An answer that doesn't state
-// its type is one if its route is for streams.
-func isEventStream(answer *backendconn.Answer, route *knowledge.Route) bool {
-	stated := answer.Header.Get("Content-Type")
-	if stated == "" {
-		return route.Stream
-	}
-	mediaType, _, _ := strings.Cut(stated, ";")
+// mayLackEvents reports whether a stream without events may have been broken off before the
+// first one: its end is not marked, and the caller asks for more than the end of a stream.
+func (r *relay) mayLackEvents(answer *backendconn.Answer) bool {
+	return answer.Framing == backendconn.FramingClose && r.lastEventID() == ""
+}
+
+// isEventStream reports whether an answer states that it is a stream of events.
+func isEventStream(answer *backendconn.Answer) bool {
+	mediaType, _, _ := strings.Cut(answer.Header.Get("Content-Type"), ";")
 	return strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream")
 }
 
+// noteEvents records that events of the backend server are about to be forwarded. From then on
+// the stream goes on only at the same software.
+func (r *relay) noteEvents(backend *knowledge.Backend) {
+	r.stream.cut = false
+	if r.stream.begunAt == nil {
+		r.stream.begunAt = backend
+		r.handler.recordOrigin(r.request, backend)
+	}
+}
+
 // writeEvents sends complete events to the caller. It returns false when the caller can't be
 // reached.
 func (r *relay) writeEvents(answer *backendconn.Answer, events []byte) bool {
