knowledge: versions stay apart when entries come again without them

TestVersionsOfTheSameEntriesStayApart failed (equal IDs) and passes: the ID is computed from the version that is kept.

--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -58,10 +58,10 @@
 	received.Incarnation = incarnation(received.ID, received.StartedAt)
 	received.IncarnationHash = IncarnationHash(received.Incarnation)
 	received.IDHash = xxhash.Sum64String(received.ID)
-	received.softwareID = softwareID(received.Service, received.Version)
 	if received.Version == "" && known != nil && sameEntry(known, received) {
 		received.Version = known.Version // received from a router that doesn't forward versions
 	}
+	received.softwareID = softwareID(received.Service, received.Version)
 	// Only whether the server is cold is hashed: the remaining time changes constantly, and
 	// each new digest makes all routers fetch the list.
 	received.entryHash = xxhash.Sum64String(fmt.Sprintf("%s %d %s %s %t %t %s", received.ID, received.StartedAt, received.Service, received.Address, received.Draining, received.ColdRemaining > 0, received.Version))
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -132,6 +132,21 @@
 	}
 }
 
+// Guards against two versions that count as one after such entries.
+func TestVersionsOfTheSameEntriesStayApart(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "v1", "v2")
+	var again []Backend
+	for _, id := range []string{"a", "b"} {
+		again = append(again, Backend{ID: id, Service: "s", Address: "10.0.0.1:1", Position: Position{Revision: 1}})
+	}
+	state.SetBackends(again, Position{Revision: 2}, boottime.Now())
+	view := state.View()
+	if a, b := view.SoftwareID(view.Backends["a"]), view.SoftwareID(view.Backends["b"]); a == b || a != softwareID("s", "v1") {
+		t.Errorf("IDs %x and %x of v1 and v2", a, b)
+	}
+}
+
 // Guards against a change of the version alone that other routers do not notice.
 func TestVersionIsPartOfTheDigest(t *testing.T) {
 	state := NewState()
