knowledge: unstated versions stay apart when the stated ones have gone

Found by the review of: as soon as the last server that states its version had gone, for a moment or for good, servers whose entries leave theirs out counted as one version, and streams of two went on at each other.

A service counts as one that states versions while a version of it is remembered. TestServersOfUnstatedVersionStayApartWithoutStatedOnes failed and passes.

--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -49,12 +49,27 @@
 // version out may have any, so it shares its ID with no other, unless the service states no
 // versions at all.
 func (v *View) SoftwareID(backend *Backend) SoftwareID {
-	if backend.Version == "" && v.versioned[backend.Service] {
+	if backend.Version == "" && v.statesVersions(backend.Service) {
 		return softwareID(backend.Service, "\x00"+backend.Incarnation)
 	}
 	return backend.softwareID
 }
 
+// statesVersions reports whether a backend server of the service states its version, or has
+// done so lately.
+func (v *View) statesVersions(service fleet.Service) bool {
+	if v.versioned[service] {
+		return true
+	}
+	hash := ServiceHash(service)
+	for id, former := range v.versions.unlisted {
+		if former.service == hash && id != softwareID(service, "") {
+			return true
+		}
+	}
+	return false
+}
+
 // OnlySoftware returns the ID of the software of the services if all their backend servers
 // have had the same within the window before now, as far as the router can tell. It returns 0
 // if they have not, or if the router's list is older than maxAge.
@@ -94,13 +109,13 @@
 	for _, backend := range before.Backends {
 		log.unlisted[before.SoftwareID(backend)] = formerVersion{service: ServiceHash(backend.Service), unlisted: now}
 	}
-	for _, backend := range v.Backends {
-		delete(log.unlisted, v.SoftwareID(backend))
-	}
 	if len(log.unlisted) > maxFormerVersions {
 		log.unlisted, log.since = make(map[SoftwareID]formerVersion), now
 	}
 	v.versions = log
+	for _, backend := range v.Backends {
+		delete(log.unlisted, v.SoftwareID(backend))
+	}
 }
 
 // FormerVersion is a software version that a router remembers.
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -117,6 +117,18 @@
 	}
 }
 
+// Guards against servers of unstated versions that share one as soon as the last server that
+// states its version has gone.
+func TestServersOfUnstatedVersionStayApartWithoutStatedOnes(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "", "", "v3")
+	listVersions(state, 2, "", "")
+	view := state.View()
+	if a, b := view.SoftwareID(view.Backends["a"]), view.SoftwareID(view.Backends["b"]); a == b {
+		t.Error("both have the same ID")
+	}
+}
+
 // Guards against a version that is lost when a router that doesn't forward versions sends the
 // entry again, and against one that stays when the server has written another entry.
 func TestVersionOfTheSameEntryIsKept(t *testing.T) {
