knowledge: a confirmed list doesn't hide versions that came and went

Found by the review of: a router that was without a current list for a minute, and whose list another router then confirmed as the same, concluded that there had been one version all the while. Only a list in full ended its history.

TestConfirmationAfterAGapEndsTheHistory failed and passes.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -66,9 +66,7 @@
 		v.recordRemovals(before.Backends, at, now)
 		v.recordVersions(&before, now)
 	}
-	if first := v.ListConfirmedAt == 0; first && !v.newFleet || !first && confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge {
-		v.beginVersionLog(now)
-	}
+	v.noteVersionGap(confirmedAt, now)
 	v.MissingSince = missingSince
 	v.Position = at
 	v.ListConfirmedAt = max(v.ListConfirmedAt, confirmedAt)
@@ -168,6 +166,7 @@
 func (s *State) ConfirmBackends(digest uint64, confirmedAt boottime.Instant) {
 	s.update(func(view *View) bool {
 		if view.ListConfirmedAt != 0 && view.Digest == digest && len(view.MissingSince) == 0 {
+			view.noteVersionGap(confirmedAt, boottime.Now())
 			view.ListConfirmedAt = max(view.ListConfirmedAt, confirmedAt)
 		}
 		return false
--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -95,8 +95,15 @@
 	return only
 }
 
-// beginVersionLog notes that versions may have been listed before now unnoticed.
-func (v *View) beginVersionLog(now boottime.Instant) { v.versions.since = now }
+// noteVersionGap is called before a list that was complete at confirmedAt replaces or confirms
+// the current one. If this is the first list, or if the last one was confirmed long before,
+// versions may have been listed unnoticed.
+func (v *View) noteVersionGap(confirmedAt, now boottime.Instant) {
+	first := v.ListConfirmedAt == 0
+	if first && !v.newFleet || !first && confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge {
+		v.versions.since = now
+	}
+}
 
 // recordVersions records which software versions of the view before are not listed any more.
 func (v *View) recordVersions(before *View, now boottime.Instant) {
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -97,6 +97,17 @@
 	}
 }
 
+// Guards against the same where another router confirms that the list is the same as before.
+func TestConfirmationAfterAGapEndsTheHistory(t *testing.T) {
+	state := NewState()
+	state.SetNewFleet()
+	state.SetBackends([]Backend{{ID: "a", Service: "s", Version: "v1", Address: "10.0.0.1:1"}}, Position{Revision: 1}, boottime.Now().Add(-time.Minute))
+	state.ConfirmBackends(state.View().Digest, boottime.Now())
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x after a gap", got)
+	}
+}
+
 // Guards against servers without a stated version that share one with each other, or with none
 // where the whole service states none.
 func TestServersOfUnstatedVersionShareNone(t *testing.T) {
