--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -129,11 +129,13 @@
 		backends := view.withChanges(changes, now)
 		view.Position = Newest(view.Position, upTo)
 		if backends == nil {
+			view.recordPassingVersions(changes, now)
 			return false
 		}
 		view.setBackends(backends)
 		view.recordRemovals(before.Backends, upTo, now)
 		view.recordVersions(&before, now)
+		view.recordPassingVersions(changes, now)
 		return true
 	})
 }
--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -125,6 +125,21 @@
 	}
 }
 
+// recordPassingVersions records the versions of entries that a batch of changes added and
+// removed again.
+func (v *View) recordPassingVersions(changes []BackendChange, now boottime.Instant) {
+	var passed []FormerVersion
+	for _, change := range changes {
+		if change.Entry != nil && change.Entry.Version != "" {
+			id := softwareID(change.Entry.Service, change.Entry.Version)
+			passed = append(passed, FormerVersion{Software: id, Service: ServiceHash(change.Entry.Service), Unlisted: now})
+		}
+	}
+	if len(passed) > 0 {
+		v.addFormerVersions(passed)
+	}
+}
+
 // FormerVersion is a software version that a router remembers.
 type FormerVersion struct {
 	Software SoftwareID
@@ -144,34 +159,37 @@
 }
 
 // AddFormerVersions adds what another router remembers. since is the time from which it would
-// have noticed each version. It is used only if the other router stated it after the time
-// statedAfter, and this router's own record does not begin later.
-func (s *State) AddFormerVersions(former []FormerVersion, since, statedAfter boottime.Instant) {
+// have noticed each version. It is used only if the other router's list was complete after the
+// time completeAfter, and this router's own record does not begin later.
+func (s *State) AddFormerVersions(former []FormerVersion, since, completeAfter boottime.Instant) {
 	s.update(func(view *View) bool {
-		if len(former) > 0 {
-			view.versions.unlisted = view.withFormerVersions(former)
-		}
-		if own := view.versions.since; own != 0 && since < own && own <= statedAfter {
+		complete := view.addFormerVersions(former)
+		if own := view.versions.since; complete && own != 0 && since < own && own <= completeAfter {
 			view.versions.since = since
 		}
 		return false
 	})
 }
 
-// withFormerVersions returns the former versions with the given ones added, at most
-// maxFormerVersions.
-func (v *View) withFormerVersions(added []FormerVersion) map[SoftwareID]formerVersion {
-	merged := make(map[SoftwareID]formerVersion, len(v.versions.unlisted)+len(added))
-	maps.Copy(merged, v.versions.unlisted)
+// addFormerVersions adds versions that are not listed. It reports whether all could be added.
+func (v *View) addFormerVersions(added []FormerVersion) bool {
+	unlisted := maps.Clone(v.versions.unlisted)
+	if unlisted == nil {
+		unlisted = make(map[SoftwareID]formerVersion)
+	}
+	complete := true
 	for _, version := range added {
-		if known := merged[version.Software]; v.listsSoftware(version.Software) || known.unlisted >= version.Unlisted {
+		known, found := unlisted[version.Software]
+		switch {
+		case v.listsSoftware(version.Software) || found && known.unlisted >= version.Unlisted:
+		case !found && len(unlisted) >= maxFormerVersions:
 			continue
-		}
-		if len(merged) < maxFormerVersions {
-			merged[version.Software] = formerVersion{service: version.Service, unlisted: version.Unlisted}
+		default:
+			unlisted[version.Software] = formerVersion{service: version.Service, unlisted: version.Unlisted}
 		}
 	}
-	return merged
+	v.versions.unlisted = unlisted
+	return complete
 }
 
 // HasSoftware reports whether a backend server of the service has the software.
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -108,6 +108,19 @@
 	}
 }
 
+// Guards against a version that is not remembered because its server came and went within one
+// response to a watch.
+func TestVersionWithinOneBatchIsRemembered(t *testing.T) {
+	state := NewState()
+	state.SetNewFleet()
+	listVersions(state, 1, "v1")
+	passing := Backend{ID: "z", Service: "s", Version: "v2", Address: "10.0.0.1:1", Position: Position{Revision: 2}}
+	state.ApplyBackendChanges([]BackendChange{{ID: "z", Entry: &passing}, {ID: "z"}}, Position{Revision: 3})
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x although v2 was listed just before", got)
+	}
+}
+
 // Guards against servers without a stated version that share one with each other, or with none
 // where the whole service states none.
 func TestServersOfUnstatedVersionShareNone(t *testing.T) {
