--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -183,7 +183,7 @@
 		switch {
 		case v.listsSoftware(version.Software) || found && known.unlisted >= version.Unlisted:
 		case !found && len(unlisted) >= maxFormerVersions:
-			continue
+			complete = false
 		default:
 			unlisted[version.Software] = formerVersion{service: version.Service, unlisted: version.Unlisted}
 		}
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Guards against a history that counts as complete although some of it found no room.
+func TestHistoryWithoutRoomIsNotComplete(t *testing.T) {
+	state := NewState()
+	listVersions(state, 1, "v1")
+	now := boottime.Now()
+	former := make([]FormerVersion, maxFormerVersions+1)
+	for i := range former {
+		former[i] = FormerVersion{Software: SoftwareID(i + 1), Service: ServiceHash("other"), Unlisted: now}
+	}
+	state.AddFormerVersions(former, now.Add(-VersionHistory), now)
+	if got := only(state, 0); got != 0 {
+		t.Errorf("%x", got)
+	}
+}
+
 // Guards against servers without a stated version that share one with each other, or with none
 // where the whole service states none.
 func TestServersOfUnstatedVersionShareNone(t *testing.T) {
