--- a/internal/peering/software_history.go
+++ b/internal/peering/software_history.go
@@ -62,9 +62,10 @@
 			Unlisted: now.Add(-time.Duration(history.AgeMs[i]) * time.Millisecond),
 		})
 	}
-	since := now
-	if heartbeat.ListAge >= 0 && time.Duration(heartbeat.ListAge) <= maxHistoryListAge {
+	since, completeAfter := now, boottime.Instant(0)
+	if age := time.Duration(heartbeat.ListAge); echo != 0 && age >= 0 && age <= maxHistoryListAge {
 		since = echo.Add(-time.Duration(history.CoversMs) * time.Millisecond)
+		completeAfter = echo.Add(-age)
 	}
-	state.AddFormerVersions(former, since, echo)
+	state.AddFormerVersions(former, since, completeAfter)
 }
