gate: a refused stream is told when the servers of its version are back

Found by the review of: a stream that is taken up while all servers of its version take no requests for a time was refused as if none had the version, and its caller was not told when they accept requests again.

TestRefusalOfATakenUpStreamSaysWhenItsServersAreBack failed (other-version, Retry-After of the route) and passes.

--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -12,12 +12,7 @@
 // that goes on, they are those of the software that began it. Ejected ones and those missing
 // from the list are returned only if there is no other; unavailable ones never are.
 func (a *admission) candidates(view *knowledge.View, request *Request, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
-	serving := view.Serving[request.Service]
-	if request.Software != 0 {
-		serving = lo.Filter(serving, func(backend *knowledge.Backend, _ int) bool {
-			return view.SoftwareID(backend) == request.Software
-		})
-	}
+	serving := servingFor(view, request)
 	ejected := a.loads.ejectedAt(now)
 	unavailable := a.unavailable.at(now)
 	if len(excluded)+len(view.MissingSince)+len(ejected)+len(unavailable) == 0 {
@@ -41,31 +36,43 @@
 	return fallback
 }
 
+// servingFor returns the serving backend servers of the request's service that have the
+// software which the request needs.
+func servingFor(view *knowledge.View, request *Request) []*knowledge.Backend {
+	serving := view.Serving[request.Service]
+	if request.Software == 0 {
+		return serving
+	}
+	return lo.Filter(serving, func(backend *knowledge.Backend, _ int) bool {
+		return view.SoftwareID(backend) == request.Software
+	})
+}
+
 // refuseAll refuses a request for which no backend server is usable, given the number of
 // candidates. While all are unavailable, callers that retried before the first one
 // accepts requests again would be refused again. The route's usual delay is added to the
 // time until then, so that callers do not all retry at that time.
 func (a *admission) refuseAll(request *Request, view *knowledge.View, candidates int, now boottime.Instant) *Refusal {
-	if request.Software != 0 && candidates == 0 {
+	if request.Software != 0 && !view.HasSoftware(request.Service, request.Software) {
 		return a.refuse(request, ReasonOtherVersion)
 	}
 	refusal := a.refuse(request, noBackendReason(view, request.Service, candidates))
 	if refusal.Reason != ReasonNoBackend {
 		return refusal
 	}
-	if available := a.availableAt(view, request.Service, now); available != 0 {
+	if available := a.availableAt(servingFor(view, request), now); available != 0 {
 		refusal.Reason = ReasonClosed
 		refusal.RetryAfter += available.Sub(now)
 	}
 	return refusal
 }
 
-// availableAt returns when the first unavailable backend server of the service accepts
-// requests again. It returns 0 if none will, or if one accepts requests now.
-func (a *admission) availableAt(view *knowledge.View, service fleet.Service, now boottime.Instant) boottime.Instant {
+// availableAt returns when the first unavailable one of the backend servers accepts requests
+// again. It returns 0 if none will, or if one accepts requests now.
+func (a *admission) availableAt(serving []*knowledge.Backend, now boottime.Instant) boottime.Instant {
 	unavailable := a.unavailable.at(now)
 	first := indefinitely
-	for _, backend := range view.Serving[service] {
+	for _, backend := range serving {
 		until, isUnavailable := unavailable[backend.Incarnation]
 		if !isUnavailable {
 			return 0
