--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -20,9 +20,9 @@
 	// RecordOrigin records that a stream began, or goes on, at the software, and that it may
 	// be taken up for so long. It does not wait for other routers.
 	RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration)
-	// FindOrigin returns the software at which a stream began, 0 if no router that can be
-	// reached knows. It waits for other routers for some hundred milliseconds at most.
-	FindOrigin(ctx context.Context, stream streamorigin.Stream) knowledge.SoftwareID
+	// FindOrigin returns where a stream began, false if no router that can be reached knows. It
+	// waits for other routers for some hundred milliseconds at most.
+	FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool)
 }
 
 const (
@@ -44,9 +44,8 @@
 }
 
 // FindOrigin implements StreamOrigins.
-func (o ownOrigins) FindOrigin(_ context.Context, stream streamorigin.Stream) knowledge.SoftwareID {
-	origin, _ := o.table.Find(stream, boottime.Now())
-	return origin.Software
+func (o ownOrigins) FindOrigin(_ context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
+	return o.table.Find(stream, boottime.Now())
 }
 
 // takenUp reports whether the caller takes up a stream of which it has received events.
@@ -56,7 +55,7 @@
 
 // originTime returns how long the request's stream may be taken up from now on.
 func (r *Request) originTime(now boottime.Instant) time.Duration {
-	return max(r.Remaining(now), r.Deadline-now.Sub(r.Received), 0) + takeUpTime
+	return min(max(r.Remaining(now), r.Deadline-now.Sub(r.Received), 0)+takeUpTime, streamorigin.MaxTime)
 }
 
 // originKnown says how it is known at which software a stream began. Its values are those of
@@ -95,11 +94,11 @@
 // that is unknown.
 func (h *handler) findOrigin(ctx context.Context, request *Request) (knowledge.SoftwareID, originKnown) {
 	if request.Resumes != "" {
-		if software := h.streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); software != 0 {
-			return software, originRecorded
+		if origin, known := h.streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
+			return origin.Software, originRecorded
 		}
 	}
-	window := request.Route.Timeout + takeUpTime
+	window := max(request.Route.Timeout, request.Deadline) + takeUpTime
 	if software := h.state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now()); software != 0 {
 		return software, originOnly
 	}
--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -34,12 +34,13 @@
 // originQuery is a query in progress.
 type originQuery struct {
 	stream streamorigin.Stream
-	done   chan struct{} // closed when software is known or all have answered
+	done   chan struct{} // closed when the origin is known or all have answered
 
-	mu       sync.Mutex
-	waiting  []fleet.Address // routers that have not answered
-	software knowledge.SoftwareID
-	ended    bool
+	mu      sync.Mutex
+	waiting []fleet.Address // routers that have not answered
+	origin  streamorigin.Origin
+	known   bool // a router knows the origin
+	ended   bool
 }
 
 func newOrigins() *origins {
@@ -56,13 +57,15 @@
 }
 
 // FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin.
-func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) knowledge.SoftwareID {
+func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
 	now := boottime.Now()
 	if origin, known := m.origins.table.Find(stream, now); known {
-		return origin.Software
+		return origin, true
 	}
 	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: streamorigin.Asked(stream, m.originRouters(now))}
-	m.origins.add(query)
+	if !m.origins.add(query) {
+		return streamorigin.Origin{}, false
+	}
 	defer m.origins.remove(query)
 	for _, interval := range queryIntervals {
 		silent := query.silent()
@@ -107,13 +110,13 @@
 		m.sendOrigin(m.originAnswer(stream, now), sender)
 		return
 	}
-	software := knowledge.SoftwareID(message.Software)
-	if software != 0 {
-		until := now.Add(time.Duration(message.LastsMs) * time.Millisecond)
-		m.origins.table.Set(stream, streamorigin.Origin{Software: software, Until: until}, now)
+	origin := streamorigin.Origin{Software: knowledge.SoftwareID(message.Software), Until: now.Add(time.Duration(message.LastsMs) * time.Millisecond)}
+	known := message.LastsMs > 0
+	if message.Answers && !m.origins.answered(stream, sender, origin, known) {
+		return // not asked for
 	}
-	if message.Answers {
-		m.origins.answered(stream, sender, software)
+	if known {
+		m.origins.table.Set(stream, origin, now)
 	}
 }
 
@@ -126,10 +129,19 @@
 	return answer
 }
 
-func (o *origins) add(query *originQuery) {
+// maxQueries bounds the queries in progress. Callers may name any number of attempts that no
+// router knows.
+const maxQueries = 256
+
+// add adds a query, unless too many are in progress.
+func (o *origins) add(query *originQuery) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if len(o.queries) >= maxQueries {
+		return false
+	}
 	o.queries[query] = true
+	return true
 }
 
 func (o *origins) remove(query *originQuery) {
@@ -138,29 +150,36 @@
 	delete(o.queries, query)
 }
 
-// answered passes an answer to the queries for the stream.
-func (o *origins) answered(stream streamorigin.Stream, router fleet.Address, software knowledge.SoftwareID) {
+// answered passes an answer to the queries for the stream, and reports whether one of them
+// waits for the router's.
+func (o *origins) answered(stream streamorigin.Stream, router fleet.Address, origin streamorigin.Origin, known bool) bool {
 	o.mu.Lock()
 	queries := lo.Filter(lo.Keys(o.queries), func(query *originQuery, _ int) bool { return query.stream == stream })
 	o.mu.Unlock()
+	waited := false
 	for _, query := range queries {
-		query.answered(router, software)
+		waited = query.answered(router, origin, known) || waited
 	}
+	return waited
 }
 
-// answered records the answer of a router, software 0 if it does not know.
-func (q *originQuery) answered(router fleet.Address, software knowledge.SoftwareID) {
+// answered records the answer of a router, and reports whether the query waited for it.
+func (q *originQuery) answered(router fleet.Address, origin streamorigin.Origin, known bool) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	if !slices.Contains(q.waiting, router) {
+		return false
+	}
 	q.waiting = lo.Without(q.waiting, router)
 	if q.ended {
-		return
+		return true
 	}
-	q.software = software
-	if software != 0 || len(q.waiting) == 0 {
+	q.origin, q.known = origin, known
+	if known || len(q.waiting) == 0 {
 		q.ended = true
 		close(q.done)
 	}
+	return true
 }
 
 // silent returns the routers that have not answered.
@@ -176,10 +195,10 @@
 	return q.ended
 }
 
-func (q *originQuery) result() knowledge.SoftwareID {
+func (q *originQuery) result() (streamorigin.Origin, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.software
+	return q.origin, q.known
 }
 
 // originRouters returns the reachable routers, of which some keep the origins of streams.
--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -91,8 +91,8 @@
 			f.lost[f.any(began).self] = true
 		}
 		asked := f.any(began)
-		if got := asked.FindOrigin(t.Context(), stream); got != 7 {
-			t.Errorf("stream %d: %d, want 7", i, got)
+		if got, _ := asked.FindOrigin(t.Context(), stream); got.Software != 7 {
+			t.Errorf("stream %d: %d, want 7", i, got.Software)
 		}
 		if origin, known := asked.origins.table.Find(stream, boottime.Now()); !known || origin.Software != 7 {
 			t.Error("the router that asked does not keep it")
@@ -104,8 +104,8 @@
 func TestUnknownOriginIsReportedAtOnce(t *testing.T) {
 	f := newOriginFleet(4, 5)
 	started := time.Now()
-	if got := f.any().FindOrigin(t.Context(), 7); got != 0 {
-		t.Errorf("software %d of an unknown stream", got)
+	if got, known := f.any().FindOrigin(t.Context(), 7); known {
+		t.Errorf("software %d of an unknown stream", got.Software)
 	}
 	if took := time.Since(started); took >= queryIntervals[0] {
 		t.Errorf("it took %v, with all routers in reach", took)
@@ -120,8 +120,8 @@
 	for address := range f.routers {
 		f.lost[address] = address != asking.self
 	}
-	if got := asking.FindOrigin(t.Context(), 7); got != 0 {
-		t.Errorf("software %d of an unknown stream", got)
+	if got, known := asking.FindOrigin(t.Context(), 7); known {
+		t.Errorf("software %d of an unknown stream", got.Software)
 	}
 	if len(asking.origins.queries) != 0 {
 		t.Error("the query is kept")
@@ -142,6 +142,45 @@
 	}
 }
 
+// Guards against a stream that goes on at one of two versions which began with the same id, at a
+// router that has seen only one of them.
+func TestReusedIDIsKnownToBeAmbiguous(t *testing.T) {
+	f := newOriginFleet(1, 4)
+	first := f.any()
+	second := f.any(first)
+	first.RecordOrigin(7, 1, time.Minute)
+	second.RecordOrigin(7, 2, time.Minute)
+	asked := f.any(first, second)
+	if origin, known := asked.FindOrigin(t.Context(), 7); !known || origin.Software != streamorigin.Ambiguous {
+		t.Errorf("software %d, known %v; want ambiguous", origin.Software, known)
+	}
+}
+
+// Guards against an origin from an answer that nobody asked for, and against queries without a
+// bound.
+func TestQueriesAndAnswersAreBounded(t *testing.T) {
+	f := newOriginFleet(1, 2)
+	router := f.any()
+	other := f.any(router)
+	router.handleOrigin(other.self, &peeringpb.StreamOrigin{Stream: 7, Software: 8, LastsMs: 9000, Answers: true}, boottime.Now())
+	if _, known := router.origins.table.Find(7, boottime.Now()); known {
+		t.Error("an answer that was not asked for counts")
+	}
+	for range maxQueries {
+		router.origins.add(&originQuery{})
+	}
+	started := time.Now()
+	f.lost[other.self] = true
+	if _, known := router.FindOrigin(t.Context(), 9); known || time.Since(started) >= queryIntervals[0] {
+		t.Errorf("known %v after %v", known, time.Since(started))
+	}
+	now := boottime.Now()
+	router.handleOrigin(other.self, &peeringpb.StreamOrigin{Stream: 10, Software: 8, LastsMs: 1 << 31}, now)
+	if _, known := router.origins.table.Find(10, now.Add(streamorigin.MaxTime+time.Second)); known {
+		t.Error("an origin is kept for longer than MaxTime")
+	}
+}
+
 // Guards against messages of which other routers make a heartbeat.
 func TestOriginMessageIsNoHeartbeat(t *testing.T) {
 	f := newOriginFleet(1, 2)
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -20,12 +20,19 @@
 
 // Origin is where a stream began.
 type Origin struct {
-	// Software is that of the backend server that began it. It is 0 if streams of several
+	// Software is that of the backend server that began it, Ambiguous if streams of several
 	// began with one id, which callers must not reuse.
 	Software knowledge.SoftwareID
 	Until    boottime.Instant // the stream can't be taken up afterwards
 }
 
+// Ambiguous is the software of streams that began at several with one id. They can't be taken
+// up.
+const Ambiguous knowledge.SoftwareID = 0
+
+// MaxTime bounds the time for which an origin is kept.
+const MaxTime = knowledge.VersionHistory
+
 // MaxOrigins is how many origins a table holds. It then forgets those that were set first.
 const MaxOrigins = 1 << 15
 
@@ -50,10 +57,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
+	origin.Until = min(origin.Until, now.Add(MaxTime))
 	if known, found := t.origins.Peek(stream); found && known.Until > now {
 		origin.Until = max(origin.Until, known.Until)
 		if known.Software != origin.Software {
-			origin.Software = 0
+			origin.Software = Ambiguous
 		}
 	}
 	t.origins.Add(stream, origin)
