--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -64,12 +64,7 @@
 				return r.callerDisconnected()
 			}
 		}
-		if broken := events.brokenOff(); err == io.EOF && broken != nil {
-			err = broken
-		}
-		if err == nil && len(events.rest) > maxEventBytes {
-			err = errEventTooLong
-		}
+		err = events.check(err)
 		if err != nil {
 			h.metrics.streamEnded(answer.Framing, err)
 		}
@@ -133,6 +128,21 @@
 // insideEvent reports whether an event of the stream has begun and not ended.
 func (f *eventForwarder) insideEvent() bool { return f.isStream() && f.scanner.InsideEvent() }
 
+// check returns err, the result of the last read, or why the stream must not go on or end
+// here.
+func (f *eventForwarder) check(err error) error {
+	if err == nil && len(f.rest) > maxEventBytes {
+		return errEventTooLong
+	}
+	if err != io.EOF {
+		return err
+	}
+	if broken := f.brokenOff(); broken != nil {
+		return broken
+	}
+	return io.EOF
+}
+
 // brokenOff returns why a stream can't be whole that ends here, or nil. An answer's framing
 // alone doesn't tell: without length and chunks any end of the connection is a proper one, and
 // a backend server that fails may also frame half an event properly.
@@ -197,7 +207,7 @@
 }
 
 // finishStream ends a stream that its backend server has completed. rest is what follows
-// the last event, of an answer that is no stream of events.
+// the last event: comments, or all of an answer that is no stream of events.
 func (r *relay) finishStream(placed *placement, answer *backendconn.Answer, rest []byte, late bool) sendOutcome {
 	r.startStream(answer)
 	if len(rest) > 0 {
