--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -18,14 +18,14 @@
 // VersionHistory is how far back software versions that are no longer listed are remembered.
 const VersionHistory = 10 * time.Minute
 
-// maxFormerVersions bounds the versions that are remembered. Beyond it the oldest are
-// forgotten, and the history counts as known only since then.
+// maxFormerVersions bounds the versions that are remembered. Beyond it all are forgotten, and
+// the history counts as known only since then.
 const maxFormerVersions = 256
 
 // versionLog is what a router knows of the software versions that backend servers had.
 type versionLog struct {
-	// since is the time from which on no version was listed without being noticed, 0 if
-	// there were no backend servers before.
+	// since is the time from which on no version was listed without being noticed, 0 for ever:
+	// the fleet is new.
 	since boottime.Instant
 	// unlisted is when each version was last listed that is not listed any more.
 	unlisted map[SoftwareID]formerVersion
