spread: a list applied during a step reaches the view

Cause: World.refresh rebuilt the view when the directory's revision was above the last reported one, but reportRevisions reads the revision again later in the same step. Loads and watches apply to the directory from their own goroutines. If one did so between the two, the new revision counted as reported without having been merged, and no later step refreshed the view until the list of nodes changed again. Such a node joins and watches the platform, but knows no peers.

Change: the tracker keeps the directory's revision that its view contains; World refreshes while the directory is ahead of it. A refresh that read the directory earlier than the one in force no longer replaces it: control messages refresh outside the loop, so two refreshes can overlap.

TestListLoadedDuringStepReachesView applies a list between the refresh and the report, without timing; it fails without this change. TestOlderRecordsDoNotReplaceNewer fails without the comparison in merge. TestManagers is unchanged.

--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -34,6 +34,7 @@
 	peers        *tick.Table[fleet.Address, peer]
 	unregistered *tick.Table[fleet.Address, unregisteredNode]
 	view         View
+	revision     uint64 // of the directory, as merged into the view
 	changed      chan struct{}
 }
 
@@ -97,12 +98,24 @@
 	return t.changed
 }
 
-// Refresh merges the sources again. Call it after a change of the directory,
-// and periodically while NeedsRefresh reports true.
+// Refresh merges the sources again. Call it while Outdated reports true, and
+// periodically while NeedsRefresh does.
 func (t *Tracker) Refresh(now time.Time) View {
-	records, _ := t.directory.Records()
+	records, revision := t.directory.Records()
+	return t.merge(records, revision, now)
+}
+
+// merge merges the records of a revision of the directory with the other
+// sources.
+func (t *Tracker) merge(records []Record, revision uint64, now time.Time) View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	// A concurrent refresh that read the directory later has also seen all that
+	// preceded this one.
+	if revision < t.revision {
+		return t.view
+	}
+	t.revision = revision
 	next := View{Version: t.view.Version + 1, Suspects: make(map[fleet.Address]bool)}
 	listed := make(map[fleet.Address]bool, len(records))
 	for _, record := range records {
@@ -126,6 +139,15 @@
 	return t.view
 }
 
+// Outdated reports whether the directory has changed since it was last merged
+// into the view.
+func (t *Tracker) Outdated() bool {
+	revision := t.directory.Revision()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return revision > t.revision
+}
+
 // NeedsRefresh reports whether the view contains suspicions or unregistered
 // nodes, which expire with time, so that Refresh has to be called periodically.
 func (t *Tracker) NeedsRefresh() bool {
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -57,6 +57,28 @@
 	}
 }
 
+// TestOlderRecordsDoNotReplaceNewer guards against a view that loses nodes
+// because a refresh that read the directory earlier ends later.
+func TestOlderRecordsDoNotReplaceNewer(t *testing.T) {
+	store, directory := newUnlimitedStore(), NewDirectory()
+	tracker := NewTracker(directory)
+	older, olderRevision := directory.Records()
+	register(t, store, Record{Node: fleet.Node{VM: "vm-1", Control: node}})
+	if _, err := directory.Load(t.Context(), store); err != nil {
+		t.Fatal(err)
+	}
+	if !tracker.Outdated() {
+		t.Fatal("the change of the directory was not noticed")
+	}
+	tracker.Refresh(start)
+	if view := tracker.merge(older, olderRevision, start); len(view.Nodes) != 1 {
+		t.Fatalf("after the older records: nodes %v", view.Nodes)
+	}
+	if nodes := tracker.View().Nodes; len(nodes) != 1 || tracker.Outdated() {
+		t.Fatalf("nodes %v, outdated %t", nodes, tracker.Outdated())
+	}
+}
+
 // TestSuspicionExpires guards against a suspicion that outlasts a network
 // partition, and against a node that has no usable peers because it was itself
 // cut off and suspects all of them.
--- a/internal/spread/world.go
+++ b/internal/spread/world.go
@@ -158,11 +158,10 @@
 // done only after a change of the directory and, periodically, while the view
 // contains something that expires.
 func (w *World) refresh(now time.Time) {
-	members := w.documents[DocumentMembers]
 	version := w.view.Version
 	needsRefresh := w.tracker.NeedsRefresh()
 	switch {
-	case members.replica.Revision() > members.reportedRevision:
+	case w.tracker.Outdated():
 		w.view = w.tracker.Refresh(now)
 	case needsRefresh && !now.Before(w.refreshAt):
 		w.refreshAt = now.Add(refreshInterval)
--- a/internal/spread/world_test.go
+++ b/internal/spread/world_test.go
@@ -84,6 +84,56 @@
 	}
 }
 
+// interruptedReplica calls interrupt once, when its revision is first read.
+type interruptedReplica struct {
+	*fakeReplica
+	interrupt func()
+}
+
+func (r *interruptedReplica) Revision() uint64 {
+	if interrupt := r.interrupt; interrupt != nil {
+		r.interrupt = nil
+		interrupt()
+	}
+	return r.fakeReplica.Revision()
+}
+
+// TestListLoadedDuringStepReachesView guards against a view that permanently
+// lacks the nodes of a list that was applied in the middle of a step, after the
+// view was refreshed and before the new revision was reported.
+func TestListLoadedDuringStepReachesView(t *testing.T) {
+	store := platform.NewStore(platform.StoreOptions{})
+	self := fleet.Node{VM: "vm-0", Control: "10.0.0.0:1", Zone: "zone-0", Incarnation: 1}
+	if _, err := membership.Register(t.Context(), store, membership.Record{Node: self}); err != nil {
+		t.Fatal(err)
+	}
+	replica, directory := &fakeReplica{}, membership.NewDirectory()
+	tracker := membership.NewTracker(directory)
+	var version platform.Version
+	world := NewWorld(Config{Self: self}, Dependencies{
+		Envelopes: NewEnvelopeSource(self, replica, directory), Tracker: tracker, Directory: directory,
+		Settings: &interruptedReplica{fakeReplica: replica, interrupt: func() {
+			if nodes := tracker.View().Nodes; len(nodes) != 0 {
+				t.Errorf("nodes before the load: %v", nodes)
+			}
+			var err error
+			if version, err = directory.Load(t.Context(), store); err != nil {
+				t.Error(err)
+			}
+		}},
+	})
+	now := time.Unix(1000, 0)
+	commands, _ := world.Step(now, nil)
+	reported := commandsOf[RevisionAdvanced](commands)
+	if len(reported) != 1 || reported[0].Document != DocumentMembers {
+		t.Fatalf("the load did not fall between the refresh and the report: %v", reported)
+	}
+	world.Step(now.Add(time.Millisecond), []Event{LoadEnded{Document: DocumentMembers, Version: version}})
+	if nodes := tracker.View().Nodes; len(nodes) != 1 {
+		t.Fatalf("the view has the nodes %v", nodes)
+	}
+}
+
 // TestJoinWithoutPeers covers a start while neither the platform nor peers
 // answer: the node waits for its join timeout and then continues with what it
 // has.
