gate: connections that end without an answer are recorded

Cause: a request without an answer left no trace. A connection dropped with the listener's accept queue, one closed with unread bytes and a handler's panic had no record; 2107 said that a caller had disconnected without a look at its connection; 2137 counted requests, not connections that were closed.

No decision changes. One more system call when a connection is closed.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -45,5 +45,9 @@
 	GateSegmentAllowed        = Event{2140, logrus.WarnLevel, "prompt segment is no longer refused"}
 	GateSegmentCleared        = Event{2141, logrus.WarnLevel, "operator cleared a prompt segment"}
 	GateSegmentTried          = Event{2142, logrus.InfoLevel, "request sent to find out whether its refused prompt segments are sound"}
+	GateListenerClosed        = Event{2143, logrus.InfoLevel, "listener closed"}
+	GateClosedUnread          = Event{2144, logrus.WarnLevel, "connection closed with unread bytes"}
+	GateClosedInProgress      = Event{2145, logrus.WarnLevel, "connections closed with requests in progress at the end of the drain"}
+	GatePanicked              = Event{2146, logrus.ErrorLevel, "request handler panicked"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
+	"golang.org/x/sys/unix"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -54,7 +56,8 @@
 	current  *limitedServer
 	servers  []*limitedServer
 
-	drain *drainState
+	drain      *drainState
+	unanswered *unansweredLog // nil for none
 }
 
 // limitedServer is an HTTP server with the limits of one configuration.
@@ -70,6 +73,11 @@
 	return a
 }
 
+// record makes the acceptor record connections that end without an answer.
+func (a *acceptor) record(unanswered *unansweredLog) {
+	a.unanswered, a.callers.unanswered = unanswered, unanswered
+}
+
 // applyLimits sets the limits of connections opened from now on.
 func (a *acceptor) applyLimits(limits knowledge.Limits) {
 	a.mu.Lock()
@@ -81,7 +89,7 @@
 		limits: limits,
 		conns:  newChanListener(),
 		server: &http.Server{
-			Handler:           resetUnfinished(a.handler),
+			Handler:           recordPanics(resetUnfinished(a.handler)),
 			MaxHeaderBytes:    limits.HeaderBytes,
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
@@ -118,7 +126,7 @@
 			return fleet.Wrap(err, fleet.StepAccept, address)
 		}
 		a.accept(ctx, listener)
-		_ = listener.Close() // it may be closed already
+		a.closeListener(listener)
 		closedAt := boottime.Now()
 		if a.awaitRecovery(ctx) {
 			a.cpu.recordRecovery(boottime.Now().Sub(closedAt))
@@ -138,7 +146,7 @@
 	defer a.mu.Unlock()
 	a.listener = listener
 	if a.drain.listenerClosed.Load() {
-		_ = listener.Close() // stopAccepting came first
+		a.closeListener(listener) // stopAccepting came first
 	}
 	return listener, nil
 }
@@ -213,8 +221,38 @@
 	defer a.mu.Unlock()
 	a.drain.listenerClosed.Store(true)
 	if a.listener != nil {
-		_ = a.listener.Close() // it is no longer needed
+		a.closeListener(a.listener)
+	}
+}
+
+// closeListener closes the listener, unless it is closed already.
+func (a *acceptor) closeListener(listener net.Listener) {
+	waiting := acceptQueueLength(listener)
+	if err := listener.Close(); err == nil {
+		a.unanswered.listenerClosed(a.drain.draining(), waiting)
+	}
+}
+
+// acceptQueueLength returns how many connections wait to be accepted, -1 if unknown.
+func acceptQueueLength(listener net.Listener) int {
+	conn, ok := listener.(syscall.Conn)
+	if !ok {
+		return -1
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	length := -1
+	err = raw.Control(func(fd uintptr) {
+		if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
+			length = int(info.Unacked) // of a listening socket: the length of its queue
+		}
+	})
+	if err != nil {
+		return -1
 	}
+	return length
 }
 
 const (
@@ -237,6 +275,7 @@
 	remaining := a.awaitIdle(ctx)
 	a.drain.end()
 	a.closeConnections()
+	a.unanswered.drainEnded(a.callers.count(connReading), a.callers.count(connServing))
 	for _, server := range a.httpServers() {
 		_ = server.Close() // only connections of stalled callers are left
 	}
--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -20,7 +20,8 @@
 
 // callerConns are the open connections of callers. Its methods may be called concurrently.
 type callerConns struct {
-	slots chan struct{} // holds a token for each open connection
+	slots      chan struct{}  // holds a token for each open connection
+	unanswered *unansweredLog // nil for none
 
 	mu   sync.Mutex
 	open map[*callerConn]bool
@@ -33,7 +34,7 @@
 // add adds a connection for which a slot has been taken. The connection frees the slot when
 // it is closed.
 func (c *callerConns) add(conn net.Conn) *callerConn {
-	added := &callerConn{Conn: conn, conns: c, opened: boottime.Now()}
+	added := &callerConn{Conn: conn, conns: c, opened: boottime.Now(), unanswered: c.unanswered}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open[added] = true
@@ -96,6 +97,11 @@
 	connIdle                     // the request has been answered
 )
 
+// String returns the name of the state in log entries.
+func (s connState) String() string {
+	return [...]string{connNew: "new", connReading: "reading", connServing: "serving", connIdle: "idle"}[s]
+}
+
 // callerConn is a caller's connection. It tracks its state itself: that of net/http stays
 // idle until the header of a request has been read and parsed completely, which takes long
 // on a busy processor.
@@ -105,6 +111,8 @@
 	opened   boottime.Instant
 	requests atomic.Int64 // requests served
 
+	unanswered *unansweredLog // nil for none
+
 	mu       sync.Mutex
 	state    connState
 	extended bool // the read deadline was extended for the next request
@@ -151,12 +159,21 @@
 
 // Close implements net.Conn.
 func (c *callerConn) Close() error {
+	if c.unread() {
+		c.unanswered.closedUnread(c)
+	}
 	if c.conns != nil {
 		c.conns.remove(c)
 	}
 	return c.Conn.Close()
 }
 
+func (c *callerConn) currentState() connState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state
+}
+
 func (c *callerConn) inState(states ...connState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -230,6 +247,24 @@
 	_ = tcp.SetLinger(seconds) // fails only if the connection is closed already
 }
 
+// recordPanics returns a handler that records panics of the given one. net/http closes the
+// connection of a handler that panics; http.ErrAbortHandler is a panic on purpose.
+func recordPanics(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		defer func() {
+			reason := recover()
+			if reason == nil {
+				return
+			}
+			if conn := callerConnOf(r.Context()); conn != nil && reason != http.ErrAbortHandler {
+				conn.unanswered.panicked(reason)
+			}
+			panic(reason)
+		}()
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // resetUnfinished returns a handler that resets the connection of a caller without chunks
 // (HTTP/1.0) if its answer is not written to the end. Such an answer may end with its
 // connection, and one that is closed early would look complete.
@@ -289,9 +324,14 @@
 	if conn == nil {
 		return false
 	}
-	n, err := conn.peek()
+	return !conn.connected()
+}
+
+// connected reports whether the caller has not closed the connection.
+func (c *callerConn) connected() bool {
+	n, err := c.peek()
 	if err != nil {
-		return !errors.Is(err, unix.EAGAIN)
+		return errors.Is(err, unix.EAGAIN)
 	}
-	return n == 0
+	return n > 0
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -219,7 +219,7 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
-	relay := &relay{handler: h, request: request, writer: w, excluded: make(map[string]bool)}
+	relay := &relay{handler: h, request: request, writer: w, conn: callerConnOf(ctx), excluded: make(map[string]bool)}
 	relay.loop(ctx)
 }
 
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -76,6 +76,7 @@
 	admission.paces.export(options.Logger, options.Registerer)
 	admission.plain.observeWait = h.metrics.plainWait
 	acceptor := newAcceptor(h, options.Connections, h.lag, drain)
+	acceptor.record(newUnansweredLog(options.Logger, options.Registerer))
 	h.closeAfterAnswer = acceptor.closeAfterAnswer
 	return &Manager{options: options, handler: h, acceptor: acceptor, connectionStats: connectionStats}
 }
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -26,6 +26,7 @@
 	handler  *handler
 	request  *Request
 	writer   http.ResponseWriter
+	conn     *callerConn     // nil if unknown
 	excluded map[string]bool // backend servers that failed the request
 
 	sends           int  // requests that may have arrived at a backend server
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -230,6 +230,10 @@
 // connection, since net/http would send a success for a request that returns without an
 // answer.
 func (r *relay) callerDisconnected() sendOutcome {
-	r.handler.requestLog.callerDisconnected(r.request)
+	connected := r.conn != nil && r.conn.connected()
+	if connected {
+		r.conn.unanswered.canceled()
+	}
+	r.handler.requestLog.callerDisconnected(r.request, connected)
 	panic(http.ErrAbortHandler)
 }
--- a/internal/gate/request_log.go
+++ b/internal/gate/request_log.go
@@ -219,8 +219,14 @@
 	r.write(r.failureLimit, event.GateStreamAborted, request, logrus.Fields{"sends": sends, "drained": drained})
 }
 
-func (r *requestLog) callerDisconnected(request *Request) {
+// callerDisconnected logs that a request ended because its caller had disconnected; connected
+// reports that it had not.
+func (r *requestLog) callerDisconnected(request *Request, connected bool) {
 	r.counts.addEnd(request, func(route *RouteCounts) { route.Disconnected++ })
+	if connected {
+		r.write(r.failureLimit, event.GateCallerDisconnected, request, logrus.Fields{"connected": true})
+		return
+	}
 	r.write(r.answerLimit, event.GateCallerDisconnected, request, logrus.Fields{})
 }
 
