--- /dev/null
+++ b/internal/gate/drain_close_test.go
@@ -0,0 +1,190 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// hookedConn is a connection that calls a function after each look at its socket.
+type hookedConn struct {
+	*net.TCPConn
+	afterLook func()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *hookedConn) SyscallConn() (syscall.RawConn, error) {
+	raw, err := c.TCPConn.SyscallConn()
+	return hookedRawConn{raw, c.afterLook}, err
+}
+
+type hookedRawConn struct {
+	syscall.RawConn
+	afterLook func()
+}
+
+// Control implements syscall.RawConn.
+func (c hookedRawConn) Control(look func(fd uintptr)) error {
+	err := c.RawConn.Control(look)
+	c.afterLook()
+	return err
+}
+
+// Guards against canceling a request, as if its caller had disconnected, that arrives on an idle
+// connection just as that is closed.
+func TestRequestThatArrivesWhileItsIdleConnectionIsClosedIsServed(t *testing.T) {
+	for name, parts := range map[string][]string{
+		"at once":      {"GET /next HTTP/1.1\r\nHost: h\r\n\r\n"},
+		"in two parts": {"GET /next HTTP/1.1\r\n", "Host: h\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			const served = 100 * time.Millisecond
+			a := newAcceptor(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != "/next" {
+					return
+				}
+				select {
+				case <-r.Context().Done():
+					t.Error("the request is canceled")
+				case <-time.After(served):
+				}
+			}), 10, idleCPU{}, newDrainState())
+			caller, accepted := connectedPair(t)
+			var look sync.Mutex
+			var arrive func()
+			a.callers.slots <- struct{}{}
+			conn := a.callers.add(&hookedConn{accepted, func() {
+				look.Lock()
+				defer look.Unlock()
+				if arrive != nil {
+					arrive()
+					arrive = nil
+				}
+			}})
+			a.current.conns.pass(conn)
+			if _, err := request(caller, "/first"); err != nil {
+				t.Fatal(err)
+			}
+			awaitCount(t, "idle connections", func() int { return a.callers.count(connIdle) })
+			look.Lock()
+			arrive = func() {
+				_, _ = io.WriteString(caller, parts[0]) // a failure shows as a missing answer
+				time.Sleep(20 * time.Millisecond)       // until it is read
+			}
+			look.Unlock()
+			a.callers.closeIdle()
+			for _, part := range parts[1:] {
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(caller, part) // likewise
+			}
+			if _, err := http.ReadResponse(bufio.NewReader(caller), nil); err != nil {
+				t.Errorf("no answer: %v", err)
+			}
+		})
+	}
+}
+
+// connectedPair returns the two ends of a connection.
+func connectedPair(t *testing.T) (caller net.Conn, accepted *net.TCPConn) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	caller, err = net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { caller.Close(); conn.Close() })
+	return caller, conn.(*net.TCPConn)
+}
+
+// Guards against closing connections on which answers are due, by the clock, when the drain ends:
+// on a busy processor an answer takes longer.
+func TestAnswersThatAreDueWhenTheDrainEndsAreDelivered(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		takes time.Duration // the answer, from the end of the drain
+		left  time.Duration // of the drain
+		sent  time.Duration // after the listener was closed
+	}{
+		{"with most of the grace left", 600 * time.Millisecond, 10 * time.Second, drainQuietPeriod + 8*time.Millisecond},
+		{"with the margin of the shutdown left", shutdownMargin / 2, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			a := runAcceptor(t, 10, idleCPU{}, func(w http.ResponseWriter, r *http.Request) {
+				<-r.Context().Done()
+				time.Sleep(test.takes)
+				w.WriteHeader(http.StatusServiceUnavailable)
+			})
+			conn, err := net.Dial("tcp", a.address)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			awaitCount(t, "connections", func() int { return len(a.callers.all()) })
+			answered := make(chan error, 1)
+			ask := func() {
+				_, err := request(conn, "/x")
+				answered <- err
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), test.left)
+			defer cancel()
+			if test.sent == 0 {
+				go ask()
+				awaitCount(t, "requests served", func() int { return a.callers.count(connServing) })
+			}
+			a.stopAccepting()
+			if test.sent != 0 {
+				time.AfterFunc(test.sent, ask)
+			}
+			a.finish(ctx)
+			if err := <-answered; err != nil {
+				t.Errorf("no answer: %v", err)
+			}
+		})
+	}
+}
+
+// Guards against closing a connection on which the next request has arrived, because its long
+// answer has ended after the listener was closed.
+func TestRequestThatFollowsALongAnswerIsAnswered(t *testing.T) {
+	var a *recordedAcceptor
+	a = runAcceptor(t, 10, idleCPU{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/long" {
+			return
+		}
+		w.Header().Set("Content-Length", "1")
+		_, _ = io.WriteString(w, "x")
+		_ = http.NewResponseController(w).Flush()
+		a.stopAccepting()
+		time.Sleep(50 * time.Millisecond) // until the next request has arrived
+	})
+	conn, err := net.Dial("tcp", a.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	response, err := request(conn, "/long")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := request(conn, "/next"); err != nil {
+		t.Errorf("no answer: %v", err)
+	}
+}
