gate: closing an idle connection no longer cancels the request that arrives on it

Callers saw: in a planned stop, a connection that ended without an answer while a backend server ran their request.

Cause: draining closes idle connections with a read deadline in the past. That nothing had arrived was checked first, in a step of its own. If a request began between the two, the deadline ended the read with which net/http watches for a caller that disconnects, the request was cancelled as if its caller had left, and its connection closed. Between two reads of a head the deadline closed the connection too.

Ruled out: a lack of processor time.

Change: check and deadline are one step, and a read that has got bytes takes a deadline of that kind back.

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -115,7 +115,9 @@
 
 	mu       sync.Mutex
 	state    connState
-	extended bool // the read deadline was extended for the next request
+	extended bool      // the read deadline was extended for the next request
+	deadline time.Time // read deadline of the server, zero for none
+	closing  bool      // closeIf has replaced it by one that has passed
 }
 
 // lateReadTime is the time for which a read deadline is extended.
@@ -145,16 +147,29 @@
 		return false
 	}
 	c.extended = true
-	return c.SetReadDeadline(time.Now().Add(lateReadTime)) == nil
+	return c.Conn.SetReadDeadline(time.Now().Add(lateReadTime)) == nil
 }
 
-// markReading records that bytes have been read.
+// markReading records that bytes have been read. If the connection was about to be closed, it
+// stays open: the deadline that was to close it would cancel the request.
 func (c *callerConn) markReading() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state == connNew || c.state == connIdle {
 		c.state = connReading
 	}
+	if c.closing {
+		c.closing = false
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails if it is closed already
+	}
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline, c.closing = deadline, false
+	return c.Conn.SetReadDeadline(deadline)
 }
 
 // Close implements net.Conn.
@@ -183,11 +198,13 @@
 // closeIf lets the server close the connection if it is in one of the states and has no
 // unread bytes: on a busy processor a request may be waiting there. It sets the read
 // deadline, which does not take back bytes that a read has already got, so that no request
-// is read and then dropped. The server may replace the deadline by its own, so the call has
-// to be repeated.
+// is read and then dropped; a request that begins meanwhile gets the server's deadline back.
+// The server may replace the deadline by its own, so the call has to be repeated.
 func (c *callerConn) closeIf(states ...connState) {
-	if c.inState(states...) && !c.unread() {
-		_ = c.SetReadDeadline(pastDeadline) // fails if it is closed already
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slices.Contains(states, c.state) && !c.unread() {
+		c.closing = c.Conn.SetReadDeadline(pastDeadline) == nil
 	}
 }
 
