gate: requests that wait to be accepted are answered before the listener closes

Callers saw: a connection that was opened, took a whole request and was then reset without an answer, however long it had waited.

Cause: the kernel accepts connections on behalf of the process. When load shedding or draining closed the listener, all that waited in its accept queue was reset. It takes callers faster than the router accepts, or all connection slots in use; no lack of processor time then.

Change: the accept loop owns its listener. Before it closes it, it takes all connections that wait: while draining they are served, or get 503 if no slot is free; while shedding load they get 503 from a look at their head alone, with a drawn Retry-After. At most 4,096 are taken, in rounds of 128 between which requests in progress run.

--- a/internal/gate/accept_queue_test.go
+++ b/internal/gate/accept_queue_test.go
@@ -20,8 +20,15 @@
 	"in chunks":   "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
 	"HEAD":        "HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n",
 	"HTTP/1.0":    "GET /x HTTP/1.0\r\nHost: h\r\n\r\n",
+	slowBody:      "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nfirst",
 }
 
+// slowBody is the waiting request whose body ends with slowRest after the listener was closed.
+const (
+	slowBody = "body on its way"
+	slowRest = "again"
+)
+
 // Guards against resetting connections in the accept queue, with whole requests sent on them,
 // when the listener closes.
 func TestWaitingRequestsAreAnsweredWhenTheListenerCloses(t *testing.T) {
@@ -53,6 +60,10 @@
 			awaitCount(t, "connections served", func() int { return max(0, a.callers.count(connServing)-limit+1) })
 			waiting := sendWaiting(t, a.address)
 			end(a, cpu, release)
+			time.Sleep(50 * time.Millisecond) // until the listener is closed
+			if _, err := io.WriteString(waiting[slowBody], slowRest); err != nil {
+				t.Error(err)
+			}
 			for name, conn := range waiting {
 				checkAnswered(t, name, conn)
 			}
@@ -137,3 +148,36 @@
 	t.Fatal(fmt.Errorf("address not free: %w", failure))
 	return nil
 }
+
+// BenchmarkWaitingRequestsAreRefused measures what it costs to refuse a request whose connection
+// waits to be accepted: time, and memory.
+func BenchmarkWaitingRequestsAreRefused(b *testing.B) {
+	const waiting = 500
+	a := newAcceptor(http.NotFoundHandler(), 10, idleCPU{}, newDrainState())
+	refused := 0
+	b.ReportAllocs()
+	for refused < b.N {
+		b.StopTimer()
+		listener, err := a.listen(context.Background(), "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		conns := make([]net.Conn, min(waiting, b.N-refused))
+		for i := range conns {
+			if conns[i], err = net.Dial("tcp", listener.Addr().String()); err != nil {
+				b.Fatal(err)
+			}
+			if _, err := io.WriteString(conns[i], waitingRequests["plain"]); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.StartTimer()
+		refused += a.emptyAcceptQueue(listener)
+		b.StopTimer()
+		listener.Close()
+		for _, conn := range conns {
+			conn.Close()
+		}
+		b.StartTimer()
+	}
+}
--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -4,10 +4,12 @@
 	"context"
 	"io"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"runtime"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -52,10 +54,12 @@
 	cpu     cpuMonitor
 
 	mu       sync.Mutex
-	listener net.Listener
+	listener *callerListener // nil while the router does not listen
 	current  *limitedServer
 	servers  []*limitedServer
 
+	unread *unreadRequests
+
 	drain      *drainState
 	unanswered *unansweredLog // nil for none
 }
@@ -68,7 +72,7 @@
 }
 
 func newAcceptor(handler http.Handler, connections int, cpu cpuMonitor, drain *drainState) *acceptor {
-	a := &acceptor{handler: handler, callers: newCallerConns(connections), cpu: cpu, drain: drain}
+	a := &acceptor{handler: handler, callers: newCallerConns(connections), cpu: cpu, drain: drain, unread: newUnreadRequests()}
 	a.applyLimits(defaultLimits)
 	return a
 }
@@ -135,51 +139,87 @@
 	return nil
 }
 
+// callerListener is the listener for callers.
+type callerListener struct {
+	*net.TCPListener
+	stopOnce sync.Once
+	stopped  chan struct{} // closed when the listener is to be closed
+	closed   chan struct{} // closed when it is, with its accept queue
+}
+
+// stop ends accepting, at once where Accept has been called.
+func (l *callerListener) stop() {
+	l.stopOnce.Do(func() {
+		close(l.stopped)
+		_ = l.SetDeadline(pastDeadline) // fails if it is closed already
+	})
+}
+
 // listen opens the listener and stores it for stopAccepting.
-func (a *acceptor) listen(ctx context.Context, address fleet.Address) (net.Listener, error) {
+func (a *acceptor) listen(ctx context.Context, address fleet.Address) (*callerListener, error) {
 	config := net.ListenConfig{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: callerKeepAlive, Interval: callerKeepAlive, Count: 2}}
-	listener, err := config.Listen(ctx, "tcp", string(address))
+	opened, err := config.Listen(ctx, "tcp", string(address))
 	if err != nil {
 		return nil, err
 	}
+	listener := &callerListener{TCPListener: opened.(*net.TCPListener), stopped: make(chan struct{}), closed: make(chan struct{})}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.listener = listener
 	if a.drain.listenerClosed.Load() {
-		a.closeListener(listener) // stopAccepting came first
+		listener.stop() // stopAccepting came first
 	}
 	return listener, nil
 }
 
-// accept accepts connections until the listener is closed, the context ends or requests in
-// progress are stalled.
-func (a *acceptor) accept(ctx context.Context, listener net.Listener) {
+// accept accepts connections until draining stops it, the context ends or requests in progress
+// are stalled.
+func (a *acceptor) accept(ctx context.Context, listener *callerListener) {
 	stop := context.AfterFunc(ctx, a.stopAccepting)
 	defer stop()
-	for {
-		a.callers.slots <- struct{}{}
+	for a.takeSlot(listener) {
 		if a.cpu.stalled() {
-			<-a.callers.slots
+			a.callers.freeSlot()
 			a.cpu.recordShedding()
 			return
 		}
 		conn, err := listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			<-a.callers.slots
-			return
+		if err == nil {
+			a.serveConn(conn)
+			continue
 		}
-		if err != nil {
-			<-a.callers.slots
+		a.callers.freeSlot()
+		if !errors.Is(err, os.ErrDeadlineExceeded) { // of stopAccepting
 			time.Sleep(acceptRetryInterval)
-			continue
 		}
-		a.mu.Lock()
-		current := a.current
-		a.mu.Unlock()
-		current.conns.pass(a.callers.add(conn))
 	}
 }
 
+// takeSlot waits until another connection may be open, and returns false if the listener is to
+// be closed.
+func (a *acceptor) takeSlot(listener *callerListener) bool {
+	select {
+	case <-listener.stopped:
+		return false
+	default:
+	}
+	select {
+	case <-listener.stopped:
+		return false
+	case a.callers.slots <- struct{}{}:
+		return true
+	}
+}
+
+// serveConn passes a connection, for which a slot has been taken, to the server with the current
+// limits.
+func (a *acceptor) serveConn(conn net.Conn) {
+	a.mu.Lock()
+	current := a.current
+	a.mu.Unlock()
+	current.conns.pass(a.callers.add(conn))
+}
+
 // recoveryPollInterval is the interval at which awaitRecovery checks the processor.
 const recoveryPollInterval = 5 * time.Millisecond
 
@@ -215,31 +255,121 @@
 	return float64(len(slots)) > float64(cap(slots))*keepAliveShare
 }
 
-// stopAccepting closes the listener permanently. Connections that are already open stay.
+// stopAccepting closes the listener permanently, and returns when it is closed. Connections that
+// callers have opened stay, or get a refusal.
 func (a *acceptor) stopAccepting() {
 	a.mu.Lock()
-	defer a.mu.Unlock()
+	listener := a.listener
 	a.drain.listenerClosed.Store(true)
-	if a.listener != nil {
-		a.closeListener(a.listener)
+	a.mu.Unlock()
+	if listener != nil {
+		listener.stop()
+		<-listener.closed
 	}
 }
 
-// closeListener closes the listener, unless it is closed already.
-func (a *acceptor) closeListener(listener net.Listener) {
+// closeListener closes the listener. Callers may have sent requests on connections that wait to be
+// accepted, and the kernel would reset these.
+func (a *acceptor) closeListener(listener *callerListener) {
+	refused := a.emptyAcceptQueue(listener)
 	waiting := acceptQueueLength(listener)
-	if err := listener.Close(); err == nil {
-		a.unanswered.listenerClosed(a.drain.draining(), waiting)
+	_ = listener.Close() // nothing can be done about a failure
+	a.unanswered.listenerClosed(a.drain.draining(), refused, waiting)
+	a.mu.Lock()
+	a.listener = nil
+	a.mu.Unlock()
+	close(listener.closed)
+}
+
+const (
+	// maxEmptied bounds the connections that are taken from the accept queue when the listener
+	// closes, as new ones may come as fast as they are taken. It is the usual maximum length of
+	// the queue.
+	maxEmptied = 4096
+	// emptiedAtOnce is how many of them are taken before requests in progress get the processor.
+	emptiedAtOnce = 128
+)
+
+// emptyAcceptQueue accepts the connections that wait in the accept queue. It returns how many
+// requests were refused.
+func (a *acceptor) emptyAcceptQueue(listener *callerListener) int {
+	_ = listener.SetDeadline(time.Time{}) // fails if it is closed already
+	refused := 0
+	for taken := 1; taken <= maxEmptied && readable(listener); taken++ {
+		conn, err := listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) { // stopAccepting came meanwhile
+			_ = listener.SetDeadline(time.Time{}) // fails if it is closed already
+			continue
+		}
+		if err != nil {
+			break
+		}
+		if a.settle(conn) {
+			refused++
+		}
+		if taken%emptiedAtOnce == 0 {
+			runtime.Gosched()
+		}
 	}
+	return refused
 }
 
-// acceptQueueLength returns how many connections wait to be accepted, -1 if unknown.
-func acceptQueueLength(listener net.Listener) int {
-	conn, ok := listener.(syscall.Conn)
-	if !ok {
-		return -1
+// settle serves a connection that was opened before the listener closes, or refuses the request
+// on it. It reports whether it did the latter. While the router drains, a request may still be
+// served; else the processor lacks time for more than a refusal.
+func (a *acceptor) settle(conn net.Conn) bool {
+	if !a.drain.listenerClosed.Load() && a.unread.refuse(conn, overloadRefusal()) {
+		return true
+	}
+	select {
+	case a.callers.slots <- struct{}{}:
+		a.serveConn(conn)
+		return false
+	default:
 	}
-	raw, err := conn.SyscallConn()
+	refusal := overloadRefusal()
+	if a.drain.listenerClosed.Load() {
+		refusal = drainRefusal()
+	}
+	if a.unread.refuse(conn, refusal) {
+		return true
+	}
+	a.unanswered.add(causeAcceptQueue, 1)
+	_ = conn.Close() // no complete head has arrived
+	return false
+}
+
+const (
+	// minOverloadRetryAfter and maxOverloadRetryAfter bound the Retry-After of requests that are
+	// refused unread. Another router can serve them, so the time only keeps the callers that were
+	// refused together from coming back together.
+	minOverloadRetryAfter = 50 * time.Millisecond
+	maxOverloadRetryAfter = 250 * time.Millisecond
+)
+
+// overloadRefusal returns the answer to a request that is refused unread for lack of processor
+// time.
+func overloadRefusal() Refusal {
+	retry := minOverloadRetryAfter + rand.N(maxOverloadRetryAfter-minOverloadRetryAfter)
+	return Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry}
+}
+
+// readable reports whether a connection waits to be accepted.
+func readable(listener *callerListener) bool {
+	raw, err := listener.SyscallConn()
+	if err != nil {
+		return false
+	}
+	ready := 0
+	err = raw.Control(func(fd uintptr) {
+		ready, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return err == nil && ready > 0
+}
+
+// acceptQueueLength returns how many connections wait to be accepted, -1 if unknown.
+func acceptQueueLength(listener *callerListener) int {
+	raw, err := listener.SyscallConn()
 	if err != nil {
 		return -1
 	}
--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -31,6 +31,9 @@
 	return &callerConns{slots: make(chan struct{}, limit), open: make(map[*callerConn]bool)}
 }
 
+// freeSlot frees a slot that was taken for a connection.
+func (c *callerConns) freeSlot() { <-c.slots }
+
 // add adds a connection for which a slot has been taken. The connection frees the slot when
 // it is closed.
 func (c *callerConns) add(conn net.Conn) *callerConn {
@@ -47,7 +50,7 @@
 	defer c.mu.Unlock()
 	if c.open[conn] {
 		delete(c.open, conn)
-		<-c.slots
+		c.freeSlot()
 	}
 }
 
@@ -220,20 +223,8 @@
 // peek returns how many bytes, at most one, can be read now. It returns 0 when the caller
 // has closed the connection, and an error when there is nothing to read.
 func (c *callerConn) peek() (int, error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	n, peekErr := 0, error(nil)
-	// Control rather than Read, as the server's own read holds the lock of Read.
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		n, _, peekErr = unix.Recvfrom(int(fd), one[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	if err != nil {
-		return 0, err
-	}
-	return n, peekErr
+	var one [1]byte
+	return receive(c, one[:], unix.MSG_PEEK)
 }
 
 // setState follows the state that net/http reports.
@@ -300,11 +291,14 @@
 	})
 }
 
+// errNoSyscallConn is returned for a connection that is no socket.
+var errNoSyscallConn = errors.New("connection does not implement syscall.Conn")
+
 // SyscallConn implements syscall.Conn.
 func (c *callerConn) SyscallConn() (syscall.RawConn, error) {
 	conn, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return nil, errors.New("connection does not implement syscall.Conn")
+		return nil, errNoSyscallConn
 	}
 	return conn.SyscallConn()
 }
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -77,6 +77,7 @@
 	admission.plain.observeWait = h.metrics.plainWait
 	acceptor := newAcceptor(h, options.Connections, h.lag, drain)
 	acceptor.record(newUnansweredLog(options.Logger, options.Registerer))
+	acceptor.unread.refused = h.recordUnreadRefusal
 	h.closeAfterAnswer = acceptor.closeAfterAnswer
 	return &Manager{options: options, handler: h, acceptor: acceptor, connectionStats: connectionStats}
 }
--- a/internal/gate/unanswered.go
+++ b/internal/gate/unanswered.go
@@ -16,7 +16,7 @@
 type unansweredCause string
 
 const (
-	causeAcceptQueue unansweredCause = "accept_queue" // dropped by the kernel with the listener
+	causeAcceptQueue unansweredCause = "accept_queue" // not accepted when the listener closed
 	causeUnread      unansweredCause = "unread"       // closed with bytes that were not read
 	causeCanceled    unansweredCause = "canceled"     // canceled while its caller was connected
 	causeDrainEnd    unansweredCause = "drain_end"    // a request was in progress when the drain ended
@@ -51,18 +51,22 @@
 	return u
 }
 
+// add counts connections of the cause.
 func (u *unansweredLog) add(cause unansweredCause, count int) {
+	if u == nil {
+		return
+	}
 	u.total.WithLabelValues(string(cause)).Add(float64(count))
 }
 
-// listenerClosed records that the listener was closed, and how many connections were waiting in
-// its accept queue; -1 if unknown.
-func (u *unansweredLog) listenerClosed(draining bool, waiting int) {
+// listenerClosed records that the listener was closed, how many requests on connections in its
+// accept queue were refused, and how many connections were left there; -1 if unknown.
+func (u *unansweredLog) listenerClosed(draining bool, refused, waiting int) {
 	if u == nil {
 		return
 	}
 	u.add(causeAcceptQueue, max(waiting, 0))
-	event.GateListenerClosed.Log(u.logger, logrus.Fields{"draining": draining, "waiting": waiting})
+	event.GateListenerClosed.Log(u.logger, logrus.Fields{"draining": draining, "refused": refused, "waiting": waiting})
 }
 
 // closedUnread records that a connection is closed with unread bytes.
