gate: answers that are due when the drain ends are delivered

Callers saw: at the end of a planned stop, a connection that ended in place of the final answer (502, or 503 if the request had not run).

Cause: when the drain ended, connections on which a request was being answered were closed after 150 ms by the clock, also if the drain ended early with seconds of the grace left. On a busy processor answers take longer.

Change: the router waits until all connections are closed, until 250 ms after the end of the time to drain. 150 ms of the shutdown margin are left.

--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -392,8 +392,9 @@
 	// early. A request may be on its way on a connection that was accepted just before the
 	// listener closed.
 	drainQuietPeriod = 50 * time.Millisecond
-	// finalAnswerTimeout is how long cancelled requests have for their final answers.
-	finalAnswerTimeout = 150 * time.Millisecond
+	// finalAnswerTimeout is how long cancelled requests have for their final answers once the
+	// time to drain is over. The rest of shutdownMargin is for the end of the process.
+	finalAnswerTimeout = shutdownMargin - 150*time.Millisecond
 )
 
 // finish waits until no request is in progress or the context ends, cancels the remaining
@@ -403,13 +404,18 @@
 // its connection.
 func (a *acceptor) finish(ctx context.Context) int {
 	remaining := a.awaitIdle(ctx)
+	a.end(ctx)
+	return remaining
+}
+
+// end cancels the requests in progress, and closes all connections when these are answered.
+func (a *acceptor) end(ctx context.Context) {
 	a.drain.end()
-	a.closeConnections()
+	a.closeConnections(ctx)
 	a.unanswered.drainEnded(a.callers.count(connReading), a.callers.count(connServing))
 	for _, server := range a.httpServers() {
 		_ = server.Close() // only connections of stalled callers are left
 	}
-	return remaining
 }
 
 // httpServers returns the servers of all limits since the start.
@@ -440,11 +446,16 @@
 }
 
 // closeConnections closes each connection once no request is being read or served on it. It
-// returns when all are closed, or after finalAnswerTimeout.
-func (a *acceptor) closeConnections() {
-	for deadline := boottime.Now().Add(finalAnswerTimeout); boottime.Now() < deadline; time.Sleep(drainPollInterval) {
-		if a.callers.closeWaiting() == 0 {
+// returns when all are closed, or finalAnswerTimeout after the end of the context.
+func (a *acceptor) closeConnections(ctx context.Context) {
+	ended := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() { time.AfterFunc(finalAnswerTimeout, func() { close(ended) }) })
+	defer stop()
+	for a.callers.closeWaiting() > 0 {
+		select {
+		case <-ended:
 			return
+		case <-time.After(drainPollInterval):
 		}
 	}
 }
