gate: a connection that becomes idle while draining is not closed unread

Callers saw: the request that they sent after a long answer was reset, if that answer had begun before a planned stop and ended after the listener had been closed.

Cause: such a connection was closed when its answer ended, without a look at what had arrived on it. The caller has the answer's end some time before the server gets there.

Change: it stays open like others until the next round of awaitIdle, 10 ms later at most, which closes connections on which nothing has arrived.

--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -101,7 +101,7 @@
 			ErrorLog:    log.New(io.Discard, "", 0),
 			BaseContext: func(net.Listener) context.Context { return a.drain.requests },
 			ConnContext: withCallerConn,
-			ConnState:   a.connStateChanged,
+			ConnState:   connStateChanged,
 			// OPTIONS * is handled like any other request.
 			DisableGeneralOptionsHandler: true,
 		},
@@ -460,16 +460,13 @@
 	}
 }
 
-// connStateChanged is the servers' ConnState hook. A connection that becomes idle after the
-// listener was closed is closed too: its last answer may have been sent before, without a
-// Connection: close header.
-func (a *acceptor) connStateChanged(conn net.Conn, state http.ConnState) {
+// connStateChanged is the servers' ConnState hook. It closes no connections that become idle while
+// the router drains: the next request may have arrived. awaitIdle closes those on which nothing
+// has.
+func connStateChanged(conn net.Conn, state http.ConnState) {
 	if caller, ok := conn.(*callerConn); ok {
 		caller.setState(state)
 	}
-	if state == http.StateIdle && a.drain.listenerClosed.Load() {
-		_ = conn.Close() // its caller may have closed it
-	}
 }
 
 // chanListener is a net.Listener whose connections are passed to it.
