daemon: a log whose reader goes away no longer ends the process

Callers saw, in a trial with a real process: all requests in progress end without an answer when the process that reads the log of a gate ends or restarts.

Cause: a write to a broken pipe on standard output raises SIGPIPE, and the Go runtime ends the process on it (status 141), as for a command in a shell pipeline. Found by looking for ways in which a process ends by itself; that it is what the users saw is not shown, they kept no logs.

Change: all daemons ignore SIGPIPE. Records that can't be written are lost, as before.

--- a/internal/daemon/main.go
+++ b/internal/daemon/main.go
@@ -41,6 +41,8 @@
 func RunUntilSignal(name string, service Service, logger logrus.FieldLogger) int {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	// A write to a log whose reader has gone away would end the process.
+	signal.Ignore(syscall.SIGPIPE)
 	event.Started.Log(logger, logrus.Fields{"program": name, "version": Version()})
 	err := Run(context.Background(), service, signals, logger)
 	if err != nil && !errors.Is(err, ErrInterrupted) {
