gate: what is read of a request that is refused unread is bounded

A caller that sends its body as fast as it is dropped could have kept the accept loop, or a lingering connection, at work; seen by reading the change.

--- a/internal/gate/unread.go
+++ b/internal/gate/unread.go
@@ -26,6 +26,11 @@
 	lingerTime = 500 * time.Millisecond
 	// maxLingering bounds the connections that linger at the same time.
 	maxLingering = 128
+	// maxDiscardedReads bounds the reads, of maxUnreadHead bytes each, with which the body of a
+	// refused request is dropped at once. A caller may send as fast as it is read.
+	maxDiscardedReads = 16
+	// maxLingerBytes bounds what is read of a body while its connection lingers.
+	maxLingerBytes = 1 << 20
 )
 
 // unreadRequests refuses requests that wait unread on connections about to be closed. It looks
@@ -89,7 +94,11 @@
 // discardArrived reads and drops what has arrived of a request of the given size, -1 if unknown.
 // It reports whether that was all of it.
 func discardArrived(conn net.Conn, buffer []byte, size int64) bool {
-	for left := size; left != 0; {
+	left := size
+	for range maxDiscardedReads {
+		if left == 0 {
+			return true
+		}
 		part := buffer
 		if left > 0 && left < int64(len(part)) {
 			part = part[:left]
@@ -102,7 +111,7 @@
 			left -= int64(n)
 		}
 	}
-	return true
+	return left == 0
 }
 
 // receive receives bytes that have arrived, without waiting. It returns an error if there are
@@ -156,7 +165,7 @@
 			_ = half.CloseWrite() // fails if the caller has closed it
 		}
 		_ = conn.SetReadDeadline(time.Now().Add(lingerTime)) // likewise
-		_, _ = io.Copy(io.Discard, conn)
+		_, _ = io.Copy(io.Discard, io.LimitReader(conn, maxLingerBytes))
 	}()
 }
 
