gate: the end of the process keeps its time after the final answers

The margin is 0.5 s now, of which answers have 0.3 s. The last sixth of the grace, which callers don't rely on, is 1.3 s with a grace of 8 s.

--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -421,7 +421,7 @@
 	drainQuietPeriod = 50 * time.Millisecond
 	// finalAnswerTimeout is how long cancelled requests have for their final answers once the
 	// time to drain is over. The rest of shutdownMargin is for the end of the process.
-	finalAnswerTimeout = shutdownMargin - 150*time.Millisecond
+	finalAnswerTimeout = shutdownMargin - 200*time.Millisecond
 )
 
 // finish waits until no request is in progress or the context ends, cancels the remaining
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -316,7 +316,7 @@
 	// noticePollInterval is the interval at which draining checks whether it has noticed.
 	noticePollInterval = 20 * time.Millisecond
 	// shutdownMargin is the time reserved for shutting down before the process is killed.
-	shutdownMargin = 400 * time.Millisecond
+	shutdownMargin = 500 * time.Millisecond
 	// lastGraceShare is the last part of the grace, in which requests in progress may be
 	// cut. Callers rely on the rest.
 	lastGraceShare = 1.0 / 6
