gate: SIGHUP no longer ends a gate that has just begun to accept callers

Callers saw: all requests in progress at a gate end without an answer when it was told to read its settings again just after its start.

Cause: until the reloader has installed its handler, SIGHUP ends the process, and the listener for callers may be open by then: both start at the same time.

Change: the gate ignores SIGHUP from the first line of its own code on, until the reloader handles it; that reads the file soon after its start.

--- a/cmd/bluebell-gate/main.go
+++ b/cmd/bluebell-gate/main.go
@@ -4,7 +4,9 @@
 
 import (
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -31,6 +33,9 @@
 
 // run runs the program and returns its exit status.
 func run() int {
+	// Until the reloader handles SIGHUP, it would end the process. The reloader reads the file
+	// soon after it has started anyway.
+	signal.Ignore(syscall.SIGHUP)
 	config := new(gate.Config)
 	parsed := daemon.ParseFlags(name, os.Args[1:], config, os.Stdout, os.Stderr)
 	if parsed.Exit {
