gate: an answer that is ready late is delivered

Callers saw: a connection that ended without an answer after a stall of the router, while they still waited.

Cause: the time to write an answer, up to 2 s after the request's time limit, is set when the request is accepted. If it passed before the answer was ready, the first write failed, and the router took its caller for one that had disconnected.

Change: each write has 2 s at least. A caller that does not read is given up as before, after the same time without progress.

Ruled out on the way: that the deadline for a body cancels its request after the body was read (net/http lifts it).

--- a/internal/gate/callerconn.go
+++ b/internal/gate/callerconn.go
@@ -129,11 +129,16 @@
 	state    connState
 	extended bool      // the read deadline was extended for the next request
 	deadline time.Time // read deadline of the server, zero for none
+	writeEnd time.Time // write deadline of the server, zero for none
 	closing  bool      // closeIf has replaced it by one that has passed
 }
 
-// lateReadTime is the time for which a read deadline is extended.
-const lateReadTime = 500 * time.Millisecond
+const (
+	// lateReadTime is the time for which a read deadline is extended.
+	lateReadTime = 500 * time.Millisecond
+	// lateWriteTime is the least time that a write has, whatever its deadline.
+	lateWriteTime = writeSlack
+)
 
 // Read implements net.Conn. If its deadline has passed while bytes of a request were
 // waiting, it reads them: a read that returns after the process was stalled reports the
@@ -184,6 +189,31 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.writeEnd = deadline
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// Write implements net.Conn. The deadline bounds the time for which a caller does not read. If it
+// passes before the answer is ready, as in a stall of the process, the answer is still written.
+func (c *callerConn) Write(b []byte) (int, error) {
+	c.extendWriteDeadline()
+	return c.Conn.Write(b)
+}
+
+// extendWriteDeadline extends the write deadline, if there is one, to lateWriteTime from now.
+func (c *callerConn) extendWriteDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	extended := time.Now().Add(lateWriteTime)
+	if !c.writeEnd.IsZero() && c.writeEnd.Before(extended) {
+		_ = c.Conn.SetWriteDeadline(extended) // the write fails if the connection is closed
+	}
+}
+
 // Close implements net.Conn. A request that has arrived after the server decided to close the
 // connection is refused.
 func (c *callerConn) Close() error {
