gate: requests refused unread for lack of processor time count as requested

Cause: requests that are refused before the listener closes for load shedding bypassed the counts of what each account requests. An account whose callers come to one overloaded router then counts as requesting little, and the others use its share; ServeHTTP counts such refusals for that reason.

That this is the cause is not shown yet.

Change: the refusal identifies the request and counts it as ServeHTTP does.

Measured: TestRequestsRefusedInOverloadCountAsRequested has the case, which failed 3 of 3 before, and passes 10 of 10.

--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -127,14 +127,26 @@
 	view := knownView(boottime.Now())
 	h.state.SetConfiguration(view.Index.Configuration, boottime.Now())
 	h.state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
-	h.lag.setAcceptedShare(-1) // refuses everything
-	answer := httptest.NewRecorder()
-	h.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/a/x", nil))
-	if !strings.Contains(answer.Body.String(), string(ReasonOverloaded)) {
-		t.Fatalf("answer %s, want a refusal", answer.Body)
-	}
-	if got := manager.Usages()["kitchen"].Requested; got < 99 {
-		t.Errorf("the account requested %v tokens, want nearly 100", got)
+	for name, refuse := range map[string]func(t *testing.T){
+		"read": func(t *testing.T) {
+			h.lag.setAcceptedShare(-1) // refuses everything
+			answer := httptest.NewRecorder()
+			h.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/a/x", nil))
+			if !strings.Contains(answer.Body.String(), string(ReasonOverloaded)) {
+				t.Fatalf("answer %s, want a refusal", answer.Body)
+			}
+		},
+		"unread": func(*testing.T) {
+			h.recordUnreadRefusal(httptest.NewRequest(http.MethodGet, "http://h/a/x", nil), overloadRefusal())
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			before := manager.Usages()["kitchen"].Requested
+			refuse(t)
+			if got := manager.Usages()["kitchen"].Requested - before; got < 99 {
+				t.Errorf("the account requested %v tokens, want nearly 100", got)
+			}
+		})
 	}
 }
 
--- a/internal/gate/unread.go
+++ b/internal/gate/unread.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -169,14 +170,22 @@
 	}()
 }
 
-// recordUnreadRefusal records a request that was refused unread.
+// recordUnreadRefusal records a request that was refused unread. For lack of processor time it
+// counts as requested by its account, as in ServeHTTP.
 func (h *handler) recordUnreadRefusal(r *http.Request, refusal Refusal) {
 	h.metrics.refused(refusal)
 	request, err := h.dialect.Decode(r)
 	if err != nil {
-		request = nil
+		h.requestLog.refused(nil, refusal)
+		return
+	}
+	request.Received = boottime.Now()
+	denied := identify(request, h.state.View(), h.settings.get().Freshness, rand.Float64())
+	if denied != nil || refusal.Reason != ReasonOverloaded {
+		h.admission.recordUnrelatedRefusal(request)
 	} else {
-		request.Received = boottime.Now()
+		h.admission.recordRequest(request)
+		h.requestLog.counts.addRequested(request)
 	}
 	h.requestLog.refused(request, refusal)
 }
