gate: a stalled router refuses only the requests that wait already

Cause: while requests in progress were stalled, the router refused the connections in its accept queue until that was empty, and in a flood new ones came as fast: up to 4,096 at a time, a second or more of a third of a processor, which is what closing the listener is to prevent.

Change: while requests in progress are stalled, only those are taken that wait when the listener is to be closed, 1,024 at most. What comes meanwhile has not waited for long. Draining is as before.

--- a/internal/gate/accept_queue.go
+++ b/internal/gate/accept_queue.go
@@ -26,20 +26,37 @@
 }
 
 const (
-	// maxEmptied bounds the connections that are taken from the accept queue when the listener
-	// closes, as new ones may come as fast as they are taken. It is the usual maximum length of
+	// maxEmptied bounds the connections that are taken from the accept queue when the router
+	// drains, as new ones may come as fast as they are taken. It is the usual maximum length of
 	// the queue.
 	maxEmptied = 4096
+	// maxEmptiedStalled bounds them while requests in progress are stalled: these wait meanwhile.
+	maxEmptiedStalled = 1024
 	// emptiedAtOnce is how many of them are taken before requests in progress get the processor.
 	emptiedAtOnce = 128
 )
 
-// emptyAcceptQueue accepts the connections that wait in the accept queue. It returns how many
-// requests were refused.
+// maxTaken returns how many connections to take from the accept queue. While requests in progress
+// are stalled, only those that wait already are taken: in a flood new ones come as fast, and have
+// not waited for long when the listener closes.
+func (a *acceptor) maxTaken(listener *callerListener) int {
+	if a.drain.listenerClosed.Load() {
+		return maxEmptied
+	}
+	waiting := acceptQueueLength(listener)
+	if waiting < 0 {
+		return maxEmptiedStalled
+	}
+	return min(waiting, maxEmptiedStalled)
+}
+
+// emptyAcceptQueue accepts the connections that wait in the accept queue, the oldest first. It
+// returns how many requests were refused.
 func (a *acceptor) emptyAcceptQueue(listener *callerListener) int {
+	most := a.maxTaken(listener)
 	_ = listener.SetDeadline(time.Time{}) // fails if it is closed already
 	refused := 0
-	for taken := 1; taken <= maxEmptied && readable(listener); taken++ {
+	for taken := 1; taken <= most && readable(listener); taken++ {
 		conn, err := listener.Accept()
 		if errors.Is(err, os.ErrDeadlineExceeded) { // stopAccepting came meanwhile
 			_ = listener.SetDeadline(time.Time{}) // fails if it is closed already
@@ -51,7 +68,7 @@
 		if a.settle(conn) {
 			refused++
 		}
-		if taken%emptiedAtOnce == 0 {
+		if most == maxEmptied && taken%emptiedAtOnce == 0 {
 			runtime.Gosched()
 		}
 	}
--- a/internal/gate/accept_queue_test.go
+++ b/internal/gate/accept_queue_test.go
@@ -183,3 +183,24 @@
 		b.StartTimer()
 	}
 }
+
+// Guards against a router that goes on to refuse a flood of new connections while requests in
+// progress are stalled, instead of closing its listener.
+func TestFloodDoesNotKeepAStalledRouterFromClosing(t *testing.T) {
+	const waiting = 20
+	a := newAcceptor(http.NotFoundHandler(), 10, idleCPU{}, newDrainState())
+	listener, err := a.listen(t.Context(), "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrive := func() { dial(t, listener.Addr().String()) }
+	a.unread.refused = func(*http.Request, Refusal) { arrive() }
+	for range waiting {
+		arrive()
+	}
+	time.Sleep(20 * time.Millisecond) // until their requests have arrived
+	if refused := a.emptyAcceptQueue(listener); refused != waiting {
+		t.Errorf("%d requests are refused, want the %d that waited", refused, waiting)
+	}
+	listener.Close()
+}
