--- a/review/rig2/client.go
+++ b/review/rig2/client.go
@@ -18,8 +18,6 @@
 	path   string
 	header [][2]string
 	body   string
-	chunks bool          // send the body in chunks
-	slow   time.Duration // for how long the request is sent, 0 for at once
 }
 
 // encode returns the request as it is sent.
@@ -29,33 +27,23 @@
 	for _, field := range a.header {
 		fmt.Fprintf(&out, "%s: %s\r\n", field[0], field[1])
 	}
-	switch {
-	case a.chunks:
-		fmt.Fprintf(&out, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(a.body), a.body)
-	case a.body != "" || a.method == http.MethodPost:
-		fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", len(a.body), a.body)
-	default:
-		out.WriteString("\r\n")
-	}
+	fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n%s", len(a.body), a.body)
 	return out.Bytes()
 }
 
 // result is what the client got.
 type result struct {
-	status    int
-	header    http.Header
-	body      string
-	answered  bool // any byte of an answer has come
-	complete  bool
-	last      bool // the connection can't be used again
-	connected bool
-	err       error
+	status   int
+	header   http.Header
+	body     string
+	answered bool // any byte of an answer has come
+	complete bool
+	last     bool // the connection can't be used again
+	err      error
 }
 
 func (r *result) String() string {
 	switch {
-	case !r.connected:
-		return fmt.Sprintf("no connection (%v)", r.err)
 	case !r.answered:
 		return fmt.Sprintf("closed without an answer (%v)", r.err)
 	case !r.complete:
@@ -79,33 +67,12 @@
 	return &connection{Conn: conn, reader: bufio.NewReader(conn)}, nil
 }
 
-// slowParts is in how many parts a request is sent slowly.
-const slowParts = 50
-
-// write sends the data, spread over the time.
-func (c *connection) write(data []byte, over time.Duration) error {
-	if over == 0 {
-		_, err := c.Write(data)
-		return err
-	}
-	size := len(data)/slowParts + 1
-	for len(data) > 0 {
-		part := data[:min(size, len(data))]
-		if _, err := c.Write(part); err != nil {
-			return err
-		}
-		data = data[len(part):]
-		time.Sleep(over / slowParts)
-	}
-	return nil
-}
-
 // send sends the request and reads the answer, for as long as the client waits.
 func (c *connection) send(a *attempt, limit time.Duration) *result {
 	c.sent++
-	got := &result{connected: true, last: true}
+	got := &result{last: true}
 	_ = c.SetDeadline(time.Now().Add(limit)) // fails if it is closed; then the write fails too
-	if got.err = c.write(a.encode(), a.slow); got.err != nil {
+	if _, got.err = c.Write(a.encode()); got.err != nil {
 		return got
 	}
 	if _, got.err = c.reader.Peek(1); got.err != nil {
--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -28,14 +28,12 @@
 	play play
 	site site
 }{
-	"endless-head":   {playEndlessHead, skammtur},
-	"chunked-bodies": {playChunkedBodies, skammtur},
-	"length-bodies":  {playLengthBodies, skammtur},
-	"drill":          {playDrill, skammtur},
-	"upgrade":        {playUpgrade, skammtur},
+	"endless-head": {playEndlessHead, skammtur},
+	"drill":        {playDrill, skammtur},
+	"upgrade":      {playUpgrade, skammtur},
 }
 
-// skammtur holds the figures of the site skammtur-lm, with fewer gates.
+// skammtur holds the figures of the gates of the site skammtur-lm.
 var skammtur = site{gates: 5, memoryMB: 284, fds: 4100, graceS: 8, extra: 58}
 
 func main() { os.Exit(run()) }
