--- a/review/rig2/main.go
+++ b/review/rig2/main.go
@@ -30,6 +30,7 @@
 }{
 	"endless-head": {playEndlessHead, skammtur},
 	"drill":        {playDrill, skammtur},
+	"stray":        {playStray, skammtur},
 	"upgrade":      {playUpgrade, skammtur},
 }
 
