backendconn: bound the head of a backend server's answer

Cause: http.ReadResponse reads status line and header lines of any length and number into memory; nothing but the request's deadline ended that. Interim answers (1xx) were counted, up to 16, but not measured. The tests show it below the process: an endless status line, field name, value, folded value, many fields, interim answer each held its request for the 2 s of its context, all read. Ruled out as the cause of the memory: bodies and events (bounded at 1 MiB each already) and the logs.

Change: heads, the interim answers before them included, are bounded at 64 KiB and 512 lines (a parsed line costs some hundred bytes however short) by a limiter below the buffered reader. It checks before each read, when all that was read so far is known to belong to the head, so that neither body nor an earlier answer counts. Beyond the bound the connection is reset. The request may have run: an unsafe one gets 502, one that may be repeated goes on elsewhere within its attempts. The server counts as failing, not as crashed: without that part the request was refused for a minute as one that crashes servers (TestAnswerWithoutEndIsNoCrash failed so).

TestLongHeadIsAccepted holds heads at the bounds.

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -32,7 +32,8 @@
 // conn is one connection to a backend server.
 type conn struct {
 	net.Conn
-	reader *bufio.Reader
+	limiter *headLimiter
+	reader  *bufio.Reader // reads from limiter
 	// usableUntil is the time after which the peer may close the idle connection.
 	usableUntil boottime.Instant
 	// idleSince is when the last answer ended. statedTimeout is the idle timeout in its
@@ -44,6 +45,11 @@
 	aborted atomic.Bool
 }
 
+func newConn(connection net.Conn) *conn {
+	limiter := &headLimiter{reader: connection}
+	return &conn{Conn: connection, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+}
+
 func newDialer() *net.Dialer {
 	return &net.Dialer{
 		Timeout: dialTimeout,
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -227,13 +227,15 @@
 
 // readFinalHead reads the head of the next answer that is not an interim one.
 func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
+	c.limiter.begin()
+	defer c.limiter.end()
 	for range maxInterimAnswers {
 		response, err := http.ReadResponse(c.reader, sent)
 		if err != nil || response.StatusCode >= http.StatusOK {
 			return response, err
 		}
 	}
-	return nil, errors.New("too many interim answers")
+	return nil, errors.Wrap(ErrAnswerTooLarge, "interim answers")
 }
 
 // Read reads the body. It returns io.EOF only at the end of a complete body.
--- /dev/null
+++ b/internal/backendconn/limits.go
@@ -0,0 +1,55 @@
+package backendconn
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/pkg/errors"
+)
+
+const (
+	// maxHeadBytes bounds what precedes the body of an answer: interim answers, status line and
+	// header. A header echoes parts of the request's, which configurations usually bound to
+	// 16 KiB.
+	maxHeadBytes = 64 << 10
+	// maxHeadLines bounds the lines in it. A parsed line takes some hundred bytes of memory,
+	// however short it is.
+	maxHeadLines = 512
+)
+
+// ErrAnswerTooLarge says that a backend server sent more than an answer may have. The server
+// may have run the request, and it did not close the connection.
+var ErrAnswerTooLarge = errors.New("the backend server sent more than an answer may have")
+
+// headLimiter is a reader that fails with ErrAnswerTooLarge when the head of an answer exceeds
+// its bounds. It limits nothing outside of heads.
+type headLimiter struct {
+	reader    io.Reader
+	inHead    bool
+	bytesLeft int
+	linesLeft int
+}
+
+// begin starts the head of an answer.
+func (l *headLimiter) begin() {
+	l.inHead, l.bytesLeft, l.linesLeft = true, maxHeadBytes, maxHeadLines
+}
+
+// end ends the head. What has been read ahead belongs to the body.
+func (l *headLimiter) end() { l.inHead = false }
+
+// Read implements io.Reader. A buffered reader reads on within a head only if all that it has
+// read so far belongs to that head, so the bounds are checked before each read. A head may thus
+// exceed them by one buffer.
+func (l *headLimiter) Read(p []byte) (int, error) {
+	if !l.inHead {
+		return l.reader.Read(p)
+	}
+	if l.bytesLeft <= 0 || l.linesLeft <= 0 {
+		return 0, ErrAnswerTooLarge
+	}
+	n, err := l.reader.Read(p)
+	l.bytesLeft -= n
+	l.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
+	return n, err
+}
--- /dev/null
+++ b/internal/backendconn/limits_test.go
@@ -0,0 +1,94 @@
+package backendconn
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// endless writes the beginning and then the part until the connection is closed. It pauses
+// between, so that a reader without a bound does not fill the memory of the test.
+func endless(conn net.Conn, beginning, part string) {
+	_, err := io.WriteString(conn, beginning)
+	for err == nil {
+		_, err = io.WriteString(conn, part)
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// wantTooLarge checks that the request ends with ErrAnswerTooLarge while its caller still waits.
+func wantTooLarge(t *testing.T, handle func(conn net.Conn, reader *bufio.Reader)) {
+	t.Helper()
+	server := serve(t, handle)
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	pool := NewPool()
+	answer, err := pool.Do(ctx, server.address, newRequest("1"))
+	if err == nil {
+		answer.Close()
+	}
+	if !errors.Is(err, ErrAnswerTooLarge) || ctx.Err() != nil || ProgressOf(err) != ProgressSent {
+		t.Errorf("%v, progress %v, context %v; want ErrAnswerTooLarge at once", err, ProgressOf(err), ctx.Err())
+	}
+	if open := pool.Open(server.address); open != 0 {
+		t.Errorf("%d connections are kept", open)
+	}
+}
+
+// Guards against a head without end, which takes the process over its memory.
+func TestHeadWithoutEndIsGivenUp(t *testing.T) {
+	long := strings.Repeat("x", 16<<10)
+	for name, c := range map[string]struct{ beginning, part string }{
+		"status line":       {"HTTP/1.1 200 ", long},
+		"no line at all":    {"", long},
+		"field name":        {"HTTP/1.1 200 OK\r\n", long},
+		"field value":       {"HTTP/1.1 200 OK\r\nX-Fill: ", long},
+		"folded value":      {"HTTP/1.1 200 OK\r\nX-Fill: x\r\n", strings.Repeat(" x\r\n", 512)},
+		"many fields":       {"HTTP/1.1 200 OK\r\n", strings.Repeat("X-Fill: x\r\n", 512)},
+		"many short fields": {"HTTP/1.1 200 OK\n", strings.Repeat("a:\nb:\n", 256)},
+		"interim answer":    {"HTTP/1.1 103 Early Hints\r\nX-Fill: ", long},
+		"interim answers":   {"", "HTTP/1.1 103 Early Hints\r\nX-Fill: " + long + "\r\n\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantTooLarge(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				endless(conn, c.beginning, c.part)
+			})
+		})
+	}
+}
+
+// Guards against a bound that counts the body, or an earlier answer on the connection, towards
+// the head.
+func TestLongHeadIsAccepted(t *testing.T) {
+	body := strings.Repeat("\n", 4*maxHeadLines)
+	var lines strings.Builder
+	for i := range maxHeadLines - 4 {
+		fmt.Fprintf(&lines, "X-Line-%d: x\r\n", i)
+	}
+	for name, header := range map[string]string{
+		"bytes": "X-Fill: " + strings.Repeat("x", maxHeadBytes-100) + "\r\n",
+		"lines": lines.String(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				for request := readRequest(reader); request != nil; request = readRequest(reader) {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", request.Header.Get("Id"), header, len(body), body)
+				}
+			})
+			pool := NewPool()
+			for _, id := range []string{"1", "2"} {
+				if got, err := exchange(t, pool, server.address, newRequest(id)); err != nil || got != body {
+					t.Errorf("%d bytes, %v; want the whole answer", len(got), err)
+				}
+			}
+		})
+	}
+}
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -1,7 +1,6 @@
 package backendconn
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -167,7 +166,7 @@
 		return nil, errors.WithStack(err)
 	}
 	p.opened(previous.opening(boottime.Now()))
-	return &conn{Conn: connection, reader: bufio.NewReaderSize(connection, readBufferSize)}, nil
+	return newConn(connection), nil
 }
 
 // takeIdle removes the connection that became idle last and returns it, nil if there is none.
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -353,6 +353,11 @@
 	}
 	r.sends++
 	r.mayHaveRun = true
+	if errors.Is(err, backendconn.ErrAnswerTooLarge) {
+		// This router has closed the connection, so the server did not crash.
+		h.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
+		return outcomeBroken
+	}
 	r.recordReset(ctx, placed, sent)
 	return outcomeBroken
 }
