gate: an event that is given up as too long is no crash of its server

Callers whose stream met an event of more than 1 MiB at two servers were refused for a minute, at all routers, as if their request crashed servers (503 "breaks-backends" in place of 502).

Cause: the router resets the connection of such a stream itself, but counted that as the server's reset, which is judged a crash if the server shows no sign of life. Found by reading after the same was seen of heads (TestAnswerWithoutEndIsNoCrash).

Change: it counts as a failed answer of the server. The test's case /resumable/x failed before (503) and passes (502).

--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -368,8 +368,8 @@
 		return r.callerDisconnected()
 	}
 	r.logSendFailure(ctx, placed, err)
-	if answer.EndMarked() {
-		// The server itself has ended it, so it did not crash.
+	if answer.EndMarked() || errors.Is(err, errEventTooLong) {
+		// The server itself has ended it, or this router has, so the server did not crash.
 		r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
 		return outcomeBroken
 	}
