backendconn: bound the answers to earlier requests that are skipped

A caller whose request met a late answer without end, at the point where its own was expected, waited out its deadline, and the router read and threw away whatever came meanwhile.

Cause: the body of an answer with another id is discarded to its end; nothing but the deadline of the new request ended that. No memory is taken, but processor time and the caller's time.

Change: 1 MiB is skipped for each such answer; beyond that the connection is reset and the request counts as sent: 502 if it must not run twice.

TestStrayAnswerWithoutEndIsGivenUp failed before in its three framings (the 2 s of the context used up). TestChunkFramingWithoutEndIsAnError holds with and without the change: chunk sizes, extensions and trailers are bounded by the library's parser.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -215,7 +215,7 @@
 		if request.MatchesRequest(response.Header) {
 			return response, nil
 		}
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		if err := skipBody(response.Body); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -225,6 +225,15 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
+// skipBody reads the body of an answer to an earlier request to its end.
+func skipBody(body io.Reader) error {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes))
+	if err == nil && skipped == maxStrayBytes {
+		return errors.Wrap(ErrAnswerTooLarge, "an answer to another request")
+	}
+	return err
+}
+
 // readFinalHead reads the head of the next answer that is not an interim one.
 func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
 	c.limiter.begin()
--- a/internal/backendconn/limits.go
+++ b/internal/backendconn/limits.go
@@ -15,6 +15,9 @@
 	// maxHeadLines bounds the lines in it. A parsed line takes some hundred bytes of memory,
 	// however short it is.
 	maxHeadLines = 512
+	// maxStrayBytes bounds the body of an answer to an earlier request that is skipped. A caller
+	// waits meanwhile.
+	maxStrayBytes = 1 << 20
 )
 
 // ErrAnswerTooLarge says that a backend server sent more than an answer may have. The server
--- a/internal/backendconn/limits_test.go
+++ b/internal/backendconn/limits_test.go
@@ -65,6 +65,49 @@
 	}
 }
 
+// Guards against a caller that waits out its deadline while an answer to another request, which
+// has no end, is skipped.
+func TestStrayAnswerWithoutEndIsGivenUp(t *testing.T) {
+	part := strings.Repeat("x", 64<<10)
+	for name, c := range map[string]struct{ beginning, part string }{
+		"ends with its connection": {"HTTP/1.1 200 OK\r\nId: 0\r\n\r\n", part},
+		"length":                   {"HTTP/1.1 200 OK\r\nId: 0\r\nContent-Length: 9000000000\r\n\r\n", part},
+		"chunks":                   {"HTTP/1.1 200 OK\r\nId: 0\r\nTransfer-Encoding: chunked\r\n\r\n", fmt.Sprintf("%x\r\n%s\r\n", len(part), part)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wantTooLarge(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				endless(conn, c.beginning, c.part)
+			})
+		})
+	}
+}
+
+// Guards against the parts of a chunked body that are no data, without end, which take the
+// process over its memory or hold the caller until its deadline.
+func TestChunkFramingWithoutEndIsAnError(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	long := strings.Repeat("x", 16<<10)
+	for name, c := range map[string]struct{ beginning, part string }{
+		"chunk size":       {head, strings.Repeat("0", 16<<10)},
+		"chunk extension":  {head + "4;a=", long},
+		"chunk extensions": {head, "1;a=" + strings.Repeat("x", 3000) + "\r\nx\r\n"},
+		"trailer":          {head + "0\r\nX-Fill: ", long},
+		"trailers":         {head + "0\r\n", "X-Fill: x\r\n"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				endless(conn, c.beginning, c.part)
+			})
+			began := time.Now()
+			if body, err := exchange(t, NewPool(), server.address, newRequest("1")); err == nil || time.Since(began) > 2*time.Second {
+				t.Errorf("%d bytes, %v after %v; want an error at once", len(body), err, time.Since(began))
+			}
+		})
+	}
+}
+
 // Guards against a bound that counts the body, or an earlier answer on the connection, towards
 // the head.
 func TestLongHeadIsAccepted(t *testing.T) {
