gate: bound the memory of all held answers together

A gate whose backend servers send many large answers at once exceeds its memory and is killed, which breaks off every stream in progress there.

Cause: each answer and each event of a stream is held up to 1 MiB until it is complete, but nothing counted their sum; request bodies were counted, answers not.

Change: beyond 16 KiB each, answers and events share 0.15 of the memory, reserved as their buffers grow. An answer for which there is none is forwarded as it comes, like one beyond 1 MiB: it is still delivered, but no longer repeated elsewhere if it breaks off. The buffer of an answer grows with what has come, no longer to its stated length.

Ruled out as a remedy: a lower bound for each answer, as the sum would still grow with the connections.

--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -117,6 +117,9 @@
 	// bodyMemoryShare is the fraction of the memory that request bodies may fill. The rest
 	// is for connections, answers and the runtime.
 	bodyMemoryShare = 0.25
+	// answerMemoryShare is the fraction of the memory that answers may fill which are held until
+	// they are complete. The runtime frees what a growing buffer leaves behind some time later.
+	answerMemoryShare = 0.15
 	// descriptorShare is the fraction of the descriptors, without the reserved ones, that
 	// callers' connections may use. The rest is for connections to backend servers.
 	descriptorShare = 0.55
@@ -177,6 +180,8 @@
 		Engines:    EngineSettings{Pace: c.Engines.Pace, OwnZoneFirst: c.Engines.OwnZoneFirst},
 		Plain:      PlainSettings{Admission: c.Plain.Admission},
 		BodyMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * bodyMemoryShare),
+
+		AnswerMemory: int64(float64(c.VM.MemoryMB*bytesPerMB) * answerMemoryShare),
 	}
 }
 
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -57,7 +57,7 @@
 	backend := knowledge.Backend{ID: "i", Service: "s", Address: fleet.Address(server.Listener.Addr().String()), Slots: 8}
 	state.SetBackends([]knowledge.Backend{backend}, knowledge.Position{Revision: 1}, boottime.Now())
 	g.Manager = NewManager(Options{
-		Settings:    Settings{Freshness: Freshness{KeyMaxAge: time.Minute, DenialMaxAge: time.Minute}, Admission: policy.Defaults(), BodyMemory: 1 << 20},
+		Settings:    Settings{Freshness: Freshness{KeyMaxAge: time.Minute, DenialMaxAge: time.Minute}, Admission: policy.Defaults(), BodyMemory: 1 << 20, AnswerMemory: 8 << 20},
 		Callers:     fleet.Address(g.address),
 		Connections: 100,
 		Grace:       testGrace,
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -32,6 +32,9 @@
 	// BodyMemory bounds the total size of the request bodies held at the same time, in
 	// bytes.
 	BodyMemory int64
+	// AnswerMemory bounds the total size of the answers, and events of streams, that are held
+	// until they are complete, in bytes.
+	AnswerMemory int64
 }
 
 // EngineSettings control how differences between backend servers are taken into account.
@@ -71,6 +74,7 @@
 	metrics           *metrics
 	startedAt         boottime.Instant
 	bodyBytes         atomic.Int64 // total size of the request bodies held
+	answerMemory      answerMemory
 	drain             *drainState
 	closeAfterAnswer  func() bool // whether connections are to be closed after their next answers
 	isolated          atomic.Bool // whether the store answers other routers but not this one
@@ -204,6 +208,8 @@
 	return counted, nil
 }
 
+func (h *handler) answerMemoryLimit() int64 { return h.settings.get().AnswerMemory }
+
 // serve sends an identified request to a backend server.
 func (h *handler) serve(ctx context.Context, w http.ResponseWriter, request *Request) {
 	if refusal := h.refuseSegments(request); refusal != nil {
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -38,7 +38,7 @@
 	return NewManager(Options{
 		Settings: Settings{
 			Freshness: Freshness{KeyMaxAge: 4 * time.Second, DenialMaxAge: 2 * time.Second},
-			Admission: policy.Defaults(), Plain: plain, BodyMemory: 1 << 20,
+			Admission: policy.Defaults(), Plain: plain, BodyMemory: 1 << 20, AnswerMemory: 8 << 20,
 		},
 		Dialect: plainDialect{}, State: state, Peers: noPeers{}, Logger: logger,
 		Readiness: daemon.NewReadiness(), Registerer: prometheus.NewRegistry(),
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -36,6 +36,22 @@
 	soundRecorded   bool             // whether the answer has been recorded as sound
 	eventsSince     boottime.Instant // when the current backend server sent its first whole event, 0 before that
 	savedFailure    *bufferedAnswer  // a backend server's failure, kept while another server is tried
+	holds           []*answerHold    // memory of the answers, until the request has ended
+}
+
+// newAnswerHold returns the hold of the memory for an answer. It is released when the request
+// has ended.
+func (r *relay) newAnswerHold() *answerHold {
+	hold := &answerHold{memory: &r.handler.answerMemory, limit: r.handler.answerMemoryLimit}
+	r.holds = append(r.holds, hold)
+	return hold
+}
+
+// releaseHolds releases the memory of all answers.
+func (r *relay) releaseHolds() {
+	for _, hold := range r.holds {
+		hold.release()
+	}
 }
 
 // sendOutcome is the result of one attempt to send a request.
@@ -53,6 +69,7 @@
 // either answers, counts a send towards the route's limit, or counts a failed connection
 // towards maxConnectFailures.
 func (r *relay) loop(ctx context.Context) {
+	defer r.releaseHolds()
 	for {
 		if r.sends == 0 && r.connectFailures == 0 && !r.handler.drain.accepts(r.request, boottime.Now()) {
 			r.finish(ctx, drainRefusal())
@@ -368,6 +385,9 @@
 		return r.callerDisconnected()
 	}
 	r.logSendFailure(ctx, placed, err)
+	if errors.Is(err, errAnswerMemory) {
+		return outcomeBroken // tells nothing about the server
+	}
 	if answer.EndMarked() || errors.Is(err, errEventTooLong) {
 		// The server itself has ended it, or this router has, so the server did not crash.
 		r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -32,7 +32,7 @@
 
 // relayBuffered reads an answer to its end and forwards it.
 func (r *relay) relayBuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
-	body, rest, err := r.readBuffered(answer)
+	body, err := r.readBuffered(answer)
 	if err != nil {
 		answer.MarkBroken()
 		return r.answerFailed(ctx, placed, answer, sent, err)
@@ -52,10 +52,10 @@
 		r.handler.requestLog.badAnswer(r.request, placed.backend, answer.Status)
 		return outcomeBroken
 	}
-	if body.Len() == maxBufferedAnswer {
-		return r.relayUnbuffered(ctx, placed, answer, reply, body, rest)
+	if !body.complete {
+		return r.relayUnbuffered(ctx, placed, answer, reply, body)
 	}
-	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.Bytes()}
+	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.data}
 	if answer.Status >= http.StatusInternalServerError {
 		// Another backend server may succeed; if not, this is the answer.
 		r.handler.requestLog.failed(r.request, placed.backend, answer.Status)
@@ -66,19 +66,54 @@
 	return outcomeDone
 }
 
-// readBuffered reads up to maxBufferedAnswer bytes of the answer's body. It returns them and a
-// reader of the rest, or an error if the body is not whole.
-func (r *relay) readBuffered(answer *backendconn.Answer) (*bytes.Buffer, io.Reader, error) {
-	reader := bodyReader(answer)
-	body := new(bytes.Buffer)
-	if answer.Length > 0 && answer.Length <= maxBufferedAnswer {
-		body.Grow(int(answer.Length) + bytes.MinRead)
+// bufferedBody is the body of an answer as far as it is held.
+type bufferedBody struct {
+	data     []byte
+	complete bool
+	rest     io.Reader // what follows data
+}
+
+// readBuffered reads the answer's body while there is memory for it, up to maxBufferedAnswer
+// bytes. It returns an error if the body is not whole.
+func (r *relay) readBuffered(answer *backendconn.Answer) (*bufferedBody, error) {
+	hold := r.newAnswerHold()
+	body := &bufferedBody{data: make([]byte, 0, firstBufferSize(answer)), rest: bodyReader(answer)}
+	for {
+		if len(body.data) == cap(body.data) && !body.grow(hold) {
+			return body, nil
+		}
+		n, err := body.rest.Read(body.data[len(body.data):cap(body.data)])
+		body.data = body.data[:len(body.data)+n]
+		if err == io.EOF && len(body.data) == 0 && isSuccessfulStream(answer) && r.mayLackEvents(answer) {
+			err = errNoEvents
+		}
+		if err == io.EOF {
+			body.complete = true
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
 	}
-	_, err := io.Copy(body, io.LimitReader(reader, maxBufferedAnswer))
-	if err == nil && body.Len() == 0 && isSuccessfulStream(answer) && r.mayLackEvents(answer) {
-		err = errNoEvents
+}
+
+// firstBufferSize returns the size of the first buffer for an answer's body. One that states a
+// great length may never come.
+func firstBufferSize(answer *backendconn.Answer) int {
+	return int(min(max(answer.Length, 0)+bytes.MinRead, uncountedAnswerBytes))
+}
+
+// grow enlarges the buffer. It returns false if there is no memory for it, or if it has
+// maxBufferedAnswer bytes.
+func (b *bufferedBody) grow(hold *answerHold) bool {
+	size := min(2*cap(b.data), maxBufferedAnswer)
+	if size == cap(b.data) || !hold.grow(size) {
+		return false
 	}
-	return body, reader, err
+	larger := make([]byte, len(b.data), size)
+	copy(larger, b.data)
+	b.data = larger
+	return true
 }
 
 // bodyReader returns a reader of the answer's body that returns an error in place of io.EOF if
@@ -143,9 +178,9 @@
 	r.handler.metrics.answered(status)
 }
 
-// relayUnbuffered forwards an answer that is too long to be buffered: first what has been
-// read, then the rest of the body.
-func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, read *bytes.Buffer, body io.Reader) sendOutcome {
+// relayUnbuffered forwards an answer that is too long to be buffered, or for which there is no
+// memory: first what has been read, then the rest of the body.
+func (r *relay) relayUnbuffered(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, body *bufferedBody) sendOutcome {
 	status := callerStatus(answer.Status)
 	header := r.writer.Header()
 	maps.Copy(header, r.callerHeader(answer, reply))
@@ -155,9 +190,9 @@
 	}
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
-	_, err := read.WriteTo(r.writer)
+	_, err := r.writer.Write(body.data)
 	if err == nil {
-		_, err = io.Copy(r.writer, body)
+		_, err = io.Copy(r.writer, body.rest)
 	}
 	if err != nil {
 		answer.MarkBroken()
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -36,6 +36,9 @@
 // errEventTooLong ends a stream with an event larger than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream is too long")
 
+// errAnswerMemory ends a stream with a large event for which there is no memory.
+var errAnswerMemory = errors.New("there is no memory left to hold the event of the stream")
+
 // errNoEvents ends a stream that must have more events than it has.
 var errNoEvents = errors.New("the stream ended before its first event")
 
@@ -49,7 +52,7 @@
 		return outcomeBroken
 	}
 	buffer := make([]byte, streamBufferBytes)
-	events := &eventForwarder{relay: r, placed: placed, answer: answer}
+	events := &eventForwarder{relay: r, placed: placed, answer: answer, hold: r.newAnswerHold()}
 	timing := newStreamTiming(r.request)
 	for {
 		n, err := answer.Read(buffer)
@@ -90,6 +93,7 @@
 	answer  *backendconn.Answer
 	scanner eventstream.Scanner
 	rest    []byte // of an event in progress
+	hold    *answerHold
 }
 
 // forward writes the events that the next bytes of the stream complete, and keeps the rest.
@@ -138,6 +142,9 @@
 	if err == nil && len(f.rest) > maxEventBytes {
 		return errEventTooLong
 	}
+	if err == nil && !f.hold.grow(cap(f.rest)) {
+		return errAnswerMemory
+	}
 	if err != io.EOF {
 		return err
 	}
