peering: bound the replies and requests of calls between routers

A router that calls another one, or is called on its peering port, read whatever came: in the 0.6 s of a call 0.47 to 1.04 GB of a reply without end went into memory (on this machine's loopback), and a request's body without end was read for as long as it came.

Cause: the generated client and server read bodies whole, and nothing bounded them but the call's time; headers of replies had the library's 10 MB.

Change: a reply has 8 MiB and a header of 16 KiB at most, a request 64 KiB, 16 KiB of header and 5 s. The largest reply is a configuration (an object of a megabyte at most) and the list, some 250 bytes a backend server. One call for fleet state is in progress at a time, so the sum is the bound. Metrics and readiness, which share the server's frame, have the bounds of requests too; idle connections there end after two minutes. bluebellctl has the same bounds for routers' replies.

--- a/internal/ctl/routers.go
+++ b/internal/ctl/routers.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/peering"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/platform"
 )
@@ -35,7 +36,7 @@
 
 // routerTransport is the transport of all calls to routers. A reply that breaks off must not
 // pass for that of a router without requests.
-var routerTransport = fleet.RequireFraming(http.DefaultTransport)
+var routerTransport = peering.BoundedTransport(http.DefaultTransport.(*http.Transport).Clone())
 
 // routerAt returns the operators' interface of a router.
 func routerAt(address fleet.Address) peeringpb.Operation {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -11,8 +11,16 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
-// headerTimeout is the maximum time to read a request's header.
-const headerTimeout = time.Second
+const (
+	// headerTimeout and requestTimeout are the maximum times to read a request's header and all
+	// of it.
+	headerTimeout  = time.Second
+	requestTimeout = 5 * time.Second
+	// idleTimeout is how long a connection is kept without a request.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds the header of a request.
+	maxHeaderBytes = 16 << 10
+)
 
 // Serve serves short requests at the address until the context ends. It then
 // closes all connections without waiting for requests in progress, since their
@@ -22,7 +30,13 @@
 	if err != nil {
 		return fleet.Wrap(err, step, address)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       requestTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fleet/framing.go
+++ b/internal/fleet/framing.go
@@ -30,3 +30,24 @@
 	}
 	return response, nil
 }
+
+// LimitReplies returns a transport that fails the read of a response's body beyond maxBytes, so
+// that a body without end does not fill the memory.
+func LimitReplies(next http.RoundTripper, maxBytes int64) http.RoundTripper {
+	return limitedTransport{next: next, maxBytes: maxBytes}
+}
+
+type limitedTransport struct {
+	next     http.RoundTripper
+	maxBytes int64
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t limitedTransport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, t.maxBytes)
+	return response, nil
+}
--- a/internal/peering/network.go
+++ b/internal/peering/network.go
@@ -14,6 +14,16 @@
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
 
+const (
+	// maxCallHeaderBytes bounds the header of a reply. Routers send a few short fields.
+	maxCallHeaderBytes = 16 << 10
+	// maxReplyBytes bounds a reply. The largest has a configuration, which is an object of the
+	// store of a megabyte at most, and a list of some 250 bytes for each backend server.
+	maxReplyBytes = 8 << 20
+	// maxRequestBytes bounds the body of a request. The largest has an operator's reason.
+	maxRequestBytes = 64 << 10
+)
+
 // Network carries messages between routers.
 type Network interface {
 	// Serve passes incoming messages and calls to the receiver until the context ends.
@@ -55,13 +65,20 @@
 		socket:  socket,
 		client: &http.Client{
 			Timeout: pullTimeout,
-			Transport: fleet.RequireFraming(&http.Transport{
+			Transport: BoundedTransport(&http.Transport{
 				DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true,
 			}),
 		},
 	}, nil
 }
 
+// BoundedTransport returns a transport for calls to routers: their replies must be framed, and
+// are bounded in size. It changes the given one.
+func BoundedTransport(transport *http.Transport) http.RoundTripper {
+	transport.MaxResponseHeaderBytes = maxCallHeaderBytes
+	return fleet.LimitReplies(fleet.RequireFraming(transport), maxReplyBytes)
+}
+
 // Serve implements Network.
 func (s *sockets) Serve(ctx context.Context, router Receiver) error {
 	stop := context.AfterFunc(ctx, func() { _ = s.socket.Close() }) // unblocks receive
@@ -71,7 +88,7 @@
 	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(router.Operation))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.receive(ctx, router.Heartbeat) })
-	group.Go(func() error { return daemon.Serve(ctx, s.address, fleet.StepSpread, mux) })
+	group.Go(func() error { return daemon.Serve(ctx, s.address, fleet.StepSpread, http.MaxBytesHandler(mux, maxRequestBytes)) })
 	return group.Wait()
 }
 
