--- a/internal/peering/network.go
+++ b/internal/peering/network.go
@@ -88,7 +88,9 @@
 	mux.Handle(peeringpb.OperationPathPrefix, peeringpb.NewOperationServer(router.Operation))
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return s.receive(ctx, router.Heartbeat) })
-	group.Go(func() error { return daemon.Serve(ctx, s.address, fleet.StepSpread, http.MaxBytesHandler(mux, maxRequestBytes)) })
+	group.Go(func() error {
+		return daemon.Serve(ctx, s.address, fleet.StepSpread, http.MaxBytesHandler(mux, maxRequestBytes))
+	})
 	return group.Wait()
 }
 
