backendconn: errors quote little of what a backend server sent

Cause: the library's parser puts the malformed line into its error.

Change: the text of such an error is cut at 256 bytes, its cause is kept.

--- a/internal/backendconn/errors.go
+++ b/internal/backendconn/errors.go
@@ -1,6 +1,8 @@
 package backendconn
 
 import (
+	"strings"
+
 	"github.com/pkg/errors"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -44,3 +46,21 @@
 	}
 	return ProgressSent
 }
+
+// maxQuotedBytes bounds the text of an error that quotes what a backend server sent.
+const maxQuotedBytes = 256
+
+// quotingError is an error whose text may quote what a backend server sent, at any length.
+type quotingError struct{ cause error }
+
+// Error implements error. A long text is cut.
+func (e quotingError) Error() string {
+	text := e.cause.Error()
+	if len(text) <= maxQuotedBytes {
+		return text
+	}
+	return strings.ToValidUTF8(text[:maxQuotedBytes], "") + "..."
+}
+
+// Unwrap returns the cause.
+func (e quotingError) Unwrap() error { return e.cause }
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -240,8 +240,11 @@
 	defer c.limiter.end()
 	for range maxInterimAnswers {
 		response, err := http.ReadResponse(c.reader, sent)
-		if err != nil || response.StatusCode >= http.StatusOK {
-			return response, err
+		if err != nil {
+			return nil, quotingError{err}
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
 		}
 	}
 	return nil, errors.Wrap(ErrAnswerTooLarge, "interim answers")
--- a/internal/backendconn/limits_test.go
+++ b/internal/backendconn/limits_test.go
@@ -65,6 +65,30 @@
 	}
 }
 
+// Guards against log records as long as what a server sends in place of a head.
+func TestErrorsQuoteLittleOfAHead(t *testing.T) {
+	long := strings.Repeat("\x01\xff", maxHeadBytes/4)
+	for name, text := range map[string]string{
+		"no answer":   long + "\r\n\r\n",
+		"status":      "HTTP/1.1 " + long + "\r\n\r\n",
+		"version":     "HTTP/" + long + " 200 OK\r\n\r\n",
+		"field":       "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: " + strings.Repeat("9", maxHeadBytes/2) + "\r\n\r\n",
+		"transfer":    "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + strings.Repeat("x", maxHeadBytes/2) + "\r\n\r\n",
+		"two lengths": "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: " + strings.Repeat("9", maxHeadBytes/2) + "\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				io.WriteString(conn, text)
+			})
+			if _, err := exchange(t, NewPool(), server.address, newRequest("1")); err == nil || len(err.Error()) > 512 {
+				t.Errorf("an error of %d bytes, want 512 at most", len(fmt.Sprint(err)))
+			}
+		})
+	}
+}
+
 // Guards against a caller that waits out its deadline while an answer to another request, which
 // has no end, is skipped.
 func TestStrayAnswerWithoutEndIsGivenUp(t *testing.T) {
