gate: the body of a refusal is not awaited for long

A caller whose request a backend server refused without running it waited for the rest of the refusal's body, which is not even forwarded: with a server that sends the head and no body, until its deadline (503 "too-late" after 5.0 s in the test), although another server was idle.

Cause: up to 16 KiB of such a body are read so that the connection can be reused; the bytes were bounded, the time was not.

Change: 50 ms; then the connection is closed and the request goes on.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -264,6 +264,15 @@
 	return n, err
 }
 
+// Discard reads the rest of the body, if that has no more than maxBytes and comes within
+// maxTime. Otherwise Close closes the connection.
+func (a *Answer) Discard(maxBytes int64, maxTime time.Duration) {
+	// Deadlines can't be set on a closed connection only, which fails the read as well.
+	_ = a.conn.SetReadDeadline(time.Now().Add(maxTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBytes))
+	_ = a.conn.SetReadDeadline(time.Time{})
+}
+
 // EndMarked reports whether the body was read to an end that its framing marks.
 func (a *Answer) EndMarked() bool { return a.complete && a.Framing != FramingClose }
 
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -7,6 +7,7 @@
 	"maps"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -22,6 +23,10 @@
 // reused.
 const maxDiscardedBytes = 16 << 10
 
+// maxDiscardTime is how long that may take, as the caller waits meanwhile. The body of a refusal
+// arrives with its head.
+const maxDiscardTime = 50 * time.Millisecond
+
 // bufferedAnswer is an answer that has been read to its end.
 type bufferedAnswer struct {
 	placed *placement
@@ -208,6 +213,5 @@
 
 // discardRest reads an answer that is not forwarded, so that its connection can be reused.
 func (r *relay) discardRest(answer *backendconn.Answer) {
-	// A failure only costs the connection.
-	_, _ = io.Copy(io.Discard, io.LimitReader(answer, maxDiscardedBytes))
+	answer.Discard(maxDiscardedBytes, maxDiscardTime)
 }
