peering: a history of software versions does not reach further back with each router

Streams that callers took up after all routers had started again could go on at another version than the one that began them, with status 200: joined from two versions.

Cause: a router that has just started asks the others for the versions that they remember. It took what a history covers to count from its own clock as the other router had last echoed it, which is up to seconds before the history was sent, so its own record began that much too early. It then told this to the others, they took it the same way, and so on with each heartbeat: routers that know nothing of the time before their start talked each other into knowing it. The more routers, the more hops a second and the older the echoes.

Evidence: the record's begin in the test moves back while heartbeats carry the history, and by nothing else; ruled out by reading: records of origins (gone with the routers, asked for and not found), new_fleet (false at a restart), echoes of earlier processes (dropped).

Change: it counts from when the heartbeat arrived. That is later than it was sent, so a record begins too late by the delay at worst, and what is handed on never reaches further back than what was seen.

--- a/internal/peering/software_history.go
+++ b/internal/peering/software_history.go
@@ -49,6 +49,8 @@
 
 // applySoftwareHistory adds the versions that another router remembers. echo is a time before
 // it sent them, 0 if none is known: then it may have sent them before this router started.
+// What the history covers counts from now, which is later than it was sent: counted from an
+// earlier time it would reach too far back, and further with each router that hands it on.
 func applySoftwareHistory(state *knowledge.State, heartbeat *peeringpb.Beat, echo, now boottime.Instant) {
 	history := heartbeat.SoftwareHistory
 	if history == nil || len(history.Service) != len(history.Software) || len(history.AgeMs) != len(history.Software) {
@@ -64,7 +66,7 @@
 	}
 	since, completeAfter := now, boottime.Instant(0)
 	if age := time.Duration(heartbeat.ListAge); echo != 0 && age >= 0 && age <= maxHistoryListAge {
-		since = echo.Add(-time.Duration(history.CoversMs) * time.Millisecond)
+		since = now.Add(-time.Duration(history.CoversMs) * time.Millisecond)
 		completeAfter = echo.Add(-age)
 	}
 	state.AddFormerVersions(former, since, completeAfter)
