fleettest: streams that callers take up stay at their version

A property test plays 1 to 16 routers in 1 to 4 zones that start again all at once, in part or in turn, while versions replace each other, in part or whole, also by former ones, the store rejects some or all and routers are cut off. Four callers begin streams and take them up at any router within their deadline of 15 s, by the decision that the gate uses (FindOrigin, a function of its own now, without change of behaviour).

--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -109,7 +109,7 @@
 }
 
 // streamTakenUp counts a stream that a caller takes up.
-func (m *metrics) streamTakenUp(origin originKnown) { m.takenUp.WithLabelValues(string(origin)).Inc() }
+func (m *metrics) streamTakenUp(origin OriginKnown) { m.takenUp.WithLabelValues(string(origin)).Inc() }
 
 // The values of the labels of streams that are continued.
 const (
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -58,14 +58,15 @@
 	return min(max(r.Remaining(now), r.Deadline-now.Sub(r.Received), 0)+takeUpTime, streamorigin.MaxTime)
 }
 
-// originKnown says how it is known at which software a stream began. Its values are those of
+// OriginKnown says how it is known at which software a stream began. Its values are those of
 // the metric's label.
-type originKnown string
+type OriginKnown string
 
+// How an origin is known.
 const (
-	originRecorded originKnown = "recorded" // a router has the record
-	originOnly     originKnown = "only"     // no other software could have begun it
-	originUnknown  originKnown = "unknown"
+	OriginRecorded OriginKnown = "recorded" // a router has the record
+	OriginOnly     OriginKnown = "only"     // no other software could have begun it
+	OriginUnknown  OriginKnown = "unknown"
 )
 
 // resolveOrigin directs a request whose caller takes up a stream to the software that began
@@ -74,7 +75,7 @@
 	if !request.takenUp() {
 		return nil
 	}
-	software, known := h.findOrigin(ctx, request)
+	software, known := FindOrigin(ctx, h.streams, h.state, request)
 	h.metrics.streamTakenUp(known)
 	if software == 0 {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream, RetryAfter: h.admission.retryAfter(request)}
@@ -90,19 +91,20 @@
 	return nil
 }
 
-// findOrigin returns the software at which a stream goes on that the caller takes up, 0 if
-// that is unknown.
-func (h *handler) findOrigin(ctx context.Context, request *Request) (knowledge.SoftwareID, originKnown) {
+// FindOrigin returns the software at which a stream goes on that the request's caller takes up,
+// 0 if that is unknown. It asks other routers, by streams, and waits for them for some hundred
+// milliseconds at most.
+func FindOrigin(ctx context.Context, streams StreamOrigins, state *knowledge.State, request *Request) (knowledge.SoftwareID, OriginKnown) {
 	if request.Resumes != "" {
-		if origin, known := h.streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
-			return origin.Software, originRecorded
+		if origin, known := streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
+			return origin.Software, OriginRecorded
 		}
 	}
 	window := max(request.Route.Timeout, request.Deadline) + takeUpTime
-	if software := h.state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now()); software != 0 {
-		return software, originOnly
+	if software := state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now()); software != 0 {
+		return software, OriginOnly
 	}
-	return 0, originUnknown
+	return 0, OriginUnknown
 }
 
 // recordOrigin records the software of the backend server that is about to begin the request's
