knowledge: a late first list of a new fleet has no history

A router of a new fleet that gets its first list late, as it was frozen or cut off from its start on, took the version listed then for the only one there ever was, and told the others so: a stream whose record is lost could go on at another version than its own.

Cause: the setting new_fleet stood for a complete history however late the first list came.

Change: it does so for 10 s; after that the history begins with the list, as at a restart, and is taken from the others.

TestLateFirstListOfANewFleetHasNoHistory failed before.

--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -37,7 +37,8 @@
 	// versioned holds the services of which a backend server states its version.
 	versioned map[fleet.Service]bool
 	versions  versionLog
-	newFleet  bool // the whole fleet started with this process
+	// newFleetAt is when the whole fleet started with this process, 0 if it did not.
+	newFleetAt boottime.Instant
 	// outageAge is the age of the current list beyond which the store counts as having been
 	// unreachable. The next list is then the first after an outage and may be incomplete.
 	outageAge time.Duration
--- a/internal/knowledge/versions.go
+++ b/internal/knowledge/versions.go
@@ -100,7 +100,8 @@
 // versions may have been listed unnoticed.
 func (v *View) noteVersionGap(confirmedAt, now boottime.Instant) {
 	first := v.ListConfirmedAt == 0
-	if first && !v.newFleet || !first && confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge {
+	newFleet := v.newFleetAt != 0 && now.Sub(v.newFleetAt) <= newFleetTime
+	if first && !newFleet || !first && confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge {
 		v.versions.since = now
 	}
 }
@@ -202,11 +203,15 @@
 	return lo.SomeBy(lo.Keys(v.ByService), func(service fleet.Service) bool { return v.HasSoftware(service, id) })
 }
 
-// SetNewFleet states that the whole fleet starts for the first time: no backend server has
-// served anyone. It must be called before the first list is applied.
+// newFleetTime is how long after the start of a new fleet no version can have come and gone. A
+// router that gets its first list later may have missed some.
+const newFleetTime = 10 * time.Second
+
+// SetNewFleet states that the whole fleet starts now and for the first time: no backend server
+// has served anyone. It must be called before the first list is applied.
 func (s *State) SetNewFleet() {
 	s.update(func(view *View) bool {
-		view.newFleet = true
+		view.newFleetAt = boottime.Now()
 		return false
 	})
 }
--- a/internal/knowledge/versions_test.go
+++ b/internal/knowledge/versions_test.go
@@ -83,6 +83,23 @@
 	}
 }
 
+// Guards against a router of a new fleet that gets its first list late, when versions may have
+// come and gone, and takes the one listed for the only one there ever was.
+func TestLateFirstListOfANewFleetHasNoHistory(t *testing.T) {
+	for age, known := range map[time.Duration]bool{newFleetTime - time.Second: true, newFleetTime + time.Second: false} {
+		state := NewState()
+		state.SetNewFleet()
+		state.update(func(view *View) bool {
+			view.newFleetAt = view.newFleetAt.Add(-age)
+			return false
+		})
+		listVersions(state, 1, "v2")
+		if got := only(state, 0); (got != 0) != known {
+			t.Errorf("%x with the first list %v after the start", got, age)
+		}
+	}
+}
+
 // Guards against a list received after a long gap that hides versions which came and went.
 func TestGapInTheListEndsTheHistory(t *testing.T) {
 	state := NewState()
