gate: only a list from after the caller came shows that there is one version

A stream that its caller took up within a second or two of a release could go on at the older version, joined, at a router that did not yet have the newer one in its list and could not reach the routers with the record.

Cause: where no record is found, the stream goes on if all listed backend servers had one version; the list could be 3 s old. A version that the router has not seen may have begun the stream.

Change: such a stream waits until the list is known to have been complete at a time after its caller came, for 1.5 s at most, and is decided then: what began the stream was listed before. Where the list shows two versions already, or is older than 3 s, it is refused at once as before.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -32,6 +32,9 @@
 	// maxOriginListAge is the age of the list of backend servers up to which a router may
 	// conclude that there is one software version only.
 	maxOriginListAge = 3 * time.Second
+	// maxListWait bounds the wait for a current list. Callers give up on a stream after two
+	// seconds without an event.
+	maxListWait = 1500 * time.Millisecond
 )
 
 // ownOrigins implements StreamOrigins for a router that knows no others.
@@ -93,16 +96,29 @@
 
 // FindOrigin returns the software at which a stream goes on that the request's caller takes up,
 // 0 if that is unknown. It asks other routers, by streams, and waits for them for some hundred
-// milliseconds at most.
+// milliseconds at most. Where none knows, it waits for a current list of backend servers, for
+// maxListWait at most.
 func FindOrigin(ctx context.Context, streams StreamOrigins, state *knowledge.State, request *Request) (knowledge.SoftwareID, OriginKnown) {
 	if request.Resumes != "" {
 		if origin, known := streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
 			return origin.Software, OriginRecorded
 		}
 	}
-	window := max(request.Route.Timeout, request.Deadline) + takeUpTime
-	if software := state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now()); software != 0 {
-		return software, OriginOnly
+	only := func() knowledge.SoftwareID {
+		window := max(request.Route.Timeout, request.Deadline) + takeUpTime
+		return state.View().OnlySoftware(request.Route.Services(), window, maxOriginListAge, boottime.Now())
+	}
+	if only() == 0 {
+		return 0, OriginUnknown
+	}
+	// A version that this router has not seen yet may have begun the stream, but none that was
+	// first listed after the caller came.
+	ctx, cancel := context.WithTimeout(ctx, maxListWait)
+	defer cancel()
+	if state.AwaitList(ctx, request.Received) {
+		if software := only(); software != 0 {
+			return software, OriginOnly
+		}
 	}
 	return 0, OriginUnknown
 }
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -1,6 +1,7 @@
 package knowledge
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -64,6 +65,9 @@
 	mu      sync.Mutex // serializes writers
 	view    atomic.Pointer[View]
 	changed chan struct{} // closed and replaced at each change of content
+	// listConfirmed is closed when the list is known to be complete at a later time, nil while
+	// nobody waits for that.
+	listConfirmed chan struct{}
 }
 
 // NewState returns a state with nothing received yet.
@@ -93,8 +97,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := *s.view.Load()
+	confirmedAt := next.ListConfirmedAt
 	contentChanged := change(&next)
 	s.view.Store(&next)
+	if next.ListConfirmedAt > confirmedAt && s.listConfirmed != nil {
+		close(s.listConfirmed)
+		s.listConfirmed = nil
+	}
 	if !contentChanged {
 		return
 	}
@@ -102,6 +111,33 @@
 	s.changed = make(chan struct{})
 }
 
+// AwaitList waits until the list of backend servers is known to have been complete at the time or
+// later. It returns false if the context ends before.
+func (s *State) AwaitList(ctx context.Context, at boottime.Instant) bool {
+	for {
+		confirmed := s.nextListConfirmation()
+		if s.View().ListConfirmedAt >= at {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-confirmed:
+		}
+	}
+}
+
+// nextListConfirmation returns a channel that is closed when the list is known to be complete at
+// a later time than now.
+func (s *State) nextListConfirmation() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.listConfirmed == nil {
+		s.listConfirmed = make(chan struct{})
+	}
+	return s.listConfirmed
+}
+
 // SetConfiguration applies a configuration that was the newest at confirmedAt. A version
 // older than the current one is ignored: versions never decrease within a process, or a
 // caller would see a withdrawn route again.
