backendconn: an answer that names no request is an unsafe request's only where that is certain

Cause: an answer without the id of an attempt was taken for the answer to whatever was sent last on the connection, as servers that reject a request leave the id out. Bytes after an earlier answer look the same.

Change, in one place (readOwnHead): an answer that names another request is skipped as before. One that names none belongs to the request if nothing was sent before on its connection. On a connection that has been used it may belong to none: a request that must not run twice goes on waiting for its own answer, until its latency target, and else ends with 502; one that may be repeated takes it, as it can go elsewhere. The connection is closed, and for 30 s such requests get connections of their own to that server, where a rejection is certain, so that a server that rejects costs one 502 and not one each time. An answer that begins within a line of another one is none.

Weighed: new connections for all requests that must not run twice (a new connection for each), a probe behind the answer (a full server rejects it as well), 502 at once (the request may be running, and its answer on the way).

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -40,6 +40,8 @@
 	// Keep-Alive header, 0 for none.
 	idleSince     boottime.Instant
 	statedTimeout time.Duration
+	kept          bool // a complete answer has come on it
+	unidentified  bool // an answer that names no request has come on it after that
 	// aborted becomes true when this router starts to close the connection before its
 	// answer has ended.
 	aborted atomic.Bool
--- a/internal/backendconn/errors.go
+++ b/internal/backendconn/errors.go
@@ -21,6 +21,22 @@
 	ProgressAnswered
 )
 
+// Match says whether an answer belongs to a request.
+type Match int
+
+// The ways in which an answer may match a request.
+const (
+	MatchOwn   Match = iota // it names the request
+	MatchOther              // it names another one
+	// MatchUnidentified means that it names none. A backend server that rejects a request may
+	// leave its name out, and so do bytes that follow a complete answer and belong to none.
+	MatchUnidentified
+)
+
+// ErrUnidentified says that a request which must not run twice got only an answer that may belong
+// to none: it may have run.
+var ErrUnidentified = errors.New("the only answer names no request")
+
 // Error is a failure of a request on the way to or from a backend server.
 type Error struct {
 	Progress Progress
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -35,8 +35,14 @@
 	Host   string
 	Header http.Header // without Host and Content-Length
 	Body   []byte
-	// MatchesRequest reports by its header whether an answer belongs to this request.
-	MatchesRequest func(header http.Header) bool
+	// Match reports by its header whether an answer belongs to this request.
+	Match func(header http.Header) Match
+	// AtMostOnce says that the request must not run twice, so that an answer which may belong to
+	// an earlier request must not be taken for its own.
+	AtMostOnce bool
+	// OwnAnswerWait is how long such a request waits for its own answer after one that names no
+	// request.
+	OwnAnswerWait time.Duration
 	// MaxConnections bounds the connections to the backend server, 0 for no bound.
 	MaxConnections int
 	// BeforeSend is called once the connection is open, and again right before a long request
@@ -81,7 +87,7 @@
 // must Close. When the context ends, the connection is closed, which makes the backend
 // server stop.
 func (p *Pool) Do(ctx context.Context, address fleet.Address, request *Request) (*Answer, error) {
-	c, err := p.get(ctx, address, request.MaxConnections)
+	c, err := p.get(ctx, address, request)
 	if err != nil {
 		return nil, newError(err, ProgressNone, fleet.StepSend, address)
 	}
@@ -104,6 +110,9 @@
 		return nil, newError(err, ProgressSent, fleet.StepSend, address)
 	}
 	response, err := readHead(c, request)
+	if c.unidentified {
+		p.noteUnidentified(address)
+	}
 	if reason := sending.cancelledBy(); reason != nil {
 		stop()
 		p.discard(address, c, ReasonAbandoned)
@@ -206,13 +215,38 @@
 // requests on the same connection, which would otherwise be taken for the answer to this
 // one.
 func readHead(c *conn, request *Request) (*http.Response, error) {
+	response, err := readOwnHead(c, request)
+	if err != nil && c.unidentified && request.AtMostOnce {
+		return nil, errors.Wrap(ErrUnidentified, err.Error())
+	}
+	return response, err
+}
+
+func readOwnHead(c *conn, request *Request) (*http.Response, error) {
 	sent := &http.Request{Method: request.Method}
 	for range maxStrayAnswers + 1 {
 		response, err := readFinalHead(c, sent)
 		if err != nil {
 			return nil, err
 		}
-		if request.MatchesRequest(response.Header) {
+		match := request.Match(response.Header)
+		if match == MatchUnidentified && !c.kept {
+			match = MatchOwn // nothing was sent before to which it could belong
+		}
+		if match == MatchUnidentified {
+			c.unidentified = true
+			if request.AtMostOnce {
+				// Not reset if the connection fails, which is closed then.
+				_ = c.SetReadDeadline(time.Now().Add(request.OwnAnswerWait))
+			} else {
+				match = MatchOwn
+			}
+		}
+		if match == MatchOwn {
+			if c.unidentified {
+				_ = c.SetReadDeadline(time.Time{}) // the next read fails if this does
+				response.Close = true              // more such answers may follow
+			}
 			return response, nil
 		}
 		if err := skipBody(response.Body); err != nil {
@@ -234,6 +268,26 @@
 	return err
 }
 
+// errSpliced ends an exchange whose answer follows a part of another one within a line.
+var errSpliced = errors.New("the answer begins inside another one")
+
+// spliced reports whether a line of the head has the beginning of another answer in it: the one
+// before broke off within that line, and what it says can't be told from what this one says.
+func spliced(response *http.Response) bool {
+	const statusLine = "HTTP/1."
+	if strings.Contains(response.Status, statusLine) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if strings.Contains(value, statusLine) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // readFinalHead reads the head of the next answer that is not an interim one.
 func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
 	c.limiter.begin()
@@ -243,6 +297,9 @@
 		if err != nil {
 			return nil, quotingError{err}
 		}
+		if spliced(response) {
+			return nil, errSpliced
+		}
 		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -63,12 +63,20 @@
 
 func newRequest(id string) *Request {
 	return &Request{
-		Method:         http.MethodPost,
-		URI:            "/a/b?c=d",
-		Host:           "host.example",
-		Header:         http.Header{"Id": {id}},
-		Body:           []byte("body"),
-		MatchesRequest: func(header http.Header) bool { return header.Get("Id") == id },
+		Method: http.MethodPost,
+		URI:    "/a/b?c=d",
+		Host:   "host.example",
+		Header: http.Header{"Id": {id}},
+		Body:   []byte("body"),
+		Match: func(header http.Header) Match {
+			switch header.Get("Id") {
+			case id:
+				return MatchOwn
+			case "":
+				return MatchUnidentified
+			}
+			return MatchOther
+		},
 	}
 }
 
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -24,6 +25,9 @@
 	defaultIdleLifetime = 700 * time.Millisecond
 	// sweepInterval is the time between two searches for expired idle connections.
 	sweepInterval = 500 * time.Millisecond
+	// unidentifiedTime is how long requests that must not run twice get connections of their own
+	// after an answer that names no request.
+	unidentifiedTime = 30 * time.Second
 )
 
 // ErrTooMany says that the limit of connections to a backend server is reached.
@@ -37,6 +41,9 @@
 	mu      sync.Mutex
 	hosts   map[fleet.Address]*host
 	history history
+	// unidentified is until when requests that must not run twice get connections of their own
+	// to an address: an answer that names no request is theirs there.
+	unidentified map[fleet.Address]boottime.Instant
 }
 
 // host holds the connections to one address.
@@ -52,6 +59,8 @@
 		opened:  func(Opening) {},
 		hosts:   make(map[fleet.Address]*host),
 		history: make(history),
+
+		unidentified: make(map[fleet.Address]boottime.Instant),
 	}
 }
 
@@ -100,6 +109,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.history.prune(now)
+	maps.DeleteFunc(p.unidentified, func(_ fleet.Address, until boottime.Instant) bool { return now >= until })
 }
 
 // anyAddress matches all addresses in closeIdleAt.
@@ -142,10 +152,48 @@
 	}
 }
 
-// get returns an idle connection that is still usable, or a new one. maxConnections bounds
-// the connections to the address.
-func (p *Pool) get(ctx context.Context, address fleet.Address, maxConnections int) (*conn, error) {
-	for {
+// noteUnidentified records that an answer that names no request came on a connection to the
+// address which had been used before.
+func (p *Pool) noteUnidentified(address fleet.Address) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.unidentified[address] = boottime.Now().Add(unidentifiedTime)
+}
+
+// needsOwnConnection reports whether the request must not use a connection that has been used
+// before.
+func (p *Pool) needsOwnConnection(address fleet.Address, request *Request) bool {
+	if !request.AtMostOnce {
+		return false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return boottime.Now() < p.unidentified[address]
+}
+
+// reserveOwn counts a connection that is about to be opened as reserve does, and closes an idle one
+// for it if needed.
+func (p *Pool) reserveOwn(address fleet.Address, maxConnections int) (ending, bool) {
+	previous, reserved := p.reserve(address, maxConnections)
+	if reserved {
+		return previous, true
+	}
+	idle := p.takeIdle(address)
+	if idle == nil {
+		return ending{}, false
+	}
+	p.discard(address, idle, ReasonReplaced)
+	return p.reserve(address, maxConnections)
+}
+
+// get returns an idle connection that is still usable, or a new one.
+func (p *Pool) get(ctx context.Context, address fleet.Address, request *Request) (*conn, error) {
+	reserve := p.reserve
+	own := p.needsOwnConnection(address, request)
+	if own {
+		reserve = p.reserveOwn
+	}
+	for !own {
 		idle := p.takeIdle(address)
 		if idle == nil {
 			break
@@ -156,7 +204,7 @@
 		}
 		p.discard(address, idle, reason)
 	}
-	previous, reserved := p.reserve(address, maxConnections)
+	previous, reserved := reserve(address, request.MaxConnections)
 	if !reserved {
 		return nil, ErrTooMany
 	}
@@ -237,6 +285,7 @@
 // put keeps a connection whose answer has been read to its end. stated is the idle timeout
 // that the backend server stated, 0 for none.
 func (p *Pool) put(address fleet.Address, c *conn, stated time.Duration) {
+	c.kept = true
 	c.idleSince, c.statedTimeout = boottime.Now(), stated
 	c.usableUntil = c.idleSince.Add(idleLifetime(stated))
 	p.mu.Lock()
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -281,7 +281,9 @@
 		Host:           r.request.Host,
 		Header:         r.handler.dialect.ForwardHeader(forward),
 		Body:           r.request.Body,
-		MatchesRequest: r.ownAnswer,
+		Match:          r.match,
+		AtMostOnce:     !r.request.Idempotent(),
+		OwnAnswerWait:  min(r.request.Remaining(now), r.request.Route.TargetLatency),
 		MaxConnections: r.maxConnections(placed.backend),
 		BeforeSend:     func() error { return r.checkBeforeSend(ctx, placed.backend) },
 		OnSend:         func() { placed.permit.MarkSent(boottime.Now()) },
@@ -344,10 +346,15 @@
 	return max(int(evenShare), int(leftByOthers), 1)
 }
 
-// ownAnswer reports whether an answer belongs to this request. Refusals may have no id.
-func (r *relay) ownAnswer(header http.Header) bool {
-	id := r.handler.dialect.Reply(0, header).ID
-	return id == "" || id == r.request.ID
+// match reports whether an answer belongs to this request.
+func (r *relay) match(header http.Header) backendconn.Match {
+	switch r.handler.dialect.Reply(0, header).ID {
+	case r.request.ID:
+		return backendconn.MatchOwn
+	case "":
+		return backendconn.MatchUnidentified
+	}
+	return backendconn.MatchOther
 }
 
 // sendFailed handles a request that could not be sent, or whose answer did not begin.
@@ -370,6 +377,9 @@
 	}
 	r.sends++
 	r.mayHaveRun = true
+	if errors.Is(err, backendconn.ErrUnidentified) {
+		return outcomeBroken // the server may have rejected it, which is no failure
+	}
 	if errors.Is(err, backendconn.ErrAnswerTooLarge) {
 		// This router has closed the connection, so the server did not crash.
 		h.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
