gate: a failure without a backend server's signature is not final

Cause: only successes had to be signed and to name the request.

Change: any answer has to; without, the server counts as failing, a request that may be repeated goes elsewhere, and others end with 502.

TestStrayAnswerDoesNotFailASafeRequest failed before in its case "400".

--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -45,15 +45,17 @@
 	took := boottime.Now().Sub(sent)
 	r.handler.admission.recordFirstEvent(r.request, placed, took)
 	success := answer.Status < http.StatusMultipleChoices
-	sound := success && reply.genuine(r.request)
+	genuine := reply.genuine(r.request)
+	sound := success && genuine
 	r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, sound, took)
 	if sound {
 		r.handler.segments.Sound(r.request.SegmentKeys, sent, boottime.Now())
 	}
-	if sound || !success && answer.Status < http.StatusInternalServerError {
+	if genuine && answer.Status < http.StatusInternalServerError {
 		r.handler.admission.recordPlainAnswer(placed, sound, took)
 	}
-	if success && !sound {
+	if !genuine {
+		// Also a failure may come from something that is no backend server, or belong to none.
 		r.handler.requestLog.badAnswer(r.request, placed.backend, answer.Status)
 		return outcomeBroken
 	}
