gate: bodies of unstated length reserve memory as they arrive

Cause: only a stated length was counted towards the memory for bodies, and before reading; a body in chunks was read whole, counted afterwards and not compared with the bound.

Change: memory is reserved before the buffer grows, in both framings, against the same bound; who does not fit gets 503 and a time to come back at once, and the connection is closed. Bodies over 64 KiB leave a quarter of the memory to smaller ones, so that one account's large bodies do not keep out everybody else's. The reading is in a file of its own; the budget's code serves answers and bodies.

TestBodiesInChunksCountAsTheyArrive failed before (8 of 8 bodies held, room for 2). TestBodiesOfAnySizeArrive and a property of the budget hold.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -3,15 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/crash"
@@ -73,8 +70,8 @@
 	requestLog        *requestLog
 	metrics           *metrics
 	startedAt         boottime.Instant
-	bodyBytes         atomic.Int64 // total size of the request bodies held
-	answerMemory      answerMemory
+	bodyMemory        memoryBudget // of the request bodies held
+	answerMemory      memoryBudget
 	drain             *drainState
 	closeAfterAnswer  func() bool // whether connections are to be closed after their next answers
 	isolated          atomic.Bool // whether the store answers other routers but not this one
@@ -134,9 +131,9 @@
 		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry})
 		return
 	}
-	size, refusal := h.readBody(w, r, request, view)
-	defer h.bodyBytes.Add(-size)
-	if refusal != nil {
+	var held int64
+	defer h.bodyMemory.release(&held)
+	if refusal := h.readBody(w, r, request, view, &held); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
 	}
@@ -170,44 +167,6 @@
 	_ = control.SetWriteDeadline(time.Now().Add(request.Timeout + writeSlack))
 }
 
-// readBody reads the complete body, so that a request whose body breaks off is never
-// forwarded. It returns the bytes added to bodyBytes.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request, request *Request, view *knowledge.View) (int64, *Refusal) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return 0, nil
-	}
-	limit := int64(view.Index.Configuration.Limits.BodyBytes)
-	counted := max(r.ContentLength, 0)
-	if limit > 0 && counted > limit {
-		return 0, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
-	}
-	if h.bodyBytes.Add(counted) > h.settings.get().BodyMemory {
-		return counted, &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonMemory, RetryAfter: startRetryAfter}
-	}
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(request.Timeout)) // as in setWriteDeadline
-	body := io.Reader(r.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(w, r.Body, limit)
-	}
-	data, err := io.ReadAll(body)
-	// Otherwise the deadline would end the read that detects a disconnected caller.
-	_ = control.SetReadDeadline(time.Time{})
-	request.Body = data
-	if uncounted := int64(len(data)) - counted; uncounted > 0 {
-		h.bodyBytes.Add(uncounted)
-		counted += uncounted
-	}
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return counted, &Refusal{Status: http.StatusRequestEntityTooLarge, Reason: ReasonBodyTooLarge}
-	case err != nil:
-		return counted, &Refusal{Status: http.StatusBadRequest, Reason: ReasonBodyTimeout}
-	}
-	return counted, nil
-}
-
 func (h *handler) answerMemoryLimit() int64 { return h.settings.get().AnswerMemory }
 
 // serve sends an identified request to a backend server.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -73,7 +73,7 @@
 	if h.streams == nil {
 		h.streams = ownOrigins{table: streamorigin.NewTable()}
 	}
-	h.answerMemory.export(options.Registerer)
+	exportAnswerMemory(&h.answerMemory, options.Registerer)
 	admission.paces.export(options.Logger, options.Registerer)
 	admission.plain.observeWait = h.metrics.plainWait
 	acceptor := newAcceptor(h, options.Connections, h.lag, drain)
