gate: a body that does not come in time is answered 408

A caller that sends its body too slowly, or stops in the middle, was told that its request is malformed (400), which is never tried again, although the same request may succeed.

Cause: any failure to read a body was 400.

Change: 408 at the route's time. The request was not forwarded, so the promise of 408 holds.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -107,8 +108,11 @@
 // bodyFailed returns the refusal of a request whose body could not be read.
 func bodyFailed(err error) *Refusal {
 	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
+	switch {
+	case errors.As(err, &tooLarge):
 		return bodyTooLarge()
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &Refusal{Status: http.StatusRequestTimeout, Reason: ReasonBodyTimeout}
 	}
 	return &Refusal{Status: http.StatusBadRequest, Reason: ReasonBodyTimeout}
 }
