peering: a router that starts again with an earlier clock is heard

A router that started again after its VM's time of day had been set back was ignored by the others for two minutes: they counted neither its load nor its accounts' usage, and did not hand it the state.

Cause: incarnations are start times, and a lower one than known was dropped as late, until the address was forgotten.

A late datagram of an earlier process is dropped as before while the later one is heard.

TestRouterThatStartsAgainWithAnEarlierClockIsHeard failed before.

--- a/internal/peering/peering_test.go
+++ b/internal/peering/peering_test.go
@@ -629,3 +629,29 @@
 		t.Errorf("backend servers: %v, want only i", view.Backends)
 	}
 }
+
+// Guards against a router that is ignored for minutes because it has started again after its
+// clock was set back, so that its process seems to be an earlier one.
+func TestRouterThatStartsAgainWithAnEarlierClockIsHeard(t *testing.T) {
+	table := newTable(self, "z")
+	const other = "10.0.0.2:1"
+	now := boottime.Now()
+	for _, step := range []struct {
+		incarnation uint64
+		after       time.Duration
+		accepted    bool
+	}{
+		{incarnation: 20, after: 0, accepted: true},
+		{incarnation: 10, after: 100 * time.Millisecond, accepted: false}, // late, of the process before
+		{incarnation: 20, after: 200 * time.Millisecond, accepted: true},
+		{incarnation: 10, after: 2 * minPeerTimeout, accepted: true},
+		{incarnation: 10, after: 2*minPeerTimeout + 100*time.Millisecond, accepted: true},
+	} {
+		at := now.Add(step.after)
+		table.expire(at)
+		accepted, _ := table.applyHeartbeat(newHeartbeat(other, step.incarnation, int64(at)), at)
+		if accepted != step.accepted {
+			t.Errorf("incarnation %d after %v: accepted %v", step.incarnation, step.after, accepted)
+		}
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -197,8 +197,8 @@
 // addressHash returns the hash by which routers are ordered.
 func addressHash(address fleet.Address) uint64 { return xxhash.Sum64String(string(address)) }
 
-// applyHeartbeat applies a heartbeat. accepted is false if it arrived out of order or
-// comes from this router itself; joined reports whether its sender was unreachable
+// applyHeartbeat applies a heartbeat. accepted is false if it arrived out of order, is from
+// an earlier process or comes from this router itself; joined reports whether its sender was unreachable
 // before.
 func (t *table) applyHeartbeat(heartbeat *peeringpb.Beat, now boottime.Instant) (accepted, joined bool) {
 	t.mu.Lock()
@@ -212,7 +212,12 @@
 		known = &peer{address: address, hash: addressHash(address)}
 		t.peers[address] = known
 	}
-	if heartbeat.Incarnation < known.incarnation || (heartbeat.Incarnation == known.incarnation && heartbeat.Clock <= known.clock) {
+	if heartbeat.Incarnation == known.incarnation && heartbeat.Clock <= known.clock {
+		return false, false
+	}
+	// Incarnations are start times, so that of a process which started after its VM's clock was
+	// set back is lower. It counts once the one before is not reachable any more.
+	if heartbeat.Incarnation < known.incarnation && known.lastHeartbeat != 0 {
 		return false, false
 	}
 	joined = known.lastHeartbeat == 0
