streamorigin: the holders of a stream are asked in any fleet

A stream whose caller took it up was refused although a router that could be reached had the record of its version: in fleets of five zones and more, and of one zone, when the router that began it was lost or unknown.

Cause: one holder was in the zone of the router that began the stream, which the router that is asked does not know. It may be that zone's second, and of more than four zones not all second ones are among the eight that are asked; of one zone the second holder may be its third.

Change: with more than four zones the holders are the first routers of the stream's first two zones; the first routers of its first four are asked, in zones of their own up to three. Weighed: asking two of every zone (24 messages at twelve zones), a third holder (126 bytes). Up to four zones one holder stays in the own zone, which finds the record while a zone is cut off from the others.

--- a/internal/streamorigin/holders.go
+++ b/internal/streamorigin/holders.go
@@ -12,15 +12,21 @@
 // Any router may be asked for a stream that another one began, also after that one was
 // killed. So each origin is kept by a few other routers, which follow from the stream's hash:
 // every router finds them without an agreement, and each keeps an equal part. Two are enough
-// to bear the loss of the first router and of one more; the next ones in the order are asked
-// as well, as routers don't always know the same others.
+// to bear the loss of the first router and of one more.
+//
+// The router that is asked knows neither the one that began the stream nor its zone, and this
+// one may stand before a holder in its zone's order, lost or not. So the first routers of a few
+// zones are asked; the holders are among these whichever router began the stream.
 
 const (
 	// holdersWanted is how many other routers keep an origin.
 	holdersWanted = 2
-	// askedPerZone and maxAsked bound how many routers are asked for an origin.
-	askedPerZone = 2
-	maxAsked     = 8
+	// rankedPerZone is how many routers of a zone may be asked: in a fleet of one zone both
+	// holders, and the router that began the stream.
+	rankedPerZone = 3
+	// askedZones and maxAsked bound the zones, and the routers, that are asked for an origin.
+	askedZones = 4
+	maxAsked   = 8
 )
 
 // Router is another router that is reachable.
@@ -30,11 +36,17 @@
 	Zone    fleet.Zone
 }
 
-// Holders returns the routers to which a router in the zone sends the origin of a stream: one
-// of its own zone, which its callers reach first without it, and one of another zone.
+// Holders returns the routers to which a router in the zone sends the origin of a stream. Where
+// all zones are asked, one is of its own zone, which its callers reach first without it, and which
+// a partition between zones does not cut off.
 func Holders(stream Stream, zone fleet.Zone, others []Router) []fleet.Address {
 	zones := rankByZone(stream, others)
-	if own := slices.IndexFunc(zones, func(z zoneRanking) bool { return z.zone == zone }); own > 0 {
+	own := slices.IndexFunc(zones, func(z zoneRanking) bool { return z.zone == zone })
+	count := len(zones)
+	if own < 0 {
+		count++ // this router's zone has no others
+	}
+	if own > 0 && count <= askedZones {
 		first := zones[own]
 		zones = slices.Insert(slices.Delete(zones, own, own+1), 0, first)
 	}
@@ -43,13 +55,14 @@
 
 // Asked returns the routers to ask for the origin of a stream.
 func Asked(stream Stream, others []Router) []fleet.Address {
-	return pick(rankByZone(stream, others), maxAsked)
+	zones := rankByZone(stream, others)
+	return pick(zones[:min(len(zones), askedZones)], maxAsked)
 }
 
-// pick returns up to limit routers: the first one of each zone, then the second ones.
+// pick returns up to limit routers: the first one of each zone, then the second ones, and so on.
 func pick(zones []zoneRanking, limit int) []fleet.Address {
 	var picked []fleet.Address
-	for place := range askedPerZone {
+	for place := range rankedPerZone {
 		for _, ranking := range zones {
 			if len(picked) < limit && place < len(ranking.first) {
 				picked = append(picked, ranking.first[place].Address)
@@ -66,7 +79,7 @@
 	first []Router
 }
 
-// rankByZone returns the first askedPerZone routers of each zone in the stream's order, the
+// rankByZone returns the first rankedPerZone routers of each zone in the stream's order, the
 // first zone first.
 func rankByZone(stream Stream, routers []Router) []zoneRanking {
 	var zones []zoneRanking
@@ -87,9 +100,9 @@
 	at, _ := slices.BinarySearchFunc(z.first, rank(stream, router.Hash), func(known Router, target uint64) int {
 		return cmp.Compare(rank(stream, known.Hash), target)
 	})
-	if at < askedPerZone {
+	if at < rankedPerZone {
 		z.first = slices.Insert(z.first, at, router)
-		z.first = z.first[:min(len(z.first), askedPerZone)]
+		z.first = z.first[:min(len(z.first), rankedPerZone)]
 	}
 }
 
--- a/internal/streamorigin/streamorigin_test.go
+++ b/internal/streamorigin/streamorigin_test.go
@@ -46,6 +46,41 @@
 	})
 }
 
+// Guards against an origin that is not found although a holder can be reached: the router that
+// began the stream is lost, known or not, or alive, and the one that asks knows some others only.
+func TestEachKnownHolderIsAsked(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := routers(rapid.IntRange(1, 12).Draw(t, "zones"), rapid.IntRange(1, 20).Draw(t, "routers per zone"))
+		if len(all) < 2 {
+			return
+		}
+		stream := StreamOf(rapid.String().Draw(t, "attempt"))
+		began := rapid.SampledFrom(all).Draw(t, "began")
+		asks := rapid.SampledFrom(without(all, began.Address)).Draw(t, "asks")
+		others := without(all, asks.Address)
+		if rapid.Bool().Draw(t, "the router that began is not known") {
+			others = without(others, began.Address)
+		}
+		unknown := rapid.SliceOfN(rapid.SampledFrom(all), 0, len(all)).Draw(t, "others that are not known")
+		for _, router := range unknown {
+			if router.Address != began.Address {
+				others = without(others, router.Address)
+			}
+		}
+		holders := Holders(stream, began.Zone, without(all, began.Address))
+		asked := Asked(stream, others)
+		if len(asked) > maxAsked {
+			t.Fatalf("%d are asked", len(asked))
+		}
+		for _, holder := range holders {
+			known := lo.ContainsBy(others, func(router Router) bool { return router.Address == holder })
+			if known && !slices.Contains(asked, holder) {
+				t.Fatalf("kept by %v, asked are %v", holders, asked)
+			}
+		}
+	})
+}
+
 // Guards against origins that all go to a few routers of a large fleet.
 func TestHoldersAreSpread(t *testing.T) {
 	all := routers(4, 89)
