gate: without a current list a stream goes on only where the version is certain

Cause: an entry stands for the process at its address however old the list is. Answers do not name the version.

Change: once the list is so old that the store counts as unreachable, only a connection that was opened before the list was last known to be complete shows that the process at its other end is the listed one. A stream goes on only on such a connection, else at another server or not at all; one that begins on another connection is recorded as of uncertain version and is not taken up. With a current list nothing changes.

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -40,6 +40,7 @@
 	// Keep-Alive header, 0 for none.
 	idleSince     boottime.Instant
 	statedTimeout time.Duration
+	opened        boottime.Instant
 	kept          bool // a complete answer has come on it
 	unidentified  bool // an answer that names no request has come on it after that
 	// aborted becomes true when this router starts to close the connection before its
@@ -49,7 +50,7 @@
 
 func newConn(connection net.Conn) *conn {
 	limiter := &headLimiter{reader: connection}
-	return &conn{Conn: connection, limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
+	return &conn{Conn: connection, opened: boottime.Now(), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
 }
 
 func newDialer() *net.Dialer {
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -45,6 +45,9 @@
 	OwnAnswerWait time.Duration
 	// MaxConnections bounds the connections to the backend server, 0 for no bound.
 	MaxConnections int
+	// OpenedUntil is the time until which the connection must have been opened, 0 for any: the
+	// process at its other end is the one that was there then.
+	OpenedUntil boottime.Instant
 	// BeforeSend is called once the connection is open, and again right before a long request
 	// is written. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
@@ -59,6 +62,8 @@
 	// Length is the length of the body, -1 if unknown.
 	Length  int64
 	Framing Framing
+	// Opened is when the connection was opened.
+	Opened boottime.Instant
 
 	body          io.ReadCloser
 	pool          *Pool
@@ -128,6 +133,7 @@
 		Header:        response.Header,
 		Length:        response.ContentLength,
 		Framing:       framingOf(response),
+		Opened:        c.opened,
 		body:          response.Body,
 		pool:          p,
 		address:       address,
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"maps"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -33,6 +34,9 @@
 // ErrTooMany says that the limit of connections to a backend server is reached.
 var ErrTooMany = errors.New("all connections to the backend server are in use")
 
+// ErrNoOldConnection says that no idle connection to a backend server was opened early enough.
+var ErrNoOldConnection = errors.New("no connection to the backend server is old enough")
+
 // Pool keeps persistent connections to backend servers. Its methods may be called
 // concurrently.
 type Pool struct {
@@ -178,7 +182,7 @@
 	if reserved {
 		return previous, true
 	}
-	idle := p.takeIdle(address)
+	idle := p.takeIdle(address, 0)
 	if idle == nil {
 		return ending{}, false
 	}
@@ -194,7 +198,7 @@
 		reserve = p.reserveOwn
 	}
 	for !own {
-		idle := p.takeIdle(address)
+		idle := p.takeIdle(address, request.OpenedUntil)
 		if idle == nil {
 			break
 		}
@@ -204,6 +208,9 @@
 		}
 		p.discard(address, idle, reason)
 	}
+	if request.OpenedUntil != 0 {
+		return nil, ErrNoOldConnection
+	}
 	previous, reserved := reserve(address, request.MaxConnections)
 	if !reserved {
 		return nil, ErrTooMany
@@ -217,19 +224,22 @@
 	return newConn(connection), nil
 }
 
-// takeIdle removes the connection that became idle last and returns it, nil if there is none.
-func (p *Pool) takeIdle(address fleet.Address) *conn {
+// takeIdle removes the connection that became idle last, of those opened until the given time (0
+// for any), and returns it, nil if there is none.
+func (p *Pool) takeIdle(address fleet.Address, openedUntil boottime.Instant) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
-	if host == nil || len(host.idle) == 0 {
+	if host == nil {
 		return nil
 	}
-	last := len(host.idle) - 1
-	taken := host.idle[last]
-	host.idle[last] = nil
-	host.idle = host.idle[:last]
-	return taken
+	for at, taken := range slices.Backward(host.idle) {
+		if openedUntil == 0 || taken.opened <= openedUntil {
+			host.idle = slices.Delete(host.idle, at, at+1)
+			return taken
+		}
+	}
+	return nil
 }
 
 // reserve counts a connection that is about to be opened, unless maxConnections are open.
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -123,14 +123,30 @@
 	return 0, OriginUnknown
 }
 
+// softwareCertainUntil returns the time until which a connection to a backend server must have been
+// opened for its software to be the listed one, 0 for any. Without a current list, a server may
+// have started again under its ID with another version; only a connection from before shows that
+// it has not.
+func softwareCertainUntil(view *knowledge.View, now boottime.Instant) boottime.Instant {
+	if !view.ListOutdated(now) {
+		return 0
+	}
+	return view.ListConfirmedAt
+}
+
 // recordOrigin records the software of the backend server that is about to begin the request's
-// stream, or to go on with one that the caller takes up, and keeps the request there.
-func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend) {
+// stream, or to go on with one that the caller takes up, and keeps the request there. opened is
+// when the connection to the server was opened.
+func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend, opened boottime.Instant) {
 	if request.Route.Repeat != knowledge.RepeatResume {
 		return
 	}
+	view := h.state.View()
 	if request.Software == 0 {
-		request.Software = h.state.View().SoftwareID(backend)
+		request.Software = view.SoftwareID(backend)
+		if until := softwareCertainUntil(view, boottime.Now()); until != 0 && opened > until {
+			request.Software = streamorigin.Uncertain
+		}
 	}
 	attempt := request.ID
 	if request.takenUp() && request.Resumes != "" {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -285,11 +285,21 @@
 		AtMostOnce:     !r.request.Idempotent(),
 		OwnAnswerWait:  min(r.request.Remaining(now), r.request.Route.TargetLatency),
 		MaxConnections: r.maxConnections(placed.backend),
+		OpenedUntil:    r.openedUntil(now),
 		BeforeSend:     func() error { return r.checkBeforeSend(ctx, placed.backend) },
 		OnSend:         func() { placed.permit.MarkSent(boottime.Now()) },
 	}
 }
 
+// openedUntil returns the time until which the connection must have been opened, 0 for any: a
+// stream goes on only where the backend server's software is certain.
+func (r *relay) openedUntil(now boottime.Instant) boottime.Instant {
+	if r.request.Software == 0 {
+		return 0
+	}
+	return softwareCertainUntil(r.handler.state.View(), now)
+}
+
 // lastEventID returns the id of the last event that the caller has received, "" for none.
 func (r *relay) lastEventID() string {
 	if r.stream.lastEventID != "" {
@@ -369,7 +379,7 @@
 	h.observeConnectError(placed.backend, sent, err)
 	if notSent {
 		r.connectFailures++
-		if ctx.Err() == nil && !errors.Is(err, backendconn.ErrTooMany) && !errors.Is(err, errRejecting) && !errors.Is(err, errSegmentRefused) {
+		if ctx.Err() == nil && !deliberatelyUnsent(err) {
 			h.admission.loads.recordConnectionFailure(placed.backend.Incarnation)
 			h.admission.cold.assumeRestart(h.state.View(), placed.backend)
 		}
@@ -389,6 +399,13 @@
 	return outcomeBroken
 }
 
+// deliberatelyUnsent reports whether this router did not try to send a request, which says nothing
+// about the backend server.
+func deliberatelyUnsent(err error) bool {
+	return errors.Is(err, backendconn.ErrTooMany) || errors.Is(err, backendconn.ErrNoOldConnection) ||
+		errors.Is(err, errRejecting) || errors.Is(err, errSegmentRefused)
+}
+
 // answerFailed handles an answer that could not be read to its end, or that is not whole.
 func (r *relay) answerFailed(ctx context.Context, placed *placement, answer *backendconn.Answer, sent boottime.Instant, err error) sendOutcome {
 	if callerCanceled(ctx) {
--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -49,6 +49,11 @@
 	})
 }
 
+// ListOutdated reports whether the list is so old that the store counts as unreachable.
+func (v *View) ListOutdated(now boottime.Instant) bool {
+	return now.Sub(v.ListConfirmedAt) > v.outageAge
+}
+
 // mayBeIncomplete reports whether backend servers missing from a list may still write their
 // entries again: the list is the first one after an outage, or of a newer era than the
 // current one.
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -30,6 +30,10 @@
 // up.
 const Ambiguous knowledge.SoftwareID = 0
 
+// Uncertain is the software of streams that began at a backend server whose version was not
+// certain. No backend server has it.
+const Uncertain = ^knowledge.SoftwareID(0)
+
 // MaxTime bounds the time for which an origin is kept.
 const MaxTime = knowledge.VersionHistory
 
