--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -330,7 +330,7 @@
 // Discard reads the rest of the body, if that has no more than maxBytes and comes within
 // maxTime. Otherwise Close closes the connection.
 func (a *Answer) Discard(maxBytes int64, maxTime time.Duration) {
-	// Deadlines can't be set on a closed connection only, which fails the read as well.
+	// Setting a deadline fails only on a closed connection, on which the read fails too.
 	_ = a.conn.SetReadDeadline(time.Now().Add(maxTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBytes))
 	_ = a.conn.SetReadDeadline(time.Time{})
