gate: a rejection that may be nobody's does not say that a safe request has not run

Cause: such a request takes an answer that names none on a connection in use, so that it can go elsewhere at once, and it was believed to the end.

Change: it goes elsewhere as before, but ends with 502 if nothing better comes.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -64,6 +64,8 @@
 	Framing Framing
 	// Opened is when the connection was opened.
 	Opened boottime.Instant
+	// Unidentified means that the answer names no request and may belong to none.
+	Unidentified bool
 
 	body          io.ReadCloser
 	pool          *Pool
@@ -134,6 +136,7 @@
 		Length:        response.ContentLength,
 		Framing:       framingOf(response),
 		Opened:        c.opened,
+		Unidentified:  c.unidentified && request.Match(response.Header) == MatchUnidentified,
 		body:          response.Body,
 		pool:          p,
 		address:       address,
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -216,6 +216,7 @@
 			h.admission.loads.recordConnectionFailure(placed.backend.Incarnation)
 		}
 		r.discardRest(answer)
+		r.mayHaveRun = r.mayHaveRun || answer.Unidentified
 		return outcomeDeclined
 	}
 	r.mayHaveRun = true
