bluebell-dev: free ports are not those of outgoing connections

Cause: a port that the kernel gives for listening is one of those that it gives to outgoing connections, of which other processes had many on the same address; one took it between the search and the start.

Change: ports from 10,000 to 29,999, below the kernel's range.

TestAddressesAreNotThoseOfOutgoingConnections states the ranges; the failure itself needs another process at that moment and was not provoked.

--- a/cmd/bluebell-dev/addresses.go
+++ b/cmd/bluebell-dev/addresses.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"math/rand/v2"
 	"net"
+	"strconv"
 
 	"github.com/pkg/errors"
 	"github.com/samber/lo"
@@ -12,9 +14,8 @@
 // anyPort is a loopback address whose port the kernel chooses.
 const anyPort = "127.0.0.1:0"
 
-// addressAllocator returns loopback addresses that differ from each other. The
-// kernel may assign the same free port twice in a row, since nobody listens on it
-// in between, and a node whose two ports are the same does not start.
+// addressAllocator returns loopback addresses that differ from each other: a node
+// whose two ports are the same does not start.
 type addressAllocator struct {
 	taken map[fleet.Address]bool
 }
@@ -38,14 +39,26 @@
 	}
 }
 
+// The ports of free addresses are below those that the kernel gives to outgoing connections, any
+// of which could take one before it is used.
+const (
+	firstFreePort = 10_000
+	freePorts     = 20_000
+	maxPortTries  = 100
+)
+
 // freeAddress returns a loopback address that nobody listens on. If another
 // process takes it before it is used, the start fails with an error that names
 // it.
 func freeAddress() (fleet.Address, error) {
-	listener, err := net.Listen("tcp", anyPort)
-	if err != nil {
-		return "", errors.Wrap(err, "free port")
+	var err error
+	for range maxPortTries {
+		var listener net.Listener
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstFreePort+rand.IntN(freePorts)))
+		if listener, err = net.Listen("tcp", address); err == nil {
+			_ = listener.Close() // nobody has connected
+			return fleet.Address(address), nil
+		}
 	}
-	defer listener.Close()
-	return fleet.Address(listener.Addr().String()), nil
+	return "", errors.Wrap(err, "free port")
 }
--- a/cmd/bluebell-dev/addresses_test.go
+++ b/cmd/bluebell-dev/addresses_test.go
@@ -1,14 +1,35 @@
 package main
 
 import (
+	"net"
+	"net/netip"
 	"testing"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
+// Guards against a start that fails with "address already in use": an outgoing connection of any
+// process has taken the port since it was found free.
+func TestAddressesAreNotThoseOfOutgoingConnections(t *testing.T) {
+	listener, err := net.Listen("tcp", anyPort)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	kernels := listener.Addr().(*net.TCPAddr).Port
+	for range 100 {
+		address, err := freeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if port := netip.MustParseAddrPort(string(address)).Port(); int(port) >= firstFreePort+freePorts || kernels < firstFreePort+freePorts {
+			t.Fatalf("port %d, the kernel gives %d", port, kernels)
+		}
+	}
+}
+
 // TestAddressesDiffer guards against a start that fails with "data: must differ
-// from control". The kernel may assign a port again as soon as the listener that
-// was opened to find it is closed.
+// from control".
 func TestAddressesDiffer(t *testing.T) {
 	const draws = 2000
 	allocator := newAddressAllocator()
