gate: records and counters tell streams that are taken up from new ones

The records could not tell apart why streams that callers take up go on less often than new ones begin: a refusal did not say that its caller took a stream up, nor how its version was known, nor at how many backend servers it could go on; counts held both kinds in one sum.

2102 names the attempt that began the stream (resumes), how its version is known (origin) and how many servers of it serve (version_servers); 2106 says why no other server could go on; 2124 and bluebell_gate_stream_requests_total count both kinds and how many of each began. No decision changes.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -124,6 +124,7 @@
 	// share.
 	h.admission.recordRequest(request)
 	h.requestLog.counts.addRequested(request)
+	h.countStream(request, false)
 	withinShare := func() bool { return h.admission.withinShare(request, view) }
 	if !h.lag.accepts(received, withinShare, rand.Float64()) {
 		// Accepting more would stall the requests in progress.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -21,6 +21,7 @@
 	streamEnds       *prometheus.CounterVec
 	continued        *prometheus.CounterVec
 	takenUp          *prometheus.CounterVec
+	streamRequests   *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
@@ -50,6 +51,10 @@
 			Name: "bluebell_gate_streams_taken_up_total",
 			Help: "Streams that callers take up, by how the software version is known at which they began: recorded, only (there was no other), or unknown.",
 		}, []string{"origin"}),
+		streamRequests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_stream_requests_total",
+			Help: "Requests for streams that can be taken up, by kind (new, or taken_up by its caller) and step: received, or first_event.",
+		}, []string{"kind", "step"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -88,7 +93,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -111,6 +116,19 @@
 // streamTakenUp counts a stream that a caller takes up.
 func (m *metrics) streamTakenUp(origin OriginKnown) { m.takenUp.WithLabelValues(string(origin)).Inc() }
 
+// streamRequest counts a request for a stream that can be taken up; began says that its first
+// event has come, rather than the request.
+func (m *metrics) streamRequest(takenUp, began bool) {
+	kind, step := "new", "received"
+	if takenUp {
+		kind = "taken_up"
+	}
+	if began {
+		step = "first_event"
+	}
+	m.streamRequests.WithLabelValues(kind, step).Inc()
+}
+
 // The values of the labels of streams that are continued.
 const (
 	byRouter       = "router"
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -56,6 +56,16 @@
 	return r.LastEventID != "" && r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume
 }
 
+// countStream counts a request for a stream that can be taken up; began says that its first event
+// has come, rather than the request.
+func (h *handler) countStream(request *Request, began bool) {
+	if !request.Route.Stream || request.Route.Repeat != knowledge.RepeatResume {
+		return
+	}
+	h.requestLog.counts.addStream(request, began)
+	h.metrics.streamRequest(request.takenUp(), began)
+}
+
 // originTime returns how long the request's stream may be taken up from now on.
 func (r *Request) originTime(now boottime.Instant) time.Duration {
 	return min(max(r.Remaining(now), r.Deadline-now.Sub(r.Received), 0)+takeUpTime, streamorigin.MaxTime)
@@ -80,6 +90,7 @@
 	}
 	software, known := FindOrigin(ctx, h.streams, h.state, request)
 	h.metrics.streamTakenUp(known)
+	request.OriginKnown = known
 	if software == 0 {
 		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream, RetryAfter: h.admission.retryAfter(request)}
 	}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -138,7 +138,7 @@
 	if r.stream.started {
 		// The header of an answer has been sent. Only a connection that ends early tells
 		// the caller that the stream is not complete.
-		r.handler.requestLog.streamAborted(r.request, r.sends, cancelledByDrain(ctx))
+		r.handler.requestLog.streamAborted(r.request, refusal, r.sends, cancelledByDrain(ctx))
 		panic(http.ErrAbortHandler)
 	}
 	if r.savedFailure != nil {
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -189,6 +189,7 @@
 	r.stream.cut = false
 	if r.stream.begunAt == nil {
 		r.stream.begunAt = backend
+		r.handler.countStream(r.request, true)
 		r.handler.recordOrigin(r.request, backend, opened)
 	}
 }
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -44,6 +44,8 @@
 	scattered bool
 	// Software is that of the backend servers at which the stream may go on, 0 for any.
 	Software knowledge.SoftwareID
+	// OriginKnown says how Software is known of a stream that the caller takes up, "" for others.
+	OriginKnown OriginKnown
 }
 
 // Prompt describes a model request. Its zero value stands for a request to a plain service.
--- a/internal/gate/request_log.go
+++ b/internal/gate/request_log.go
@@ -126,6 +126,7 @@
 	}
 	addInputs(fields, refusal.Inputs)
 	addConviction(fields, request, refusal.Conviction)
+	r.addOrigin(fields, request)
 	r.writeFields(event.GateRefused, request, fields)
 }
 
@@ -213,16 +214,36 @@
 }
 
 // streamAborted logs that a stream ends early, because of the backend server or the end of
-// draining.
-func (r *requestLog) streamAborted(request *Request, sends int, drained bool) {
+// draining. The refusal says why it did not go on at another backend server.
+func (r *requestLog) streamAborted(request *Request, refusal Refusal, sends int, drained bool) {
 	r.counts.addAnswer(request, false, false)
-	r.write(r.failureLimit, event.GateStreamAborted, request, logrus.Fields{"sends": sends, "drained": drained})
+	if !r.allows(r.failureLimit) {
+		return
+	}
+	fields := logrus.Fields{"sends": sends, "drained": drained, "reason": refusal.Reason}
+	addInputs(fields, refusal.Inputs)
+	r.addOrigin(fields, request)
+	r.writeFields(event.GateStreamAborted, request, fields)
+}
+
+// addOrigin adds what is known of the begin of a stream that goes on, and at how many backend
+// servers it could.
+func (r *requestLog) addOrigin(fields logrus.Fields, request *Request) {
+	if request == nil || request.Software == 0 && request.OriginKnown == "" {
+		return
+	}
+	if request.OriginKnown != "" {
+		fields["resumes"], fields["origin"] = request.Resumes, request.OriginKnown
+	}
+	if request.Software != 0 {
+		fields["version_servers"] = len(servingFor(r.state.View(), request))
+	}
 }
 
 // callerDisconnected logs that a request ended because its caller had disconnected; connected
 // reports that it had not.
 func (r *requestLog) callerDisconnected(request *Request, connected bool) {
-	r.counts.addEnd(request, func(route *RouteCounts) { route.Disconnected++ })
+	r.counts.count(request, func(route *RouteCounts) { route.Disconnected++ })
 	if connected {
 		r.write(r.failureLimit, event.GateCallerDisconnected, request, logrus.Fields{"connected": true})
 		return
--- a/internal/gate/requestcounts.go
+++ b/internal/gate/requestcounts.go
@@ -25,6 +25,18 @@
 	Failed       int            `json:"failed,omitempty"`
 	Disconnected int            `json:"left,omitempty"` // callers that disconnected
 	Refused      map[Reason]int `json:"refused,omitempty"`
+	// Streams compares streams that callers take up with new ones, nil if the route's streams
+	// can't be taken up.
+	Streams *StreamCounts `json:"streams,omitempty"`
+}
+
+// StreamCounts counts requests for streams, by when they came, and those that brought events, by
+// when the first one came.
+type StreamCounts struct {
+	New     int `json:"new,omitempty"`
+	Began   int `json:"began,omitempty"` // new ones with an event
+	TakenUp int `json:"taken_up,omitempty"`
+	WentOn  int `json:"went_on,omitempty"` // taken up, with an event
 }
 
 // AccountCounts counts the tokens that an account requested within a second, and the tokens
@@ -65,8 +77,8 @@
 	c.account(request.Account.Name).Requested += int64(request.Prompt.Cost())
 }
 
-// addEnd counts the end of a request.
-func (c *requestCounts) addEnd(request *Request, count func(route *RouteCounts)) {
+// count changes the counts of the request's route.
+func (c *requestCounts) count(request *Request, change func(route *RouteCounts)) {
 	name := ""
 	if request != nil && request.Route != nil {
 		name = request.Route.Name
@@ -78,12 +90,32 @@
 		route = &RouteCounts{}
 		c.routes[name] = route
 	}
-	count(route)
+	change(route)
+}
+
+// addStream counts a request for a stream that can be taken up; began says that its first event
+// has come, rather than the request.
+func (c *requestCounts) addStream(request *Request, began bool) {
+	c.count(request, func(route *RouteCounts) {
+		if route.Streams == nil {
+			route.Streams = &StreamCounts{}
+		}
+		switch takenUp := request.takenUp(); {
+		case takenUp && began:
+			route.Streams.WentOn++
+		case takenUp:
+			route.Streams.TakenUp++
+		case began:
+			route.Streams.Began++
+		default:
+			route.Streams.New++
+		}
+	})
 }
 
 // addAnswer counts an answer.
 func (c *requestCounts) addAnswer(request *Request, success, late bool) {
-	c.addEnd(request, func(route *RouteCounts) {
+	c.count(request, func(route *RouteCounts) {
 		switch {
 		case !success:
 			route.Failed++
@@ -100,7 +132,7 @@
 
 // addRefusal counts a refusal.
 func (c *requestCounts) addRefusal(request *Request, reason Reason) {
-	c.addEnd(request, func(route *RouteCounts) {
+	c.count(request, func(route *RouteCounts) {
 		if route.Refused == nil {
 			route.Refused = make(map[Reason]int)
 		}
