policy: streams that go on come before new requests

Callers saw streams that had begun break off with a crash and be refused at each router, while new streams began: under five times the usual load 3 of 89 went on, and 1,805 of 23,923 new ones began (LOST).

Cause: a stream that goes on was admitted like a new request. Its account had been charged for it, so the second attempt was beyond the share just then (over-share, 31 of 51 logged refusals), and the servers of its version were full, as the streams of the crashed ones moved there (busy, 16 of 51). The class: what has been accepted must not compete again for what it was granted.

A stream with a record of where it began, or that its router resumes, has a tier of its own, before those of new requests: open up to four times the account's share, twice the target latency of prompts ahead, 0.9 of the slots, and it may disrupt. It is charged as before, so that its account pays with new requests.

--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -85,6 +85,10 @@
 	SurplusMost     float64 `key:"surplus_most" default:"2" min:"1" doc:"How many times its share an account may get before it gets only what is idle."`
 	SurplusExponent float64 `key:"surplus_exponent" default:"3" min:"0" max:"10" doc:"How much a longer target latency lowers the odds beyond the share; 0: all alike."`
 
+	ContinueMost   float64 `key:"continue_most" default:"4" min:"0" doc:"How many times its share an account may get by streams that go on before these count as new requests."`
+	ContinueBudget float64 `key:"continue_budget" default:"2" min:"0.01" max:"4" doc:"Times a route's target latency within which an engine must have read the prompts ahead of a stream that goes on."`
+	ContinueSlots  float64 `key:"continue_slots" default:"0.9" min:"0.05" max:"1" doc:"Part of an engine's slots that is used for streams that go on."`
+
 	IdleShare  float64 `key:"idle_share" default:"0.08" min:"0" max:"1" doc:"Part of the shortest target latency within which an engine must have read what is ahead and the prompt itself, for requests that take only what is idle."`
 	IdleSlots  float64 `key:"idle_slots" default:"0.25" min:"0" max:"1" doc:"Part of an engine's slots up to which such requests are let in; 0: never."`
 	IdleMemory float64 `key:"idle_memory" default:"0.25" min:"0" max:"1" doc:"Part of an engine's memory up to which they are let in."`
@@ -198,6 +202,10 @@
 		SurplusMost:     s.SurplusMost,
 		SurplusExponent: s.SurplusExponent,
 
+		ContinueMost:   s.ContinueMost,
+		ContinueBudget: s.ContinueBudget,
+		ContinueSlots:  s.ContinueSlots,
+
 		IdleShare:  s.IdleShare,
 		IdleSlots:  s.IdleSlots,
 		IdleMemory: s.IdleMemory,
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -67,6 +67,7 @@
 	segments          *crash.SegmentTable
 	refusedSegments   *refusedSegments
 	streams           StreamOrigins
+	continuations     *continuations
 	requestLog        *requestLog
 	metrics           *metrics
 	startedAt         boottime.Instant
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -63,6 +63,7 @@
 		budget:        newRetryBudget(settings, options.Peers),
 		suspects:      crash.NewSuspects(),
 		streams:       options.Streams,
+		continuations: newContinuations(),
 		crashDetector: crash.NewDetector(),
 		segments:      crash.NewSegmentTable(),
 		requestLog:    newRequestLog(options.Logger, options.State, func() logrus.Fields { return admission.inputs(options.State.View()) }),
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -168,6 +168,7 @@
 		Rank:           view.Index.Rank(request.Service, request.Route, request.Account),
 		Headroom:       a.loads.headroom(request.Service, a.leastHeadroom(request.Service)),
 		DeclinedBefore: declinedBefore,
+		Continues:      request.Continues,
 	}
 }
 
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -190,6 +190,7 @@
 	if r.stream.begunAt == nil {
 		r.stream.begunAt = backend
 		r.handler.countStream(r.request, true)
+		r.request.Continues = r.request.Route.Repeat == knowledge.RepeatResume
 		r.handler.recordOrigin(r.request, backend, opened)
 	}
 }
--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -44,6 +44,9 @@
 	scattered bool
 	// Software is that of the backend servers at which the stream may go on, 0 for any.
 	Software knowledge.SoftwareID
+	// Continues says that the request goes on with a stream that a backend server is known to
+	// have begun, and is admitted before new ones.
+	Continues bool
 	// OriginKnown says how Software is known of a stream that the caller takes up, "" for others.
 	OriginKnown OriginKnown
 }
--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -35,8 +35,11 @@
 
 // Bounds returns the bounds for a request of the tier.
 func (s *Settings) Bounds(tier Tier, request ModelRequest) Bounds {
-	if tier == TierIdle {
+	switch tier {
+	case TierIdle:
 		return s.idleBounds(request)
+	case TierContinued:
+		return s.continuedBounds(request)
 	}
 	fraction := s.BudgetShare * s.urgencyShare(request.Rank) * request.Headroom
 	if tier == TierSurplus {
@@ -50,6 +53,16 @@
 	return Bounds{Budget: scale(request.Target, fraction), SlotShare: s.SlotShare, MemoryShare: s.MemoryShare, MaxEngines: engines}
 }
 
+// continuedBounds returns the bounds for a stream that goes on. When engines crash, their streams
+// all move to the others while these are full, so they have room beyond that of new requests. A
+// caller waits longer for the next event than for the first one.
+func (s *Settings) continuedBounds(request ModelRequest) Bounds {
+	bounds := s.Bounds(TierOwed, ModelRequest{Target: request.Target, Headroom: request.Headroom})
+	bounds.Budget = max(bounds.Budget, scale(request.Target, s.ContinueBudget*request.Headroom))
+	bounds.SlotShare = max(bounds.SlotShare, s.ContinueSlots)
+	return bounds
+}
+
 // idleBounds returns the bounds of the idle tier: it admits a request only where hardly
 // anything waits and the request's own prompt is short. An owed request that arrives
 // later has to wait for it, so its own prompt counts in the budget, which is a small
--- a/internal/policy/policy_test.go
+++ b/internal/policy/policy_test.go
@@ -71,6 +71,36 @@
 	})
 }
 
+// Guards against streams that break off and go on less often than new ones begin: their accounts
+// are charged already, and the engines that are left are full.
+func TestStreamsThatGoOnComeBeforeNewRequests(t *testing.T) {
+	s := Defaults()
+	rapid.Check(t, func(t *rapid.T) {
+		fresh := modelRequest(rapid.Float64Range(0, 6).Draw(t, "got"))
+		fresh.Usage.Shortage = rapid.Float64Range(0, 1).Draw(t, "shortage")
+		fresh.Rank = rapid.IntRange(0, 9).Draw(t, "rank")
+		fresh.Headroom = rapid.Float64Range(0.2, 1).Draw(t, "headroom")
+		continued, draw := fresh, rapid.Float64Range(0, 0.999).Draw(t, "draw")
+		continued.Continues = true
+		tier := s.Tier(continued, draw)
+		if fresh.Usage.ShareUsed > s.ContinueMost {
+			if tier != s.Tier(fresh, draw) {
+				t.Fatalf("tier %v beyond the bound, a new request's %v", tier, s.Tier(fresh, draw))
+			}
+			return
+		}
+		for _, other := range []Tier{TierOwed, TierSurplus, TierIdle} {
+			own, bounds := s.Bounds(tier, continued), s.Bounds(other, fresh)
+			if own.Budget < bounds.Budget || own.SlotShare < bounds.SlotShare || own.MemoryShare < bounds.MemoryShare || own.MaxEngines < bounds.MaxEngines {
+				t.Fatalf("%v %+v, %v %+v", tier, own, other, bounds)
+			}
+		}
+		if !s.TierOpen(tier, continued.Usage) {
+			t.Fatalf("tier %v is closed", tier)
+		}
+	})
+}
+
 // The more of its even share an account has used, the narrower its bounds in the idle
 // tier, and even the widest are within those of the owed tier.
 func TestIdleBoundsNarrowWithUsage(t *testing.T) {
--- a/internal/policy/protect.go
+++ b/internal/policy/protect.go
@@ -41,10 +41,10 @@
 
 // Protection returns the bound for a request of the tier at a service whose routes
 // promise gaps between events of at most targetGap, 0 for no promise. Only owed requests
-// may disrupt streams: if they were refused, an account with long prompts would get less
-// than its share.
+// and streams that go on may disrupt streams: if they were refused, an account with long
+// prompts would get less than its share, or lose streams that have begun.
 func (s *Settings) Protection(tier Tier, targetGap time.Duration) Protection {
-	return Protection{Gap: scale(targetGap, s.GapShare), MayDisrupt: tier == TierOwed}
+	return Protection{Gap: scale(targetGap, s.GapShare), MayDisrupt: tier == TierOwed || tier == TierContinued}
 }
 
 // MaxEngines returns how many engines are considered, given the bounds of the request.
--- a/internal/policy/protect_test.go
+++ b/internal/policy/protect_test.go
@@ -8,11 +8,11 @@
 )
 
 // Guards against an account getting less than its share because its prompts are long.
-func TestOnlyWhatIsOwedMayDisruptStreams(t *testing.T) {
+func TestOnlyWhatIsOwedOrGoesOnMayDisruptStreams(t *testing.T) {
 	s := settings
 	s.GapShare = 0.7
 	disruptive := selection.Choice{Fits: true, Disrupts: true}
-	for tier, allowed := range map[Tier]bool{TierOwed: true, TierSurplus: false, TierIdle: false} {
+	for tier, allowed := range map[Tier]bool{TierContinued: true, TierOwed: true, TierSurplus: false, TierIdle: false} {
 		if got := s.Protection(tier, 300*time.Millisecond).Allows(disruptive); got != allowed {
 			t.Errorf("%v: allowed %v, want %v", tier, got, allowed)
 		}
--- a/internal/policy/settings.go
+++ b/internal/policy/settings.go
@@ -29,6 +29,15 @@
 	// surplus tier; 0 treats all requests alike.
 	SurplusExponent float64
 
+	// ContinueMost is the multiple of its share up to which an account's streams go on before
+	// other requests; 0 treats them like new ones.
+	ContinueMost float64
+	// ContinueBudget is the multiple of a route's target latency in which an engine must have
+	// read the prompts ahead of a stream that goes on.
+	ContinueBudget float64
+	// ContinueSlots is the fraction of an engine's slots that is used for streams that go on.
+	ContinueSlots float64
+
 	// IdleShare is the fraction of the service's shortest target latency in which an
 	// engine must have read the prompts ahead of a request of the idle tier and the
 	// request's own.
@@ -80,6 +89,7 @@
 	return Settings{
 		BudgetShare: 1, SlotShare: 0.8, MemoryShare: 0.9, RankShare: 0.85, OwedEngines: 8,
 		SurplusShare: 0.6, SurplusMost: 2, SurplusExponent: 3,
+		ContinueMost: 4, ContinueBudget: 2, ContinueSlots: 0.9,
 		IdleShare: 0.08, IdleSlots: 0.25, IdleMemory: 0.25,
 		IdleWide: 0.2, IdleWideSlots: 0.6, IdleMost: 1.5,
 		LeastHeadroom: 0.2, ObservedCapacity: true,
--- a/internal/policy/tier.go
+++ b/internal/policy/tier.go
@@ -13,7 +13,7 @@
 // Tier is the entitlement by which a request uses capacity.
 type Tier int
 
-// The tiers, in the order in which they are served.
+// The tiers, those of new requests in the order in which they are served.
 const (
 	// TierOwed is for requests within the account's share.
 	TierOwed Tier = iota
@@ -28,10 +28,15 @@
 	// in time by 11 to 19 percent. Dividing it evenly costs a tenth of these requests,
 	// but leaves no account with less than half of what another gets.
 	TierIdle
+	// TierContinued is for streams that go on. Their accounts were charged when they began, so
+	// that an account at its limit could never continue one; and their callers, who have a part
+	// already, would lose it. It takes precedence over the other tiers, up to
+	// Settings.ContinueMost times the share.
+	TierContinued
 )
 
 // tierNames are the names of the tiers in logs and metrics.
-var tierNames = [...]string{"owed", "surplus", "idle"}
+var tierNames = [...]string{"owed", "surplus", "idle", "continued"}
 
 // String returns the tier's name.
 func (t Tier) String() string { return tierNames[t] }
@@ -61,11 +66,15 @@
 	// DeclinedBefore reports whether the request was admitted before and then declined by
 	// an engine.
 	DeclinedBefore bool
+	// Continues reports whether the request goes on with a stream that began at an engine.
+	Continues bool
 }
 
 // Tier returns the tier of a request. draw is a random number in [0, 1).
 func (s *Settings) Tier(request ModelRequest, draw float64) Tier {
 	switch {
+	case request.Continues && request.Usage.ShareUsed <= s.ContinueMost:
+		return TierContinued
 	case request.Usage.WithinShare():
 		return TierOwed
 	case request.DeclinedBefore, draw < s.surplusProbability(request):
