peering: a router that has just started asks routers that it has not heard yet

Cause: only routers whose heartbeats had been heard were asked, and a router that has just started has heard none or few. Now it asks each router whose address it knows, and waits for the directory, 1 s at most. It sends records of new streams to those as well. TestStartingRouterAsksRoutersThatItHasNotHeard failed before in both cases.

--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -53,16 +53,73 @@
 	now := boottime.Now()
 	m.origins.table.Set(stream, streamorigin.Origin{Software: software, Until: now.Add(lasts)}, now)
 	message := &peeringpb.StreamOrigin{Stream: uint64(stream), Software: uint64(software), LastsMs: uint32(lasts.Milliseconds())}
-	m.sendOrigin(message, streamorigin.Holders(stream, m.zone, m.originRouters(now))...)
+	m.sendOrigin(message, m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address {
+		return streamorigin.Holders(stream, m.zone, routers)
+	})...)
 }
 
+// Callers that reconnect after their router was killed come to it again as soon as it is back,
+// when it has not yet heard the routers that keep their streams.
+const (
+	// maxStartQuery bounds the time for which a router that has just started looks for routers
+	// to ask.
+	maxStartQuery = time.Second
+	// startQueryInterval is the interval at which it looks for further ones.
+	startQueryInterval = 20 * time.Millisecond
+)
+
 // FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin.
 func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
-	now := boottime.Now()
-	if origin, known := m.origins.table.Find(stream, now); known {
+	if origin, known := m.origins.table.Find(stream, boottime.Now()); known {
 		return origin, true
 	}
-	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: streamorigin.Asked(stream, m.originRouters(now))}
+	ctx, cancel := context.WithTimeout(ctx, maxStartQuery)
+	defer cancel()
+	asked := make(map[fleet.Address]bool)
+	for {
+		now := boottime.Now()
+		targets := m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address { return streamorigin.Asked(stream, routers) })
+		targets = lo.Reject(targets, func(address fleet.Address, _ int) bool { return asked[address] })
+		if len(targets) > 0 {
+			if origin, known := m.askOrigin(ctx, stream, targets); known {
+				return origin, true
+			}
+		}
+		for _, address := range targets {
+			asked[address] = true
+		}
+		if len(targets) > 0 {
+			continue
+		}
+		if !m.findingRouters(now) || !pause(ctx, startQueryInterval) {
+			return streamorigin.Origin{}, false
+		}
+	}
+}
+
+// pause waits, and returns false if the context ends before.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// starting reports whether the router has started lately and may not have heard all others.
+func (m *Manager) starting(now boottime.Instant) bool { return now.Sub(m.started) < settlePeriod }
+
+// findingRouters reports whether the router may not yet know the addresses of all others.
+func (m *Manager) findingRouters(now boottime.Instant) bool {
+	return m.starting(now) && m.options.Directory != nil && !m.directoryRead.Load()
+}
+
+// askOrigin asks the routers for the origin of a stream.
+func (m *Manager) askOrigin(ctx context.Context, stream streamorigin.Stream, targets []fleet.Address) (streamorigin.Origin, bool) {
+	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: targets}
 	if !m.origins.add(query) {
 		return streamorigin.Origin{}, false
 	}
@@ -201,13 +258,26 @@
 	return q.origin, q.known
 }
 
-// originRouters returns the reachable routers, of which some keep the origins of streams.
-func (t *table) originRouters(now boottime.Instant) []streamorigin.Router {
+// chooseRouters returns what choose picks among the reachable routers. If this one has just started,
+// it adds what choose picks among all listed ones, of which some may be gone.
+func (m *Manager) chooseRouters(now boottime.Instant, choose func(routers []streamorigin.Router) []fleet.Address) []fleet.Address {
+	heard := m.originRouters(now, false)
+	chosen := choose(heard)
+	if m.starting(now) {
+		if listed := m.originRouters(now, true); len(listed) > len(heard) {
+			chosen = lo.Union(chosen, choose(listed))
+		}
+	}
+	return chosen
+}
+
+// originRouters returns the reachable routers, or with listed all whose addresses are known.
+func (t *table) originRouters(now boottime.Instant, listed bool) []streamorigin.Router {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	routers := make([]streamorigin.Router, 0, len(t.peers))
 	for address, peer := range t.peers {
-		if t.reachable(peer, now) {
+		if listed || t.reachable(peer, now) {
 			routers = append(routers, streamorigin.Router{Address: address, Hash: peer.hash, Zone: peer.zone})
 		}
 	}
--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
 
@@ -100,6 +101,30 @@
 	}
 }
 
+// Guards against a stream that is refused by a router which has just started and has not heard
+// those that keep its origin, while it knows their addresses or is about to read them.
+func TestStartingRouterAsksRoutersThatItHasNotHeard(t *testing.T) {
+	for name, listedAfter := range map[string]time.Duration{"listed": 0, "listed soon": 60 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			f := newOriginFleet(2, 3)
+			began := f.any()
+			began.RecordOrigin(7, 8, time.Minute)
+			f.lost[began.self] = true
+			starting := NewManager(Options{Address: "10.9.9.9:8241", Zone: "z0", State: knowledge.NewState(), Logger: logrus.New(), Directory: &fakeDirectory{}})
+			var network Network = originLink{fleet: f}
+			starting.origins.network.Store(&network)
+			f.routers[starting.self] = starting
+			list := time.AfterFunc(listedAfter, func() {
+				starting.applyDirectory(t.Context(), lo.MapValues(f.routers, func(router *Manager, _ fleet.Address) fleet.Zone { return router.zone }), 0)
+			})
+			defer list.Stop()
+			if origin, known := starting.FindOrigin(t.Context(), 7); !known || origin.Software != 8 {
+				t.Errorf("software %d, known %v; want 8", origin.Software, known)
+			}
+		})
+	}
+}
+
 // Guards against callers that wait although it is known at once that no router knows.
 func TestUnknownOriginIsReportedAtOnce(t *testing.T) {
 	f := newOriginFleet(4, 5)
--- a/internal/peering/register.go
+++ b/internal/peering/register.go
@@ -102,10 +102,10 @@
 // nothing. A router that watches the store also removes expired entries.
 func (m *Manager) applyDirectory(ctx context.Context, zones map[fleet.Address]fleet.Zone, missingCount int) int {
 	now := boottime.Now()
-	m.directoryRead.Store(true)
 	for address, zone := range zones {
 		m.add(address, zone, now)
 	}
+	m.directoryRead.Store(true)
 	if m.WatchesStore() {
 		for _, expired := range m.expiredEntries(lo.Keys(zones), now) {
 			m.logFailure(ctx, m.options.Directory.Remove(ctx, expired))
