peering: a router that has just started waits briefly, and without polling, for the others' addresses

Now the wait ends with the directory or after 300 ms, holds one of the places for queries, and a second round asks only routers that the first did not. The wait for a current list counts from when the caller came, so that both don't add up beyond what callers wait for an event.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -32,8 +32,8 @@
 	// maxOriginListAge is the age of the list of backend servers up to which a router may
 	// conclude that there is one software version only.
 	maxOriginListAge = 3 * time.Second
-	// maxListWait bounds the wait for a current list. Callers give up on a stream after two
-	// seconds without an event.
+	// maxListWait bounds the wait for a current list, from when the caller came. Callers give up
+	// on a stream after two seconds without an event.
 	maxListWait = 1500 * time.Millisecond
 )
 
@@ -124,7 +124,7 @@
 	}
 	// A version that this router has not seen yet may have begun the stream, but none that was
 	// first listed after the caller came.
-	ctx, cancel := context.WithTimeout(ctx, maxListWait)
+	ctx, cancel := context.WithTimeout(ctx, maxListWait-boottime.Now().Sub(request.Received))
 	defer cancel()
 	if state.AwaitList(ctx, request.Received) {
 		if software := only(); software != 0 {
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -102,11 +102,12 @@
 	zoneLog            aggregateLog       // usage of this zone as sent to other zones
 	otherZonesLog      aggregateLog       // usage of other zones as sent within this zone
 	directoryRead      atomic.Bool        // set after the first successful read of the directory
+	directoryListed    chan struct{}      // closed then
 }
 
 // NewManager returns a manager that sends nothing until Run.
 func NewManager(options Options) *Manager {
-	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now()}
+	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now(), directoryListed: make(chan struct{})}
 	m.peerLog = &peerLog{logger: options.Logger}
 	m.origins = newOrigins()
 	m.traffic = newTraffic(options.Logger, m.started)
--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -58,65 +58,53 @@
 	})...)
 }
 
-// Callers that reconnect after their router was killed come to it again as soon as it is back,
-// when it has not yet heard the routers that keep their streams.
-const (
-	// maxStartQuery bounds the time for which a router that has just started looks for routers
-	// to ask.
-	maxStartQuery = time.Second
-	// startQueryInterval is the interval at which it looks for further ones.
-	startQueryInterval = 20 * time.Millisecond
-)
+// maxDirectoryWait bounds the time for which a router that has just started waits for the
+// addresses of the others. Callers that reconnect after their router was killed come to it again
+// as soon as it is back, when it may know none that keeps their streams.
+const maxDirectoryWait = 300 * time.Millisecond
 
 // FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin.
 func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
 	if origin, known := m.origins.table.Find(stream, boottime.Now()); known {
 		return origin, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, maxStartQuery)
-	defer cancel()
-	asked := make(map[fleet.Address]bool)
-	for {
-		now := boottime.Now()
-		targets := m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address { return streamorigin.Asked(stream, routers) })
-		targets = lo.Reject(targets, func(address fleet.Address, _ int) bool { return asked[address] })
-		if len(targets) > 0 {
-			if origin, known := m.askOrigin(ctx, stream, targets); known {
-				return origin, true
-			}
-		}
-		for _, address := range targets {
-			asked[address] = true
-		}
-		if len(targets) > 0 {
-			continue
-		}
-		if !m.findingRouters(now) || !pause(ctx, startQueryInterval) {
-			return streamorigin.Origin{}, false
-		}
+	asked := m.askedRouters(stream)
+	if origin, known := m.askOrigin(ctx, stream, asked); known || !m.awaitDirectory(ctx) {
+		return origin, known
 	}
+	return m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...))
+}
+
+// askedRouters returns the routers to ask for the origin of a stream.
+func (m *Manager) askedRouters(stream streamorigin.Stream) []fleet.Address {
+	return m.chooseRouters(boottime.Now(), func(routers []streamorigin.Router) []fleet.Address { return streamorigin.Asked(stream, routers) })
 }
 
-// pause waits, and returns false if the context ends before.
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
+// awaitDirectory waits until a router that has just started has read the directory. It returns
+// false if there is nothing to wait for, or if the directory does not come in time.
+func (m *Manager) awaitDirectory(ctx context.Context) bool {
+	if !m.starting(boottime.Now()) || m.options.Directory == nil || m.directoryRead.Load() {
+		return false
+	}
+	waiting := &originQuery{}
+	if !m.origins.add(waiting) {
+		return false
+	}
+	defer m.origins.remove(waiting)
+	timer := time.NewTimer(maxDirectoryWait)
 	defer timer.Stop()
 	select {
+	case <-m.directoryListed:
+		return true
 	case <-ctx.Done():
-		return false
 	case <-timer.C:
-		return true
 	}
+	return false
 }
 
 // starting reports whether the router has started lately and may not have heard all others.
 func (m *Manager) starting(now boottime.Instant) bool { return now.Sub(m.started) < settlePeriod }
 
-// findingRouters reports whether the router may not yet know the addresses of all others.
-func (m *Manager) findingRouters(now boottime.Instant) bool {
-	return m.starting(now) && m.options.Directory != nil && !m.directoryRead.Load()
-}
-
 // askOrigin asks the routers for the origin of a stream.
 func (m *Manager) askOrigin(ctx context.Context, stream streamorigin.Stream, targets []fleet.Address) (streamorigin.Origin, bool) {
 	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: targets}
--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -125,6 +125,18 @@
 	}
 }
 
+// Guards against callers that wait too long at a router that has just started while the directory
+// does not come.
+func TestStartingRouterWaitsBrieflyForTheDirectory(t *testing.T) {
+	f := newOriginFleet(2, 3)
+	router := f.any()
+	router.options.Directory = &fakeDirectory{}
+	started := time.Now()
+	if _, known := router.FindOrigin(t.Context(), 7); known || time.Since(started) >= 2*maxDirectoryWait {
+		t.Errorf("known %v after %v", known, time.Since(started))
+	}
+}
+
 // Guards against callers that wait although it is known at once that no router knows.
 func TestUnknownOriginIsReportedAtOnce(t *testing.T) {
 	f := newOriginFleet(4, 5)
--- a/internal/peering/register.go
+++ b/internal/peering/register.go
@@ -105,7 +105,9 @@
 	for address, zone := range zones {
 		m.add(address, zone, now)
 	}
-	m.directoryRead.Store(true)
+	if !m.directoryRead.Swap(true) {
+		close(m.directoryListed)
+	}
 	if m.WatchesStore() {
 		for _, expired := range m.expiredEntries(lo.Keys(zones), now) {
 			m.logFailure(ctx, m.options.Directory.Remove(ctx, expired))
