gate: a busy router does not refuse streams that callers take up before new requests

A router whose processor does not keep up refuses requests beyond their accounts' shares first. The account of a stream that is taken up has been charged for it already, and when routers are killed, their callers crowd the others just then.

A request that names the stream which it takes up counts as within the share there up to the multiple up to which such streams go on before new ones. The record isn't known yet at this point; a caller that names a stream that never was passes this check and is admitted as a new request.

--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -81,13 +81,19 @@
 	a.ledger.AddRequested(request.Account.Name, request.Prompt.Cost(), boottime.Now())
 }
 
-// withinShare reports whether the request's account has used less than its share. Requests
+// withinShare reports whether the request's account has used less than its share, or less than
+// the multiple of it up to which its streams go on before new requests, for one that its caller
+// takes up: the account has been charged for it already, and is at its limit. Requests
 // to plain services use no shared capacity, so it is always true for them.
 func (a *admission) withinShare(request *Request, view *knowledge.View) bool {
 	if request.Prompt.Tokens == 0 {
 		return true
 	}
-	return a.accountUsage(request, view.Index.Configuration.Limits.TokensPerSecond, boottime.Now()).WithinShare()
+	usage := a.accountUsage(request, view.Index.Configuration.Limits.TokensPerSecond, boottime.Now())
+	if request.takenUp() && request.Resumes != "" {
+		return usage.ShareUsed <= max(a.policy().ContinueMost, 1)
+	}
+	return usage.WithinShare()
 }
 
 // recordUnrelatedRefusal records that a request was refused for a reason other than the
