gate: a stream that broke off twice is not refused as one that crashes backend servers

A stream that is taken up has the fingerprint of its first request, so the connections that broke under it count against it; a new stream has no such history.

A stream with a record, so one that has brought events, is refused at the third crash, pending ones included.

--- a/internal/crash/suspects.go
+++ b/internal/crash/suspects.go
@@ -17,6 +17,10 @@
 	// request that was merely running beside one that crashes them rarely meets a second
 	// crash.
 	MaxCrashes = 2
+	// MaxStreamCrashes is the same for a stream that has brought events. It is sent again with the
+	// crashes that it has met, as often as servers crash one after the other, while a request that
+	// crashes them seldom brings any.
+	MaxStreamCrashes = 3
 	// suspectTTL is how long a crash is remembered.
 	suspectTTL = 60 * time.Second
 	// maxSuspects bounds the table. A crash of a backend server adds all requests that it
--- a/internal/gate/crash_verdicts.go
+++ b/internal/gate/crash_verdicts.go
@@ -107,12 +107,16 @@
 // each attempt until the first verdict. It returns the refusal, or nil to run the request.
 func (h *handler) awaitVerdicts(ctx context.Context, request *Request) *Refusal {
 	deadline := boottime.Now().Add(maxHold)
+	maxCrashes := crash.MaxCrashes
+	if request.OriginKnown == OriginRecorded {
+		maxCrashes = crash.MaxStreamCrashes
+	}
 	for held := false; ; held = true {
 		crashes := h.suspects.Count(request.Fingerprint, boottime.Now())
-		if crashes >= crash.MaxCrashes {
+		if crashes >= maxCrashes {
 			return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonSuspect, RetryAfter: suspectRetryAfter}
 		}
-		if crashes+h.crashDetector.PendingFor(request.Fingerprint) < crash.MaxCrashes {
+		if crashes+h.crashDetector.PendingFor(request.Fingerprint) < maxCrashes {
 			if held {
 				return h.identifyAgain(request)
 			}
