peering: a router that starts asks the others for the newest configuration

Cause: the first configuration that a process lists counted as the newest. Only the other routers know that it is not, and the router was ready before it had heard them.

A router is now ready only when another one, which knows the newest configuration, has told its version, and when it has that one itself. A router that has not finished states no age of its configuration, so that two which start together do not confirm it to each other; receivers ignore such an age already, and the messages stay as they are.

--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -50,5 +50,7 @@
 	GateClosedInProgress      = Event{2145, logrus.WarnLevel, "connections closed with requests in progress at the end of the drain"}
 	GatePanicked              = Event{2146, logrus.ErrorLevel, "request handler panicked"}
 	GateNotListening          = Event{2147, logrus.WarnLevel, "listener could not be opened again"}
+	GateNewestKnown           = Event{2148, logrus.InfoLevel, "newest configuration found at the start"}
+	GateNewestMissing         = Event{2149, logrus.WarnLevel, "newest configuration not found at the start"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -197,6 +197,7 @@
 // The reasons why a router is not ready for connections.
 const (
 	reasonUnknown    = "no configuration or list of backend servers is known"
+	reasonUnchecked  = "other routers may have a newer configuration"
 	reasonIsolated   = "the store answers other routers only"
 	reasonOverloaded = "requests wait too long for the processor"
 	reasonDrained    = "drained by an operator"
@@ -205,6 +206,8 @@
 // notReady returns why the load balancer should send no connections, or "".
 func (m *Manager) notReady(view *knowledge.View, isolated bool) string {
 	switch {
+	case view.Index != nil && !view.KnowsNewest():
+		return reasonUnchecked
 	case !view.Ready():
 		return reasonUnknown
 	case m.handler.drainedByOperator.Load():
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -31,6 +31,11 @@
 	Evacuations         Evacuations
 	evacuationsRequired bool
 
+	// awaitsPeers is set while other routers may have a newer configuration than the store, and
+	// peerVersion is the version that one of them has.
+	awaitsPeers bool
+	peerVersion uint64
+
 	// RestoredAt is when this router observed that the store was restored from an older
 	// copy, 0 for never.
 	RestoredAt boottime.Instant
@@ -49,7 +54,7 @@
 
 // Ready reports whether requests can be answered at all.
 func (v *View) Ready() bool {
-	return v.Index != nil && v.ListConfirmedAt != 0 && (v.Evacuations.ConfirmedAt != 0 || !v.evacuationsRequired)
+	return v.Index != nil && v.ListConfirmedAt != 0 && (v.Evacuations.ConfirmedAt != 0 || !v.evacuationsRequired) && v.KnowsNewest()
 }
 
 // Version returns the version of the configuration, 0 for none.
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -112,6 +112,7 @@
 	m.traffic = newTraffic(options.Logger, m.started)
 	m.puller = newPuller(options.State, options.Zone, options.Logger)
 	m.puller.onReply = m.countPulled
+	options.State.AwaitPeers()
 	now := boottime.Now()
 	for _, seed := range options.Seeds {
 		m.add(seed, zoneUnknown, now)
@@ -138,6 +139,7 @@
 	group.Go(func() error { return m.send(ctx) })
 	group.Go(func() error { return m.tellEvidence(ctx) })
 	group.Go(func() error { return m.maintainRegistration(ctx) })
+	group.Go(func() error { return m.findNewest(ctx) })
 	return group.Wait()
 }
 
@@ -193,6 +195,9 @@
 		m.local.ReceiveCrashFingerprint(router, fingerprint)
 	}
 	m.applyConfirmations(heartbeat, now)
+	if heartbeat.ConfigAge >= 0 {
+		m.options.State.EndPeerWait(heartbeat.Version)
+	}
 	m.puller.pullIfNewer(ctx, router, heartbeat, m.aloneInZone, now)
 }
 
--- a/internal/peering/pull.go
+++ b/internal/peering/pull.go
@@ -107,17 +107,10 @@
 	return now.Sub(p.behindSince) >= p.crossZoneDelay
 }
 
-// pull requests the state that is newer than the view from the router, and applies it.
+// pull requests the state that is newer than the view from the router, applies it and logs the
+// call.
 func (p *puller) pull(ctx context.Context, router fleet.Address, view *knowledge.View) {
-	requestedAt := boottime.Now()
-	known := p.knownPosition(view)
-	reply, err := p.network.Pull(ctx, router, &peeringpb.PullRequest{
-		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
-	})
-	if err == nil {
-		p.onReply(router, reply)
-		err = p.apply(reply, known, requestedAt)
-	}
+	reply, err := p.request(ctx, router, view)
 	fields := logrus.Fields{"peer": router, "version": view.Version()}
 	if err != nil {
 		fields["error"] = fleet.Wrap(err, fleet.StepSpread, router).Error()
@@ -127,6 +120,20 @@
 	event.GateStatePulled.Log(p.logger, fields)
 }
 
+// request requests the state that is newer than the view from the router, and applies it.
+func (p *puller) request(ctx context.Context, router fleet.Address, view *knowledge.View) (*peeringpb.PullReply, error) {
+	requestedAt := boottime.Now()
+	known := p.knownPosition(view)
+	reply, err := p.network.Pull(ctx, router, &peeringpb.PullRequest{
+		Version: view.Version(), Era: known.Era, Revision: known.Revision, AcceptsChanges: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	p.onReply(router, reply)
+	return reply, p.apply(reply, known, requestedAt)
+}
+
 // knownPosition returns the position since which changes are requested, zero to request
 // the complete list.
 func (p *puller) knownPosition(view *knowledge.View) knowledge.Position {
@@ -144,7 +151,9 @@
 		if err := json.Unmarshal(reply.Configuration, &configuration); err != nil {
 			return err
 		}
-		p.state.SetConfiguration(&configuration, confirmedAt(requestedAt, reply.ConfigAge))
+		p.state.SetConfiguration(&configuration, configurationConfirmedAt(requestedAt, reply))
+	} else {
+		p.state.ConfirmConfiguration(reply.Version, configurationConfirmedAt(requestedAt, reply))
 	}
 	if reply.ListAge < 0 {
 		return nil // the sender has no list yet
@@ -214,6 +223,15 @@
 // errInvalidEntry is the error for an entry that lacks a required field.
 var errInvalidEntry = errors.New("entry lacks an id, a service or an address")
 
+// configurationConfirmedAt returns when the configuration of a reply was confirmed, 0 if that is
+// unknown.
+func configurationConfirmedAt(requestedAt boottime.Instant, reply *peeringpb.PullReply) boottime.Instant {
+	if reply.ConfigAge < 0 {
+		return 0
+	}
+	return confirmedAt(requestedAt, reply.ConfigAge)
+}
+
 // confirmedAt returns the time of a confirmation whose age a reply states. The age counts
 // from the request, as the reply may be delayed.
 func confirmedAt(requestedAt boottime.Instant, age int64) boottime.Instant {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -10,6 +10,7 @@
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 )
 
@@ -200,7 +201,7 @@
 		Incarnation: m.options.Incarnation,
 		Clock:       int64(now),
 		Version:     view.Version(),
-		ConfigAge:   ageAt(view.ConfigurationConfirmedAt, now),
+		ConfigAge:   configurationAge(view, now),
 		Digest:      view.Digest,
 		Era:         view.Position.Era,
 		Revision:    view.Position.Revision,
@@ -214,6 +215,16 @@
 	return heartbeat
 }
 
+// configurationAge returns the age of the configuration in nanoseconds, -1 if it is unknown. It is
+// unknown as well while another router may have a newer configuration: otherwise two routers that
+// have just started would confirm the older configuration of a restored store to each other.
+func configurationAge(view *knowledge.View, now boottime.Instant) int64 {
+	if !view.KnowsNewest() {
+		return -1
+	}
+	return ageAt(view.ConfigurationConfirmedAt, now)
+}
+
 // ageAt returns the age in nanoseconds, -1 if the time is unknown.
 func ageAt(since, now boottime.Instant) int64 {
 	if since == 0 {
--- a/internal/peering/serve.go
+++ b/internal/peering/serve.go
@@ -34,7 +34,7 @@
 	now := boottime.Now()
 	reply := &peeringpb.PullReply{
 		Version:   view.Version(),
-		ConfigAge: ageAt(view.ConfigurationConfirmedAt, now),
+		ConfigAge: configurationAge(view, now),
 		Era:       view.Position.Era,
 		Revision:  view.Position.Revision,
 		ListAge:   ageAt(view.ListConfirmedAt, now),
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -180,6 +181,13 @@
 	return targets
 }
 
+// knownRouters returns the addresses of all other routers, reachable or not.
+func (t *table) knownRouters() []fleet.Address {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return lo.Keys(t.peers)
+}
+
 // echoes returns the newest clocks received from those of the routers that are reachable.
 func (t *table) echoes(routers []fleet.Address) *peeringpb.Echoes {
 	t.mu.Lock()
