peering: a long heartbeat is not cut where it is received

Routers read datagrams into a buffer of 60 KiB, while a heartbeat may have as much as UDP carries, 65,507 bytes: no sender bounds it. The kernel drops the rest of a longer datagram without an error. What is left is dropped as no heartbeat, so that its sender counts as unreachable, or, if it ends between two fields, is applied without the last ones, as if that router had no loads, usages or work times.

By reading; TestLongHeartbeatArrivesWhole failed before: of 61, 62 and 63 parts of 1 KiB, 60 arrived, as a valid message.

The buffer now has the size of the largest datagram, so that none is cut. A heartbeat beyond that is not sent at all, as before.

--- a/internal/peering/network.go
+++ b/internal/peering/network.go
@@ -20,6 +20,9 @@
 	// maxReplyBytes bounds a reply. The largest has a configuration, which is an object of the
 	// store of a megabyte at most, and a list of some 250 bytes for each backend server.
 	maxReplyBytes = 8 << 20
+	// maxDatagramBytes is the most that a datagram of UDP over IPv4 carries. In a smaller buffer it
+	// would be cut, and a part of a heartbeat may be a valid one.
+	maxDatagramBytes = 1<<16 - 1 - 20 - 8
 	// maxRequestBytes bounds the body of a request. The largest has an operator's reason.
 	maxRequestBytes = 64 << 10
 )
@@ -96,7 +99,7 @@
 
 // receive handles heartbeats until the socket is closed.
 func (s *sockets) receive(ctx context.Context, handle func(ctx context.Context, heartbeat []byte)) error {
-	buffer := make([]byte, maxHeartbeatSize)
+	buffer := make([]byte, maxDatagramBytes)
 	for {
 		n, _, err := s.socket.ReadFromUDPAddrPort(buffer)
 		if ctx.Err() != nil {
--- a/internal/peering/send.go
+++ b/internal/peering/send.go
@@ -37,8 +37,6 @@
 	// addressesPerHeartbeat is the number of addresses of other routers in a heartbeat.
 	// They are picked at random, so all addresses spread within some heartbeats.
 	addressesPerHeartbeat = 2
-	// maxHeartbeatSize is the size of the largest datagram.
-	maxHeartbeatSize = 60 << 10
 	// fingerprintRepeats is the number of heartbeats in which each router is sent a
 	// fingerprint, since some get lost.
 	fingerprintRepeats = 3
