backendconn: an answer that names a protocol in its header is not refused

A text such as "Via: HTTP/1.1 x" in an answer, or "HTTP/1." in its reason phrase, was taken for the beginning of another answer inside that line.

Two answers that run into each other show a status line within a line: version, spaces, a status of three digits, then a space or the end of the line, as the parser takes it. Only that is looked for now. Where the first answer breaks off between lines, or in the name of a field, the parser refuses the status line by itself, as it has a slash. A status line of another version than 1.x within a line was overlooked and is found now: the parser takes such answers as well.

A field that quotes a complete status line is refused as before, since it can't be told from another answer.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -280,18 +282,20 @@
 // errSpliced ends an exchange whose answer follows a part of another one within a line.
 var errSpliced = errors.New("the answer begins inside another one")
 
+// statusLine matches what the parser takes for the beginning of an answer, up to its status. Fields
+// such as Via and Server may name a protocol without one.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
+
 // spliced reports whether a line of the head has the beginning of another answer in it: the one
 // before broke off within that line, and what it says can't be told from what this one says.
+// Where it broke off between lines, or in the name of a field, the parser refuses the status line.
 func spliced(response *http.Response) bool {
-	const statusLine = "HTTP/1."
-	if strings.Contains(response.Status, statusLine) {
+	if statusLine.MatchString(response.Status) {
 		return true
 	}
 	for _, values := range response.Header {
-		for _, value := range values {
-			if strings.Contains(value, statusLine) {
-				return true
-			}
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
 		}
 	}
 	return false
