agent: bytes after an answer are not the answer to the next request

On the older path, a caller could get another caller's answer, or a part of it, as its own and whole. A backend server sends bytes after a complete answer, and the agent sends the next request of a plain service on that connection: answers there do not name their request, so what has arrived before is taken for its answer.

TestBytesAfterAnAnswerAreNotTheNextAnswer failed before for four of five kinds of such bytes: the request got "other", or "otherHTTP/" where the answer had been cut, as complete; failed; or lasted until its deadline. A beginning of an answer that ends before a field's value passed before, as only that field was wrong.

Before a request is written on a connection that was used before, the agent now looks for bytes to read or an end, as the gate does (IsQuiet, shared). Nothing was sent then, so the call is made on another connection. Health checks and cancels have the same protection. Connections stay in use (TestQuietConnectionIsKept).

Bytes that arrive after the request was written can't be told from its answer.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -54,7 +54,7 @@
 func (b *backend) newClient(connections int) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      string(b.address),
-		Dial:                      func(string) (net.Conn, error) { return b.dial(context.Background(), 0) },
+		Dial:                      b.dialKept,
 		MaxConns:                  connections,
 		MaxIdleConnDuration:       plainIdle,
 		MaxIdemponentCallAttempts: 1,
@@ -78,7 +78,7 @@
 	return errors.As(err, &dial)
 }
 
-func (b *backend) dial(ctx context.Context, silence time.Duration) (net.Conn, error) {
+func (b *backend) dial(ctx context.Context, silence time.Duration) (*progressConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", string(b.address))
 	if err != nil {
@@ -87,6 +87,14 @@
 	return &progressConn{Conn: conn, read: silence, write: writeTimeout}, nil
 }
 
+func (b *backend) dialKept(string) (net.Conn, error) {
+	conn, err := b.dial(context.Background(), 0)
+	if err != nil {
+		return nil, err
+	}
+	return &keptConn{progressConn: conn}, nil
+}
+
 // fillRequest makes the request for the backend server.
 func (b *backend) fillRequest(request *fasthttp.Request, id fleet.RequestID, run *rpc.RunRequest) {
 	request.Header.SetMethod(lo.CoalesceOrEmpty(run.Method, fasthttp.MethodPost))
@@ -119,7 +127,8 @@
 	response := fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + string(b.address) + path)
-	if err := b.probes.DoTimeout(request, response, healthTimeout); err != nil {
+	err := onQuietConn(func() error { return b.probes.DoTimeout(request, response, healthTimeout) })
+	if err != nil {
 		return fleet.Wrap(err, fleet.StepRun, b.address)
 	}
 	if response.StatusCode() != fasthttp.StatusOK {
@@ -139,7 +148,7 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(fasthttp.MethodDelete)
 	request.SetRequestURI("http://" + string(b.address) + streamsPath + id.String())
-	err := b.probes.DoTimeout(request, response, dialTimeout)
+	err := onQuietConn(func() error { return b.probes.DoTimeout(request, response, dialTimeout) })
 	return fleet.Wrap(err, fleet.StepRun, b.address)
 }
 
--- a/internal/agent/runner.go
+++ b/internal/agent/runner.go
@@ -142,7 +142,8 @@
 	r.backend.fillRequest(request, r.id, r.request)
 	r.request = nil // its body is not needed twice
 	deadline, _ := ctx.Deadline()
-	if err := r.backend.plain.DoDeadline(request, response, deadline); err != nil {
+	err := onQuietConn(func() error { return r.backend.plain.DoDeadline(request, response, deadline) })
+	if err != nil {
 		return r.crashOr(ctx, err)
 	}
 	defer func() { _ = response.CloseBodyStream() }()
--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -115,14 +115,14 @@
 	return ending{reason: reason, at: now, idleSince: c.idleSince, statedTimeout: c.statedTimeout}
 }
 
-// isQuiet reports whether an idle connection is open and has no bytes to read. Bytes on an
+// isQuiet reports whether an idle connection is open and has no bytes to read.
+func (c *conn) isQuiet() bool { return c.reader.Buffered() == 0 && IsQuiet(c.Conn) }
+
+// IsQuiet reports whether an idle connection is open and has no bytes to read. Bytes on an
 // idle connection belong to no request. A request written to a closed connection must be
 // avoided because it can't be told from one that has run.
-func (c *conn) isQuiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	tcp, ok := c.Conn.(*net.TCPConn)
+func IsQuiet(connection net.Conn) bool {
+	tcp, ok := connection.(*net.TCPConn)
 	if !ok {
 		return true
 	}
