agent: a resumed part of a stream is checked whatever type it states

A stream of a model engine that had broken off was held as complete, half an event included, if the part from which it was resumed ended inside an event by a proper end and did not state its media type: the agent looked at the head of that part to tell whether the answer is a stream.

The head of the answer decides now, which is the first one and the one that the caller gets.

--- a/internal/agent/answers.go
+++ b/internal/agent/answers.go
@@ -2,10 +2,12 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/valyala/fasthttp"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/rpc"
@@ -39,6 +41,19 @@
 	}
 }
 
+// contentType returns the media type that the head states, "" if it states none.
+func (a *answer) contentType() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, header := range a.head.GetHeaders() {
+		if strings.EqualFold(header.Name, fasthttp.HeaderContentType) {
+			mediaType, _, _ := strings.Cut(header.Value, ";")
+			return strings.ToLower(strings.TrimSpace(mediaType))
+		}
+	}
+	return ""
+}
+
 // write appends to the body.
 func (a *answer) write(p []byte) {
 	a.mu.Lock()
--- a/internal/agent/broken_off_test.go
+++ b/internal/agent/broken_off_test.go
@@ -123,6 +123,33 @@
 	}
 }
 
+// Guards against a resumed stream that ends inside an event and is held as complete, because the part
+// from where it was resumed does not state what it is.
+func TestResumedPartWithoutATypeIsStillAStream(t *testing.T) {
+	for _, head := range []string{"Content-Length: %d\r\n", "Content-Length: %d\r\nContent-Type: text/plain\r\n"} {
+		for length := range len(twoEvents) {
+			for _, end := range []int{length, len(twoEvents)} {
+				at := rawBackend(t, func(request *http.Request) string {
+					if !strings.HasPrefix(request.URL.Path, streamsPath) {
+						return framedAnswer("length", "text/event-stream", twoEvents[:length], 1)
+					}
+					offset, err := strconv.Atoi(request.URL.Query().Get("offset"))
+					if err != nil {
+						t.Error(err)
+					}
+					part := twoEvents[offset:end]
+					return fmt.Sprintf("HTTP/1.1 200 OK\r\n"+head+"\r\n%s", len(part), part)
+				})
+				held, body := runAt(t, at, settings.KindModel)
+				whole := strings.HasSuffix("\n\n"+body, "\n\n") // a stream may end after any event
+				if whole != (held.End == RunComplete) {
+					t.Errorf("%q, then up to %q: end %+v, %q", twoEvents[:length], twoEvents[:end], held, body)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an answer with a length or chunks that ends early and is held as complete.
 func TestAnswerThatIsBrokenOffFails(t *testing.T) {
 	for _, framing := range []string{"chunks", "length"} {
--- a/internal/agent/event_stream.go
+++ b/internal/agent/event_stream.go
@@ -1,8 +1,6 @@
 package agent
 
 import (
-	"strings"
-
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
@@ -14,10 +12,10 @@
 const identityLength = -2
 
 // checkEnd returns an error for a body that has been read to its end but is not whole: an
-// event stream that ends inside an event, or with its connection before the first byte.
+// event stream that ends inside an event, or with its connection before the first byte. A resumed
+// part of a stream need not state again what it is a part of.
 func (r *run) checkEnd(response *fasthttp.Response) error {
-	mediaType, _, _ := strings.Cut(string(response.Header.ContentType()), ";")
-	if !strings.EqualFold(strings.TrimSpace(mediaType), "text/event-stream") {
+	if r.answer.contentType() != "text/event-stream" {
 		return nil
 	}
 	if !r.scanner.Whole() || r.answer.size() == 0 && response.Header.ContentLength() == identityLength {
