--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -4,7 +4,10 @@
 	"bytes"
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -164,9 +167,9 @@
 
 // write sends the request.
 func write(c *conn, request *Request, sending *sending) error {
-	data := encode(request)
-	if len(data) <= maxSynchronousRequest {
-		if _, err := c.Write(data); err != nil {
+	head := encodeHead(request)
+	if len(head)+len(request.Body) <= maxSynchronousRequest {
+		if _, err := c.Write(append(head, request.Body...)); err != nil {
 			return err
 		}
 		sending.written.Store(true)
@@ -179,18 +182,21 @@
 			c.abort()
 			return
 		}
+		// The body is not copied: many long ones would take the process over its memory.
+		data := net.Buffers{head, request.Body}
 		// The reader sees a failure too, since the connection is broken then.
-		if _, err := c.Write(data); err == nil {
+		if _, err := data.WriteTo(c.Conn); err == nil {
 			sending.written.Store(true)
 		}
 	}()
 	return nil
 }
 
-// encode returns the request as it is sent on the connection.
-func encode(request *Request) []byte {
+// encodeHead returns what is sent of the request before its body.
+func encodeHead(request *Request) []byte {
+	const usualHeadBytes = 512
 	var out bytes.Buffer
-	out.Grow(512 + len(request.Body))
+	out.Grow(usualHeadBytes + min(len(request.Body), maxSynchronousRequest))
 	out.WriteString(request.Method)
 	out.WriteByte(' ')
 	out.WriteString(request.URI)
@@ -211,7 +217,6 @@
 		out.WriteString("\r\n")
 	}
 	out.WriteString("\r\n")
-	out.Write(request.Body)
 	return out.Bytes()
 }
 
@@ -280,18 +285,20 @@
 // errSpliced ends an exchange whose answer follows a part of another one within a line.
 var errSpliced = errors.New("the answer begins inside another one")
 
+// statusLine matches what the parser takes for the beginning of an answer, up to its status. Fields
+// such as Via and Server may name a protocol without one.
+var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
+
 // spliced reports whether a line of the head has the beginning of another answer in it: the one
 // before broke off within that line, and what it says can't be told from what this one says.
+// Where it broke off between lines, or in the name of a field, the parser refuses the status line.
 func spliced(response *http.Response) bool {
-	const statusLine = "HTTP/1."
-	if strings.Contains(response.Status, statusLine) {
+	if statusLine.MatchString(response.Status) {
 		return true
 	}
 	for _, values := range response.Header {
-		for _, value := range values {
-			if strings.Contains(value, statusLine) {
-				return true
-			}
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return true
 		}
 	}
 	return false
