gate: streams go on while the store is unreachable

Callers whose streams broke off while the list of backend servers was outdated got 503 (declined, no-backend) in nearly all tries, and so did callers of streams begun meanwhile, though no server had started again; new streams began.

Cause: a stream went on only on an idle connection that had been opened before the list was last complete. Streams in progress hold those, and callers that disconnect end them, so that soon none is left; a server without one was chosen all the same, at the price of one of three connection failures.

An answer to a request now shows that the process which sent it has also accepted all connections opened before the request was sent: one process at a time listens at an address. Certainty passes on to newer connections with the usual traffic. Of each server one certain idle connection is kept spare, and a probe on it (GET /-/report) shows the same when a stream needs it. A process that started meanwhile has only connections that are newer than the last request answered by the one before. Streams are placed among servers with a certain connection; without one the reason is uncertain-version.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -45,9 +45,8 @@
 	OwnAnswerWait time.Duration
 	// MaxConnections bounds the connections to the backend server, 0 for no bound.
 	MaxConnections int
-	// OpenedUntil is the time until which the connection must have been opened, 0 for any: the
-	// process at its other end is the one that was there then.
-	OpenedUntil boottime.Instant
+	// Certain says that the request must go to the process that is listed; see Certainty.
+	Certain bool
 	// BeforeSend is called once the connection is open, and again right before a long request
 	// is written. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
@@ -62,8 +61,6 @@
 	// Length is the length of the body, -1 if unknown.
 	Length  int64
 	Framing Framing
-	// Opened is when the connection was opened.
-	Opened boottime.Instant
 	// Unidentified means that the answer names no request and may belong to none.
 	Unidentified bool
 
@@ -71,6 +68,8 @@
 	pool          *Pool
 	address       fleet.Address
 	conn          *conn
+	sent          boottime.Instant // before the first byte of the request
+	identified    bool             // the answer names the request
 	stop          func() bool
 	sending       *sending
 	keepAlive     bool
@@ -110,6 +109,7 @@
 		request.OnSend()
 	}
 	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
+	sent := boottime.Now()
 	sending := new(sending)
 	if err := write(c, request, sending); err != nil {
 		stop()
@@ -135,12 +135,13 @@
 		Header:        response.Header,
 		Length:        response.ContentLength,
 		Framing:       framingOf(response),
-		Opened:        c.opened,
 		Unidentified:  c.unidentified && request.Match(response.Header) == MatchUnidentified,
 		body:          response.Body,
 		pool:          p,
 		address:       address,
 		conn:          c,
+		sent:          sent,
+		identified:    request.Match(response.Header) == MatchOwn,
 		stop:          stop,
 		sending:       sending,
 		keepAlive:     !response.Close,
@@ -232,7 +233,7 @@
 }
 
 func readOwnHead(c *conn, request *Request) (*http.Response, error) {
-	sent := &http.Request{Method: request.Method}
+	sent := request.sent()
 	for range maxStrayAnswers + 1 {
 		response, err := readFinalHead(c, sent)
 		if err != nil {
@@ -268,6 +269,9 @@
 	return nil, errors.New("the answer belongs to another request")
 }
 
+// sent returns what the framing of an answer to the request depends on.
+func (r *Request) sent() *http.Request { return &http.Request{Method: r.Method} }
+
 // skipBody reads the body of an answer to an earlier request to its end.
 func skipBody(body io.Reader) error {
 	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes))
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -34,17 +34,15 @@
 // ErrTooMany says that the limit of connections to a backend server is reached.
 var ErrTooMany = errors.New("all connections to the backend server are in use")
 
-// ErrNoOldConnection says that no idle connection to a backend server was opened early enough.
-var ErrNoOldConnection = errors.New("no connection to the backend server is old enough")
-
 // Pool keeps persistent connections to backend servers. Its methods may be called
 // concurrently.
 type Pool struct {
-	dialer  *net.Dialer
-	opened  func(Opening)
-	mu      sync.Mutex
-	hosts   map[fleet.Address]*host
-	history history
+	dialer    *net.Dialer
+	opened    func(Opening)
+	certainty Certainty
+	mu        sync.Mutex
+	hosts     map[fleet.Address]*host
+	history   history
 	// unidentified is until when requests that must not run twice get connections of their own
 	// to an address: an answer that names no request is theirs there.
 	unidentified map[fleet.Address]boottime.Instant
@@ -52,17 +50,21 @@
 
 // host holds the connections to one address.
 type host struct {
-	idle []*conn // the most recently used last
-	open int     // both idle and in use
+	idle      []*conn // the most recently used last
+	spare     *conn   // see updateSpare, nil for none
+	probe     *probe  // in progress on what was the spare, nil for none
+	open      int     // idle, in use, and the spare
+	lifetimes lifetimes
 }
 
 // NewPool returns a pool without connections.
 func NewPool() *Pool {
 	return &Pool{
-		dialer:  newDialer(),
-		opened:  func(Opening) {},
-		hosts:   make(map[fleet.Address]*host),
-		history: make(history),
+		dialer:    newDialer(),
+		opened:    func(Opening) {},
+		certainty: Certainty{ListedAt: func() boottime.Instant { return 0 }},
+		hosts:     make(map[fleet.Address]*host),
+		history:   make(history),
 
 		unidentified: make(map[fleet.Address]boottime.Instant),
 	}
@@ -79,10 +81,12 @@
 	for {
 		select {
 		case <-ctx.Done():
+			p.releaseSpares(anyAddress)
 			p.closeIdle(func(*conn) bool { return true })
 			return nil
 		case <-ticker.C:
 			now := boottime.Now()
+			p.maintainSpares(now)
 			p.closeIdle(func(c *conn) bool { return now > c.usableUntil })
 			p.pruneHistory(now)
 		}
@@ -106,6 +110,7 @@
 	p.mu.Lock()
 	p.history.markReplaced(address)
 	p.mu.Unlock()
+	p.releaseSpares(address)
 	p.closeIdleAt(address, func(*conn) bool { return true }, ReasonReplaced)
 }
 
@@ -182,7 +187,10 @@
 	if reserved {
 		return previous, true
 	}
-	idle := p.takeIdle(address, 0)
+	idle := p.takeIdle(address, false)
+	if idle == nil {
+		idle = p.takeSpare(address)
+	}
 	if idle == nil {
 		return ending{}, false
 	}
@@ -190,15 +198,32 @@
 	return p.reserve(address, maxConnections)
 }
 
-// get returns an idle connection that is still usable, or a new one.
+// get returns an idle connection that is still usable, or a new one. If the request needs the listed
+// process, the connection is certain to lead there.
 func (p *Pool) get(ctx context.Context, address fleet.Address, request *Request) (*conn, error) {
+	if !request.Certain {
+		return p.getAny(ctx, address, request)
+	}
+	if !p.Certain(address) {
+		return nil, ErrUncertainProcess
+	}
+	c, err := p.getAny(ctx, address, request)
+	if err != nil || p.ascertain(address, c) {
+		return c, err
+	}
+	p.giveBack(address, c)
+	return nil, ErrUncertainProcess
+}
+
+// getAny returns an idle connection that is still usable, or a new one.
+func (p *Pool) getAny(ctx context.Context, address fleet.Address, request *Request) (*conn, error) {
 	reserve := p.reserve
 	own := p.needsOwnConnection(address, request)
 	if own {
 		reserve = p.reserveOwn
 	}
 	for !own {
-		idle := p.takeIdle(address, request.OpenedUntil)
+		idle := p.takeIdle(address, request.Certain)
 		if idle == nil {
 			break
 		}
@@ -208,13 +233,13 @@
 		}
 		p.discard(address, idle, reason)
 	}
-	if request.OpenedUntil != 0 {
-		return nil, ErrNoOldConnection
-	}
 	previous, reserved := reserve(address, request.MaxConnections)
-	if !reserved {
+	if !reserved && own {
 		return nil, ErrTooMany
 	}
+	if !reserved {
+		return p.getSpare(address)
+	}
 	connection, err := p.dialer.DialContext(ctx, "tcp", string(address))
 	if err != nil {
 		p.release(address, previous)
@@ -224,22 +249,53 @@
 	return newConn(connection), nil
 }
 
-// takeIdle removes the connection that became idle last, of those opened until the given time (0
-// for any), and returns it, nil if there is none.
-func (p *Pool) takeIdle(address fleet.Address, openedUntil boottime.Instant) *conn {
+// getSpare returns the spare connection where no other connection may be opened.
+func (p *Pool) getSpare(address fleet.Address) (*conn, error) {
+	spare := p.takeSpare(address)
+	if spare == nil {
+		return nil, ErrTooMany
+	}
+	if reason := spare.unusableReason(boottime.Now()); reason != "" {
+		p.discard(address, spare, reason)
+		return nil, ErrTooMany
+	}
+	return spare, nil
+}
+
+// takeSpare removes the spare connection and returns it, nil if there is none.
+func (p *Pool) takeSpare(address fleet.Address) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
 	if host == nil {
 		return nil
 	}
-	for at, taken := range slices.Backward(host.idle) {
-		if openedUntil == 0 || taken.opened <= openedUntil {
-			host.idle = slices.Delete(host.idle, at, at+1)
-			return taken
-		}
+	spare := host.spare
+	host.spare = nil
+	return spare
+}
+
+// takeIdle removes the connection that became idle last and returns it, nil if there is none. It
+// prefers one that leads to the listed process if that is needed.
+func (p *Pool) takeIdle(address fleet.Address, certain bool) *conn {
+	listedAt := p.certainty.ListedAt()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[address]
+	if host == nil {
+		return nil
+	}
+	host.updateSpare(listedAt)
+	if len(host.idle) == 0 {
+		return nil
 	}
-	return nil
+	at := len(host.idle) - 1
+	if newest := host.newestCertain(listedAt); certain && newest >= 0 {
+		at = newest
+	}
+	taken := host.idle[at]
+	host.idle = slices.Delete(host.idle, at, at+1)
+	return taken
 }
 
 // reserve counts a connection that is about to be opened, unless maxConnections are open.
@@ -296,8 +352,14 @@
 // that the backend server stated, 0 for none.
 func (p *Pool) put(address fleet.Address, c *conn, stated time.Duration) {
 	c.kept = true
-	c.idleSince, c.statedTimeout = boottime.Now(), stated
-	c.usableUntil = c.idleSince.Add(idleLifetime(stated))
+	c.statedTimeout = stated
+	p.giveBack(address, c)
+}
+
+// giveBack adds an open connection to the idle ones.
+func (p *Pool) giveBack(address fleet.Address, c *conn) {
+	c.idleSince = boottime.Now()
+	c.usableUntil = c.idleSince.Add(idleLifetime(c.statedTimeout))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	host := p.hosts[address]
--- a/internal/gate/acceptor_test.go
+++ b/internal/gate/acceptor_test.go
@@ -40,6 +40,7 @@
 	return &Request{Method: r.Method, URI: r.RequestURI, Path: r.URL.Path, Host: r.Host, Header: r.Header}, nil
 }
 func (plainDialect) ForwardHeader(forward *Forward) http.Header { return forward.Request.Header }
+func (plainDialect) ProbePath() string                          { return "/" }
 func (plainDialect) Reply(int, http.Header) Reply               { return Reply{Signed: true} }
 func (plainDialect) StripSignature(http.Header)                 {}
 
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -48,6 +48,9 @@
 	unavailable *unavailableServers
 	paces       *paces
 	plain       *plainServers
+	// certain reports whether a backend server is certain to be the listed process, so that a stream
+	// may go on there.
+	certain func(backend *knowledge.Backend) bool
 
 	mu           sync.Mutex
 	ledger       *shares.Ledger
@@ -67,6 +70,7 @@
 		unavailable: newUnavailableServers(),
 		paces:       newPaces(settings, loads, peers),
 		plain:       newPlainServers(),
+		certain:     func(*knowledge.Backend) bool { return true },
 		ledger:      shares.NewLedger(),
 	}
 }
--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -12,7 +12,7 @@
 // that goes on, they are those of the software that began it. Ejected ones and those missing
 // from the list are returned only if there is no other; unavailable ones never are.
 func (a *admission) candidates(view *knowledge.View, request *Request, excluded map[string]bool, now boottime.Instant) []*knowledge.Backend {
-	serving := servingFor(view, request)
+	serving := a.certainFor(servingFor(view, request), request)
 	ejected := a.loads.ejectedAt(now)
 	unavailable := a.unavailable.at(now)
 	if len(excluded)+len(view.MissingSince)+len(ejected)+len(unavailable) == 0 {
@@ -48,6 +48,15 @@
 	})
 }
 
+// certainFor returns those of the backend servers at which a stream may go on that the request's
+// caller takes up or that this router resumes. For other requests it returns all.
+func (a *admission) certainFor(serving []*knowledge.Backend, request *Request) []*knowledge.Backend {
+	if request.Software == 0 {
+		return serving
+	}
+	return lo.Filter(serving, func(backend *knowledge.Backend, _ int) bool { return a.certain(backend) })
+}
+
 // refuseAll refuses a request for which no backend server is usable, given the number of
 // candidates. While all are unavailable, callers that retried before the first one
 // accepts requests again would be refused again. The route's usual delay is added to the
@@ -56,6 +65,9 @@
 	if request.Software != 0 && !view.HasSoftware(request.Service, request.Software) {
 		return a.refuse(request, ReasonOtherVersion)
 	}
+	if serving := servingFor(view, request); len(serving) > 0 && len(a.certainFor(serving, request)) == 0 {
+		return a.refuse(request, ReasonUncertain)
+	}
 	refusal := a.refuse(request, noBackendReason(view, request.Service, candidates))
 	if refusal.Reason != ReasonNoBackend {
 		return refusal
--- a/internal/gate/dialect.go
+++ b/internal/gate/dialect.go
@@ -18,6 +18,8 @@
 	ForwardHeader(forward *Forward) http.Header
 	// Reply reads the header of an answer.
 	Reply(status int, header http.Header) Reply
+	// ProbePath is a path that backend servers answer at once, however loaded they are.
+	ProbePath() string
 	// StripSignature removes the signature of the backend server from the header.
 	StripSignature(header http.Header)
 }
--- a/internal/gate/identify.go
+++ b/internal/gate/identify.go
@@ -66,9 +66,10 @@
 	ReasonMemory             Reason = "memory"
 	ReasonOverloaded         Reason = "router-overloaded"
 	ReasonTooLate            Reason = "too-late"
-	ReasonDraining           Reason = "draining"        // the process would stop before the request ends
-	ReasonOtherVersion       Reason = "other-version"   // no usable backend server has the stream's software version
-	ReasonUnknownStream      Reason = "unknown-version" // no reachable router knows at which version the stream began
+	ReasonDraining           Reason = "draining"          // the process would stop before the request ends
+	ReasonOtherVersion       Reason = "other-version"     // no usable backend server has the stream's software version
+	ReasonUncertain          Reason = "uncertain-version" // no server of the stream's version is certain not to have been replaced
+	ReasonUnknownStream      Reason = "unknown-version"   // no reachable router knows at which version the stream began
 )
 
 // Freshness bounds the age of the configuration for some decisions.
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -69,6 +69,8 @@
 		metrics:       newMetrics(options.Registerer),
 		lag:           newLagMeter(options.Logger, options.Registerer),
 	}
+	h.pool.SetCertainty(certaintyOf(options.State, options.Dialect, h.metrics))
+	admission.certain = func(backend *knowledge.Backend) bool { return h.pool.Certain(backend.Address) }
 	h.refusedSegments = newRefusedSegments(options.Logger, h.segments, options.Registerer)
 	if h.streams == nil {
 		h.streams = ownOrigins{table: streamorigin.NewTable()}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -22,6 +22,7 @@
 	continued        *prometheus.CounterVec
 	takenUp          *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
+	probes           *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
 	resets           *prometheus.CounterVec
@@ -50,6 +51,10 @@
 			Name: "bluebell_gate_streams_taken_up_total",
 			Help: "Streams that callers take up, by how the software version is known at which they began: recorded, only (there was no other), or unknown.",
 		}, []string{"origin"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_process_probes_total",
+			Help: "Probes that show, while the list of backend servers is outdated, whether a process has served since it was listed, by result: answered or lost.",
+		}, []string{"result"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -88,7 +93,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.refusals, m.probes, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -111,6 +116,15 @@
 // streamTakenUp counts a stream that a caller takes up.
 func (m *metrics) streamTakenUp(origin OriginKnown) { m.takenUp.WithLabelValues(string(origin)).Inc() }
 
+// probed counts a probe of a backend server's process.
+func (m *metrics) probed(answered bool) {
+	result := "lost"
+	if answered {
+		result = "answered"
+	}
+	m.probes.WithLabelValues(result).Inc()
+}
+
 // The values of the labels of streams that are continued.
 const (
 	byRouter       = "router"
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 )
@@ -123,28 +125,43 @@
 	return 0, OriginUnknown
 }
 
-// softwareCertainUntil returns the time until which a connection to a backend server must have been
-// opened for its software to be the listed one, 0 for any. Without a current list, a server may
-// have started again under its ID with another version; only a connection from before shows that
-// it has not.
-func softwareCertainUntil(view *knowledge.View, now boottime.Instant) boottime.Instant {
-	if !view.ListOutdated(now) {
-		return 0
+// certaintyOf returns how the pool finds out whether the software of a backend server is the listed
+// one. Without a current list, the server may have started again under its ID with another version.
+func certaintyOf(state *knowledge.State, dialect Dialect, metrics *metrics) backendconn.Certainty {
+	return backendconn.Certainty{
+		ListedAt: func() boottime.Instant {
+			view := state.View()
+			if !view.ListOutdated(boottime.Now()) {
+				return 0
+			}
+			return view.ListConfirmedAt
+		},
+		Probe: func(address fleet.Address) *backendconn.Request {
+			return &backendconn.Request{
+				Method: http.MethodGet,
+				URI:    dialect.ProbePath(),
+				Host:   string(address),
+				Match: func(header http.Header) backendconn.Match {
+					if reply := dialect.Reply(0, header); reply.ID != "" || reply.Draining {
+						return backendconn.MatchOther // a late answer, or the last ones of a process
+					}
+					return backendconn.MatchOwn
+				},
+			}
+		},
+		Probed: metrics.probed,
 	}
-	return view.ListConfirmedAt
 }
 
 // recordOrigin records the software of the backend server that is about to begin the request's
-// stream, or to go on with one that the caller takes up, and keeps the request there. opened is
-// when the connection to the server was opened.
-func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend, opened boottime.Instant) {
+// stream, or to go on with one that the caller takes up, and keeps the request there.
+func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend, answer *backendconn.Answer) {
 	if request.Route.Repeat != knowledge.RepeatResume {
 		return
 	}
-	view := h.state.View()
 	if request.Software == 0 {
-		request.Software = view.SoftwareID(backend)
-		if until := softwareCertainUntil(view, boottime.Now()); until != 0 && opened > until {
+		request.Software = h.state.View().SoftwareID(backend)
+		if !answer.Certain() {
 			request.Software = streamorigin.Uncertain
 		}
 	}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -66,8 +66,8 @@
 )
 
 // loop sends the request until its caller has an answer. It terminates: each iteration
-// either answers, counts a send towards the route's limit, or counts a failed connection
-// towards maxConnectFailures.
+// either answers, counts a send towards the route's limit, counts a failed connection towards
+// maxConnectFailures, or excludes a backend server that may have started again.
 func (r *relay) loop(ctx context.Context) {
 	defer r.releaseHolds()
 	for {
@@ -206,6 +206,9 @@
 	r.sends++
 	reply := h.dialect.Reply(answer.Status, answer.Header)
 	h.observeReply(placed.backend, reply)
+	if !reply.Draining && !reply.Replaced {
+		answer.MarkServing()
+	}
 	if !reply.Replaced {
 		h.dataReceived(placed.backend, sent, boottime.Now())
 	}
@@ -286,21 +289,12 @@
 		AtMostOnce:     !r.request.Idempotent(),
 		OwnAnswerWait:  min(r.request.Remaining(now), r.request.Route.TargetLatency),
 		MaxConnections: r.maxConnections(placed.backend),
-		OpenedUntil:    r.openedUntil(now),
+		Certain:        r.request.Software != 0, // a stream goes on only where the version is certain
 		BeforeSend:     func() error { return r.checkBeforeSend(ctx, placed.backend) },
 		OnSend:         func() { placed.permit.MarkSent(boottime.Now()) },
 	}
 }
 
-// openedUntil returns the time until which the connection must have been opened, 0 for any: a
-// stream goes on only where the backend server's software is certain.
-func (r *relay) openedUntil(now boottime.Instant) boottime.Instant {
-	if r.request.Software == 0 {
-		return 0
-	}
-	return softwareCertainUntil(r.handler.state.View(), now)
-}
-
 // lastEventID returns the id of the last event that the caller has received, "" for none.
 func (r *relay) lastEventID() string {
 	if r.stream.lastEventID != "" {
@@ -378,6 +372,9 @@
 	}
 	r.logSendFailure(ctx, placed, err)
 	h.observeConnectError(placed.backend, sent, err)
+	if errors.Is(err, backendconn.ErrUncertainProcess) {
+		return outcomeUnsent // the server is excluded now, so the loop ends without counting it
+	}
 	if notSent {
 		r.connectFailures++
 		if ctx.Err() == nil && !deliberatelyUnsent(err) {
@@ -403,8 +400,8 @@
 // deliberatelyUnsent reports whether this router did not try to send a request, which says nothing
 // about the backend server.
 func deliberatelyUnsent(err error) bool {
-	return errors.Is(err, backendconn.ErrTooMany) || errors.Is(err, backendconn.ErrNoOldConnection) ||
-		errors.Is(err, errRejecting) || errors.Is(err, errSegmentRefused)
+	return errors.Is(err, backendconn.ErrTooMany) || errors.Is(err, errRejecting) ||
+		errors.Is(err, errSegmentRefused)
 }
 
 // answerFailed handles an answer that could not be read to its end, or that is not whole.
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -109,7 +109,7 @@
 		events = append(f.rest, events...)
 	}
 	if f.scanner.Events() {
-		f.relay.noteEvents(f.placed.backend, f.answer.Opened)
+		f.relay.noteEvents(f.placed.backend, f.answer)
 		if f.relay.eventsSince == 0 {
 			f.relay.eventsSince = boottime.Now()
 		}
@@ -185,11 +185,11 @@
 
 // noteEvents records that events of the backend server are about to be forwarded. From then on
 // the stream goes on only at the same software.
-func (r *relay) noteEvents(backend *knowledge.Backend, opened boottime.Instant) {
+func (r *relay) noteEvents(backend *knowledge.Backend, answer *backendconn.Answer) {
 	r.stream.cut = false
 	if r.stream.begunAt == nil {
 		r.stream.begunAt = backend
-		r.handler.recordOrigin(r.request, backend, opened)
+		r.handler.recordOrigin(r.request, backend, answer)
 	}
 }
 
