gate: an overdue list no longer shows software versions

Cause: certainty was asked for once the list counted as outdated, after 3 s, which is when the next list may lack servers.

--- a/internal/backendconn/certainty.go
+++ b/internal/backendconn/certainty.go
@@ -9,7 +9,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
-// While the list of backend servers is outdated, a server may have crashed and started again at its
+// While the list of backend servers is overdue, a server may have crashed and started again at its
 // address, as another process. The process at the other end of a connection is certain to be the
 // listed one if it has served since before the list was last complete. Only one process accepts
 // connections at an address at a time, and its connections end with it. So an answer to a request
@@ -74,7 +74,7 @@
 }
 
 // updateSpare keeps an idle connection to the listed process in reserve for probes while the list
-// is outdated. Callers' requests would end with it when callers disconnect.
+// is overdue. Callers' requests would end with it when callers disconnect.
 func (h *host) updateSpare(listedAt boottime.Instant) {
 	if listedAt == 0 {
 		h.releaseSpare()
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -53,7 +53,7 @@
 		}, []string{"origin"}),
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_process_probes_total",
-			Help: "Probes that show, while the list of backend servers is outdated, whether a process has served since it was listed, by result: answered or lost.",
+			Help: "Probes that show, while the list of backend servers is overdue, whether a process has served since it was listed, by result: answered or lost.",
 		}, []string{"result"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -126,12 +126,12 @@
 }
 
 // certaintyOf returns how the pool finds out whether the software of a backend server is the listed
-// one. Without a current list, the server may have started again under its ID with another version.
+// one. With an overdue list, the server may have started again under its ID with another version.
 func certaintyOf(state *knowledge.State, dialect Dialect, metrics *metrics) backendconn.Certainty {
 	return backendconn.Certainty{
 		ListedAt: func() boottime.Instant {
 			view := state.View()
-			if !view.ListOutdated(boottime.Now()) {
+			if !view.ListOverdue(boottime.Now()) {
 				return 0
 			}
 			return view.ListConfirmedAt
--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -29,6 +29,14 @@
 	})
 }
 
+// SetUsualListAge sets the age that the list seldom exceeds while the store answers.
+func (s *State) SetUsualListAge(age time.Duration) {
+	s.update(func(view *View) bool {
+		view.usualAge = min(age, view.outageAge)
+		return false
+	})
+}
+
 // SetBackends applies a list that was known to be complete at confirmedAt. A list of an
 // older position than the current one is ignored.
 func (s *State) SetBackends(backends []Backend, at Position, confirmedAt boottime.Instant) {
@@ -49,9 +57,9 @@
 	})
 }
 
-// ListOutdated reports whether the list is so old that the store counts as unreachable.
-func (v *View) ListOutdated(now boottime.Instant) bool {
-	return now.Sub(v.ListConfirmedAt) > v.outageAge
+// ListOverdue reports whether the list is older than usual, so that the store may be unreachable.
+func (v *View) ListOverdue(now boottime.Instant) bool {
+	return now.Sub(v.ListConfirmedAt) > v.usualAge
 }
 
 // mayBeIncomplete reports whether backend servers missing from a list may still write their
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -43,6 +43,8 @@
 	// outageAge is the age of the current list beyond which the store counts as having been
 	// unreachable. The next list is then the first after an outage and may be incomplete.
 	outageAge time.Duration
+	// usualAge is the age that the list seldom exceeds while the store answers.
+	usualAge time.Duration
 	// removalsSince is the position since which removed is complete.
 	removalsSince Position
 }
@@ -77,6 +79,7 @@
 		Backends:  make(map[string]*Backend),
 		ByService: make(map[fleet.Service][]*Backend),
 		outageAge: minOutageAge,
+		usualAge:  minOutageAge,
 	})
 	return state
 }
