--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -23,6 +23,7 @@
 	takenUp          *prometheus.CounterVec
 	streamRequests   *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
+	probes           *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
 	resets           *prometheus.CounterVec
@@ -55,6 +56,10 @@
 			Name: "bluebell_gate_stream_requests_total",
 			Help: "Requests for streams that can be taken up, by kind (new, or taken_up by its caller) and step: received, or first_event.",
 		}, []string{"kind", "step"}),
+		probes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_process_probes_total",
+			Help: "Probes that show, while the list of backend servers is overdue, whether a process has served since it was listed, by result: answered or lost.",
+		}, []string{"result"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -93,7 +98,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.probes, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -129,6 +134,15 @@
 	m.streamRequests.WithLabelValues(kind, step).Inc()
 }
 
+// probed counts a probe of a backend server's process.
+func (m *metrics) probed(answered bool) {
+	result := "lost"
+	if answered {
+		result = "answered"
+	}
+	m.probes.WithLabelValues(result).Inc()
+}
+
 // The values of the labels of streams that are continued.
 const (
 	byRouter       = "router"
