--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -24,6 +24,16 @@
 	// began with one id, which callers must not reuse.
 	Software knowledge.SoftwareID
 	Until    boottime.Instant // the stream can't be taken up afterwards
+	Stored   bool             // known only from a record of an earlier process
+}
+
+// merge returns what two records of one stream tell.
+func (o Origin) merge(other Origin) Origin {
+	merged := Origin{Software: o.Software, Until: max(o.Until, other.Until)}
+	if o.Software != other.Software {
+		merged.Software = Ambiguous
+	}
+	return merged
 }
 
 // Ambiguous is the software of streams that began at several with one id. They can't be taken
@@ -45,6 +55,7 @@
 type Table struct {
 	mu      sync.Mutex
 	origins *simplelru.LRU[Stream, Origin]
+	stored  storedOrigins
 }
 
 // NewTable returns an empty table.
@@ -63,16 +74,16 @@
 	t.expire(now)
 	origin.Until = min(origin.Until, now.Add(MaxTime))
 	if known, found := t.origins.Peek(stream); found && known.Until > now {
-		origin.Until = max(origin.Until, known.Until)
-		if known.Software != origin.Software {
-			origin.Software = Ambiguous
-		}
+		origin = known.merge(origin)
 	}
 	t.origins.Add(stream, origin)
 }
 
 // expire removes the oldest origins while their time is over.
 func (t *Table) expire(now boottime.Instant) {
+	if t.stored.until <= now {
+		t.stored = storedOrigins{}
+	}
 	for {
 		stream, origin, found := t.origins.GetOldest()
 		if !found || origin.Until > now {
@@ -87,7 +98,23 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	origin, found := t.origins.Peek(stream)
-	return origin, found && origin.Until > now
+	found = found && origin.Until > now
+	stored, read := t.stored.find(stream, now)
+	switch {
+	case found && read:
+		return origin.merge(stored), true
+	case read:
+		return stored, true
+	}
+	return origin, found
+}
+
+// SetStored sets the records that earlier processes have written. They last until the given time.
+func (t *Table) SetStored(records []Record, until boottime.Instant) {
+	stored := newStoredOrigins(records, until)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stored = stored
 }
 
 // Len returns the number of origins held.
