peering: records of where streams began reach the routers that write them

Which routers write is decided once a second, not for each stream. Records of earlier processes answer queries of all routers; a router that has not read them waits until 1 s after its start before a stream counts as unknown. bluebell_gate_streams_taken_up_total counts streams known that way as stored.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
@@ -68,6 +70,7 @@
 // How an origin is known.
 const (
 	OriginRecorded OriginKnown = "recorded" // a router has the record
+	OriginStored   OriginKnown = "stored"   // the record of a process that has ended since
 	OriginOnly     OriginKnown = "only"     // no other software could have begun it
 	OriginUnknown  OriginKnown = "unknown"
 )
@@ -101,7 +104,7 @@
 func FindOrigin(ctx context.Context, streams StreamOrigins, state *knowledge.State, request *Request) (knowledge.SoftwareID, OriginKnown) {
 	if request.Resumes != "" {
 		if origin, known := streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
-			return origin.Software, OriginRecorded
+			return origin.Software, knownBy(origin)
 		}
 	}
 	only := func() knowledge.SoftwareID {
@@ -123,6 +126,25 @@
 	return 0, OriginUnknown
 }
 
+func knownBy(origin streamorigin.Origin) OriginKnown {
+	if origin.Stored {
+		return OriginStored
+	}
+	return OriginRecorded
+}
+
+// OriginsDecide reports whether streams that can be taken up may have begun at several software
+// versions, as far as the router can tell, so that a stream without a record can't go on.
+func OriginsDecide(view *knowledge.View, now boottime.Instant) bool {
+	if view.Index == nil {
+		return false
+	}
+	return lo.SomeBy(view.Index.Configuration.Routes, func(route knowledge.Route) bool {
+		return route.Stream && route.Repeat == knowledge.RepeatResume &&
+			view.OnlySoftware(route.Services(), route.Timeout+takeUpTime, maxOriginListAge, now) == 0
+	})
+}
+
 // softwareCertainUntil returns the time until which a connection to a backend server must have been
 // opened for its software to be the listed one, 0 for any. Without a current list, a server may
 // have started again under its ID with another version; only a connection from before shows that
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -17,6 +17,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/pace"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
 	"github.com/bluebellchute/bluebellchute/internal/shares"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 )
 
 // Directory is where routers register and find each other.
@@ -81,6 +82,10 @@
 	State       *knowledge.State
 	Logger      logrus.FieldLogger
 	Network     Network // nil for sockets at Address
+	// Journal collects the origins of streams that this router writes to the store, nil for
+	// none. StoreWrites is how many writes a second the store takes from all routers.
+	Journal     *streamorigin.Journal
+	StoreWrites int
 }
 
 // Manager exchanges heartbeats with the other routers. It implements gate.Peers and
@@ -138,6 +143,9 @@
 	group.Go(func() error { return m.send(ctx) })
 	group.Go(func() error { return m.tellEvidence(ctx) })
 	group.Go(func() error { return m.maintainRegistration(ctx) })
+	if m.options.Journal != nil {
+		group.Go(func() error { return m.planOrigins(ctx) })
+	}
 	return group.Wait()
 }
 
--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -25,7 +25,11 @@
 // origins holds the origins of streams that this router keeps, and its queries for others.
 type origins struct {
 	table   *streamorigin.Table
-	network atomic.Pointer[Network] // nil before Run
+	network atomic.Pointer[Network]    // nil before Run
+	plan    atomic.Pointer[originPlan] // nil without a journal
+
+	readOnce sync.Once
+	read     chan struct{} // closed when the records of earlier processes have been read
 
 	mu      sync.Mutex
 	queries map[*originQuery]bool
@@ -44,24 +48,39 @@
 }
 
 func newOrigins() *origins {
-	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool)}
+	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool), read: make(chan struct{})}
 }
 
-// RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it,
-// without waiting for them.
+// RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it and
+// to the one that writes it, without waiting for them.
 func (m *Manager) RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration) {
 	now := boottime.Now()
-	m.origins.table.Set(stream, streamorigin.Origin{Software: software, Until: now.Add(lasts)}, now)
+	origin := streamorigin.Origin{Software: software, Until: now.Add(lasts)}
+	m.origins.table.Set(stream, origin, now)
 	message := &peeringpb.StreamOrigin{Stream: uint64(stream), Software: uint64(software), LastsMs: uint32(lasts.Milliseconds())}
-	m.sendOrigin(message, streamorigin.Holders(stream, m.zone, m.originRouters(now))...)
+	targets := streamorigin.Holders(stream, m.zone, m.originRouters(now))
+	if writer := m.journalOrigin(stream, origin, now); writer != "" && !slices.Contains(targets, writer) {
+		targets = append(targets, writer)
+	}
+	m.sendOrigin(message, targets...)
 }
 
-// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin.
+// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin. A router
+// that has just started may have to wait for the records of earlier processes.
 func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
-	now := boottime.Now()
-	if origin, known := m.origins.table.Find(stream, now); known {
+	if origin, known := m.origins.table.Find(stream, boottime.Now()); known {
+		return origin, true
+	}
+	if origin, known := m.queryOrigin(ctx, stream); known {
 		return origin, true
 	}
+	m.awaitStoredOrigins(ctx)
+	return m.origins.table.Find(stream, boottime.Now())
+}
+
+// queryOrigin asks the routers that may keep the origin.
+func (m *Manager) queryOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
+	now := boottime.Now()
 	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: streamorigin.Asked(stream, m.originRouters(now))}
 	if !m.origins.add(query) {
 		return streamorigin.Origin{}, false
@@ -115,8 +134,12 @@
 	if message.Answers && !m.origins.answered(stream, sender, origin, known) {
 		return // not asked for
 	}
-	if known {
-		m.origins.table.Set(stream, origin, now)
+	if !known {
+		return
+	}
+	m.origins.table.Set(stream, origin, now)
+	if !message.Answers {
+		m.journalReceived(sender, stream, origin, now)
 	}
 }
 
