platform: where streams began is kept in the store for the start of all routers

Cause: the records of where streams began live in routers' memory only, so after all routers were killed at once every taken-up stream was refused (LOST).

The store's writes a second and size of values come from the settings ([store] writes_per_s and max_value_bytes, filled in by deploy/gate.ini); without them nothing is kept. Event 2150, bluebell_gate_stored_origins_total and the cause origins of calls tell what was written and read.

TestStreamsGoOnAtTheirVersionAfterAnyStartOfAll holds in 100 plays; without the writes it fails in the first one.

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -15,6 +15,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/gate"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 	"github.com/bluebellchute/bluebellchute/internal/peering"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 	"github.com/bluebellchute/bluebellchute/platform"
 )
 
@@ -29,6 +30,7 @@
 	do.ProvideValue(injector, daemon.NewReadiness())
 	do.ProvideValue(injector, newState(config))
 	do.ProvideValue(injector, platform.NewStore(config.Store.Address))
+	do.ProvideValue(injector, newJournal(config))
 	do.Provide(injector, newPeering)
 	do.Provide(injector, newGate)
 	do.ProvideValue(injector, &daemon.Reloader{
@@ -47,6 +49,15 @@
 	return state
 }
 
+// newJournal returns the journal of the origins of streams, nil if the store keeps none.
+func newJournal(config *gate.Config) *streamorigin.Journal {
+	records := platform.MaxOriginRecords(config.Store.MaxValueBytes)
+	if config.Store.WritesPerS == 0 || records == 0 {
+		return nil
+	}
+	return streamorigin.NewJournal(records)
+}
+
 func newPeering(injector do.Injector) (*peering.Manager, error) {
 	config := do.MustInvoke[*gate.Config](injector)
 	logger := do.MustInvoke[logrus.FieldLogger](injector)
@@ -58,6 +69,8 @@
 		Directory:   platform.NewDirectory(do.MustInvoke[*platform.Store](injector), config.Node.Name, config.Node.Zone, logger),
 		State:       do.MustInvoke[*knowledge.State](injector),
 		Logger:      logger,
+		Journal:     do.MustInvoke[*streamorigin.Journal](injector),
+		StoreWrites: config.Store.WritesPerS,
 	}), nil
 }
 
@@ -91,6 +104,7 @@
 	gate      *gate.Manager
 	peers     *peering.Manager
 	watcher   *platform.Watcher
+	origins   *platform.OriginStore // nil if the store keeps no origins of streams
 	readiness *daemon.Readiness
 	registry  *prometheus.Registry
 	reloader  *daemon.Reloader
@@ -113,6 +127,7 @@
 		gate:      manager,
 		peers:     peers,
 		watcher:   newWatcher(injector, config, store),
+		origins:   newOriginStore(injector, config, store),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
 		registry:  registry,
 		reloader:  reloader,
@@ -133,6 +148,17 @@
 	return watcher
 }
 
+func newOriginStore(injector do.Injector, config *gate.Config, store *platform.Store) *platform.OriginStore {
+	journal := do.MustInvoke[*streamorigin.Journal](injector)
+	if journal == nil {
+		return nil
+	}
+	peers, logger := do.MustInvoke[*peering.Manager](injector), do.MustInvoke[logrus.FieldLogger](injector)
+	origins := platform.NewOriginStore(store, config.Node.Name, journal, peers, logger)
+	origins.Register(do.MustInvoke[*prometheus.Registry](injector))
+	return origins
+}
+
 // Run implements daemon.Service.
 func (s *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -142,6 +168,9 @@
 	group.Go(func() error { return s.watcher.Run(ctx) })
 	group.Go(func() error { return s.store.LogCalls(ctx, s.logger) })
 	group.Go(func() error { return s.peers.Run(ctx) })
+	if s.origins != nil {
+		group.Go(func() error { return s.origins.Run(ctx, s.config.Node.NewFleet) })
+	}
 	group.Go(func() error { return s.gate.Run(ctx) })
 	group.Go(func() error {
 		return gate.ServeReadiness(ctx, s.config.Listen.Readiness, s.config.Listen.ReadinessPath, s.readiness)
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -50,5 +50,6 @@
 	GateClosedInProgress      = Event{2145, logrus.WarnLevel, "connections closed with requests in progress at the end of the drain"}
 	GatePanicked              = Event{2146, logrus.ErrorLevel, "request handler panicked"}
 	GateNotListening          = Event{2147, logrus.WarnLevel, "listener could not be opened again"}
+	GateOriginsRead           = Event{2150, logrus.InfoLevel, "records of where streams began read from the store"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/peering/origin_writers.go
+++ b/internal/peering/origin_writers.go
@@ -15,8 +15,8 @@
 const (
 	// originPlanInterval is the interval at which it is decided which routers write origins.
 	originPlanInterval = time.Second
-	// storedOriginsWait is how long after its start a router waits for the records of earlier
-	// processes before a stream without a record counts as unknown.
+	// storedOriginsWait is how long a router waits for the records of earlier processes, from
+	// when it first needs them, before a stream without a record counts as unknown.
 	storedOriginsWait = time.Second
 )
 
@@ -81,13 +81,32 @@
 	})
 }
 
+// StoredOriginsWanted returns a channel that is closed when the records of earlier processes are
+// to be read. Most routers that start never need them, as the others know the origins.
+func (m *Manager) StoredOriginsWanted() <-chan struct{} { return m.origins.wanted }
+
+// wantStoredOrigins has the records of earlier processes read, and returns until when to wait for
+// them. After MaxTime none of their streams can be taken up.
+func (m *Manager) wantStoredOrigins(now boottime.Instant) (until boottime.Instant) {
+	if m.options.Journal == nil || now.Sub(m.started) >= streamorigin.MaxTime {
+		return 0
+	}
+	m.origins.wantOnce.Do(func() {
+		m.origins.waitUntil = now.Add(storedOriginsWait)
+		close(m.origins.wanted)
+	})
+	return m.origins.waitUntil
+}
+
 // awaitStoredOrigins waits until the records of earlier processes have been read, or can't be
 // awaited any longer.
 func (m *Manager) awaitStoredOrigins(ctx context.Context) {
-	if m.options.Journal == nil {
+	now := boottime.Now()
+	until := m.wantStoredOrigins(now)
+	if until <= now {
 		return
 	}
-	timer := time.NewTimer(m.started.Add(storedOriginsWait).Sub(boottime.Now()))
+	timer := time.NewTimer(until.Sub(now))
 	defer timer.Stop()
 	select {
 	case <-m.origins.read:
--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -28,8 +28,11 @@
 	network atomic.Pointer[Network]    // nil before Run
 	plan    atomic.Pointer[originPlan] // nil without a journal
 
-	readOnce sync.Once
-	read     chan struct{} // closed when the records of earlier processes have been read
+	wantOnce  sync.Once
+	wanted    chan struct{}    // closed when the records of earlier processes are to be read
+	waitUntil boottime.Instant // for them; set by wantOnce
+	readOnce  sync.Once
+	read      chan struct{} // closed when they have been read
 
 	mu      sync.Mutex
 	queries map[*originQuery]bool
@@ -48,7 +51,7 @@
 }
 
 func newOrigins() *origins {
-	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool), read: make(chan struct{})}
+	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool), wanted: make(chan struct{}), read: make(chan struct{})}
 }
 
 // RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it and
@@ -65,8 +68,8 @@
 	m.sendOrigin(message, targets...)
 }
 
-// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin. A router
-// that has just started may have to wait for the records of earlier processes.
+// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin. If none
+// knows, a router that has started lately waits for the records of earlier processes.
 func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
 	if origin, known := m.origins.table.Find(stream, boottime.Now()); known {
 		return origin, true
@@ -148,6 +151,8 @@
 	answer := &peeringpb.StreamOrigin{Stream: uint64(stream), Answers: true}
 	if origin, known := m.origins.table.Find(stream, now); known {
 		answer.Software, answer.LastsMs = uint64(origin.Software), uint32(origin.Until.Sub(now).Milliseconds())
+	} else {
+		m.wantStoredOrigins(now) // for the caller's next try
 	}
 	return answer
 }
--- a/internal/streamorigin/journal.go
+++ b/internal/streamorigin/journal.go
@@ -86,6 +86,13 @@
 	j.until[slot] = max(j.until[slot], until)
 }
 
+// Changed reports whether something was added since the last batch was written.
+func (j *Journal) Changed() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.version != j.written
+}
+
 // Next returns the batch to write, false if nothing has changed since the last one was written.
 func (j *Journal) Next(now boottime.Instant) (Batch, bool) {
 	j.mu.Lock()
--- a/internal/streamorigin/journal_test.go
+++ b/internal/streamorigin/journal_test.go
@@ -158,3 +158,30 @@
 		t.Errorf("a writer receives %d of %d records", most, streams)
 	}
 }
+
+func BenchmarkWriterOf(b *testing.B) {
+	all := routers(4, 89)
+	writers := Writers(all, 20)
+	for i := range b.N {
+		WriterOf(Stream(i), "1", writers)
+	}
+}
+
+func BenchmarkWriters(b *testing.B) {
+	all := routers(4, 89)
+	for range b.N {
+		Writers(all, 20)
+	}
+}
+
+func BenchmarkJournalAdd(b *testing.B) {
+	journal := NewJournal(maxSlotRecords)
+	now := boottime.Instant(time.Hour)
+	for i := range b.N {
+		journal.Add(Stream(i), Origin{Software: 1, Until: now.Add(time.Minute)}, now)
+		if i%500 == 0 {
+			batch, _ := journal.Next(now)
+			journal.Written(batch)
+		}
+	}
+}
--- a/internal/streamorigin/writers.go
+++ b/internal/streamorigin/writers.go
@@ -15,7 +15,7 @@
 	// neededShare is the share of the store's writes that origins may use while a stream of
 	// unknown origin can't be taken up, spareShare otherwise: then the records are used only
 	// if all routers start at once.
-	neededShare = 0.05
+	neededShare = 0.025
 	spareShare  = 0.0025
 	// spareWriters is the number of writers in the second case.
 	spareWriters = 5
