--- a/internal/backendconn/certainty.go
+++ b/internal/backendconn/certainty.go
@@ -238,7 +238,7 @@
 	if err := c.SetDeadline(time.Now().Add(probeTimeout)); err != nil {
 		return false, err
 	}
-	if _, err := c.Write(encode(request)); err != nil {
+	if _, err := c.Write(encodeHead(request)); err != nil {
 		return false, err
 	}
 	response, err := readFinalHead(c, request.sent())
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -52,5 +52,6 @@
 	GateNotListening          = Event{2147, logrus.WarnLevel, "listener could not be opened again"}
 	GateNewestKnown           = Event{2148, logrus.InfoLevel, "newest configuration found at the start"}
 	GateNewestMissing         = Event{2149, logrus.WarnLevel, "newest configuration not found at the start"}
+	GateOriginsRead           = Event{2150, logrus.InfoLevel, "records of where streams began read from the store"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/gate/crash_verdicts.go
+++ b/internal/gate/crash_verdicts.go
@@ -108,7 +108,7 @@
 func (h *handler) awaitVerdicts(ctx context.Context, request *Request) *Refusal {
 	deadline := boottime.Now().Add(maxHold)
 	maxCrashes := crash.MaxCrashes
-	if request.OriginKnown == OriginRecorded {
+	if request.OriginKnown.onRecord() {
 		maxCrashes = crash.MaxStreamCrashes
 	}
 	for held := false; ; held = true {
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -188,7 +188,7 @@
 		return
 	}
 	relay := &relay{handler: h, request: request, writer: w, conn: callerConnOf(ctx), excluded: make(map[string]bool)}
-	if request.OriginKnown == OriginRecorded {
+	if request.OriginKnown.onRecord() {
 		defer relay.takePrecedence()()
 	}
 	relay.loop(ctx)
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -80,6 +82,7 @@
 // How an origin is known.
 const (
 	OriginRecorded OriginKnown = "recorded" // a router has the record
+	OriginStored   OriginKnown = "stored"   // the record of a process that has ended since
 	OriginOnly     OriginKnown = "only"     // no other software could have begun it
 	OriginUnknown  OriginKnown = "unknown"
 )
@@ -114,7 +117,7 @@
 func FindOrigin(ctx context.Context, streams StreamOrigins, state *knowledge.State, request *Request) (knowledge.SoftwareID, OriginKnown) {
 	if request.Resumes != "" {
 		if origin, known := streams.FindOrigin(ctx, streamorigin.StreamOf(request.Resumes)); known {
-			return origin.Software, OriginRecorded
+			return origin.Software, knownBy(origin)
 		}
 	}
 	only := func() knowledge.SoftwareID {
@@ -136,6 +139,29 @@
 	return 0, OriginUnknown
 }
 
+// onRecord reports whether there is a record that the stream began.
+func (k OriginKnown) onRecord() bool { return k == OriginRecorded || k == OriginStored }
+
+// knownBy returns how an origin is known that was found.
+func knownBy(origin streamorigin.Origin) OriginKnown {
+	if origin.Stored {
+		return OriginStored
+	}
+	return OriginRecorded
+}
+
+// OriginsDecide reports whether streams that can be taken up may have begun at several software
+// versions, as far as the router can tell, so that a stream without a record can't go on.
+func OriginsDecide(view *knowledge.View, now boottime.Instant) bool {
+	if view.Index == nil {
+		return false
+	}
+	return lo.SomeBy(view.Index.Configuration.Routes, func(route knowledge.Route) bool {
+		return route.Stream && route.Repeat == knowledge.RepeatResume &&
+			view.OnlySoftware(route.Services(), route.Timeout+takeUpTime, maxOriginListAge, now) == 0
+	})
+}
+
 // certaintyOf returns how the pool finds out whether the software of a backend server is the listed
 // one. With an overdue list, the server may have started again under its ID with another version.
 func certaintyOf(state *knowledge.State, dialect Dialect, metrics *metrics) backendconn.Certainty {
--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -25,7 +25,14 @@
 // origins holds the origins of streams that this router keeps, and its queries for others.
 type origins struct {
 	table   *streamorigin.Table
-	network atomic.Pointer[Network] // nil before Run
+	network atomic.Pointer[Network]    // nil before Run
+	plan    atomic.Pointer[originPlan] // nil without a journal
+
+	wantOnce  sync.Once
+	wanted    chan struct{}    // closed when the records of earlier processes are to be read
+	waitUntil boottime.Instant // for them; set by wantOnce
+	readOnce  sync.Once
+	read      chan struct{} // closed when they have been read
 
 	mu      sync.Mutex
 	queries map[*originQuery]bool
@@ -44,18 +51,23 @@
 }
 
 func newOrigins() *origins {
-	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool)}
+	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool), wanted: make(chan struct{}), read: make(chan struct{})}
 }
 
-// RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it,
-// without waiting for them.
+// RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it and
+// to the one that writes it, without waiting for them.
 func (m *Manager) RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration) {
 	now := boottime.Now()
-	m.origins.table.Set(stream, streamorigin.Origin{Software: software, Until: now.Add(lasts)}, now)
+	origin := streamorigin.Origin{Software: software, Until: now.Add(lasts)}
+	m.origins.table.Set(stream, origin, now)
 	message := &peeringpb.StreamOrigin{Stream: uint64(stream), Software: uint64(software), LastsMs: uint32(lasts.Milliseconds())}
-	m.sendOrigin(message, m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address {
+	targets := m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address {
 		return streamorigin.Holders(stream, m.zone, routers)
-	})...)
+	})
+	if writer := m.journalOrigin(stream, origin, now); writer != "" && !slices.Contains(targets, writer) {
+		targets = append(targets, writer)
+	}
+	m.sendOrigin(message, targets...)
 }
 
 // maxDirectoryWait bounds the time for which a router that has just started waits for the
@@ -63,16 +75,22 @@
 // as soon as it is back, when it may know none that keeps their streams.
 const maxDirectoryWait = 300 * time.Millisecond
 
-// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin.
+// FindOrigin implements gate.StreamOrigins. It asks the routers that may keep the origin. If none
+// knows, a router that has started lately waits for the records of earlier processes.
 func (m *Manager) FindOrigin(ctx context.Context, stream streamorigin.Stream) (streamorigin.Origin, bool) {
 	if origin, known := m.origins.table.Find(stream, boottime.Now()); known {
 		return origin, true
 	}
 	asked := m.askedRouters(stream)
-	if origin, known := m.askOrigin(ctx, stream, asked); known || !m.awaitDirectory(ctx) {
-		return origin, known
+	origin, known := m.askOrigin(ctx, stream, asked)
+	if !known && m.awaitDirectory(ctx) {
+		origin, known = m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...))
+	}
+	if known {
+		return origin, true
 	}
-	return m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...))
+	m.awaitStoredOrigins(ctx)
+	return m.origins.table.Find(stream, boottime.Now())
 }
 
 // askedRouters returns the routers to ask for the origin of a stream.
@@ -160,8 +178,12 @@
 	if message.Answers && !m.origins.answered(stream, sender, origin, known) {
 		return // not asked for
 	}
-	if known {
-		m.origins.table.Set(stream, origin, now)
+	if !known {
+		return
+	}
+	m.origins.table.Set(stream, origin, now)
+	if !message.Answers {
+		m.journalReceived(sender, stream, origin, now)
 	}
 }
 
@@ -170,6 +192,8 @@
 	answer := &peeringpb.StreamOrigin{Stream: uint64(stream), Answers: true}
 	if origin, known := m.origins.table.Find(stream, now); known {
 		answer.Software, answer.LastsMs = uint64(origin.Software), uint32(origin.Until.Sub(now).Milliseconds())
+	} else {
+		m.wantStoredOrigins(now) // for the caller's next try
 	}
 	return answer
 }
