--- a/internal/backendconn/errors.go
+++ b/internal/backendconn/errors.go
@@ -1,8 +1,6 @@
 package backendconn
 
 import (
-	"strings"
-
 	"github.com/pkg/errors"
 
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -70,13 +68,7 @@
 type quotingError struct{ cause error }
 
 // Error implements error. A long text is cut.
-func (e quotingError) Error() string {
-	text := e.cause.Error()
-	if len(text) <= maxQuotedBytes {
-		return text
-	}
-	return strings.ToValidUTF8(text[:maxQuotedBytes], "") + "..."
-}
+func (e quotingError) Error() string { return fleet.CutText(e.cause.Error(), maxQuotedBytes) }
 
 // Unwrap returns the cause.
 func (e quotingError) Unwrap() error { return e.cause }
