knowledge: the empty key belongs to no account

What callers would see: with an account whose list of keys has an empty text, requests without a key are let in, as those of that account.

Cause: a request without a key is looked up by the empty key.

Failed before: TestStaleConfigurationDeniesNothingAndAcceptsNoKey/0s_/a/x_ (status 0, want 401).

--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -31,7 +31,7 @@
 			{Host: "h", PathPrefix: "/a/", Timeout: time.Second, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}},
 			{Host: "h", PathPrefix: "/p/", Public: true, Destinations: []knowledge.Destination{{Service: "s", Weight: 1}}},
 		},
-		Accounts: []knowledge.Account{{Name: "kitchen", Keys: []string{"key"}}},
+		Accounts: []knowledge.Account{{Name: "kitchen", Keys: []string{"key", ""}}},
 	}, configured)
 	state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
 	return state.View()
@@ -54,6 +54,7 @@
 		{2 * time.Second, "/none/x", "key", 503},
 		{0, "/a/x", "other", 401},
 		{2 * time.Second, "/a/x", "other", 503},
+		{0, "/a/x", "", 401},
 	} {
 		t.Run(fmt.Sprintf("%v %s %s", test.age, test.path, test.key), func(t *testing.T) {
 			request := &Request{Host: "h", Path: test.path, Key: test.key}
--- a/internal/knowledge/index.go
+++ b/internal/knowledge/index.go
@@ -76,8 +76,14 @@
 	return nil
 }
 
-// Account returns the account that holds the key, or nil.
-func (x *Index) Account(key string) *Account { return x.keys[key] }
+// Account returns the account that holds the key, or nil. No account holds the empty key, which is
+// that of requests without one.
+func (x *Index) Account(key string) *Account {
+	if key == "" {
+		return nil
+	}
+	return x.keys[key]
+}
 
 // Service returns the settings of a service, or nil.
 func (x *Index) Service(name fleet.Service) *ServiceSettings { return x.services[name] }
