peering: a message with a name that is too long is dropped

What routers would see: after one datagram with a zone, an address or an account of some 60,000 bytes, their own heartbeats carry it and exceed what a datagram holds. They are dropped without an error, so that no router hears of another: for a second or two for most fields, as long as the zone stands for an evacuation.

Cause: names from other senders were taken at any length.

Addresses and zones of more than 256 bytes and accounts of more than 4 KiB make a message count as none of a router.

Failed before: six cases of TestOddBeatDoesNotSeparateRouters ("a heartbeat has 61702 bytes, a datagram 61440 at most").

--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -149,6 +149,9 @@
 			if err := proto.Unmarshal(data, &heartbeat); err != nil {
 				return // not a heartbeat
 			}
+			if !validNames(&heartbeat) {
+				return // not from a router
+			}
 			if heartbeat.StreamOrigin != nil {
 				m.handleOrigin(fleet.Address(heartbeat.Address), heartbeat.StreamOrigin, boottime.Now())
 				return
