peering: changes to sums that were never numbered no longer end the process

What operators would see: the process ends with "assignment to entry in nil map" when a datagram has the sums of a zone and also changes to them since a negative clock. Routers don't send that; any sender that reaches the port can.

Cause: sums that came as a whole have the clock 0 and no numbers for accounts and servers. Changes were applied if their base is at most that clock, which a negative one is. Clock 0 now means what its comment says: no changes can be applied.

Failed before: TestNoBeatEndsTheProcess in the one run with 10,000 checks (it passed with the usual 100), and the case of it as a test of its own, TestOddBeatDoesNotSeparateRouters/sums_and_changes. One run of 60,000 checks passed after.

--- a/internal/peering/aggregate_deltas.go
+++ b/internal/peering/aggregate_deltas.go
@@ -319,7 +319,7 @@
 		t.aggregates[from] = full
 		return
 	}
-	if held == nil || held.clock < changes.Base {
+	if held == nil || held.clock == 0 || held.clock < changes.Base {
 		return
 	}
 	held.apply(changes, clock, now)
--- a/internal/peering/odd_beats_test.go
+++ b/internal/peering/odd_beats_test.go
@@ -88,7 +88,11 @@
 		"address of port 0":    encoded(&peeringpb.Beat{Address: "10.9.9.9:0"}),
 		"negative ages":        encoded(&peeringpb.Beat{ListAge: math.MinInt64, ConfigAge: math.MinInt64, ContactAge: math.MinInt64}),
 		"greatest ages":        encoded(&peeringpb.Beat{ListAge: math.MaxInt64, ConfigAge: math.MaxInt64, ContactAge: math.MaxInt64}),
-		"greatest everything":  encoded(&peeringpb.Beat{Loads: &peeringpb.Loads{Backend: []uint32{7}, Running: []uint32{math.MaxUint32}, Pending: []uint32{math.MaxUint32}, Memory: []uint32{math.MaxUint32}}}),
+		"sums and changes": encoded(&peeringpb.Beat{
+			Sums:       &peeringpb.Sums{Zones: []string{"z9"}},
+			SumChanges: &peeringpb.SumChanges{Base: -1, Account: []string{"a"}, AccountNumber: []uint32{1}},
+		}),
+		"greatest everything": encoded(&peeringpb.Beat{Loads: &peeringpb.Loads{Backend: []uint32{7}, Running: []uint32{math.MaxUint32}, Pending: []uint32{math.MaxUint32}, Memory: []uint32{math.MaxUint32}}}),
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
