inifile: a file that is not UTF-8 has a problem

What operators would see: with a settings file whose zone or address isn't UTF-8 a router starts, and ends when it encodes its first heartbeat, again after each start (by reading: only such text makes the encoder fail, which panics there).

Such a file is now invalid: the process does not start with it and says why, and after a reload the previous settings stay in force.

Failed before: TestTextThatIsNotUTF8IsAProblem ("the zone is "a\xff"").

--- a/internal/inifile/inifile_test.go
+++ b/internal/inifile/inifile_test.go
@@ -58,6 +58,14 @@
 	})
 }
 
+// Guards against a process that ends when it encodes a value, for instance its zone, into a message.
+func TestTextThatIsNotUTF8IsAProblem(t *testing.T) {
+	var c config
+	if err := Parse("f.ini", []byte("[node]\nvm = n\nzone = a\xff\ncontrol = 10.0.0.1:1\n"), &c); err == nil {
+		t.Errorf("the zone is %q", c.Node.Zone)
+	}
+}
+
 // TestWriteThenParse checks that parsing a written file returns the same values.
 func TestWriteThenParse(t *testing.T) {
 	var first, second config
--- a/internal/inifile/read.go
+++ b/internal/inifile/read.go
@@ -4,6 +4,7 @@
 	"os"
 	"reflect"
 	"strings"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
@@ -33,6 +34,10 @@
 // Parse binds the text of a file to the struct that target points to. Errors
 // refer to the file by name. It returns an *Error with all problems.
 func Parse(name string, data []byte, target any) error {
+	if !utf8.Valid(data) {
+		// Values go into messages between processes, which can't carry other text.
+		return &Error{File: name, Problems: []Problem{{Message: "the text is not UTF-8"}}}
+	}
 	file, err := ini.LoadSources(loadOptions, data)
 	if err != nil {
 		return &Error{File: name, Problems: []Problem{{Message: errors.Wrap(err, "syntax").Error()}}}
