--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -83,6 +83,9 @@
 	}
 	asked := m.askedRouters(stream)
 	origin, known := m.askOrigin(ctx, stream, asked)
+	if !known {
+		m.wantStoredOrigins(boottime.Now()) // both waits begin now
+	}
 	if !known && m.awaitDirectory(ctx) {
 		origin, known = m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...))
 	}
