backendconn: a head whose bound is reached within a line is too large, not malformed

For callers it matters as a malformed head counts as a reset, so as a possible crash of the server by the request, and its segments and callers may be refused for it; too large does not.

Cause: the library's line reader returns a part of a line without the error that ended it. The parser fails for that part (no colon) before it reads again and meets the error.

Ruled out: a wrong count of lines or bytes (the new test reads from memory, in whole buffers).

Change: the limiter keeps the error that ended the head, and it takes the place of the parser's. The same holds for a connection that is reset, closed or timed out within a line, whose records said "malformed". Elsewhere: no other code of the gate parses heads by itself.

Test: TestBoundOfAHeadIsReachedWithinALine failed before for 12 of 32 lengths of the lines, passes.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -315,7 +315,7 @@
 	for range maxInterimAnswers {
 		response, err := http.ReadResponse(c.reader, sent)
 		if err != nil {
-			return nil, quotingError{err}
+			return nil, headError(c, err)
 		}
 		if spliced(response) {
 			return nil, errSpliced
@@ -327,6 +327,18 @@
 	return nil, errors.Wrap(ErrAnswerTooLarge, "interim answers")
 }
 
+// headError returns why a head could not be parsed: the rest could not be read, or what has come
+// is malformed.
+func headError(c *conn, err error) error {
+	switch c.limiter.err {
+	case nil:
+		return quotingError{err}
+	case io.EOF:
+		return io.ErrUnexpectedEOF
+	}
+	return c.limiter.err
+}
+
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
--- a/internal/backendconn/limits.go
+++ b/internal/backendconn/limits.go
@@ -31,11 +31,14 @@
 	inHead    bool
 	bytesLeft int
 	linesLeft int
+	// err is why the rest of the head could not be read. The parser drops it if a part of a line
+	// has come, and fails for that part.
+	err error
 }
 
 // begin starts the head of an answer.
 func (l *headLimiter) begin() {
-	l.inHead, l.bytesLeft, l.linesLeft = true, maxHeadBytes, maxHeadLines
+	l.inHead, l.bytesLeft, l.linesLeft, l.err = true, maxHeadBytes, maxHeadLines, nil
 }
 
 // end ends the head. What has been read ahead belongs to the body.
@@ -49,9 +52,11 @@
 		return l.reader.Read(p)
 	}
 	if l.bytesLeft <= 0 || l.linesLeft <= 0 {
-		return 0, ErrAnswerTooLarge
+		l.err = ErrAnswerTooLarge
+		return 0, l.err
 	}
 	n, err := l.reader.Read(p)
+	l.err = err
 	l.bytesLeft -= n
 	l.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
 	return n, err
--- a/internal/backendconn/limits_test.go
+++ b/internal/backendconn/limits_test.go
@@ -65,6 +65,19 @@
 	}
 }
 
+// Guards against a head without end that counts as malformed, which is taken for a crash of the
+// server, if its bound is reached within a line.
+func TestBoundOfAHeadIsReachedWithinALine(t *testing.T) {
+	for length := range 32 {
+		c := newConn(nil)
+		line := "X-Fill: " + strings.Repeat("x", length) + "\r\n"
+		c.limiter.reader = strings.NewReader("HTTP/1.1 200 OK\r\n" + strings.Repeat(line, 2*maxHeadLines))
+		if _, err := readHead(c, newRequest("1")); !errors.Is(err, ErrAnswerTooLarge) {
+			t.Errorf("values of %d bytes: %v, want ErrAnswerTooLarge", length, err)
+		}
+	}
+}
+
 // Guards against log records as long as what a server sends in place of a head.
 func TestErrorsQuoteLittleOfAHead(t *testing.T) {
 	long := strings.Repeat("\x01\xff", maxHeadBytes/4)
