Revert "gate: callers take up streams of unknown origin when a router that knows may be back"

Streams without a record after all routers have started stay without one, so the later time to come back moved their attempts, and none of them gained. That callers gain by it where routers are only cut off was not measured. What helps is fewer streams without a record.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -40,10 +39,6 @@
 	// maxListWait bounds the wait for a current list, from when the caller came. Callers give up
 	// on a stream after two seconds without an event.
 	maxListWait = 1500 * time.Millisecond
-	// unknownOriginRetry is the mean time after which a caller is asked to take up a stream of
-	// unknown origin again. A router that has the record may be starting, or may be cut off for
-	// some seconds; a caller that comes back earlier uses up its attempts in vain.
-	unknownOriginRetry = 2 * time.Second
 )
 
 // ownOrigins implements StreamOrigins for a router that knows no others.
@@ -102,7 +97,7 @@
 	h.metrics.streamTakenUp(known)
 	request.OriginKnown = known
 	if software == 0 {
-		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream, RetryAfter: unknownOriginRetryAfter(rand.Float64())}
+		return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonUnknownStream, RetryAfter: h.admission.retryAfter(request)}
 	}
 	request.Software = software
 	// A route may be split between services.
@@ -115,12 +110,6 @@
 	return nil
 }
 
-// unknownOriginRetryAfter returns when a caller may take up a stream of unknown origin again, for a
-// draw from [0, 1): callers whose routers were killed together do not come back together.
-func unknownOriginRetryAfter(draw float64) time.Duration {
-	return time.Duration(float64(unknownOriginRetry) * (0.75 + draw/2))
-}
-
 // FindOrigin returns the software at which a stream goes on that the request's caller takes up,
 // 0 if that is unknown. It asks other routers, by streams, and waits for them for some hundred
 // milliseconds at most. Where none knows, it waits for a current list of backend servers, for
