streamorigin: few routers write often, so that short streams are known after all were killed

What callers saw: after all routers lost power among two versions, most streams that callers took up were refused as unknown-version. The callers' streams are short: some 280 begin a second and as many are in progress, so that half of them had begun after the last batch.

Cause: ten writers, each once a second. The share of the store's writes was spread over as many routers as it allowed at one a second, which makes each batch as old as possible.

Ruled out: the records were read (5,889 to 6,446 records, the newest 23 ms old before the kill), and asked for in time.

Change: four routers write, each every 0.4 s, with the same ten writes a second; one more for each further 36 routers above 144, as a writer also receives the records of others.

TestWritesStayWithinTheirShare draws the number of routers too.

--- a/internal/peering/origin_writers.go
+++ b/internal/peering/origin_writers.go
@@ -47,8 +47,8 @@
 func (m *Manager) newOriginPlan(now boottime.Instant) *originPlan {
 	self := streamorigin.Router{Address: m.options.Address, Hash: m.hash, Zone: m.zone}
 	routers := append(m.originRouters(now, false), self)
-	needed := streamorigin.PlanWrites(m.options.StoreWrites, true)
-	spare := streamorigin.PlanWrites(m.options.StoreWrites, false)
+	needed := streamorigin.PlanWrites(m.options.StoreWrites, len(routers), true)
+	spare := streamorigin.PlanWrites(m.options.StoreWrites, len(routers), false)
 	plan := needed
 	if !gate.OriginsDecide(m.options.State.View(), now) {
 		plan = spare
--- a/internal/streamorigin/journal_test.go
+++ b/internal/streamorigin/journal_test.go
@@ -125,8 +125,9 @@
 func TestWritesStayWithinTheirShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		storeWrites := rapid.IntRange(1, 5000).Draw(t, "writes of the store")
+		routers := rapid.IntRange(1, 1000).Draw(t, "routers")
 		for needed, share := range map[bool]float64{true: neededShare, false: spareShare} {
-			plan := PlanWrites(storeWrites, needed)
+			plan := PlanWrites(storeWrites, routers, needed)
 			perSecond := float64(plan.Writers) / plan.Period.Seconds()
 			if bound := share * float64(storeWrites); plan.Writers < 1 || perSecond > bound*1.001 {
 				t.Fatalf("needed %v: %d writers each %v are %.3f a second, want %.3f at most", needed, plan.Writers, plan.Period, perSecond, bound)
--- a/internal/streamorigin/writers.go
+++ b/internal/streamorigin/writers.go
@@ -19,10 +19,16 @@
 	spareShare  = 0.0025
 	// spareWriters is the number of writers in the second case.
 	spareWriters = 5
-	// maxWriters bounds their number.
+	// minWriters and maxWriters bound their number in the first case. The fewer they are, the more
+	// often each may write, and the fewer streams are unknown when all routers are killed.
+	minWriters = 4
 	maxWriters = 32
-	// minWritePeriod is the least time between two writes of a router.
-	minWritePeriod = time.Second
+	// routersPerWriter bounds what a writer receives, and then writes, from others.
+	routersPerWriter = 36
+	// minWritePeriod is the least time between two writes of a router. maxWritePeriod is the longest
+	// one, unless the store takes fewer writes.
+	minWritePeriod = 250 * time.Millisecond
+	maxWritePeriod = time.Second
 )
 
 // Plan says how many routers write origins, and how often each does.
@@ -31,18 +37,20 @@
 	Period  time.Duration
 }
 
-// PlanWrites returns the plan for a store that takes so many writes a second from all routers.
-// needed tells that a stream of unknown origin can't be taken up. A plan without writers writes
-// nothing.
-func PlanWrites(writesPerSecond int, needed bool) Plan {
+// PlanWrites returns the plan of so many routers for a store that takes so many writes a second from
+// all of them. needed tells that a stream of unknown origin can't be taken up. A plan without writers
+// writes nothing.
+func PlanWrites(writesPerSecond, routers int, needed bool) Plan {
 	if writesPerSecond <= 0 {
 		return Plan{}
 	}
 	perSecond, writers := float64(writesPerSecond)*spareShare, spareWriters
 	if needed {
 		perSecond = float64(writesPerSecond) * neededShare
-		writers = lo.Clamp(int(perSecond*minWritePeriod.Seconds()), 1, maxWriters)
+		writers = lo.Clamp(routers/routersPerWriter+1, minWriters, maxWriters)
+		writers = lo.Clamp(int(perSecond*maxWritePeriod.Seconds()), 1, writers)
 	}
+	writers = lo.Clamp(routers, 1, writers)
 	period := time.Duration(float64(writers) / perSecond * float64(time.Second))
 	return Plan{Writers: writers, Period: max(period, minWritePeriod)}
 }
