gate: a stream does not go on across a restart that is listed before its first event

The router labelled the stream with the version of the entry by which it had placed the request, though it knew better by then, and resumed it, or let its caller take it up, at a server of that version. Likewise a stream that was to go on there was joined with events of the new version.

Ruled out: the overdue list (certainty.go); the list is current throughout.

Change: when the first event comes, the version of the server's entry is compared with that of the entry by which the request was placed. If they differ, a new stream counts as one of uncertain version, and a stream that goes on is sent to another server, before any event is forwarded. A restart with the same version changes nothing.

Not covered: an entry that arrives after the first event was forwarded.

Before: TestStreamThatBeganAtARestartedServerDoesNotGoOnAtItsOldVersion (both ways) and TestStreamDoesNotGoOnAtAServerThatHasRestarted failed, with "id: 1 v2, id: 2 v1, id: 3 v1" and "id: 1 v1, id: 2 v2, id: 3 v2". After: passes 20 of 20 runs; tests of internal/gate and platform pass.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -190,6 +190,14 @@
 	}
 }
 
+// mayBeOtherVersion reports whether the backend server at which a request was placed is listed with
+// another version meanwhile: it may have started again before the request was sent.
+func (h *handler) mayBeOtherVersion(backend *knowledge.Backend) bool {
+	view := h.state.View()
+	current := view.Backends[backend.ID]
+	return current != nil && view.SoftwareID(current) != view.SoftwareID(backend)
+}
+
 // recordOrigin records the software of the backend server that is about to begin the request's
 // stream, or to go on with one that the caller takes up, and keeps the request there.
 func (h *handler) recordOrigin(request *Request, backend *knowledge.Backend, answer *backendconn.Answer) {
@@ -198,7 +206,7 @@
 	}
 	if request.Software == 0 {
 		request.Software = h.state.View().SoftwareID(backend)
-		if !answer.Certain() {
+		if h.mayBeOtherVersion(backend) || !answer.Certain() {
 			request.Software = streamorigin.Uncertain
 		}
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -42,6 +42,9 @@
 // errNoEvents ends a stream that must have more events than it has.
 var errNoEvents = errors.New("the stream ended before its first event")
 
+// errOtherVersion ends a stream whose backend server may not have the version that began it.
+var errOtherVersion = errors.New("the backend server has started again with another version")
+
 // relayStream forwards a stream event by event. It forwards complete events only, so that
 // another backend server can repeat an event that breaks off.
 func (r *relay) relayStream(ctx context.Context, placed *placement, answer *backendconn.Answer, reply Reply, sent boottime.Instant) sendOutcome {
@@ -59,6 +62,10 @@
 		if n > 0 {
 			now := boottime.Now()
 			h.dataReceived(placed.backend, sent, now)
+			if r.request.Software != 0 && r.eventsSince == 0 && h.mayBeOtherVersion(placed.backend) {
+				r.logSendFailure(ctx, placed, errOtherVersion)
+				return outcomeBroken
+			}
 			if timing.recordEvent(now) {
 				h.admission.recordFirstEvent(r.request, placed, now.Sub(sent))
 				h.metrics.firstEvent(now.Sub(r.request.Received))
