gate: a stream that goes on passes more servers that refuse connections

Callers who took streams up after several servers of their version had crashed got 503 (declined), though sound servers of the version were there. A request ended at the third connection that could not be opened. A stream that goes on has the servers of its version only, and it is taken up because one of them has just crashed, so that a larger part of its candidates refuses connections than of those of a new stream, until the router has ejected them one by one. Streams with the same shared segment try them in the same order.

Ruled out: ejection itself; ejected servers are tried last. Connections that time out take 600 ms each and keep the limit of three.

Change: for a stream that goes on, up to five refused connections don't count towards the limit. Each server is tried once, nothing has been sent.

--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,6 +17,9 @@
 	// maxConnectFailures is the maximum number of attempts to send a request that fail
 	// before anything has been sent.
 	maxConnectFailures = 3
+	// maxFurtherRefusals is how many more may fail for a stream that goes on, since servers refuse
+	// connections: it has fewer servers, among them those that have just crashed.
+	maxFurtherRefusals = 5
 	// minTimeLeft is the remaining time below which a request is not sent any more: its
 	// answer could not be back in time.
 	minTimeLeft = 5 * time.Millisecond
@@ -31,6 +35,7 @@
 
 	sends           int  // requests that may have arrived at a backend server
 	connectFailures int  // attempts that failed before anything was sent
+	refusals        int  // of these, connections that were refused
 	mayHaveRun      bool // the request may have run
 	stream          streamState
 	soundRecorded   bool             // whether the answer has been recorded as sound
@@ -67,7 +72,7 @@
 
 // loop sends the request until its caller has an answer. It terminates: each iteration
 // either answers, counts a send towards the route's limit, counts a failed connection towards
-// maxConnectFailures, or excludes a backend server that may have started again.
+// its limit, or excludes a backend server that may have started again.
 func (r *relay) loop(ctx context.Context) {
 	defer r.releaseHolds()
 	for {
@@ -108,7 +113,7 @@
 	switch {
 	case ctx.Err() != nil, r.request.Remaining(boottime.Now()) < minTimeLeft:
 		return false
-	case r.sends >= max(r.request.Route.MaxAttempts, 1), r.connectFailures >= maxConnectFailures:
+	case r.sends >= max(r.request.Route.MaxAttempts, 1), r.connectFailures >= r.maxConnectFailures():
 		return false
 	case r.stream.started:
 		// Without events, only comments have been forwarded, and the stream can begin again.
@@ -119,6 +124,15 @@
 	return true
 }
 
+// maxConnectFailures returns the maximum number of attempts to send the request that fail before
+// anything has been sent.
+func (r *relay) maxConnectFailures() int {
+	if r.request.Software == 0 {
+		return maxConnectFailures
+	}
+	return maxConnectFailures + min(r.refusals, maxFurtherRefusals)
+}
+
 // failure returns the refusal for a request that is not sent again.
 func (r *relay) failure() Refusal {
 	if r.mayHaveRun {
@@ -377,6 +391,9 @@
 	}
 	if notSent {
 		r.connectFailures++
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			r.refusals++
+		}
 		if ctx.Err() == nil && !deliberatelyUnsent(err) {
 			h.admission.loads.recordConnectionFailure(placed.backend.Incarnation)
 			h.admission.cold.assumeRestart(h.state.View(), placed.backend)
