peering: callers that wait for the directory at a start take no room for queries

When a router had just started, callers who came back to it with streams from before were refused as unknown-version beyond the first 256: each one that waited for the addresses of the other routers, up to 300 ms, counted as a query in progress, and when the addresses came all asked at once. New streams began meanwhile.

Ruled out: a higher bound. It limits the datagrams of 8 a query on links of 10 Mbit/s, and each answer is compared with all queries in progress.

Change: the wait for the directory takes no room, as it sends nothing and ends with its request. The queries after it wait for room for another 300 ms at most. All other queries are bounded as before.

--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -34,6 +34,7 @@
 	readOnce  sync.Once
 	read      chan struct{} // closed when they have been read
 
+	slots   chan struct{} // one for each query in progress
 	mu      sync.Mutex
 	queries map[*originQuery]bool
 }
@@ -51,7 +52,13 @@
 }
 
 func newOrigins() *origins {
-	return &origins{table: streamorigin.NewTable(), queries: make(map[*originQuery]bool), wanted: make(chan struct{}), read: make(chan struct{})}
+	return &origins{
+		table:   streamorigin.NewTable(),
+		slots:   make(chan struct{}, maxQueries),
+		queries: make(map[*originQuery]bool),
+		wanted:  make(chan struct{}),
+		read:    make(chan struct{}),
+	}
 }
 
 // RecordOrigin implements gate.StreamOrigins. It sends the origin to the routers that keep it and
@@ -82,12 +89,12 @@
 		return origin, true
 	}
 	asked := m.askedRouters(stream)
-	origin, known := m.askOrigin(ctx, stream, asked)
+	origin, known := m.askOrigin(ctx, stream, asked, 0)
 	if !known {
 		m.wantStoredOrigins(boottime.Now()) // both waits begin now
 	}
 	if !known && m.awaitDirectory(ctx) {
-		origin, known = m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...))
+		origin, known = m.askOrigin(ctx, stream, lo.Without(m.askedRouters(stream), asked...), maxDirectoryWait)
 	}
 	if known {
 		return origin, true
@@ -107,11 +114,6 @@
 	if !m.starting(boottime.Now()) || m.options.Directory == nil || m.directoryRead.Load() {
 		return false
 	}
-	waiting := &originQuery{}
-	if !m.origins.add(waiting) {
-		return false
-	}
-	defer m.origins.remove(waiting)
 	timer := time.NewTimer(maxDirectoryWait)
 	defer timer.Stop()
 	select {
@@ -126,10 +128,11 @@
 // starting reports whether the router has started lately and may not have heard all others.
 func (m *Manager) starting(now boottime.Instant) bool { return now.Sub(m.started) < settlePeriod }
 
-// askOrigin asks the routers for the origin of a stream.
-func (m *Manager) askOrigin(ctx context.Context, stream streamorigin.Stream, targets []fleet.Address) (streamorigin.Origin, bool) {
+// askOrigin asks the routers for the origin of a stream. While too many queries are in progress, it
+// waits for so long.
+func (m *Manager) askOrigin(ctx context.Context, stream streamorigin.Stream, targets []fleet.Address, wait time.Duration) (streamorigin.Origin, bool) {
 	query := &originQuery{stream: stream, done: make(chan struct{}), waiting: targets}
-	if !m.origins.add(query) {
+	if !m.origins.add(query) && !m.origins.addWithin(ctx, query, wait) {
 		return streamorigin.Origin{}, false
 	}
 	defer m.origins.remove(query)
@@ -207,19 +210,39 @@
 
 // add adds a query, unless too many are in progress.
 func (o *origins) add(query *originQuery) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if len(o.queries) >= maxQueries {
+	select {
+	case o.slots <- struct{}{}:
+	default:
 		return false
 	}
-	o.queries[query] = true
+	o.insert(query)
 	return true
 }
 
-func (o *origins) remove(query *originQuery) {
+// addWithin adds a query once there are few enough in progress, unless that takes too long.
+func (o *origins) addWithin(ctx context.Context, query *originQuery, wait time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	select {
+	case o.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	o.insert(query)
+	return true
+}
+
+func (o *origins) insert(query *originQuery) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.queries[query] = true
+}
+
+func (o *origins) remove(query *originQuery) {
+	o.mu.Lock()
 	delete(o.queries, query)
+	o.mu.Unlock()
+	<-o.slots
 }
 
 // answered passes an answer to the queries for the stream, and reports whether one of them
