gate: taking up a stream behind its end uses up its precedence

A caller could take one stream up any number of times before new requests of other accounts, up to four times its share, by naming an event at or behind the stream's end: the backend server reads the prompt and ends the stream without an event, and a request that brought no event did not count.

Change: a stream that a backend server has completed counts as one that went on. One that was not sent, or broke off before an event, still does not.

The tests of internal/gate and platform pass.

--- a/internal/gate/continuations.go
+++ b/internal/gate/continuations.go
@@ -45,7 +45,7 @@
 	return true
 }
 
-// release reverts acquire for a request that brought no event.
+// release reverts acquire for a request that brought neither an event nor the stream's end.
 func (c *continuations) release(stream streamorigin.Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -203,7 +203,7 @@
 	}
 	r.request.Continues = true
 	return func() {
-		if r.stream.begunAt == nil {
+		if r.stream.begunAt == nil && !r.stream.whole {
 			r.handler.continuations.release(stream)
 		}
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -21,6 +21,7 @@
 	started     bool
 	lastEventID string             // id of the last event forwarded, "" for none
 	begunAt     *knowledge.Backend // sent the first event, nil before that
+	whole       bool               // a backend server has completed it
 	// cut says that a backend server broke off inside the event after the forwarded ones, so
 	// that the stream has at least one more.
 	cut bool
@@ -229,6 +230,7 @@
 // finishStream ends a stream that its backend server has completed. rest is what follows
 // the last event: comments, or all of an answer that is no stream of events.
 func (r *relay) finishStream(placed *placement, answer *backendconn.Answer, rest []byte, late bool) sendOutcome {
+	r.stream.whole = true
 	r.startStream(answer)
 	if len(rest) > 0 {
 		if _, err := r.writer.Write(rest); err != nil {
