backendconn: nearly all heads are searched without the pattern

The search of each answer's head for the beginning of another one matched a regular expression on each header value. It now looks for "HTTP/" first, without which the pattern can't match; the pattern and what it finds are unchanged (TestAnswerThatNamesAProtocolIsNotRefused, TestAnswerThatBeginsInsideAnotherIsRefused).

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -289,25 +289,34 @@
 // errSpliced ends an exchange whose answer follows a part of another one within a line.
 var errSpliced = errors.New("the answer begins inside another one")
 
+// protocolName is how each status line begins.
+const protocolName = "HTTP/"
+
 // statusLine matches what the parser takes for the beginning of an answer, up to its status. Fields
 // such as Via and Server may name a protocol without one.
-var statusLine = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}( |$)`)
+var statusLine = regexp.MustCompile(protocolName + `[0-9]\.[0-9] +[0-9]{3}( |$)`)
 
 // spliced reports whether a line of the head has the beginning of another answer in it: the one
 // before broke off within that line, and what it says can't be told from what this one says.
 // Where it broke off between lines, or in the name of a field, the parser refuses the status line.
 func spliced(response *http.Response) bool {
-	if statusLine.MatchString(response.Status) {
+	if holdsStatusLine(response.Status) {
 		return true
 	}
 	for _, values := range response.Header {
-		if slices.ContainsFunc(values, statusLine.MatchString) {
+		if slices.ContainsFunc(values, holdsStatusLine) {
 			return true
 		}
 	}
 	return false
 }
 
+// holdsStatusLine reports whether the text has a status line in it. It searches nearly all texts
+// without the pattern, which costs more.
+func holdsStatusLine(text string) bool {
+	return strings.Contains(text, protocolName) && statusLine.MatchString(text)
+}
+
 // readFinalHead reads the head of the next answer that is not an interim one.
 func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
 	c.limiter.begin()
--- a/internal/backendconn/exchange_test.go
+++ b/internal/backendconn/exchange_test.go
@@ -25,7 +25,7 @@
 
 // serve starts a backend server that handles each connection with the function. The reader
 // reads what has arrived.
-func serve(t *testing.T, handle func(conn net.Conn, reader *bufio.Reader)) *scriptedServer {
+func serve(t testing.TB, handle func(conn net.Conn, reader *bufio.Reader)) *scriptedServer {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
