policy: streams that go on have a slot beyond new requests at engines with few

Seen with real processes: four gates, six servers of two versions with four slots and a queue each, 56 callers that wait for Retry-After, servers that crash in turn. Nearly all refusals are `busy`.

Cause: new requests may use 0.8 of an engine's slots and streams that go on 0.9, both rounded down. Up to five slots that is the same number, so the tier of streams that go on had no slot of its own.

Now a slot that 0.9 covers in part counts for streams that go on. From two slots on that is one more at least than for new requests; at 64 slots they may use 58 in place of 57.

--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -298,6 +298,7 @@
 		SecondPenalty: a.policy().SecondPenalty,
 		Rate:          a.loads.rate(service, assumedRate),
 		SlotShare:     bounds.SlotShare,
+		PartialSlot:   bounds.PartialSlot,
 		Fallbacks:     bounds.MaxEngines,
 		MemoryShare:   bounds.MemoryShare,
 	}
--- a/internal/policy/bounds.go
+++ b/internal/policy/bounds.go
@@ -17,7 +17,9 @@
 	// CountOwnPrompt reports whether the request's own prompt counts in the budget.
 	CountOwnPrompt bool
 	SlotShare      float64 // fraction of the engine's slots that may be in use
-	MemoryShare    float64 // fraction of the engine's memory that may be in use
+	// PartialSlot reports whether that includes a slot of which the fraction covers a part.
+	PartialSlot bool
+	MemoryShare float64 // fraction of the engine's memory that may be in use
 	// MaxEngines is the number of engines that may be considered.
 	MaxEngines int
 }
@@ -60,6 +62,7 @@
 	bounds := s.Bounds(TierOwed, ModelRequest{Target: request.Target, Headroom: request.Headroom})
 	bounds.Budget = max(bounds.Budget, scale(request.Target, s.ContinueBudget*request.Headroom))
 	bounds.SlotShare = max(bounds.SlotShare, s.ContinueSlots)
+	bounds.PartialSlot = true // else an engine with few slots would have no more for them than for new requests
 	return bounds
 }
 
--- a/internal/selection/model.go
+++ b/internal/selection/model.go
@@ -1,6 +1,9 @@
 package selection
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Engine is a model engine as a candidate for one request.
 type Engine struct {
@@ -36,6 +39,8 @@
 	// SlotShare is the fraction of the slots that is used. More concurrent requests slow
 	// the tokens of all.
 	SlotShare float64
+	// PartialSlot also uses a slot of which the fraction covers a part.
+	PartialSlot bool
 	// MemoryShare is the fraction of the memory that requests may fill. An engine that
 	// runs out of memory drops a running request and reads it again.
 	MemoryShare float64
@@ -174,7 +179,11 @@
 }
 
 func hasFreeSlot(engine Engine, limits Limits) bool {
-	return engine.Slots == 0 || float64(engine.Running+1) <= float64(engine.Slots)*limits.SlotShare
+	usable := float64(engine.Slots) * limits.SlotShare
+	if limits.PartialSlot {
+		usable = math.Ceil(usable)
+	}
+	return engine.Slots == 0 || float64(engine.Running+1) <= usable
 }
 
 func hasFreeMemory(engine Engine, demand Demand, limits Limits) bool {
