crash: evidence from before the start of a router's VM counts

What callers saw: a router on a VM that has just started (a node pool that is replaced) refuses a segment that the others know to be sound, and refuses one longer than 30 minutes after the last such request.

Cause: instants count from the start of the VM, and 0 stands for never. What others tell of a sound answer, a refusal or a trial at an instant below 0 was compared with 0 as if that were a newer one, and dropped; the time of a refusal counted from the start of the VM.

Ruled out: the messages; they carry ages, and crashes from before the start were counted, so that only what acquits was lost.

Change: 0 is compared as never; the end of a refusal goes by the newest crash or refusal, whichever is known.

Measured: TestEvidenceFromBeforeTheStartOfTheVMCounts fails in all three parts that it checks without the change (sound segment refused, refusal outlives its time), passes with it; the package's tests pass.

--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -229,26 +229,30 @@
 	return reply
 }
 
+// isNewer reports whether an event is another and newer one than the known one, 0 for none. What
+// others tell may lie before the start of this VM, at an instant below 0.
+func isNewer(at, known boottime.Instant) bool { return known == 0 || at > known.Add(ageTolerance) }
+
 // receiveSound records a sound answer of another router. The accusation may come later.
 func (t *SegmentTable) receiveSound(segment Segment, at boottime.Instant) {
 	if known, ok := t.seen.Peek(segment); !ok || at > known.Add(ageTolerance) {
 		t.seen.Add(segment, at)
 	}
-	if accused := t.accused[segment]; accused != nil && at > accused.sound.Add(ageTolerance) {
+	if accused := t.accused[segment]; accused != nil && isNewer(at, accused.sound) {
 		accused.sound = at
 		t.tell(&accused.tellSound)
 	}
 }
 
 func (t *SegmentTable) receiveRefused(segment Segment, at boottime.Instant) {
-	if accused := t.accused[segment]; accused != nil && at > accused.refused.Add(ageTolerance) {
+	if accused := t.accused[segment]; accused != nil && isNewer(at, accused.refused) {
 		accused.refused = at
 		t.tell(&accused.tellRefused)
 	}
 }
 
 func (t *SegmentTable) receiveTrial(segment Segment, at boottime.Instant) {
-	if accused := t.accused[segment]; accused != nil && at > accused.trial.Add(ageTolerance) {
+	if accused := t.accused[segment]; accused != nil && isNewer(at, accused.trial) {
 		accused.trial = at
 		t.tell(&accused.tellTrial)
 	}
--- a/internal/crash/expiry.go
+++ b/internal/crash/expiry.go
@@ -29,7 +29,7 @@
 func (t *SegmentTable) expire(convicted map[Segment]*Conviction, now boottime.Instant) bool {
 	pairs := t.pairs
 	for segment := range convicted {
-		if now.Sub(max(t.accused[segment].refused, t.lastCrash(segment))) > refusalTTL {
+		if now.Sub(t.lastHarm(segment)) > refusalTTL {
 			t.forget(segment)
 		}
 	}
@@ -71,11 +71,15 @@
 	return max(excess, (len(t.accused)-maxAccused+perCrash-1)/perCrash)
 }
 
-func (t *SegmentTable) lastCrash(segment Segment) boottime.Instant {
-	if counted := t.counted(segment); len(counted) > 0 {
-		return counted[len(counted)-1].at
+// lastHarm returns when a server last crashed under a refused segment, or a request with it was
+// last refused. Either may be before the start of this VM, at an instant below 0.
+func (t *SegmentTable) lastHarm(segment Segment) boottime.Instant {
+	counted := t.counted(segment)
+	last, refused := counted[len(counted)-1].at, t.accused[segment].refused
+	if refused != 0 {
+		last = max(last, refused)
 	}
-	return 0
+	return last
 }
 
 // forgetCrash removes what the segments of a crash have to do with it.
--- a/internal/crash/segments.go
+++ b/internal/crash/segments.go
@@ -200,7 +200,7 @@
 func (t *SegmentTable) acquit(segment Segment) bool {
 	accused := t.accused[segment]
 	sound, known := t.seen.Peek(segment)
-	if accused == nil || !known || sound <= accused.sound {
+	if accused == nil || !known || (accused.sound != 0 && sound <= accused.sound) {
 		return false
 	}
 	acquits := lo.SomeBy(t.counted(segment), func(crash *serverCrash) bool { return crash.at <= sound.Add(soundMemory) })
--- a/internal/crash/segments_test.go
+++ b/internal/crash/segments_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
 )
 
 // Guards against memory that grows with what servers that go down name.
@@ -55,3 +57,34 @@
 		}
 	}
 }
+
+// Guards against a router on a VM that has just started and goes on refusing a segment, or stops
+// refusing one, as it takes what happened before the VM's start for unknown.
+func TestEvidenceFromBeforeTheStartOfTheVMCounts(t *testing.T) {
+	now := boottime.Instant(3 * time.Second)
+	told := Evidence{
+		Sound:   []SegmentAge{{Segment: common, Age: time.Minute}},
+		Refused: []SegmentAge{{Segment: harmful, Age: refusalTTL - time.Minute}},
+	}
+	for server := range uint32(6) {
+		age := refusalTTL - time.Minute + time.Duration(server)*time.Second
+		told.Crashes = append(told.Crashes,
+			ServerCrash{Down: true, Server: server, Age: 80*time.Second + time.Duration(server)*time.Second, Segments: []Segment{common}},
+			ServerCrash{Down: true, Server: 100 + server, Age: age, Segments: []Segment{harmful}})
+	}
+	table := NewSegmentTable()
+	table.Receive(told, now)
+	refuses := func(segment Segment) bool {
+		return table.Judge([]Segment{segment}, func(Segment) int { return 1 }, now).Conviction != nil
+	}
+	if refuses(common) || !refuses(harmful) {
+		t.Errorf("refused: sound segment %v, harmful one %v", refuses(common), refuses(harmful))
+	}
+	table = NewSegmentTable()
+	table.Receive(told, now)
+	now = now.Add(2 * time.Minute)
+	table.Update(now)
+	if refuses(harmful) {
+		t.Error("a refusal outlives its time")
+	}
+}
