gate: entries from before an outage of the store don't show versions just after it

Callers saw streams that go on with events of another software version (ORDER): while the store was unreachable, backend servers started again under their ids with another version. As soon as the store was back, the list counted as current, and any connection as certain, though such a server writes its entry only within some two seconds of the store's return.

Ruled out: the overdue list itself, which is handled by certainty.go; it ended with the first list after the outage.

What begins meanwhile on a connection that is not certain can't be taken up.

Not covered: an outage too short to be told from the usual age of the list, and a router whose first list comes just after one.

How many more streams are refused just after an outage was not measured.

--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -166,13 +166,7 @@
 // one. With an overdue list, the server may have started again under its ID with another version.
 func certaintyOf(state *knowledge.State, dialect Dialect, metrics *metrics) backendconn.Certainty {
 	return backendconn.Certainty{
-		ListedAt: func() boottime.Instant {
-			view := state.View()
-			if !view.ListOverdue(boottime.Now()) {
-				return 0
-			}
-			return view.ListConfirmedAt
-		},
+		ListedAt: func() boottime.Instant { return state.View().ProcessesListedAt(boottime.Now()) },
 		Probe: func(address fleet.Address) *backendconn.Request {
 			return &backendconn.Request{
 				Method: http.MethodGet,
--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -14,6 +14,10 @@
 // removed servers.
 const missingGrace = 1500 * time.Millisecond
 
+// rewriteTime is how long after the return of the store an entry may still be that of a process from
+// before: a backend server that started meanwhile writes its own within about two seconds.
+const rewriteTime = 2500 * time.Millisecond
+
 // minOutageAge is the lower bound of View.outageAge, the age of the list from which the
 // next one counts as the first after an outage of the store.
 const minOutageAge = 3 * time.Second
@@ -62,6 +66,31 @@
 	return now.Sub(v.ListConfirmedAt) > v.usualAge
 }
 
+// noteOutage is called before a list that was complete at confirmedAt replaces or confirms the
+// current one.
+func (v *View) noteOutage(confirmedAt boottime.Instant) {
+	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= v.outageAge {
+		return
+	}
+	if v.ListConfirmedAt >= v.rewrittenAt {
+		v.listedBeforeOutage = v.ListConfirmedAt
+	}
+	v.rewrittenAt = confirmedAt.Add(rewriteTime)
+}
+
+// ProcessesListedAt returns as of when the processes at all addresses are known, 0 while the list
+// tells. It does not while it is overdue, nor just after an outage of the store, when entries of
+// processes that have ended may not have been replaced yet.
+func (v *View) ProcessesListedAt(now boottime.Instant) boottime.Instant {
+	switch {
+	case v.ListConfirmedAt < v.rewrittenAt:
+		return v.listedBeforeOutage
+	case v.ListOverdue(now):
+		return v.ListConfirmedAt
+	}
+	return 0
+}
+
 // mayBeIncomplete reports whether backend servers missing from a list may still write their
 // entries again: the list is the first one after an outage, or of a newer era than the
 // current one.
@@ -80,6 +109,7 @@
 		v.recordVersions(&before, now)
 	}
 	v.noteVersionGap(confirmedAt, now)
+	v.noteOutage(confirmedAt)
 	v.MissingSince = missingSince
 	v.Position = at
 	v.ListConfirmedAt = max(v.ListConfirmedAt, confirmedAt)
@@ -182,6 +212,7 @@
 	s.update(func(view *View) bool {
 		if view.ListConfirmedAt != 0 && view.Digest == digest && len(view.MissingSince) == 0 {
 			view.noteVersionGap(confirmedAt, boottime.Now())
+			view.noteOutage(confirmedAt)
 			view.ListConfirmedAt = max(view.ListConfirmedAt, confirmedAt)
 		}
 		return false
--- a/internal/knowledge/state.go
+++ b/internal/knowledge/state.go
@@ -50,6 +50,10 @@
 	outageAge time.Duration
 	// usualAge is the age that the list seldom exceeds while the store answers.
 	usualAge time.Duration
+	// listedBeforeOutage is when the last list before the last outage was complete, and
+	// rewrittenAt when the entries of all processes have been written again after it.
+	listedBeforeOutage boottime.Instant
+	rewrittenAt        boottime.Instant
 	// removalsSince is the position since which removed is complete.
 	removalsSince Position
 }
