peering: the test network of origins counts bytes without a race

The test of many streams sends from many goroutines; the race detector found the byte counter of the test network (1 of 1 run with -race), nothing else. It is atomic now: 2 runs with -race of the tests of origins and queries pass.

--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 type originFleet struct {
 	routers map[fleet.Address]*Manager
 	lost    map[fleet.Address]bool // routers that get nothing
-	bytes   int
+	bytes   atomic.Int64
 }
 
 // originLink implements Network for one router.
@@ -32,7 +33,7 @@
 }
 
 func (l originLink) Send(data []byte, to fleet.Address) {
-	l.fleet.bytes += len(data)
+	l.fleet.bytes.Add(int64(len(data)))
 	router := l.fleet.routers[to]
 	if router == nil || l.fleet.lost[to] {
 		return
@@ -167,8 +168,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if want := len(query) * 2 * len(queryIntervals); f.bytes != want {
-		t.Errorf("%d bytes were sent, want %d: to both routers in each interval", f.bytes, want)
+	if want := int64(len(query) * 2 * len(queryIntervals)); f.bytes.Load() != want {
+		t.Errorf("%d bytes were sent, want %d: to both routers in each interval", f.bytes.Load(), want)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
@@ -250,5 +251,5 @@
 	for i := range b.N {
 		router.RecordOrigin(streamorigin.Stream(i), 7, 45*time.Second)
 	}
-	b.ReportMetric(float64(f.bytes)/float64(b.N), "bytes/op")
+	b.ReportMetric(float64(f.bytes.Load())/float64(b.N), "bytes/op")
 }
