gate: memory of answers is released when they have been forwarded

Seen: TestAnswersAreForwardedWithoutMemoryForThem failed in 30 of 120 runs on beside other work, with 49152 bytes that stay reserved. What callers could see: while a long answer went slowly to its caller, or a stream that had had one large event went on, others found no memory: their answers were forwarded without a second try, and streams with large events ended with 502.

Cause: what a request had reserved was released when the request ended, though the buffer of an answer that is forwarded without being held whole is done with once it has been written. The test saw the last bit of that: the caller has the last byte of a stated length before the handler returns and releases.

Evidence: the gauge was 0 after 0.1 to 1.4 ms in all 30 failures, all of them with a stated length and beyond the buffer; with a server that takes its time for the rest, 245,760 bytes stayed reserved for as long.

Ruled out: a leak. The reservation always ended.

Change: the buffer is given up, and its reservation released, once it has been written, before the rest is. The same for answers that broke off, belong to no request or are replaced by a later failure, and for a stream's buffer at the next small event. A stream whose events are all large keeps its memory, as it would have to end where others have taken it meanwhile.

Tests: TestMemoryIsReleasedWhileAnswersGoOn failed before (245,760 and 286,720 bytes after two seconds).

Seen beside it: in one of two runs of the package four plays of TestSegmentThatCrashesServersIsNotSentOn, of one router each, failed while 300 runs of the test above opened listeners on the same address; a "server" that had crashed answered 401 there, as only a router does. Passed in the other run, and alone.

--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -36,11 +36,11 @@
 	soundRecorded   bool             // whether the answer has been recorded as sound
 	eventsSince     boottime.Instant // when the current backend server sent its first whole event, 0 before that
 	savedFailure    *bufferedAnswer  // a backend server's failure, kept while another server is tried
-	holds           []*answerHold    // memory of the answers, until the request has ended
+	holds           []*answerHold    // memory of the answers
 }
 
 // newAnswerHold returns the hold of the memory for an answer. It is released when the request
-// has ended.
+// has ended, if not before.
 func (r *relay) newAnswerHold() *answerHold {
 	hold := &answerHold{memory: &r.handler.answerMemory, limit: r.handler.answerMemoryLimit}
 	r.holds = append(r.holds, hold)
--- a/internal/gate/relay_buffered.go
+++ b/internal/gate/relay_buffered.go
@@ -33,6 +33,7 @@
 	status int
 	header http.Header
 	body   []byte
+	hold   *answerHold // of the memory of body
 }
 
 // relayBuffered reads an answer to its end and forwards it.
@@ -57,15 +58,19 @@
 	if !genuine {
 		// Also a failure may come from something that is no backend server, or belong to none.
 		r.handler.requestLog.badAnswer(r.request, placed.backend, answer.Status)
+		body.discard()
 		return outcomeBroken
 	}
 	if !body.complete {
 		return r.relayUnbuffered(ctx, placed, answer, reply, body)
 	}
-	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.data}
+	buffered := &bufferedAnswer{placed: placed, status: answer.Status, header: r.callerHeader(answer, reply), body: body.data, hold: body.hold}
 	if answer.Status >= http.StatusInternalServerError {
 		// Another backend server may succeed; if not, this is the answer.
 		r.handler.requestLog.failed(r.request, placed.backend, answer.Status)
+		if r.savedFailure != nil {
+			r.savedFailure.hold.release()
+		}
 		r.savedFailure = buffered
 		return outcomeFailed
 	}
@@ -76,17 +81,23 @@
 // bufferedBody is the body of an answer as far as it is held.
 type bufferedBody struct {
 	data     []byte
+	hold     *answerHold // of the memory of data
 	complete bool
 	rest     io.Reader // what follows data
 }
 
+// discard frees the memory of what has been read.
+func (b *bufferedBody) discard() {
+	b.data = nil
+	b.hold.release()
+}
+
 // readBuffered reads the answer's body while there is memory for it, up to maxBufferedAnswer
 // bytes. It returns an error if the body is not whole.
 func (r *relay) readBuffered(answer *backendconn.Answer) (*bufferedBody, error) {
-	hold := r.newAnswerHold()
-	body := &bufferedBody{data: make([]byte, 0, firstBufferSize(answer)), rest: bodyReader(answer)}
+	body := &bufferedBody{data: make([]byte, 0, firstBufferSize(answer)), hold: r.newAnswerHold(), rest: bodyReader(answer)}
 	for {
-		if len(body.data) == cap(body.data) && !body.grow(hold) {
+		if len(body.data) == cap(body.data) && !body.grow() {
 			return body, nil
 		}
 		n, err := body.rest.Read(body.data[len(body.data):cap(body.data)])
@@ -99,6 +110,7 @@
 			return body, nil
 		}
 		if err != nil {
+			body.discard()
 			return nil, err
 		}
 	}
@@ -112,9 +124,9 @@
 
 // grow enlarges the buffer. It returns false if there is no memory for it, or if it has
 // maxBufferedAnswer bytes.
-func (b *bufferedBody) grow(hold *answerHold) bool {
+func (b *bufferedBody) grow() bool {
 	size := min(2*cap(b.data), maxBufferedAnswer)
-	if size == cap(b.data) || !hold.grow(size) {
+	if size == cap(b.data) || !b.hold.grow(size) {
 		return false
 	}
 	larger := make([]byte, len(b.data), size)
@@ -198,6 +210,7 @@
 	r.stream.started = true
 	r.handler.writeHead(r.writer, status)
 	_, err := r.writer.Write(body.data)
+	body.discard() // the rest may take long
 	if err == nil {
 		_, err = io.Copy(r.writer, body.rest)
 	}
--- a/internal/gate/relay_stream.go
+++ b/internal/gate/relay_stream.go
@@ -53,6 +53,7 @@
 	}
 	buffer := make([]byte, streamBufferBytes)
 	events := &eventForwarder{relay: r, placed: placed, answer: answer, hold: r.newAnswerHold()}
+	defer events.hold.release()
 	timing := newStreamTiming(r.request)
 	for {
 		n, err := answer.Read(buffer)
@@ -117,6 +118,11 @@
 	if !f.relay.writeEvents(f.answer, events) {
 		return false
 	}
+	if cap(f.rest) > uncountedAnswerBytes && len(events) <= uncountedAnswerBytes {
+		// A stream whose events are all large keeps its memory, so that it can go on.
+		f.rest = nil
+		f.hold.release()
+	}
 	f.rest = append(f.rest[:0], data[ended:]...)
 	return true
 }
