peering: the first keeper of a stream tells that its id was used twice

A caller that uses one attempt id twice, which the protocol forbids, and whose two streams begin at two software versions, could take the stream up at either: a router that keeps the record of one of them takes it for known.

Cause: which two routers keep a record depends on the router that began the stream, as that one does not count. Of four routers in the stream's order the second and the third keep what the first began, the first and the second what the fourth began; the third has one record and asks nobody.

Ruled out: lost records (the test's network loses none) and the order of answers (whoever has both records says so).

Change: one router sees all records of an id, whoever began the streams: the first of the stream's first zone keeps them or has begun one. A router whose record is contradicted tells those that may be asked, and the sender, once for each id. Three fixed keepers would cost half as many bytes again for each stream; see docs/PLATFORM.md. Nothing is sent in the ordinary case.

Left: the router that began the earlier stream is not told unless it keeps the id; the message may be lost; see docs/incidents/attempt-id-used-twice.md.

--- a/internal/peering/origins.go
+++ b/internal/peering/origins.go
@@ -59,7 +59,9 @@
 func (m *Manager) RecordOrigin(stream streamorigin.Stream, software knowledge.SoftwareID, lasts time.Duration) {
 	now := boottime.Now()
 	origin := streamorigin.Origin{Software: software, Until: now.Add(lasts)}
-	m.origins.table.Set(stream, origin, now)
+	if m.origins.table.Set(stream, origin, now) {
+		m.tellAmbiguous(stream, lasts)
+	}
 	message := &peeringpb.StreamOrigin{Stream: uint64(stream), Software: uint64(software), LastsMs: uint32(lasts.Milliseconds())}
 	targets := m.chooseRouters(now, func(routers []streamorigin.Router) []fleet.Address {
 		return streamorigin.Holders(stream, m.zone, routers)
@@ -184,12 +186,23 @@
 	if !known {
 		return
 	}
-	m.origins.table.Set(stream, origin, now)
+	if m.origins.table.Set(stream, origin, now) {
+		m.tellAmbiguous(stream, origin.Until.Sub(now), sender)
+	}
 	if !message.Answers {
 		m.journalReceived(sender, stream, origin, now)
 	}
 }
 
+// tellAmbiguous tells the routers that may keep one record of a stream, and the given ones, that
+// streams of several versions began with its id. Which routers keep a record depends on the one
+// that began the stream, but the first of the stream's order is always among them, unless it began
+// the stream itself, so it knows of all.
+func (m *Manager) tellAmbiguous(stream streamorigin.Stream, lasts time.Duration, routers ...fleet.Address) {
+	message := &peeringpb.StreamOrigin{Stream: uint64(stream), Software: uint64(streamorigin.Ambiguous), LastsMs: uint32(lasts.Milliseconds())}
+	m.sendOrigin(message, lo.Union(m.askedRouters(stream), routers)...)
+}
+
 // originAnswer returns the answer to a query for the origin of a stream.
 func (m *Manager) originAnswer(stream streamorigin.Stream, now boottime.Instant) *peeringpb.StreamOrigin {
 	answer := &peeringpb.StreamOrigin{Stream: uint64(stream), Answers: true}
--- a/internal/peering/origins_test.go
+++ b/internal/peering/origins_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 	"google.golang.org/protobuf/proto"
+	"pgregory.net/rapid"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
@@ -193,6 +196,38 @@
 	}
 }
 
+// Guards against a stream that goes on at one of several versions which began with the same id, at
+// any router but those that began it, in fleets of any shape; and against messages for each further
+// use of the id.
+func TestReusedIDIsAmbiguousAtAllRouters(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newOriginFleet(rapid.IntRange(1, 6).Draw(t, "zones"), rapid.IntRange(1, 4).Draw(t, "routers of a zone"))
+		stream := streamorigin.Stream(rapid.Uint64().Draw(t, "stream"))
+		began := make(map[fleet.Address]bool)
+		for i := range rapid.IntRange(2, 4).Draw(t, "streams") {
+			router := f.routers[rapid.SampledFrom(slices.Sorted(maps.Keys(f.routers))).Draw(t, "router")]
+			began[router.self] = true
+			router.RecordOrigin(stream, knowledge.SoftwareID(i+1), time.Minute)
+		}
+		for address, router := range f.routers {
+			if began[address] {
+				continue
+			}
+			if origin, known := router.FindOrigin(t.Context(), stream); !known || origin.Software != streamorigin.Ambiguous {
+				t.Fatalf("at %s: software %d, known %v; want ambiguous", address, origin.Software, known)
+			}
+		}
+		if others := lo.Without(lo.Keys(f.routers), lo.Keys(began)...); len(others) > 0 {
+			const recordBytes = 50
+			f.bytes = 0
+			f.routers[others[0]].RecordOrigin(stream, 9, time.Minute)
+			if f.bytes > 2*recordBytes {
+				t.Fatalf("%d bytes were sent for one more stream", f.bytes)
+			}
+		}
+	})
+}
+
 // Guards against an origin from an answer that nobody asked for, and against queries without a
 // bound.
 func TestQueriesAndAnswersAreBounded(t *testing.T) {
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -67,16 +67,19 @@
 	return &Table{origins: origins}
 }
 
-// Set records where a stream began. An origin is forgotten when its time is over.
-func (t *Table) Set(stream Stream, origin Origin, now boottime.Instant) {
+// Set records where a stream began. An origin is forgotten when its time is over. It reports
+// whether the stream is ambiguous because of this record.
+func (t *Table) Set(stream Stream, origin Origin, now boottime.Instant) (conflicts bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.expire(now)
 	origin.Until = min(origin.Until, now.Add(MaxTime))
 	if known, found := t.origins.Peek(stream); found && known.Until > now {
+		conflicts = known.Software != origin.Software && known.Software != Ambiguous && origin.Software != Ambiguous
 		origin = known.merge(origin)
 	}
 	t.origins.Add(stream, origin)
+	return conflicts
 }
 
 // expire removes the oldest origins while their time is over.
