gate: a later list confirms at which version streams of uncertain version began

What callers saw: a stream that began on a new connection while the list of backend servers was older than usual, be it by 50 ms, or just after an outage of the store, could not be taken up as long as it lasted: 503 (other-version).

Cause: the version was recorded as uncertain for good, though the next list tells whether the server has started again. Since entries count only 2.5 s after an outage, more streams begin so.

Change: the router that began such a stream keeps it, 8,192 at most, and records the version once a list has been complete after the first event, entries of processes that have ended have been replaced, and the server's entry is the same. A certain record replaces an uncertain one, in any order. A server that is listed with another version before the first event confirms nothing.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -68,6 +68,7 @@
 	segments          *crash.SegmentTable
 	refusedSegments   *refusedSegments
 	streams           StreamOrigins
+	unconfirmed       unconfirmedStreams
 	continuations     *continuations
 	requestLog        *requestLog
 	metrics           *metrics
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -60,6 +60,14 @@
 	return r.LastEventID != "" && r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume
 }
 
+// stream returns the stream that the request begins, or that its caller takes up.
+func (r *Request) stream() streamorigin.Stream {
+	if r.takenUp() && r.Resumes != "" {
+		return streamorigin.StreamOf(r.Resumes)
+	}
+	return streamorigin.StreamOf(r.ID)
+}
+
 // countStream counts a request for a stream that can be taken up; began says that its first event
 // has come, rather than the request.
 func (h *handler) countStream(request *Request, began bool) {
@@ -93,6 +101,7 @@
 	if !request.takenUp() {
 		return nil
 	}
+	h.confirmStreams() // the caller may come before the next check
 	software, known := FindOrigin(ctx, h.streams, h.state, request)
 	h.metrics.streamTakenUp(known)
 	request.OriginKnown = known
@@ -198,15 +207,18 @@
 	if request.Route.Repeat != knowledge.RepeatResume {
 		return
 	}
+	stream, now := request.stream(), boottime.Now()
+	lasts := request.originTime(now)
 	if request.Software == 0 {
-		request.Software = h.state.View().SoftwareID(backend)
-		if h.mayBeOtherVersion(backend) || !answer.Certain() {
+		software := h.state.View().SoftwareID(backend)
+		request.Software = software
+		switch {
+		case h.mayBeOtherVersion(backend):
 			request.Software = streamorigin.Uncertain
+		case !answer.Certain():
+			request.Software = streamorigin.Uncertain
+			h.unconfirmed.add(unconfirmedStream{stream: stream, backend: backend, software: software, began: now, until: now.Add(lasts)})
 		}
 	}
-	attempt := request.ID
-	if request.takenUp() && request.Resumes != "" {
-		attempt = request.Resumes
-	}
-	h.streams.RecordOrigin(streamorigin.StreamOf(attempt), request.Software, request.originTime(boottime.Now()))
+	h.streams.RecordOrigin(stream, request.Software, lasts)
 }
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -84,6 +84,7 @@
 			r.finish(ctx, *refusal)
 			return
 		}
+		r.confirmSoftware(ctx)
 		view := r.handler.state.View()
 		placed, refusal := r.handler.admission.place(r.request, view, r.excluded)
 		if refusal != nil {
--- a/internal/streamorigin/stored.go
+++ b/internal/streamorigin/stored.go
@@ -28,8 +28,8 @@
 		switch {
 		case last < 0 || merged[last].Stream != record.Stream:
 			merged = append(merged, record)
-		case merged[last].Software != record.Software:
-			merged[last].Software = Ambiguous
+		default:
+			merged[last].Software = mergeSoftware(merged[last].Software, record.Software)
 		}
 	}
 	return storedOrigins{records: merged, until: until}
--- a/internal/streamorigin/table.go
+++ b/internal/streamorigin/table.go
@@ -29,19 +29,26 @@
 
 // merge returns what two records of one stream tell.
 func (o Origin) merge(other Origin) Origin {
-	merged := Origin{Software: o.Software, Until: max(o.Until, other.Until)}
-	if o.Software != other.Software {
-		merged.Software = Ambiguous
+	return Origin{Software: mergeSoftware(o.Software, other.Software), Until: max(o.Until, other.Until)}
+}
+
+// mergeSoftware returns what two records of one stream tell of its software.
+func mergeSoftware(a, b knowledge.SoftwareID) knowledge.SoftwareID {
+	switch {
+	case a == b, b == Uncertain:
+		return a
+	case a == Uncertain:
+		return b // a later list has confirmed it
 	}
-	return merged
+	return Ambiguous
 }
 
 // Ambiguous is the software of streams that began at several with one id. They can't be taken
 // up.
 const Ambiguous knowledge.SoftwareID = 0
 
-// Uncertain is the software of streams that began at a backend server whose version was not
-// certain. No backend server has it.
+// Uncertain is the software of streams that began at a backend server whose version is not certain,
+// until a later list confirms it. No backend server has it.
 const Uncertain = ^knowledge.SoftwareID(0)
 
 // MaxTime bounds the time for which an origin is kept.
@@ -75,8 +82,9 @@
 	t.expire(now)
 	origin.Until = min(origin.Until, now.Add(MaxTime))
 	if known, found := t.origins.Peek(stream); found && known.Until > now {
-		conflicts = known.Software != origin.Software && known.Software != Ambiguous && origin.Software != Ambiguous
-		origin = known.merge(origin)
+		merged := known.merge(origin)
+		conflicts = merged.Software == Ambiguous && known.Software != Ambiguous && origin.Software != Ambiguous
+		origin = merged
 	}
 	t.origins.Add(stream, origin)
 	return conflicts
