--- a/internal/crash/conviction.go
+++ b/internal/crash/conviction.go
@@ -20,9 +20,9 @@
 // evaluate works out the refused segments from the evidence, and removes evidence whose time is
 // over. What convicts a segment is kept, so the former comes first.
 func (t *SegmentTable) evaluate(now boottime.Instant) {
-	convictions, suspected := t.workOut()
+	convictions, suspected := t.workOut(now)
 	if t.expire(convictions, now) {
-		convictions, suspected = t.workOut()
+		convictions, suspected = t.workOut(now)
 	}
 	for segment, accused := range t.accused {
 		switch {
@@ -41,7 +41,7 @@
 
 // workOut returns the refused segments, those with minCrashes crashes that count against them, and
 // the number of segments against which any does.
-func (t *SegmentTable) workOut() (convictions map[Segment]*Conviction, suspected int) {
+func (t *SegmentTable) workOut(now boottime.Instant) (convictions map[Segment]*Conviction, suspected int) {
 	against, suspected := t.crashesAgainst()
 	segmentsIn := make(map[*serverCrash]int) // refused segments in a crash
 	for _, crashes := range against {
@@ -53,7 +53,7 @@
 		return &Conviction{
 			Segment:   segment,
 			Servers:   lo.Map(crashes, func(crash *serverCrash, _ int) uint32 { return crash.server }),
-			Ambiguous: t.ambiguous(segment, crashes, segmentsIn),
+			Ambiguous: t.ambiguous(segment, crashes, segmentsIn) || t.accused[segment].doubtful(crashes, now),
 		}
 	}), suspected
 }
--- a/internal/crash/evidence.go
+++ b/internal/crash/evidence.go
@@ -192,6 +192,13 @@
 func (t *SegmentTable) Receive(evidence Evidence, now boottime.Instant) Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.apply(evidence, now)
+	t.evidenceAdded(now)
+	return t.objections(evidence, now)
+}
+
+// apply adds evidence without working out what is refused.
+func (t *SegmentTable) apply(evidence Evidence, now boottime.Instant) {
 	for _, told := range evidence.Sound {
 		t.receiveSound(told.Segment, now.Add(-told.Age))
 	}
@@ -204,8 +211,6 @@
 	for _, told := range evidence.Tried {
 		t.receiveTrial(told.Segment, now.Add(-told.Age))
 	}
-	t.evidenceAdded(now)
-	return t.objections(evidence, now)
 }
 
 // maxObjections bounds the sound answers that are told in reply.
--- a/internal/crash/expiry.go
+++ b/internal/crash/expiry.go
@@ -79,6 +79,9 @@
 	if refused != 0 {
 		last = max(last, refused)
 	}
+	if accused := t.accused[segment]; last <= accused.stored {
+		last = last.Add(-accused.storedFor)
+	}
 	return last
 }
 
--- a/internal/crash/ruling.go
+++ b/internal/crash/ruling.go
@@ -24,6 +24,9 @@
 	// try one. Others are told of a trial within a step, so that few routers try at once,
 	// though any may be the one that gets a request.
 	trialStep = 500 * time.Millisecond
+	// maxDoubtfulSteps bounds the steps where what convicts a segment may be outdated: only
+	// routers that have read it try, which are few in a large fleet.
+	maxDoubtfulSteps = 4
 )
 
 // Ruling is the decision on a request by its segments.
@@ -78,17 +81,22 @@
 func (t *SegmentTable) mayTry(found []*Conviction, order func(Segment) int, now boottime.Instant) bool {
 	segment := found[0].Segment
 	accused := t.accused[segment]
+	doubtful := accused.doubtful(t.counted(segment), now)
 	from := accused.convicted.Add(trialNotice)
 	if accused.trial != 0 {
 		from = max(from, accused.trial.Add(trialInterval))
 	}
 	if len(found) > 1 {
-		if accused.trial != 0 {
+		if accused.trial != 0 && !doubtful {
 			return false
 		}
 		from = from.Add(severalTrialDelay)
 	}
-	if now < from.Add(time.Duration(order(segment))*trialStep) {
+	before := order(segment)
+	if doubtful {
+		before = min(before, maxDoubtfulSteps)
+	}
+	if now < from.Add(time.Duration(before)*trialStep) {
 		return false
 	}
 	accused.trial = now
--- a/internal/crash/segments.go
+++ b/internal/crash/segments.go
@@ -43,6 +43,9 @@
 	trial       boottime.Instant // when a router last sent a request with it to try it, 0 for never
 	convicted   boottime.Instant // since when it has been refused, 0 if it isn't
 	fewest      int              // refused segments in any request with it that this router refused, 0 for none
+	stored      boottime.Instant // start of this process if earlier ones have kept what accuses it, else 0
+	doubtedFrom boottime.Instant // from when on that may be outdated
+	storedFor   time.Duration    // since it was kept, by the clocks of two VMs
 	tellSound   int              // rounds left
 	tellTrial   int
 	tellRefused int
