platform: refused prompt segments are kept in the store for the start of all routers

Change: the first three routers by the order of watchers each write a copy of what convicts segments, objects 0 to 2 of the kind bluebell-segments, when it has changed and every 3.75 min; nothing while nothing is refused. A router that finds no other that has run since before its start, which the search for the newest configuration tells, reads them once, all but about eight from a stale copy. Event 2151 says how many segments were recovered, from how many objects and how old; bluebell_gate_stored_segments_total counts.

Ruled out: an object for each VM (what a VM that is gone has written outlives what was cleared); a read at each start (a call each, of older evidence than the others tell).

--- a/cmd/internal/gatewiring/gate.go
+++ b/cmd/internal/gatewiring/gate.go
@@ -104,7 +104,8 @@
 	gate      *gate.Manager
 	peers     *peering.Manager
 	watcher   *platform.Watcher
-	origins   *platform.OriginStore // nil if the store keeps no origins of streams
+	origins   *platform.OriginStore  // nil if the store keeps no origins of streams
+	segments  *platform.SegmentStore // likewise for refused prompt segments
 	readiness *daemon.Readiness
 	registry  *prometheus.Registry
 	reloader  *daemon.Reloader
@@ -128,6 +129,7 @@
 		peers:     peers,
 		watcher:   newWatcher(injector, config, store),
 		origins:   newOriginStore(injector, config, store),
+		segments:  newSegmentStore(injector, config, store),
 		readiness: do.MustInvoke[*daemon.Readiness](injector),
 		registry:  registry,
 		reloader:  reloader,
@@ -159,6 +161,16 @@
 	return origins
 }
 
+func newSegmentStore(injector do.Injector, config *gate.Config, store *platform.Store) *platform.SegmentStore {
+	if config.Store.WritesPerS == 0 {
+		return nil
+	}
+	table, peers := do.MustInvoke[*gate.Manager](injector).SegmentTable(), do.MustInvoke[*peering.Manager](injector)
+	segments := platform.NewSegmentStore(store, config.Store.WritesPerS, table, peers, do.MustInvoke[logrus.FieldLogger](injector))
+	segments.Register(do.MustInvoke[*prometheus.Registry](injector))
+	return segments
+}
+
 // Run implements daemon.Service.
 func (s *Service) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
@@ -171,6 +183,9 @@
 	if s.origins != nil {
 		group.Go(func() error { return s.origins.Run(ctx, s.config.Node.NewFleet) })
 	}
+	if s.segments != nil {
+		group.Go(func() error { return s.segments.Run(ctx, s.config.Node.NewFleet) })
+	}
 	group.Go(func() error { return s.gate.Run(ctx) })
 	group.Go(func() error {
 		return gate.ServeReadiness(ctx, s.config.Listen.Readiness, s.config.Listen.ReadinessPath, s.readiness)
--- a/internal/event/gate.go
+++ b/internal/event/gate.go
@@ -53,5 +53,6 @@
 	GateNewestKnown           = Event{2148, logrus.InfoLevel, "newest configuration found at the start"}
 	GateNewestMissing         = Event{2149, logrus.WarnLevel, "newest configuration not found at the start"}
 	GateOriginsRead           = Event{2150, logrus.InfoLevel, "records of where streams began read from the store"}
+	GateSegmentsRead          = Event{2151, logrus.InfoLevel, "refused prompt segments read from the store"}
 	GateDrainOrdered          = Event{2121, logrus.InfoLevel, "operator changed the drain state"}
 )
--- a/internal/gate/config.go
+++ b/internal/gate/config.go
@@ -43,7 +43,7 @@
 // StoreSection holds the address of the store and its limits.
 type StoreSection struct {
 	Address       fleet.Address `key:"address" required:"true" doc:"IP number and port of the store."`
-	WritesPerS    int           `key:"writes_per_s" default:"0" min:"0" doc:"Writes that the store takes from all routers together; 0: where streams began is not kept there."`
+	WritesPerS    int           `key:"writes_per_s" default:"0" min:"0" doc:"Writes that the store takes from all routers together; 0: where streams began, and which prompt segments are refused, is not kept there."`
 	MaxValueBytes int           `key:"max_value_bytes" default:"0" min:"0" unit:"B" doc:"Size of a value of the store."`
 }
 
--- a/internal/gate/local.go
+++ b/internal/gate/local.go
@@ -115,6 +115,9 @@
 	return m.handler.segments.Refused(from, limit, now)
 }
 
+// SegmentTable returns the table of prompt segments that crash backend servers.
+func (m *Manager) SegmentTable() *crash.SegmentTable { return m.handler.segments }
+
 // ReceiveCrashEvidence applies what another router has told, and returns what to tell it in
 // reply.
 func (m *Manager) ReceiveCrashEvidence(evidence crash.Evidence, now boottime.Instant) crash.Evidence {
--- a/internal/peering/manager.go
+++ b/internal/peering/manager.go
@@ -108,11 +108,12 @@
 	otherZonesLog      aggregateLog       // usage of other zones as sent within this zone
 	directoryRead      atomic.Bool        // set after the first successful read of the directory
 	directoryListed    chan struct{}      // closed then
+	startedTogether    chan int           // receives the number of routers, with room for it
 }
 
 // NewManager returns a manager that sends nothing until Run.
 func NewManager(options Options) *Manager {
-	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now(), directoryListed: make(chan struct{})}
+	m := &Manager{table: newTable(options.Address, options.Zone), options: options, network: options.Network, started: boottime.Now(), directoryListed: make(chan struct{}), startedTogether: make(chan int, 1)}
 	m.peerLog = &peerLog{logger: options.Logger}
 	m.origins = newOrigins()
 	m.traffic = newTraffic(options.Logger, m.started)
--- a/internal/peering/newest.go
+++ b/internal/peering/newest.go
@@ -112,6 +112,9 @@
 	if ctx.Err() != nil {
 		return nil
 	}
+	if found != newestFromRouter {
+		m.startedTogether <- len(m.knownRouters()) + 1
+	}
 	m.options.State.EndPeerWait(0)
 	complete := m.awaitPeerVersion(ctx)
 	if ctx.Err() != nil {
@@ -129,6 +132,10 @@
 	return nil
 }
 
+// StartedTogether returns a channel that receives the number of routers, this one included, once it
+// is known that none of those that reply has run since before this one started.
+func (m *Manager) StartedTogether() <-chan int { return m.startedTogether }
+
 // askPeers asks other routers until the wait for them has ended, and returns how.
 func (m *Manager) askPeers(ctx context.Context, search *newestSearch) string {
 	ctx, cancel := context.WithCancel(ctx)
