bluebellctl: router stored shows what routers keep in the store

Operators could not see what the routers would recover if all started at once. It lists the objects of both kinds with the number of their records and how long ago they were written; one that can't be read is shown as such and hides no other (TestStoredObjectsAreShown). No fault, so no test failed before.

--- a/internal/ctl/parser.go
+++ b/internal/ctl/parser.go
@@ -53,6 +53,7 @@
 			{"evacuations", "Show the evacuated availability zones and how many routers apply the order", &evacuationList{}},
 			{"segments", "Show the prompt segments that are refused because they crash backend servers", &segmentList{}},
 			{"clear-segment", "Let requests with a refused prompt segment be sent again", &segmentClear{}},
+			{"stored", "Show what routers keep in the store for the case that all start at once", &storedList{}},
 			{"orders", "Show the orders given to routers: who, when and why", &routerOrders{}},
 		}},
 	}
--- a/internal/ctl/routers_test.go
+++ b/internal/ctl/routers_test.go
@@ -138,6 +138,24 @@
 	e.expect(ExitSuccess, "z1    3         0 of 1    {}\nz2    4         1 of 1    {\"operator\":\"ada\"}\nz9    0         1 of 1    -", "router", "evacuations")
 }
 
+// Guards against objects that are left out or shown as empty, and against one that can't be read
+// and hides the others.
+func TestStoredObjectsAreShown(t *testing.T) {
+	e := newRouterEnv(t)
+	written := time.Now().Add(-90 * time.Second).UnixMilli()
+	e.store.Put(platform.KindOrigins, "vm-1.0", map[string]any{"written_at": written, "origins": []any{map[string]any{"software": "6", "streams": make([]byte, 24)}}})
+	e.store.Put(platform.KindOrigins, "vm-1.1", "odd")
+	e.store.Put(platform.KindSegments, "0", map[string]any{"written_at": written, "crashes": []any{
+		map[string]any{"server": 1, "segments": []string{"1", "2"}}, map[string]any{"server": 2, "segments": []string{"1"}},
+	}})
+	out, status := e.run("router", "stored")
+	for _, want := range []string{"bluebell-origins   vm-1.0  3        1m30s", "bluebell-segments  0       2        1m30s", "bluebell-origins   vm-1.1  -        -"} {
+		if status != ExitSuccess || !strings.Contains(out, want) {
+			t.Errorf("exit status %d, want %q:\n%s", status, want, out)
+		}
+	}
+}
+
 // Guards against a drained router without an entry in the audit trail: an order that
 // can't be recorded, because the store is down, must not be sent.
 func TestOrderThatIsNotRecordedIsNotGiven(t *testing.T) {
