shares: an account's grants elsewhere are not extrapolated any more

Cause: what a router has granted of few requests varies by chance, and the larger of two counts refuses more than the bound asks for.

--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -181,21 +181,7 @@
 		l.computeShares(capacity, now)
 		l.computedAt, l.requested = now, 0
 	}
-	total := l.total(account, now)
-	known := total.Granted + tokens/2
-	return max(known, (known+l.extrapolatedGranted(account, total))/2) / l.maxMinShare
-}
-
-// extrapolatedGranted returns what the account would have been granted at all routers if each had
-// granted as much of what the account requested there as this one. With what others have reported
-// alone, an account at many routers would get several times its share, as all of them grant requests
-// until they hear of each other. Extrapolation alone would deny it its share if others can't grant.
-func (l *Ledger) extrapolatedGranted(account fleet.Account, total Usage) float64 {
-	own := l.own[account]
-	if own == nil || own.usage.Requested <= 0 {
-		return 0
-	}
-	return own.usage.Granted * total.Requested / own.usage.Requested
+	return (l.total(account, now).Granted + tokens/2) / l.maxMinShare
 }
 
 // MaxMinShare returns the max-min fair share in tokens, as of the last ShareUsed.
