streamorigin: two writers with short turns, so that streams of the last moments are known

What callers saw: after all routers lost power among two versions, streams that had begun within the last 0.2 s were refused as unknown-version, each three times.

Cause: four writers, each every 0.25 to 0.4 s, so that the newest batch is that old.

Ruled out, by a play that logged each batch and each stream (a trial): records that are not read, not found, or not certain.

Change: two writers, each with half the time between its writes, and 256 records an object, so that the calls are as many and the bytes fewer.

--- a/internal/streamorigin/journal.go
+++ b/internal/streamorigin/journal.go
@@ -18,7 +18,7 @@
 	MaxSlots = 64
 	// slotRecords is how many records a slot holds before the next one is used. A slot is
 	// written in full each time, so it must not grow large.
-	slotRecords = 512
+	slotRecords = 256
 	// maxSlotRecords bounds the records of a slot while it can't be written.
 	maxSlotRecords = 8192
 )
--- a/internal/streamorigin/writers.go
+++ b/internal/streamorigin/writers.go
@@ -21,13 +21,13 @@
 	spareWriters = 5
 	// minWriters and maxWriters bound their number in the first case. The fewer they are, the more
 	// often each may write, and the fewer streams are unknown when all routers are killed.
-	minWriters = 4
+	minWriters = 2
 	maxWriters = 32
 	// routersPerWriter bounds what a writer receives, and then writes, from others.
 	routersPerWriter = 36
 	// minWritePeriod is the least time between two writes of a router. maxWritePeriod is the longest
 	// one, unless the store takes fewer writes.
-	minWritePeriod = 250 * time.Millisecond
+	minWritePeriod = 100 * time.Millisecond
 	maxWritePeriod = time.Second
 )
 
