backendconn: a request is given up by a reset of the router, not by the kernel

Cause: the connection ended by its keep-alive probes, 3 s after the begin of the cut, whatever had been written meanwhile; the bytes outlive that end, and the router's reset found no connection any more.

Change: idle connections are not probed. A request that is not acknowledged within 2 s has its connection reset, with the idle ones to that address. The kernel probes from the acknowledgement of a request to the end of its answer. Where nothing has come from a server for 3 s, a new connection is opened. bluebell_gate_silent_connections_total says what ended connections to silent servers.

Slower: a request written on an idle connection more than 1 s after its server was cut off is found out after 2 s rather than 3 s after the cut; silence within 0.5 s of an acknowledgement up to 0.5 s later.

--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -4,9 +4,9 @@
 	"bufio"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -16,12 +16,12 @@
 	// dialTimeout bounds opening a connection. A lost SYN is sent again after a second, so
 	// a longer timeout would rarely succeed within the time limits of callers.
 	dialTimeout = 600 * time.Millisecond
-	// userTimeout closes a connection whose peer has acknowledged nothing for so long.
-	// Without it, a request to a peer behind a partition would block until its deadline.
+	// userTimeout makes the kernel close a connection whose peer has acknowledged nothing for
+	// so long, if ackTimeout has not.
 	userTimeout = 2500 * time.Millisecond
-	// keepAliveIdle, keepAliveInterval and keepAliveCount make the kernel probe an idle
-	// peer. A connection whose state was lost in the network is detected within about three
-	// seconds.
+	// keepAliveIdle, keepAliveInterval and keepAliveCount make the kernel probe a peer that
+	// has acknowledged a request and sends nothing; see ackWatch. A connection whose state was
+	// lost in the network is detected within about three seconds.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
@@ -43,40 +43,24 @@
 	opened        boottime.Instant
 	kept          bool // a complete answer has come on it
 	unidentified  bool // an answer that names no request has come on it after that
+	probed        bool // by the kernel
 	// aborted becomes true when this router starts to close the connection before its
 	// answer has ended.
 	aborted atomic.Bool
+	silent  atomic.Bool // aborted as the peer does not acknowledge the request
 }
 
 func newConn(connection net.Conn) *conn {
 	limiter := &headLimiter{reader: connection}
-	return &conn{Conn: connection, opened: boottime.Now(), limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize)}
-}
-
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-		Control: setUserTimeout,
+	return &conn{
+		Conn: connection, opened: boottime.Now(),
+		limiter: limiter, reader: bufio.NewReaderSize(limiter, readBufferSize),
 	}
 }
 
-// setUserTimeout makes the kernel close a connection whose data is not acknowledged within
-// userTimeout. It is a net.Dialer.Control function.
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var sockoptErr error
-	err := raw.Control(func(fd uintptr) {
-		sockoptErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return sockoptErr
+func newDialer() *net.Dialer {
+	const off = -1 // until a request has been acknowledged
+	return &net.Dialer{Timeout: dialTimeout, KeepAlive: off, Control: setSilenceLimits}
 }
 
 // abort closes the connection and discards data that has not been delivered. A plain close
@@ -102,14 +86,22 @@
 }
 
 // failureReason returns the reason for an error of a read or write. An error that this
-// router caused by closing the connection does not count as the peer's.
+// router caused by closing the connection does not count as the peer's, unless the peer was silent.
 func (c *conn) failureReason() Reason {
-	if c.aborted.Load() {
+	if c.aborted.Load() && !c.silent.Load() {
 		return ReasonAbandoned
 	}
 	return ReasonBroken
 }
 
+// explain returns why a read or write has failed with the error.
+func (c *conn) explain(err error) error {
+	if c.silent.Load() {
+		return errors.Wrap(ErrUnacknowledged, err.Error())
+	}
+	return err
+}
+
 // ending describes the end of the connection.
 func (c *conn) ending(reason Reason, now boottime.Instant) ending {
 	return ending{reason: reason, at: now, idleSince: c.idleSince, statedTimeout: c.statedTimeout}
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -111,13 +111,17 @@
 	if request.OnSend != nil {
 		request.OnSend()
 	}
-	stop := context.AfterFunc(ctx, c.abort) // ends reads and writes
+	stopAbort := context.AfterFunc(ctx, c.abort) // ends reads and writes
 	sent := boottime.Now()
-	sending := new(sending)
+	sending := &sending{watch: ackWatch{conn: c}}
+	stop := func() bool {
+		sending.watch.end()
+		return stopAbort()
+	}
 	if err := write(c, request, sending); err != nil {
 		stop()
 		p.discard(address, c, c.failureReason())
-		return nil, newError(err, ProgressSent, fleet.StepSend, address)
+		return nil, newError(c.explain(err), ProgressSent, fleet.StepSend, address)
 	}
 	response, err := readHead(c, request)
 	if c.unidentified {
@@ -131,8 +135,13 @@
 	if err != nil {
 		stop()
 		p.discard(address, c, c.failureReason())
-		return nil, newError(err, ProgressSent, fleet.StepAnswer, address)
+		if c.silent.Load() {
+			// No request is to wait as long on another one that is no better.
+			p.closeIdleAt(address, func(*conn) bool { return true }, ReasonBroken)
+		}
+		return nil, newError(c.explain(err), ProgressSent, fleet.StepAnswer, address)
 	}
+	sending.watch.answerBegun()
 	return &Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
@@ -156,6 +165,7 @@
 type sending struct {
 	written   atomic.Bool           // all of it has been passed to the connection
 	cancelled atomic.Pointer[error] // why nothing of it was sent, nil otherwise
+	watch     ackWatch
 }
 
 // cancelledBy returns why nothing was sent, or nil.
@@ -173,6 +183,7 @@
 		if _, err := c.Write(append(head, request.Body...)); err != nil {
 			return err
 		}
+		sending.watch.start(false)
 		sending.written.Store(true)
 		return nil
 	}
@@ -186,9 +197,11 @@
 		// The body is not copied: many long ones would take the process over its memory.
 		data := net.Buffers{head, request.Body}
 		// The reader sees a failure too, since the connection is broken then.
-		if _, err := data.WriteTo(c.Conn); err == nil {
-			sending.written.Store(true)
+		if _, err := data.WriteTo(c.Conn); err != nil {
+			return
 		}
+		sending.watch.start(true)
+		sending.written.Store(true)
 	}()
 	return nil
 }
@@ -357,7 +370,7 @@
 	}
 	if err != nil {
 		a.broken = a.broken || a.conn.failureReason() == ReasonBroken
-		err = newError(err, ProgressAnswered, fleet.StepAnswer, a.address)
+		err = newError(a.conn.explain(err), ProgressAnswered, fleet.StepAnswer, a.address)
 	}
 	return n, err
 }
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -24,6 +24,10 @@
 	// defaultIdleLifetime is how long an idle connection is reused if the peer states no
 	// timeout. Timeouts below a second can't be stated.
 	defaultIdleLifetime = 700 * time.Millisecond
+	// maxUnheard is how long a backend server may not have been heard when a request is sent on an
+	// open connection. A new connection finds out whether the server can be reached before the
+	// request is sent.
+	maxUnheard = 3 * time.Second
 	// sweepInterval is the time between two searches for expired idle connections.
 	sweepInterval = 500 * time.Millisecond
 	// unidentifiedTime is how long requests that must not run twice get connections of their own
@@ -50,10 +54,11 @@
 
 // host holds the connections to one address.
 type host struct {
-	idle      []*conn // the most recently used last
-	spare     *conn   // see updateSpare, nil for none
-	probe     *probe  // in progress on what was the spare, nil for none
-	open      int     // idle, in use, and the spare
+	idle      []*conn          // the most recently used last
+	spare     *conn            // see updateSpare, nil for none
+	probe     *probe           // in progress on what was the spare, nil for none
+	open      int              // idle, in use, and the spare
+	heard     boottime.Instant // when an answer last ended, or a connection was opened
 	lifetimes lifetimes
 }
 
@@ -228,6 +233,9 @@
 			break
 		}
 		reason := idle.unusableReason(boottime.Now())
+		if reason == "" && !request.Certain && !p.heardLately(address, boottime.Now()) {
+			reason = ReasonUnheard
+		}
 		if reason == "" {
 			return idle, nil
 		}
@@ -245,7 +253,9 @@
 		p.release(address, previous)
 		return nil, errors.WithStack(err)
 	}
-	p.opened(previous.opening(boottime.Now()))
+	now := boottime.Now()
+	p.opened(previous.opening(now))
+	p.markHeard(address, now)
 	return newConn(connection), nil
 }
 
@@ -353,6 +363,8 @@
 func (p *Pool) put(address fleet.Address, c *conn, stated time.Duration) {
 	c.kept = true
 	c.statedTimeout = stated
+	c.setProbed(false)
+	p.markHeard(address, boottime.Now())
 	p.giveBack(address, c)
 }
 
@@ -366,6 +378,23 @@
 	host.idle = append(host.idle, c)
 }
 
+// markHeard records that an answer of the backend server at the address has ended, or that it has
+// accepted a connection.
+func (p *Pool) markHeard(address fleet.Address, now boottime.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[address]
+	host.heard = max(host.heard, now)
+}
+
+// heardLately reports whether the backend server at the address has been heard within
+// maxUnheard, on any connection.
+func (p *Pool) heardLately(address fleet.Address, now boottime.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.hosts[address].heard) <= maxUnheard
+}
+
 // discard closes a connection that is not in the idle list.
 func (p *Pool) discard(address fleet.Address, c *conn, reason Reason) {
 	c.abort()
--- a/internal/backendconn/reason.go
+++ b/internal/backendconn/reason.go
@@ -22,6 +22,8 @@
 	ReasonBroken Reason = "broken"
 	// ReasonReplaced means that the address has a new backend server.
 	ReasonReplaced Reason = "replaced"
+	// ReasonUnheard means that its peer had not been heard for maxUnheard on any connection.
+	ReasonUnheard Reason = "unheard"
 	// ReasonAbandoned means that this router closed it because the request was not sent or
 	// was abandoned before the end of its answer.
 	ReasonAbandoned Reason = "abandoned"
@@ -30,9 +32,9 @@
 // Opening describes a connection that has been opened.
 type Opening struct {
 	Reason Reason
-	// IdleTime is, for ReasonExpired and ReasonClosed, the time from the last answer on the
-	// previous connection to this opening: how long that connection would have had to last
-	// to avoid the opening. 0 for other reasons.
+	// IdleTime is, for ReasonExpired, ReasonUnheard and ReasonClosed, the time from the last
+	// answer on the previous connection to this opening: how long that connection would have
+	// had to last to avoid the opening. 0 for other reasons.
 	IdleTime time.Duration
 	// StatedTimeout is the idle timeout that the backend server stated on the previous
 	// connection, for the same reasons; 0 if it stated none.
@@ -44,4 +46,6 @@
 
 // followsIdle reports whether the previous connection ended while it was idle, or instead
 // of becoming idle.
-func (r Reason) followsIdle() bool { return r == ReasonExpired || r == ReasonClosed }
+func (r Reason) followsIdle() bool {
+	return r == ReasonExpired || r == ReasonUnheard || r == ReasonClosed
+}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,7 @@
 	probes           *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
+	silences         *prometheus.CounterVec
 	resets           *prometheus.CounterVec
 	drainingRequests *prometheus.CounterVec
 	firstEventTimes  prometheus.Histogram
@@ -72,6 +74,10 @@
 			Name: "bluebell_gate_disruptive_total",
 			Help: "Prompts that would have made streams in progress pause for too long at their homes: moved to another engine, sent all the same or refused.",
 		}, []string{"outcome"}),
+		silences: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_silent_connections_total",
+			Help: "Connections that ended under a request as the backend server was silent, by what ended them: router (a request was not acknowledged) or kernel (its probes or its timeout).",
+		}, []string{"by"}),
 		resets: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_resets_total",
 			Help: "Connections that broke while a request ran, by what became of the backend server.",
@@ -98,7 +104,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.probes, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.probes, m.placed, m.disrupts, m.silences, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -176,6 +182,16 @@
 	m.streamEnds.WithLabelValues(string(framing), string(end)).Inc()
 }
 
+// sendFailed counts the failure of a request that had been sent, if its backend server was silent.
+func (m *metrics) sendFailed(err error) {
+	switch {
+	case errors.Is(err, backendconn.ErrUnacknowledged):
+		m.silences.WithLabelValues("router").Inc()
+	case errors.Is(err, syscall.ETIMEDOUT) && backendconn.ProgressOf(err) != backendconn.ProgressNone:
+		m.silences.WithLabelValues("kernel").Inc()
+	}
+}
+
 func (m *metrics) refused(refusal Refusal) {
 	m.refusals.WithLabelValues(strconv.Itoa(refusal.Status), string(refusal.Reason)).Inc()
 	if refusal.Reason == ReasonDisruptive {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -440,10 +440,11 @@
 	return outcomeBroken
 }
 
-// logSendFailure logs that an exchange failed, unless the end of draining cancelled it.
+// logSendFailure logs and counts that an exchange failed, unless the end of draining cancelled it.
 func (r *relay) logSendFailure(ctx context.Context, placed *placement, err error) {
 	if !cancelledByDrain(ctx) {
 		r.handler.requestLog.sendFailed(r.request, placed.backend, r.eventsSince, err)
+		r.handler.metrics.sendFailed(err)
 	}
 }
 
