shares: late reports count with what their routers will have granted since

What callers saw: none of it alone so far; TestAccountAtManyRoutersKeepsItsBound: with reports after 2 s an account at 26 routers gets 21.4 million tokens in six seconds within its share, one at three 5.4.

Cause: each router compares the bound with what it knows, so the more routers an account comes to, the more they grant until they hear of each other.

Change: a report older than 250 ms counts with what its router will have granted since, beyond these 250 ms: the part of what the account requests there that this router has granted it in that time, only for accounts to which the other one has granted something, and only up to where this router has its own part of the bound by requests.

Ruled out: counting from the first millisecond.

--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -43,8 +43,9 @@
 
 // decayingUsage is the usage of an account at this router, decayed up to the time at.
 type decayingUsage struct {
-	usage Usage
-	at    boottime.Instant
+	usage   Usage
+	at      boottime.Instant
+	history grantHistory
 }
 
 // decay brings the usage up to date.
@@ -67,6 +68,18 @@
 	at     boottime.Instant
 }
 
+// usualReportAge is the age up to which a report of another router is taken as it is. What it grants
+// meanwhile is little then, and what this router grants in so short a time says little of others.
+const usualReportAge = 250 * time.Millisecond
+
+// otherUsage is the usage of an account at the other routers.
+type otherUsage struct {
+	usage Usage
+	// unreported is what it will have been granted since late reports.
+	unreported float64
+	own        *decayingUsage // its usage at this router, nil for none
+}
+
 // minTracked is the sum of tokens below which an account is removed from the ledger, far
 // below the cost of one request.
 const minTracked = 1
@@ -78,7 +91,7 @@
 
 	// othersTotal is the usage at all other routers as of othersTotalAt, so that a
 	// request does not have to add up hundreds of routers.
-	othersTotal   map[fleet.Account]*Usage
+	othersTotal   map[fleet.Account]*otherUsage
 	othersTotalAt boottime.Instant
 	reported      int // usages that it adds up
 
@@ -99,7 +112,7 @@
 	return &Ledger{
 		own:         make(map[fleet.Account]*decayingUsage),
 		others:      make(map[string]routerUsage),
-		othersTotal: make(map[fleet.Account]*Usage),
+		othersTotal: make(map[fleet.Account]*otherUsage),
 	}
 }
 
@@ -117,7 +130,9 @@
 // AddGranted adds the tokens of a request that was sent to a backend server and counts
 // against the account's share.
 func (l *Ledger) AddGranted(account fleet.Account, tokens float64, now boottime.Instant) {
-	l.entry(account, now).usage.Granted += tokens
+	entry := l.entry(account, now)
+	entry.usage.Granted += tokens
+	entry.history.add(tokens, now)
 }
 
 // AddIdle adds the tokens of a request that was granted idle capacity.
@@ -135,6 +150,7 @@
 func (l *Ledger) RefundGranted(account fleet.Account, tokens float64, now boottime.Instant) {
 	entry := l.entry(account, now)
 	entry.usage.Granted = max(0, entry.usage.Granted-tokens)
+	entry.history.add(-tokens, now)
 }
 
 // entry returns the account's usage at this router as of now, and creates it if needed.
@@ -269,28 +285,52 @@
 	return math.Inf(1)
 }
 
-// sumOthers adds up the usage at the other routers.
+// sumOthers adds up the usage at the other routers, with what late ones will have granted since
+// their reports: the same part of what they are requested as this router. Without it, an account at
+// many routers gets several times its share, as all of them grant requests until they hear of each
+// other.
 func (l *Ledger) sumOthers(now boottime.Instant) {
 	for _, total := range l.othersTotal {
-		*total = Usage{}
+		*total = otherUsage{}
 	}
 	l.othersTotalAt, l.reported = now, 0
 	for _, router := range l.others {
-		factor := decayFactor(now.Sub(router.at))
+		age := now.Sub(router.at)
+		factor := decayFactor(age)
 		l.reported += len(router.usages)
 		for account, usage := range router.usages {
 			total := l.othersTotal[account]
 			if total == nil {
-				total = &Usage{}
+				total = &otherUsage{}
 				l.othersTotal[account] = total
 			}
-			*total = total.Add(usage.times(factor))
+			total.usage = total.usage.Add(usage.times(factor))
+			// A router that grants the account nothing may be unable to.
+			if age <= usualReportAge || usage.Granted == 0 {
+				continue
+			}
+			if total.own == nil {
+				total.own = l.own[account]
+			}
+			if own := total.own; own != nil && own.usage.Requested > 0 {
+				own.decay(now)
+				total.unreported += own.history.within(age-usualReportAge, now) * usage.Requested / own.usage.Requested
+			}
 		}
 	}
 	for account, total := range l.othersTotal {
-		if *total == (Usage{}) {
+		if total.usage == (Usage{}) {
 			delete(l.othersTotal, account)
+			continue
+		}
+		if total.unreported == 0 {
+			continue
 		}
+		// Each router may grant the part of the bound that falls to it by its requests, whatever it
+		// supposes of others.
+		own := total.own.usage
+		part := own.Granted * total.usage.Requested / own.Requested
+		total.usage.Granted += max(min(total.unreported, part-total.usage.Granted), 0)
 	}
 }
 
@@ -303,7 +343,7 @@
 		total = entry.usage
 	}
 	if others, ok := l.othersTotal[account]; ok {
-		total = total.Add(others.Decayed(now.Sub(l.othersTotalAt)))
+		total = total.Add(others.usage.Decayed(now.Sub(l.othersTotalAt)))
 	}
 	return total
 }
