shares: a router that has just started counts the routers that it has not heard yet

Cause, by a log of what each router knew and had granted: the seven start again half a second later and know nothing of the others, two heartbeats and for 0.3 s no sums of other zones. Everything seems to fit; after that the share is 590,000 tokens in place of 220,000, as few accounts are known. They granted the second account 1.43 million tokens in a second, and the sum over two seconds rose from 0.5 to 1.4 million. Both accounts differ by 1.7 in calm operation too, as idle capacity goes to whoever sends most up to 1.5 times an even share; that stays.

Change: until it has heard of all routers whose addresses it knows, 1.5 s after the first heartbeat at most, a router counts each silent one with its own usage, and estimates what is requested from the time since its first request. Routers of other zones are heard when the sum of their zone is there.

Tests: TestStartedRouterGrantsItsPartUntilItHearsOfOthers, TestStartedRouterRefusesNothingUnderLightLoad, TestUnheardRouters, TestUnheardRoutersCountAgainstTheShare.

--- a/internal/gate/acceptor_test.go
+++ b/internal/gate/acceptor_test.go
@@ -30,6 +30,7 @@
 func (noPeers) StoreContact() boottime.Instant                     { return 0 }
 func (noPeers) WatchesStore() bool                                 { return true }
 func (noPeers) Routers() int                                       { return 1 }
+func (noPeers) Unheard(boottime.Instant) int                       { return 0 }
 func (noPeers) Order(uint64) (int, int)                            { return 0, 1 }
 func (noPeers) Settled() bool                                      { return true }
 
--- a/internal/gate/decisions_test.go
+++ b/internal/gate/decisions_test.go
@@ -19,6 +19,7 @@
 func (routers) StoreContact() boottime.Instant                     { return boottime.Now() }
 func (routers) WatchesStore() bool                                 { return true }
 func (r routers) Routers() int                                     { return int(r) }
+func (routers) Unheard(boottime.Instant) int                       { return 0 }
 func (r routers) Order(uint64) (int, int)                          { return 0, int(r) }
 func (routers) Settled() bool                                      { return true }
 
@@ -176,3 +177,30 @@
 }
 
 var _ Peers = routers(0)
+
+// unheardRouters are peers of which as many have not been heard.
+type unheardRouters struct{ routers }
+
+func (r unheardRouters) Unheard(boottime.Instant) int { return int(r.routers) }
+
+// Guards against routers that have just started and each let an account have its whole share.
+func TestUnheardRoutersCountAgainstTheShare(t *testing.T) {
+	const others = 9
+	a, view, request := benchAdmission(10, 1, 2, BackendLoad{})
+	a.peers = unheardRouters{others}
+	granted := 0.0
+	for range 2000 {
+		a.recordRequest(request)
+		if !a.withinShare(request, view) {
+			continue
+		}
+		if _, refusal := a.place(request, view, nil); refusal == nil {
+			granted += request.Prompt.Cost()
+		}
+	}
+	// The sums cover two seconds.
+	part := 2 * view.Index.Configuration.Limits.TokensPerSecond / (1 + others)
+	if granted < 0.8*part || granted > 1.2*part {
+		t.Errorf("%v granted, of a part of %v", granted, part)
+	}
+}
--- a/internal/gate/loads.go
+++ b/internal/gate/loads.go
@@ -35,6 +35,9 @@
 	Load(incarnation uint32) BackendLoad
 	// Routers returns the number of routers that accept requests, including this one.
 	Routers() int
+	// Unheard returns how many other routers there are, as far as is known, whose usage has not
+	// been received yet since this one has started.
+	Unheard(now boottime.Instant) int
 	// Paces returns what all other reachable routers have observed of the speed of backend
 	// servers, as of the given time, by incarnation hash. It is nil if they have observed
 	// nothing.
--- a/internal/gate/place_model.go
+++ b/internal/gate/place_model.go
@@ -182,13 +182,16 @@
 }
 
 // accountUsage returns how much of its share the request's account will have used with this
-// request. It also applies the current ObservedCapacity setting to the ledger.
+// request. It also applies the current ObservedCapacity setting and the number of unheard routers to the
+// ledger.
 func (a *admission) accountUsage(request *Request, capacity float64, now boottime.Instant) policy.AccountUsage {
 	if request.Account == nil {
 		return policy.AccountUsage{}
 	}
+	unheard := a.peers.Unheard(now)
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.ledger.SetUnheard(unheard)
 	a.ledger.ObserveCapacity = a.policy().ObservedCapacity
 	return policy.AccountUsage{
 		ShareUsed:     a.ledger.ShareUsed(request.Account.Name, request.Prompt.Cost(), capacity, now),
--- a/internal/peering/aggregates_test.go
+++ b/internal/peering/aggregates_test.go
@@ -381,3 +381,31 @@
 		t.Error("a router does not wait at the next change")
 	}
 }
+
+// A router that has just started must know how many routers it has not heard of, and not count those
+// forever that are listed but gone.
+func TestUnheardRouters(t *testing.T) {
+	for _, size := range []struct{ zones, perZone int }{{1, 5}, {3, 2}, {4, 6}, {5, 14}, {1, 40}} {
+		t.Run(fmt.Sprintf("%d zones of %d", size.zones, size.perZone), func(t *testing.T) {
+			f := newSimNetwork(t, size.zones, size.perZone)
+			newcomer := f.routers[f.addresses()[1]]
+			newcomer.add("10.9.9.9:1", "zone0", f.now) // is gone
+			others := len(f.routers)
+			if got := newcomer.Unheard(f.now); got != others {
+				t.Errorf("%d of %d unheard at the start", got, others)
+			}
+			f.run(1)
+			if got := newcomer.Unheard(f.now); got == 0 {
+				t.Error("none unheard after a round")
+			}
+			f.run(12)
+			if got := newcomer.Unheard(f.now); got != 1 {
+				t.Errorf("%d unheard after 13 rounds, of which one is gone", got)
+			}
+			f.run(5)
+			if got := newcomer.Unheard(f.now); got != 0 {
+				t.Errorf("%d unheard after 18 rounds", got)
+			}
+		})
+	}
+}
--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -68,12 +68,15 @@
 	zoneRouters      int // known routers of this zone
 	maxRouters       int // maximum number of routers within routerCountTTL
 	maxRoutersAt     boottime.Instant
-	lastHeartbeat    boottime.Instant                   // when a heartbeat of any router last arrived
+	lastHeartbeat    boottime.Instant // when a heartbeat of any router last arrived
+	startedAt        boottime.Instant
+	firstHeartbeat   boottime.Instant                   // when one first arrived, 0 for never
 	unreachableSince map[fleet.Address]boottime.Instant // since when a listed router has been unreachable
 }
 
 func newTable(self fleet.Address, zone fleet.Zone) *table {
 	return &table{
+		startedAt:  boottime.Now(),
 		self:       self,
 		hash:       addressHash(self),
 		zone:       zone,
@@ -99,6 +102,26 @@
 	return max(t.maxRouters, 1)
 }
 
+// Unheard implements gate.Peers. Routers that are listed but gone must not count for longer than one
+// that has fallen silent.
+func (t *table) Unheard(now boottime.Instant) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now.Sub(max(t.startedAt, t.firstHeartbeat)) > minPeerTimeout {
+		return 0
+	}
+	unheard := 0
+	for _, peer := range t.peers {
+		// In a large fleet, other zones are known from their aggregates alone.
+		if peer.lastHeartbeat == 0 || (len(t.peers) > smallFleetSize && peer.zone != t.zone) {
+			if !slices.Contains(t.coveredZones, peer.zone) {
+				unheard++
+			}
+		}
+	}
+	return unheard
+}
+
 // expiredEntries returns the routers with a directory entry that have been unreachable
 // for longer than directoryEntryTTL.
 func (t *table) expiredEntries(entries []fleet.Address, now boottime.Instant) []fleet.Address {
@@ -237,6 +260,7 @@
 	}
 	known.incarnation, known.clock, known.lastHeartbeat = heartbeat.Incarnation, heartbeat.Clock, now
 	t.lastHeartbeat = now
+	t.firstHeartbeat = firstSet(t.firstHeartbeat, now)
 	if heartbeat.ContactAge >= 0 {
 		known.storeContact = now.Add(-time.Duration(heartbeat.ContactAge))
 	}
--- a/internal/shares/many_routers_test.go
+++ b/internal/shares/many_routers_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -104,3 +106,51 @@
 		t.Errorf("%v granted within a share of %v", granted, share)
 	}
 }
+
+// Guards against routers that have just started and each grant an account its whole share, as they
+// have not heard of the others yet.
+func TestStartedRouterGrantsItsPartUntilItHearsOfOthers(t *testing.T) {
+	const capacity, tokens, others = 1e6, 4000.0, 25
+	grants := func(unheard int) float64 {
+		ledger, now, granted := NewLedger(), start, 0.0
+		ledger.SetUnheard(unheard)
+		for range 50 {
+			now = now.Add(10 * time.Millisecond)
+			for _, account := range []fleet.Account{"a", "b"} {
+				for range 5 {
+					ledger.AddRequested(account, tokens, now)
+					if ledger.ShareUsed(account, tokens, capacity, now) <= 1 {
+						ledger.AddGranted(account, tokens, now)
+						granted += tokens
+					}
+				}
+			}
+		}
+		return granted
+	}
+	alone := grants(0)
+	if part, want := grants(others), alone/(1+others); part > 2*want || part < want/2 {
+		t.Errorf("%v granted beside %d others, %v alone", part, others, alone)
+	}
+}
+
+// A router that has just started must not refuse requests of a light load, of which it has seen few.
+func TestStartedRouterRefusesNothingUnderLightLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const capacity, others = 1e6, 25
+		tokens := rapid.Float64Range(500, 4000).Draw(t, "tokens")
+		accounts := rapid.IntRange(1, 8).Draw(t, "accounts")
+		load := rapid.Float64Range(0.1, 0.4).Draw(t, "load")
+		interval := time.Duration(tokens / (load * capacity / (1 + others)) * float64(time.Second))
+		ledger := NewLedger()
+		ledger.SetUnheard(others)
+		for now := start; now < start.Add(1500*time.Millisecond); now = now.Add(interval) {
+			account := fleet.Account(fmt.Sprint(rapid.IntRange(1, accounts).Draw(t, "account")))
+			ledger.AddRequested(account, tokens, now)
+			if used := ledger.ShareUsed(account, tokens, capacity, now); used > 1 {
+				t.Fatalf("refused at %v of the share, %v after the start", used, now.Sub(start))
+			}
+			ledger.AddGranted(account, tokens, now)
+		}
+	})
+}
--- a/internal/shares/shares.go
+++ b/internal/shares/shares.go
@@ -99,8 +99,10 @@
 	evenShare    float64 // max-min fair share of all served tokens, including idle capacity
 	shortage     float64
 	computedAt   boottime.Instant
-	requested    float64 // tokens requested at this router since then
+	requested    float64 // tokens requested here, and at unheard routers as far as known, since then
 	capacityTest capacityTest
+	unheard      int
+	firstRequest boottime.Instant // when it arrived, 0 for never
 
 	// ObserveCapacity enables dividing the observed capacity of the engines when it is
 	// less than the stated one.
@@ -119,7 +121,10 @@
 // AddRequested adds the tokens of a request that a caller of the account made.
 func (l *Ledger) AddRequested(account fleet.Account, tokens float64, now boottime.Instant) {
 	l.entry(account, now).usage.Requested += tokens
-	l.requested += tokens
+	l.requested += tokens * float64(1+l.unheard)
+	if l.firstRequest == 0 {
+		l.firstRequest = now
+	}
 }
 
 // PauseCapacityTest excludes the time from now on from the capacity test, until shares are
@@ -187,6 +192,20 @@
 // RemoveOther removes a router that is no longer reachable.
 func (l *Ledger) RemoveOther(router string) { delete(l.others, router) }
 
+// SetUnheard sets how many routers there are, at the start of this one, whose usage it does not know
+// yet. Each of them counts with the usage of this one, as if its callers had come for longer. Counted
+// with nothing, they would leave all accounts their whole share at each of the routers that have just
+// started, a share that is too large since few accounts are known.
+func (l *Ledger) SetUnheard(routers int) {
+	if l.unheard == 0 && routers > 0 {
+		l.computedAt = 0 // the shares are those of this router alone
+	}
+	l.unheard = routers
+}
+
+// minCounted is the least time for which a router that has just started estimates what is requested.
+const minCounted = 100 * time.Millisecond
+
 // sharesTTL is how long computed shares are used, unless more is requested than there is capacity for
 // in this time: a burst would be granted before it counts. Requests in between are compared with the
 // current usage of their accounts.
@@ -335,12 +354,16 @@
 }
 
 // total returns the account's usage at all routers. Reports of other routers count from
-// the next call of computeShares.
+// the next call of computeShares, and routers not heard yet as SetUnheard says.
 func (l *Ledger) total(account fleet.Account, now boottime.Instant) Usage {
 	var total Usage
 	if entry := l.own[account]; entry != nil {
 		entry.decay(now)
 		total = entry.usage
+		if l.unheard > 0 {
+			total = total.times(float64(1 + l.unheard))
+			total.Requested /= 1 - decayFactor(max(now.Sub(l.firstRequest), minCounted))
+		}
 	}
 	if others, ok := l.othersTotal[account]; ok {
 		total = total.Add(others.usage.Decayed(now.Sub(l.othersTotalAt)))
