gate: requests whose bodies find no memory do not count as requested

Callers saw: while one account sends bodies for which a gate has no memory (review/2), 223 of 842 short requests of another account are refused with 503, for seconds after the flood too. It asks for 0.35 of the capacity and the engines are idle.

Cause: a request counted as requested when its head arrived. Those that were refused for lack of body memory were never granted anything, so the fleet seemed to grant far less than was requested: the observed capacity fell to its floor of a quarter (shortage 1, share level 85,000 tokens of 680,000), and the other account was beyond that share. All 167 logged refusals of its requests say over-share, at a standing of 1.06 to 1.13.

Ruled out: memory held by the flooding account (none of the logged refusals names it; all 953 logged ones of the flooding account do), and the lag of the processor (no refusal names it).

Change: a request counts when its body is there. Those refused for lack of processor time count as before, since their callers go to other routers. Pausing the capacity test at such a refusal, as others do, was not chosen: shares are computed between two refusals, and the test then goes on.

--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -2,12 +2,19 @@
 
 import (
 	"bytes"
+	"io"
+	"math"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/bluebellchute/bluebellchute/internal/boottime"
+	"github.com/bluebellchute/bluebellchute/internal/knowledge"
 )
 
 // Guards against memory that is taken beyond the limit, or that stays reserved when requests have
@@ -56,3 +63,34 @@
 		}
 	}
 }
+
+// Guards against refusals of the other accounts: requests whose bodies find no memory were counted as
+// requested, and as none of them was granted, the engines seemed to do less than they can.
+func TestRequestsWithoutTheirBodiesAreNotRequested(t *testing.T) {
+	manager, _ := listeningGate(t, 10)
+	h := manager.handler
+	h.dialect = promptDialect{}
+	view := knownView(boottime.Now())
+	h.state.SetConfiguration(view.Index.Configuration, boottime.Now())
+	h.state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
+	for _, test := range []struct {
+		name   string
+		memory int64
+		end    error // of the body
+		want   float64
+	}{
+		{"no memory", 0, io.EOF, 0},
+		{"broken off", 1 << 20, io.ErrUnexpectedEOF, 0},
+		{"whole", 1 << 20, io.EOF, 100},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			h.settings.set(Settings{Freshness: Freshness{KeyMaxAge: time.Minute, DenialMaxAge: time.Minute}, BodyMemory: test.memory})
+			before := manager.Usages()["kitchen"].Requested
+			body := io.MultiReader(strings.NewReader("body"), iotest.ErrReader(test.end))
+			h.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, "http://h/a/x", body))
+			if got := manager.Usages()["kitchen"].Requested - before; math.Abs(got-test.want) > 1 {
+				t.Errorf("the account requested %v tokens more, want about %v", got, test.want)
+			}
+		})
+	}
+}
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -123,14 +123,13 @@
 		h.refuse(w, request, drainRefusal())
 		return
 	}
-	// Refused requests count as well; otherwise the other accounts would use this account's
-	// share.
-	h.admission.recordRequest(request)
 	h.requestLog.counts.addRequested(request)
 	h.countStream(request, false)
 	withinShare := func() bool { return h.admission.withinShare(request, view) }
 	if !h.lag.accepts(received, withinShare, rand.Float64()) {
-		// Accepting more would stall the requests in progress.
+		// Accepting more would stall the requests in progress. These count as requested as well;
+		// otherwise the other accounts would use this account's share.
+		h.admission.recordRequest(request)
 		retry := h.admission.retryAfter(request)
 		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry})
 		return
@@ -141,6 +140,9 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
+	// A request whose body does not come, or finds no memory, can't be granted anything. Counted,
+	// it would look like a shortage of engines.
+	h.admission.recordRequest(request)
 	request.Fingerprint = fingerprint(request)
 	request.SegmentKeys = segmentKeys(request)
 	ctx, cancel := context.WithTimeout(r.Context(), request.Remaining(boottime.Now()))
