gate: a body in chunks of the allowed length takes no twice its memory

Callers saw: of bodies of the allowed 4 MB in chunks, a gate with 134 MB takes three at a time, of the same bodies with a length six; the others get 503.

Cause: a buffer without a stated length doubles when it is full. A body of exactly the limit fills one of that size, and its end shows in a read after it, for which the buffer grew to twice the limit.

Change: the buffer grows to one byte beyond the limit at most, which is what it takes to see that a body is too long.

Measured in the unit test: 131,072 bytes held for a body of the allowed 65,536 before, 65,537 after.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -61,7 +61,7 @@
 	var data []byte
 	for {
 		if len(data) == cap(data) {
-			size := bodyBufferSize(cap(data), r.ContentLength)
+			size := bodyBufferSize(cap(data), r.ContentLength, limit)
 			if !h.holdBody(held, int64(size)) {
 				return noBodyMemory()
 			}
@@ -80,8 +80,8 @@
 }
 
 // bodyBufferSize returns the size of the buffer that follows one of the size, 0 for the first:
-// twice as much, but no more than the stated length needs.
-func bodyBufferSize(size int, stated int64) int {
+// twice as much, but no more than the stated length, or else the limit (0: none), needs.
+func bodyBufferSize(size int, stated, limit int64) int {
 	if size == 0 && stated >= 0 {
 		return int(min(firstBodyBytes, stated+1)) // the end shows in a read after the last byte
 	}
@@ -91,6 +91,9 @@
 	if stated >= int64(size) {
 		return int(min(int64(2*size), stated+bytes.MinRead))
 	}
+	if limit >= int64(size) {
+		return int(min(int64(2*size), limit+1)) // as above
+	}
 	return 2 * size
 }
 
--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -64,6 +64,22 @@
 	}
 }
 
+// Guards against a body of the allowed length that takes twice its memory, as its end shows in a read
+// for which a full buffer has no room.
+func TestBufferOfALongBodyWithoutALengthFitsTheLimit(t *testing.T) {
+	const limit = 64 << 10
+	h := &handler{settings: newCurrentSettings(Settings{BodyMemory: 1 << 20})}
+	for _, size := range []int{limit - 1, limit, limit + 1} {
+		sent := httptest.NewRequest("POST", "/x", io.MultiReader(strings.NewReader(strings.Repeat("x", size)))) // states no length
+		request := &Request{Timeout: time.Second}
+		var held int64
+		refusal := h.readWholeBody(httptest.NewRecorder(), sent, request, limit, &held)
+		if whole := refusal == nil && len(request.Body) == size; whole != (size <= limit) || held > limit+1 {
+			t.Errorf("%d bytes, %d allowed: refused with %v, %d are held", size, limit, refusal, held)
+		}
+	}
+}
+
 // Guards against refusals of the other accounts: requests whose bodies find no memory were counted as
 // requested, and as none of them was granted, the engines seemed to do less than they can.
 func TestRequestsWithoutTheirBodiesAreNotRequested(t *testing.T) {
