gate: an account leaves memory for the bodies of others

Callers saw: while one account's bodies fill a gate's memory for them, another account's are refused with 503: a body over 64 KiB as soon as the first has three quarters, a short one when small bodies fill it all.

Cause: the memory for bodies was given out first come, first served; only the size of a body was looked at.

Ways weighed: a fixed part for each account leaves memory unused while one asks alone; parts by who asked lately need a record of askers. Chosen: an account gets more while its part is at most a multiple of what is free, 3 for a body over 64 KiB and 15 for a small one. One alone holds up to three quarters with long bodies, as before, and fifteen sixteenths in all (all, before); several that flood come to equal parts; there is always some left for one that holds nothing. Requests without an account count as one. Large bodies together have nine tenths of the memory, three quarters before, so that a second account finds room; the bound of all is the same.

--- a/internal/gate/body.go
+++ b/internal/gate/body.go
@@ -13,11 +13,6 @@
 )
 
 const (
-	// smallBodyBytes is the size up to which a body may use all of the memory for bodies. Larger
-	// ones leave largeBodyShare of it to others, so that an account with large bodies does not
-	// keep out all the rest.
-	smallBodyBytes = 64 << 10
-	largeBodyShare = 0.75
 	// firstBodyBytes is the largest first buffer of a body.
 	firstBodyBytes = 4 << 10
 	// unreadBodyTime is how long the rest of a body may take that is not read any more. A caller
@@ -28,7 +23,7 @@
 // readBody reads the complete body, so that a request whose body breaks off is never forwarded.
 // Memory is reserved before it is taken: the stated length at once, of a body without one as much
 // as has come. held is what the request has reserved.
-func (h *handler) readBody(w http.ResponseWriter, r *http.Request, request *Request, view *knowledge.View, held *int64) *Refusal {
+func (h *handler) readBody(w http.ResponseWriter, r *http.Request, request *Request, view *knowledge.View, held *bodyHold) *Refusal {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil
 	}
@@ -46,11 +41,12 @@
 }
 
 // readWholeBody reads the body, of limit bytes at most (0: no limit), into the request.
-func (h *handler) readWholeBody(w http.ResponseWriter, r *http.Request, request *Request, limit int64, held *int64) *Refusal {
+func (h *handler) readWholeBody(w http.ResponseWriter, r *http.Request, request *Request, limit int64, held *bodyHold) *Refusal {
 	if limit > 0 && r.ContentLength > limit {
 		return bodyTooLarge()
 	}
-	if !h.holdBody(held, max(r.ContentLength, firstBodyBytes)) {
+	memory := h.settings.get().BodyMemory
+	if !held.grow(max(r.ContentLength, firstBodyBytes), memory) {
 		return noBodyMemory()
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(request.Timeout)) // as in setWriteDeadline
@@ -62,7 +58,7 @@
 	for {
 		if len(data) == cap(data) {
 			size := bodyBufferSize(cap(data), r.ContentLength, limit)
-			if !h.holdBody(held, int64(size)) {
+			if !held.grow(int64(size), memory) {
 				return noBodyMemory()
 			}
 			data = append(make([]byte, 0, size), data...)
@@ -97,15 +93,6 @@
 	return 2 * size
 }
 
-// holdBody reserves memory for a body of the size, in bytes.
-func (h *handler) holdBody(held *int64, size int64) bool {
-	limit := h.settings.get().BodyMemory
-	if size > smallBodyBytes {
-		limit = int64(float64(limit) * largeBodyShare)
-	}
-	return h.bodyMemory.grow(held, size, limit)
-}
-
 func noBodyMemory() *Refusal {
 	return &Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonMemory, RetryAfter: startRetryAfter}
 }
--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -73,7 +73,7 @@
 	requestLog        *requestLog
 	metrics           *metrics
 	startedAt         boottime.Instant
-	bodyMemory        memoryBudget // of the request bodies held
+	bodyMemory        bodyMemory
 	answerMemory      memoryBudget
 	drain             *drainState
 	closeAfterAnswer  func() bool // whether connections are to be closed after their next answers
@@ -134,8 +134,8 @@
 		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry})
 		return
 	}
-	var held int64
-	defer h.bodyMemory.release(&held)
+	held := h.bodyMemory.hold(request)
+	defer held.release()
 	if refusal := h.readBody(w, r, request, view, &held); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
