gate: requests with a refused segment do not count as requested

What callers would see: while one account sends many requests whose prompts have a segment that crashes backend servers, sound requests are refused as over-share although engines are idle, as beside bodies without memory.

Cause: a request counted as requested before its segments were looked at. One with a refused segment is never granted, so that the engines seem to grant less than is requested, and the observed capacity falls.

Change: a request counts after that check. One that is refused because a stream's origin is not known, or while a crash has no verdict, counts as before: its caller comes back for the same work.

--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -140,9 +140,6 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
-	// A request whose body does not come, or finds no memory, can't be granted anything. Counted,
-	// it would look like a shortage of engines.
-	h.admission.recordRequest(request)
 	request.Fingerprint = fingerprint(request)
 	request.SegmentKeys = segmentKeys(request)
 	ctx, cancel := context.WithTimeout(r.Context(), request.Remaining(boottime.Now()))
@@ -181,6 +178,9 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
+	// A request whose body does not come or finds no memory, or that has a refused segment, can't be
+	// granted anything. Counted, it would look like a shortage of engines.
+	h.admission.recordRequest(request)
 	if refusal := h.resolveOrigin(ctx, request); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
--- a/internal/gate/lag_test.go
+++ b/internal/gate/lag_test.go
@@ -107,12 +107,15 @@
 }
 
 // promptDialect decodes every request as one for a model.
-type promptDialect struct{ plainDialect }
+type promptDialect struct {
+	plainDialect
+	segments []PromptSegment
+}
 
 func (d promptDialect) Decode(r *http.Request) (*Request, error) {
 	request, err := d.plainDialect.Decode(r)
 	request.Key = "key"
-	request.Prompt = Prompt{Tokens: 100}
+	request.Prompt = Prompt{Tokens: 100, Segments: d.segments}
 	return request, err
 }
 
--- a/internal/gate/segments_test.go
+++ b/internal/gate/segments_test.go
@@ -1,6 +1,9 @@
 package gate
 
 import (
+	"math"
+	"net/http"
+	"net/http/httptest"
 	"reflect"
 	"slices"
 	"testing"
@@ -43,12 +46,17 @@
 		requestLog:    newRequestLog(logger, knowledge.NewState(), func() logrus.Fields { return logrus.Fields{} }),
 	}
 	h.refusedSegments = newRefusedSegments(logger, h.segments, registry)
+	crashServers(h, "bad", "own")
+	return h, hook
+}
+
+// crashServers has requests of the account "kitchen" with the segments crash backend servers.
+func crashServers(h *handler, segments ...string) {
 	for server := range uint32(5) {
 		at := boottime.Now().Add(time.Duration(int(server)-10) * time.Second)
-		h.segments.Crashed(server, at, segmentKeys(requestWith("kitchen", "bad", "own")), boottime.Now())
+		h.segments.Crashed(server, at, segmentKeys(requestWith("kitchen", segments...)), boottime.Now())
 	}
 	h.refusedSegments.observe(boottime.Now())
-	return h, hook
 }
 
 // Guards against refusing requests because another account's requests crash backend servers, or
@@ -73,6 +81,26 @@
 	}
 }
 
+// Guards against refusals of sound requests beside many with a refused segment: those were counted as
+// requested, and as none of them was granted, the engines seemed to do less than they can.
+func TestRefusedSegmentsAreNotRequested(t *testing.T) {
+	manager, _ := listeningGate(t, 10)
+	h := manager.handler
+	h.settings.set(Settings{Freshness: Freshness{KeyMaxAge: time.Minute, DenialMaxAge: time.Minute}})
+	h.state.SetConfiguration(knownView(boottime.Now()).Index.Configuration, boottime.Now())
+	h.state.SetBackends(nil, knowledge.Position{Revision: 1}, boottime.Now())
+	crashServers(h, "bad", "own")
+	for segment, want := range map[string]float64{"bad": 0, "sound": 100} {
+		h.dialect = promptDialect{segments: []PromptSegment{{ID: segment}, {ID: "own"}}}
+		before := manager.Usages()["kitchen"].Requested
+		answer := httptest.NewRecorder()
+		h.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "http://h/a/x", nil))
+		if got := manager.Usages()["kitchen"].Requested - before; math.Abs(got-want) > 1 {
+			t.Errorf("%s: the account requested %v tokens more, want about %v; answer %s", segment, got, want, answer.Body)
+		}
+	}
+}
+
 // Guards against a refused request whose cause can't be found: the segment as its caller states
 // it, the servers that crashed, and what an operator has to clear.
 func TestRefusalNamesTheSegmentAndTheCrashes(t *testing.T) {
