--- a/internal/gate/handler.go
+++ b/internal/gate/handler.go
@@ -73,7 +73,7 @@
 	requestLog        *requestLog
 	metrics           *metrics
 	startedAt         boottime.Instant
-	bodyMemory        memoryBudget // of the request bodies held
+	bodyMemory        bodyMemory
 	answerMemory      memoryBudget
 	drain             *drainState
 	closeAfterAnswer  func() bool // whether connections are to be closed after their next answers
@@ -123,20 +123,19 @@
 		h.refuse(w, request, drainRefusal())
 		return
 	}
-	// Refused requests count as well; otherwise the other accounts would use this account's
-	// share.
-	h.admission.recordRequest(request)
 	h.requestLog.counts.addRequested(request)
 	h.countStream(request, false)
 	withinShare := func() bool { return h.admission.withinShare(request, view) }
 	if !h.lag.accepts(received, withinShare, rand.Float64()) {
-		// Accepting more would stall the requests in progress.
+		// Accepting more would stall the requests in progress. These count as requested as well;
+		// otherwise the other accounts would use this account's share.
+		h.admission.recordRequest(request)
 		retry := h.admission.retryAfter(request)
 		h.refuse(w, request, Refusal{Status: http.StatusServiceUnavailable, Reason: ReasonOverloaded, RetryAfter: retry})
 		return
 	}
-	var held int64
-	defer h.bodyMemory.release(&held)
+	held := h.bodyMemory.hold(request)
+	defer held.release()
 	if refusal := h.readBody(w, r, request, view, &held); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
@@ -179,6 +178,9 @@
 		h.refuse(w, request, *refusal)
 		return
 	}
+	// A request whose body does not come or finds no memory, or that has a refused segment, can't be
+	// granted anything. Counted, it would look like a shortage of engines.
+	h.admission.recordRequest(request)
 	if refusal := h.resolveOrigin(ctx, request); refusal != nil {
 		h.refuse(w, request, *refusal)
 		return
