knowledge: entries count after an outage only once the store has answered for 2.5 s

Callers could see streams go on at another software version (ORDER) after an outage of the store: an entry from before it counted as that of the process that serves, though a backend server had started again under its id and had not had two seconds to write its own.

Cause: the 2.5 s in which servers write their entries again were counted from the start of the call that brought the first list. A call waits up to 0.9 s, also for the store's return. And a second outage within them was noticed only if the list got older than 3 s, so a shorter one took away the time to write.

Ruled out: to let an entry count at once when it has changed since the last list before the outage. A server may write one while the store is back for a moment, in which no router calls it, and start again when it is away again; TestCloseOutagesShowThatChangedEntriesMayBeOutdated finds such plays. An entry that changes after the first list could count; in the plays of platform/soak all are written before that list.

Change: the time counts from when the first list is known. Until it is over, a gap between two lists above the usual age counts as another outage.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -66,16 +66,23 @@
 	return now.Sub(v.ListConfirmedAt) > v.usualAge
 }
 
-// noteOutage is called before a list that was complete at confirmedAt replaces or confirms the
-// current one.
-func (v *View) noteOutage(confirmedAt boottime.Instant) {
-	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= v.outageAge {
+// noteOutage is called before a list that was complete at confirmedAt, and is known at now, replaces or
+// confirms the current one. The store may have come back as late as now, as the call for the list may
+// have waited for that. While entries are being written again, a shorter gap between two lists than
+// otherwise shows that the store may have been away once more.
+func (v *View) noteOutage(confirmedAt, now boottime.Instant) {
+	rewriting := v.ListConfirmedAt < v.rewrittenAt
+	gap := v.outageAge
+	if rewriting {
+		gap = v.usualAge
+	}
+	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= gap {
 		return
 	}
-	if v.ListConfirmedAt >= v.rewrittenAt {
+	if !rewriting {
 		v.listedBeforeOutage = v.ListConfirmedAt
 	}
-	v.rewrittenAt = confirmedAt.Add(rewriteTime)
+	v.rewrittenAt = now.Add(rewriteTime)
 }
 
 // ProcessesListedAt returns as of when the processes at all addresses are known, 0 while the list
@@ -109,7 +116,7 @@
 		v.recordVersions(&before, now)
 	}
 	v.noteVersionGap(confirmedAt, now)
-	v.noteOutage(confirmedAt)
+	v.noteOutage(confirmedAt, now)
 	v.MissingSince = missingSince
 	v.Position = at
 	v.ListConfirmedAt = max(v.ListConfirmedAt, confirmedAt)
@@ -211,8 +218,9 @@
 func (s *State) ConfirmBackends(digest uint64, confirmedAt boottime.Instant) {
 	s.update(func(view *View) bool {
 		if view.ListConfirmedAt != 0 && view.Digest == digest && len(view.MissingSince) == 0 {
-			view.noteVersionGap(confirmedAt, boottime.Now())
-			view.noteOutage(confirmedAt)
+			now := boottime.Now()
+			view.noteVersionGap(confirmedAt, now)
+			view.noteOutage(confirmedAt, now)
 			view.ListConfirmedAt = max(view.ListConfirmedAt, confirmedAt)
 		}
 		return false
