gate: refusals tell streams of uncertain version from versions that are gone

Callers whose streams had begun while the list of backend servers was overdue were refused with `other-version` (2102, version_servers 0, origin `recorded`), as if no server of the version served. Logs could not tell these refusals from those after a release.

Change: such a refusal is `uncertain-version` with origin `uncertain`. `bluebell_gate_uncertain_streams_total` counts streams that begin so, and those whose version becomes known later.

--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -6,6 +6,7 @@
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
+	"github.com/bluebellchute/bluebellchute/internal/streamorigin"
 )
 
 // candidates returns the backend servers of the request's service that may take it. For a stream
@@ -62,6 +63,9 @@
 // accepts requests again would be refused again. The route's usual delay is added to the
 // time until then, so that callers do not all retry at that time.
 func (a *admission) refuseAll(request *Request, view *knowledge.View, candidates int, now boottime.Instant) *Refusal {
+	if request.Software == streamorigin.Uncertain {
+		return a.refuse(request, ReasonUncertain)
+	}
 	if request.Software != 0 && !view.HasSoftware(request.Service, request.Software) {
 		return a.refuse(request, ReasonOtherVersion)
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -24,6 +24,7 @@
 	streamRequests   *prometheus.CounterVec
 	refusals         *prometheus.CounterVec
 	probes           *prometheus.CounterVec
+	uncertain        *prometheus.CounterVec
 	placed           *prometheus.CounterVec
 	disrupts         *prometheus.CounterVec
 	resets           *prometheus.CounterVec
@@ -60,6 +61,10 @@
 			Name: "bluebell_gate_process_probes_total",
 			Help: "Probes that show, while the list of backend servers is overdue, whether a process has served since it was listed, by result: answered or lost.",
 		}, []string{"result"}),
+		uncertain: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bluebell_gate_uncertain_streams_total",
+			Help: "Streams that began at backend servers which may have started again with another version, by step: began, or confirmed later, from when on they can be taken up.",
+		}, []string{"step"}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bluebell_gate_refusals_total",
 			Help: "Answers of the router's own, by status and reason.",
@@ -98,7 +103,7 @@
 		Name: "bluebell_gate_store_era",
 		Help: "How often the store has come back from an older copy, as it told last; 0 if it does not tell.",
 	})
-	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.probes, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
+	registerer.MustRegister(m.answers, m.streamEnds, m.continued, m.takenUp, m.streamRequests, m.refusals, m.probes, m.uncertain, m.placed, m.disrupts, m.resets, m.drainingRequests, m.firstEventTimes, m.plainWaits, m.evacuatedZones, m.era)
 	return m
 }
 
@@ -143,6 +148,12 @@
 	m.probes.WithLabelValues(result).Inc()
 }
 
+// streamUncertain counts a stream that began at a backend server whose version is not certain.
+func (m *metrics) streamUncertain() { m.uncertain.WithLabelValues("began").Inc() }
+
+// streamConfirmed counts one whose version has become known.
+func (m *metrics) streamConfirmed() { m.uncertain.WithLabelValues("confirmed").Inc() }
+
 // The values of the labels of streams that are continued.
 const (
 	byRouter       = "router"
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -93,6 +93,8 @@
 	OriginStored   OriginKnown = "stored"   // the record of a process that has ended since
 	OriginOnly     OriginKnown = "only"     // no other software could have begun it
 	OriginUnknown  OriginKnown = "unknown"
+	// OriginUncertain means that its server may have started again, with another version, before.
+	OriginUncertain OriginKnown = "uncertain"
 )
 
 // resolveOrigin directs a request whose caller takes up a stream to the software that began
@@ -153,7 +155,10 @@
 
 // knownBy returns how an origin is known that was found.
 func knownBy(origin streamorigin.Origin) OriginKnown {
-	if origin.Stored {
+	switch {
+	case origin.Software == streamorigin.Uncertain:
+		return OriginUncertain
+	case origin.Stored:
 		return OriginStored
 	}
 	return OriginRecorded
@@ -217,6 +222,7 @@
 			request.Software = streamorigin.Uncertain
 		case !answer.Certain():
 			request.Software = streamorigin.Uncertain
+			h.metrics.streamUncertain()
 			h.unconfirmed.add(unconfirmedStream{stream: stream, backend: backend, software: software, began: now, until: now.Add(lasts)})
 		}
 	}
--- a/internal/gate/unconfirmed.go
+++ b/internal/gate/unconfirmed.go
@@ -74,6 +74,7 @@
 func (h *handler) confirmStreams() {
 	now := boottime.Now()
 	for _, stream := range h.unconfirmed.confirm(h.state.View(), now) {
+		h.metrics.streamConfirmed()
 		h.streams.RecordOrigin(stream.stream, stream.software, stream.until.Sub(now))
 	}
 }
