platform: the list is made often enough just after an outage of the store

Cause: the list that ends the time was made when the list was next due, up to 0.5 of the bound for changes late. And since a gap above the usual age of the list counts as another outage, lists at the usual interval, which reaches 0.95 of that age, could begin the time anew on a busy machine.

Change: until the time is over, the routers that watch the store list the servers at half the usual age, in turn, and as soon as it is over. That is some three lists more for each outage.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -98,6 +98,16 @@
 	return 0
 }
 
+// ListNeededAt returns when the next list is needed while entries may not have been written again after
+// an outage of the store, 0 once they have been: soon enough that no other outage is assumed, and when
+// the list tells all processes again.
+func (v *View) ListNeededAt() boottime.Instant {
+	if v.ListConfirmedAt >= v.rewrittenAt {
+		return 0
+	}
+	return min(v.rewrittenAt, v.ListConfirmedAt.Add(v.usualAge/2))
+}
+
 // mayBeIncomplete reports whether backend servers missing from a list may still write their
 // entries again: the list is the first one after an outage, or of a newer era than the
 // current one.
