gate: streams that begin while the store is away can be taken up more often

Callers who took up streams that had begun while the list of backend servers was overdue, or just after an outage of the store, were refused (`uncertain-version`, origin `uncertain`).

Cause: a stream began at any server, also one that may have started again since it was listed; and where all older connections to its server were in use when its first event came, nothing showed later that its process was the listed one, though an answer or a probe on one of them can.

Change: while the list doesn't tell the processes, new streams that can be taken up begin at plain servers that are certain to be the listed ones, as long as those have half of their slots free, and on connections that lead there. A stream of uncertain version is confirmed as soon as its process is known to have served since before the list, for which a probe is sent on an idle older connection. Placement at model engines is as before.

--- a/internal/backendconn/certainty.go
+++ b/internal/backendconn/certainty.go
@@ -180,6 +180,34 @@
 	return false, p.startProbe(address, host)
 }
 
+// Process is the one that served at an address at some time.
+type Process struct {
+	address fleet.Address
+	at      boottime.Instant
+}
+
+// Process returns the process that sent the answer.
+func (a *Answer) Process() Process { return Process{address: a.address, at: a.conn.opened} }
+
+// ServedSince reports whether the process is known to have served since the time or before. If a
+// probe could show it, it starts one and does not wait for it.
+func (p *Pool) ServedSince(process Process, since boottime.Instant) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	host := p.hosts[process.address]
+	if host == nil {
+		return false
+	}
+	if host.lifetimes.servingSince(process.at) <= since {
+		return true
+	}
+	host.updateSpare(since)
+	if host.probe == nil && host.spare != nil && host.certain(host.spare, since) {
+		p.startProbe(process.address, host)
+	}
+	return false
+}
+
 // startProbe starts a probe on the host's spare connection. The pool is locked.
 func (p *Pool) startProbe(address fleet.Address, host *host) *probe {
 	running := &probe{ended: make(chan struct{})}
--- a/internal/backendconn/certainty_test.go
+++ b/internal/backendconn/certainty_test.go
@@ -237,6 +237,36 @@
 	}
 }
 
+// Guards against a process that stays uncertain, as all older connections were in use when its answer
+// came: once one of them is idle again, a probe shows it. A process that started since stays so.
+func TestProcessIsKnownOnceAnOlderConnectionIsIdle(t *testing.T) {
+	for name, restarts := range map[string]bool{"goes on": false, "starts again": true} {
+		t.Run(name, func(t *testing.T) {
+			c := newCertaintyTest(t)
+			old := c.hold("1")
+			c.storeAway()
+			listedAt := boottime.Instant(c.listedAt.Load())
+			if restarts {
+				c.restart()
+			}
+			newer := c.hold("2")
+			process := newer[0].Process()
+			if newer[0].Certain() || c.pool.ServedSince(process, listedAt) {
+				t.Error("certain while the older connection was in use")
+			}
+			newer[0].Close()
+			c.finish(old...)
+			known := c.pool.ServedSince(process, listedAt) // starts a probe
+			for wait := time.Now().Add(2 * probeTimeout); !known && time.Now().Before(wait); time.Sleep(time.Millisecond) {
+				known = c.pool.ServedSince(process, listedAt)
+			}
+			if known == restarts {
+				t.Errorf("known: %v", known)
+			}
+		})
+	}
+}
+
 // Guards against a spare connection that is withheld where a backend server allows one connection only.
 func TestSpareIsUsedAtTheLimitOfConnections(t *testing.T) {
 	c := newCertaintyTest(t)
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -50,6 +50,8 @@
 	MaxConnections int
 	// Certain says that the request must go to the process that is listed; see Certainty.
 	Certain bool
+	// PreferCertain says that an idle connection which is certain to lead there is taken first.
+	PreferCertain bool
 	// BeforeSend is called once the connection is open, and again right before a long request
 	// is written. If it returns an error, nothing is sent. It may be nil.
 	BeforeSend func() error
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -223,7 +223,7 @@
 		reserve = p.reserveOwn
 	}
 	for !own {
-		idle := p.takeIdle(address, request.Certain)
+		idle := p.takeIdle(address, request.Certain || request.PreferCertain)
 		if idle == nil {
 			break
 		}
--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -149,7 +149,7 @@
 	if a.settings.get().Plain.Admission && !request.Route.Stream {
 		return a.placeBounded(request, view, usable)
 	}
-	return a.placePlain(usable), nil
+	return a.placePlain(a.certainFirst(request, view, usable)), nil
 }
 
 func (a *admission) refuse(request *Request, reason Reason) *Refusal {
--- a/internal/gate/candidates.go
+++ b/internal/gate/candidates.go
@@ -58,6 +58,23 @@
 	return lo.Filter(serving, func(backend *knowledge.Backend, _ int) bool { return a.certain(backend) })
 }
 
+// certainFirst returns those of the usable backend servers at which a new stream can be taken up
+// whatever the list says later, while they have half of their slots free. It returns all if there are
+// none, for other requests, and while the list is current.
+func (a *admission) certainFirst(request *Request, view *knowledge.View, usable []*knowledge.Backend) []*knowledge.Backend {
+	if request.Software != 0 || !request.resumable() || view.ProcessesListedAt(boottime.Now()) == 0 {
+		return usable
+	}
+	certain := lo.Filter(usable, func(backend *knowledge.Backend, _ int) bool {
+		load, _ := a.loads.get(backend.Incarnation)
+		return 2*(load.Running+a.peers.Load(backend.IncarnationHash).Running) < backend.Slots && a.certain(backend)
+	})
+	if len(certain) == 0 {
+		return usable
+	}
+	return certain
+}
+
 // refuseAll refuses a request for which no backend server is usable, given the number of
 // candidates. While all are unavailable, callers that retried before the first one
 // accepts requests again would be refused again. The route's usual delay is added to the
--- a/internal/gate/manager.go
+++ b/internal/gate/manager.go
@@ -98,7 +98,7 @@
 	group.Go(func() error { return m.handler.pool.Run(ctx) })
 	group.Go(func() error { return m.connectionStats.run(ctx) })
 	group.Go(func() error { return m.handler.requestLog.Run(ctx) })
-	group.Go(func() error { return every(ctx, confirmInterval, m.handler.confirmStreams) })
+	group.Go(func() error { return every(ctx, confirmInterval, m.handler.confirmByProcess) })
 	group.Go(func() error { return m.watchState(ctx) })
 	group.Go(func() error { return m.watchReadiness(ctx) })
 	group.Go(func() error { return m.handler.lag.run(ctx) })
--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -55,9 +55,12 @@
 	return o.table.Find(stream, boottime.Now())
 }
 
+// resumable reports whether the request is for a stream that can be taken up.
+func (r *Request) resumable() bool { return r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume }
+
 // takenUp reports whether the caller takes up a stream of which it has received events.
 func (r *Request) takenUp() bool {
-	return r.LastEventID != "" && r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume
+	return r.LastEventID != "" && r.resumable()
 }
 
 // stream returns the stream that the request begins, or that its caller takes up.
@@ -71,7 +74,7 @@
 // countStream counts a request for a stream that can be taken up; began says that its first event
 // has come, rather than the request.
 func (h *handler) countStream(request *Request, began bool) {
-	if !request.Route.Stream || request.Route.Repeat != knowledge.RepeatResume {
+	if !request.resumable() {
 		return
 	}
 	h.requestLog.counts.addStream(request, began)
@@ -215,7 +218,8 @@
 	stream, now := request.stream(), boottime.Now()
 	lasts := request.originTime(now)
 	if request.Software == 0 {
-		software := h.state.View().SoftwareID(backend)
+		view := h.state.View()
+		software := view.SoftwareID(backend)
 		request.Software = software
 		switch {
 		case h.mayBeOtherVersion(backend):
@@ -223,7 +227,10 @@
 		case !answer.Certain():
 			request.Software = streamorigin.Uncertain
 			h.metrics.streamUncertain()
-			h.unconfirmed.add(unconfirmedStream{stream: stream, backend: backend, software: software, began: now, until: now.Add(lasts)})
+			h.unconfirmed.add(unconfirmedStream{
+				stream: stream, backend: backend, software: software, process: answer.Process(),
+				listedAt: view.ProcessesListedAt(now), began: now, until: now.Add(lasts),
+			})
 		}
 	}
 	h.streams.RecordOrigin(stream, request.Software, lasts)
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -305,6 +305,7 @@
 		OwnAnswerWait:  min(r.request.Remaining(now), r.request.Route.TargetLatency),
 		MaxConnections: r.maxConnections(placed.backend),
 		Certain:        r.request.Software != 0, // a stream goes on only where the version is certain
+		PreferCertain:  r.request.resumable(),
 		BeforeSend:     func() error { return r.checkBeforeSend(ctx, placed.backend) },
 		OnSend:         func() { placed.permit.MarkSent(boottime.Now()) },
 	}
