gate: an entry that was written anew without `born` confirms no stream

Callers could see a stream go on at another software version (ORDER): it began at a server that had started again with another version while the store was away, which then started once more with its first version and wrote the same entry as the first process.

Cause: streams of uncertain version were confirmed by service and version of the entry and by the incarnation, which is the id alone without `born`.

Change: without `born` the entry must be the same write, of the era of the list, and its `sequence` not lower. With `born` nothing changes.

Left: two processes whose entries agree in all fields, sequence too, in a store that keeps the revision then.

--- a/internal/gate/unconfirmed.go
+++ b/internal/gate/unconfirmed.go
@@ -65,7 +65,7 @@
 		case stream.until <= now:
 		case listTells && view.ListConfirmedAt > stream.began:
 			current := view.Backends[stream.backend.ID]
-			if current != nil && current.Incarnation == stream.backend.Incarnation && view.SoftwareID(current) == stream.software {
+			if current != nil && view.SoftwareID(current) == stream.software && view.SameProcess(stream.backend, current) {
 				confirmed = append(confirmed, stream)
 			}
 		case served != nil && stream.listedAt != 0 && served(stream.process, stream.listedAt):
--- a/internal/knowledge/backends.go
+++ b/internal/knowledge/backends.go
@@ -96,6 +96,18 @@
 	return known.StartedAt == received.StartedAt && known.Sequence == received.Sequence
 }
 
+// SameProcess reports whether the current entry of a backend server is certain to be of the process
+// that wrote the earlier one. Without a start time a later process can't be told from it once the entry
+// has been written anew, in the same store or a restored one; a lower sequence is that of another
+// process.
+func (v *View) SameProcess(earlier, current *Backend) bool {
+	if earlier.StartedAt != 0 {
+		return current.Incarnation == earlier.Incarnation
+	}
+	return current.Incarnation == earlier.Incarnation && current.Position == earlier.Position &&
+		current.Era == v.Position.Era && current.Sequence >= earlier.Sequence
+}
+
 // IncarnationHash returns the key by which routers refer to an incarnation in their
 // messages. It is cut to 32 bits to keep the messages short. If two incarnations collide,
 // the load of each is counted for both.
