--- a/internal/gate/origins.go
+++ b/internal/gate/origins.go
@@ -55,9 +55,12 @@
 	return o.table.Find(stream, boottime.Now())
 }
 
+// resumable reports whether the request is for a stream that can be taken up.
+func (r *Request) resumable() bool { return r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume }
+
 // takenUp reports whether the caller takes up a stream of which it has received events.
 func (r *Request) takenUp() bool {
-	return r.LastEventID != "" && r.Route.Stream && r.Route.Repeat == knowledge.RepeatResume
+	return r.LastEventID != "" && r.resumable()
 }
 
 // stream returns the stream that the request begins, or that its caller takes up.
@@ -71,7 +74,7 @@
 // countStream counts a request for a stream that can be taken up; began says that its first event
 // has come, rather than the request.
 func (h *handler) countStream(request *Request, began bool) {
-	if !request.Route.Stream || request.Route.Repeat != knowledge.RepeatResume {
+	if !request.resumable() {
 		return
 	}
 	h.requestLog.counts.addStream(request, began)
@@ -93,6 +96,8 @@
 	OriginStored   OriginKnown = "stored"   // the record of a process that has ended since
 	OriginOnly     OriginKnown = "only"     // no other software could have begun it
 	OriginUnknown  OriginKnown = "unknown"
+	// OriginUncertain means that its server may have started again, with another version, before.
+	OriginUncertain OriginKnown = "uncertain"
 )
 
 // resolveOrigin directs a request whose caller takes up a stream to the software that began
@@ -153,7 +158,10 @@
 
 // knownBy returns how an origin is known that was found.
 func knownBy(origin streamorigin.Origin) OriginKnown {
-	if origin.Stored {
+	switch {
+	case origin.Software == streamorigin.Uncertain:
+		return OriginUncertain
+	case origin.Stored:
 		return OriginStored
 	}
 	return OriginRecorded
@@ -210,14 +218,19 @@
 	stream, now := request.stream(), boottime.Now()
 	lasts := request.originTime(now)
 	if request.Software == 0 {
-		software := h.state.View().SoftwareID(backend)
+		view := h.state.View()
+		software := view.SoftwareID(backend)
 		request.Software = software
 		switch {
 		case h.mayBeOtherVersion(backend):
 			request.Software = streamorigin.Uncertain
 		case !answer.Certain():
 			request.Software = streamorigin.Uncertain
-			h.unconfirmed.add(unconfirmedStream{stream: stream, backend: backend, software: software, began: now, until: now.Add(lasts)})
+			h.metrics.streamUncertain()
+			h.unconfirmed.add(unconfirmedStream{
+				stream: stream, backend: backend, software: software, process: answer.Process(),
+				listedAt: view.ProcessesListedAt(now), began: now, until: now.Add(lasts),
+			})
 		}
 	}
 	h.streams.RecordOrigin(stream, request.Software, lasts)
--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -66,16 +66,23 @@
 	return now.Sub(v.ListConfirmedAt) > v.usualAge
 }
 
-// noteOutage is called before a list that was complete at confirmedAt replaces or confirms the
-// current one.
-func (v *View) noteOutage(confirmedAt boottime.Instant) {
-	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= v.outageAge {
+// noteOutage is called before a list that was complete at confirmedAt, and is known at now, replaces or
+// confirms the current one. The store may have come back as late as now, as the call for the list may
+// have waited for that. While entries are being written again, a shorter gap between two lists than
+// otherwise shows that the store may have been away once more.
+func (v *View) noteOutage(confirmedAt, now boottime.Instant) {
+	rewriting := v.ListConfirmedAt < v.rewrittenAt
+	gap := v.outageAge
+	if rewriting {
+		gap = v.usualAge
+	}
+	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= gap {
 		return
 	}
-	if v.ListConfirmedAt >= v.rewrittenAt {
+	if !rewriting {
 		v.listedBeforeOutage = v.ListConfirmedAt
 	}
-	v.rewrittenAt = confirmedAt.Add(rewriteTime)
+	v.rewrittenAt = now.Add(rewriteTime)
 }
 
 // ProcessesListedAt returns as of when the processes at all addresses are known, 0 while the list
@@ -91,6 +98,16 @@
 	return 0
 }
 
+// ListNeededAt returns when the next list is needed while entries may not have been written again after
+// an outage of the store, 0 once they have been: soon enough that no other outage is assumed, and when
+// the list tells all processes again.
+func (v *View) ListNeededAt() boottime.Instant {
+	if v.ListConfirmedAt >= v.rewrittenAt {
+		return 0
+	}
+	return min(v.rewrittenAt, v.ListConfirmedAt.Add(v.usualAge/2))
+}
+
 // mayBeIncomplete reports whether backend servers missing from a list may still write their
 // entries again: the list is the first one after an outage, or of a newer era than the
 // current one.
@@ -109,7 +126,7 @@
 		v.recordVersions(&before, now)
 	}
 	v.noteVersionGap(confirmedAt, now)
-	v.noteOutage(confirmedAt)
+	v.noteOutage(confirmedAt, now)
 	v.MissingSince = missingSince
 	v.Position = at
 	v.ListConfirmedAt = max(v.ListConfirmedAt, confirmedAt)
@@ -211,8 +228,9 @@
 func (s *State) ConfirmBackends(digest uint64, confirmedAt boottime.Instant) {
 	s.update(func(view *View) bool {
 		if view.ListConfirmedAt != 0 && view.Digest == digest && len(view.MissingSince) == 0 {
-			view.noteVersionGap(confirmedAt, boottime.Now())
-			view.noteOutage(confirmedAt)
+			now := boottime.Now()
+			view.noteVersionGap(confirmedAt, now)
+			view.noteOutage(confirmedAt, now)
 			view.ListConfirmedAt = max(view.ListConfirmedAt, confirmedAt)
 		}
 		return false
