crash: a sound answer that is not evaluated yet is no panic

Callers saw nothing yet; found by reading. With more than 1,000 segments in crashes, a router works out what is refused at most every 40 ms or more. A sound answer in between takes away the crashes that count against a refused segment while it is still listed as refused. A request with that segment and another one with a crash was then taken for one with one accused segment, and the look at the newest crash of the refused one was out of range. So was the choice of which refused segments are kept in the store if there are two; that runs outside of any request and would end the router.

Ruled out: the same in expire and workOut, which run within one evaluation.

A request is sent to try a segment only if a crash still counts against it, and what is kept is evaluated first.

TestSoundAnswerThatIsNotEvaluatedYetIsNoPanic panicked before, in Judge, and with that mended alone in Kept.

--- a/internal/crash/ruling.go
+++ b/internal/crash/ruling.go
@@ -66,12 +66,13 @@
 }
 
 // tellsApart reports whether the outcome of a request may show that its refused segments are
-// sound: others may have caused their crashes, and the request has none of those.
+// sound: others may have caused their crashes, and the request has none of those. Crashes may have
+// stopped counting against a segment since the refused ones were worked out.
 func (t *SegmentTable) tellsApart(segments []Segment, found []*Conviction) bool {
 	accused := lo.CountBy(segments, func(segment Segment) bool { return len(t.counted(segment)) > 0 })
 	return accused == len(found) && lo.EveryBy(found, func(conviction *Conviction) bool {
 		fewest := t.accused[conviction.Segment].fewest
-		return conviction.Ambiguous && (fewest == 0 || fewest >= len(found))
+		return conviction.Ambiguous && len(t.counted(conviction.Segment)) > 0 && (fewest == 0 || fewest >= len(found))
 	})
 }
 
--- a/internal/crash/stored.go
+++ b/internal/crash/stored.go
@@ -52,7 +52,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.evaluateIfDue(now)
+	t.evaluate(now) // so that crashes count against each refused segment
 	convictions := *t.convictions.Load()
 	refused := lo.Keys(convictions)
 	slices.SortFunc(refused, func(a, b Segment) int {
--- a/internal/crash/stored_test.go
+++ b/internal/crash/stored_test.go
@@ -109,3 +109,25 @@
 		t.Errorf("%d segments with %d crashes are kept, %d dropped", len(evidence.Segments()), len(evidence.Crashes), dropped)
 	}
 }
+
+// Guards against a panic of a router with so much evidence that sound answers are not evaluated at
+// once: a segment is still refused, but no crash counts against it any more.
+func TestSoundAnswerThatIsNotEvaluatedYetIsNoPanic(t *testing.T) {
+	table := NewSegmentTable()
+	now := testStart
+	table.Restore(storedConviction(time.Second, true), now, now)
+	for server := range uint32(6) {
+		segments := lo.Times(pairsPerInterval/4, func(i int) Segment { return others + Segment(1000*int(server)+i) })
+		table.Crashed(server, now.Add(time.Duration(server)*time.Second), append(segments, harmful2), now)
+	}
+	now = now.Add(8 * time.Second)
+	table.Update(now)
+	table.Sound([]Segment{harmful, harmful2}, now, now.Add(time.Millisecond))
+	now = now.Add(2 * time.Millisecond)
+	if ruling := table.Judge([]Segment{harmful, others}, func(Segment) int { return 0 }, now); ruling.Trial {
+		t.Error("a segment that was found sound is tried")
+	}
+	if evidence, _ := table.Kept(now); len(evidence.Segments()) > 0 {
+		t.Errorf("%v are kept as refused", evidence.Segments())
+	}
+}
