crash: segments that met the same crash are tried apart

Callers saw four requests with a segment that crashes servers reach them later than 3 s after the fifth crash, and requests with a sound segment refused for as long (TestSegmentIsRefusedAfterAnyStartOfAllRouters).

Cause: segments that are refused at the same moment are tried at the same moment, and again each 4 s. If their requests meet on one server, its crash names all of them and tells nothing, and the next trials are in step again: at 12.0, 16.1, 20.15 and 24.2 s on one of ten servers each. With a single server that never ends.

Ruled out: the reader's wrong clock and the store (the play is the same with right clocks, and without the store, as both starts come before a conviction), and the start in the middle of learning (the fifth crash is after it).

Change: segments that met the same crash are tried again one after the other, in four parts 1.5 s apart, by their place among those in that crash which have still to be tried. What remains of a part is divided again. All routers have that crash, so nothing more is told.

--- a/internal/crash/ruling.go
+++ b/internal/crash/ruling.go
@@ -18,6 +18,12 @@
 	// trialNotice is how long a segment is refused before a request with it may be tried.
 	// By then routers know which requests have the fewest refused segments.
 	trialNotice = time.Second
+	// trialSlots is in how many parts, one after the other, segments are tried again that met
+	// the same crash, and trialSlot is the time of a part: until sound answers have acquitted
+	// what was tried in it. Tried at the same moment they might meet on a server again, and
+	// its crash would not tell them apart either.
+	trialSlots = 4
+	trialSlot  = SoundAfter + 500*time.Millisecond
 	// severalTrialDelay is how much later requests with several refused segments may be tried.
 	severalTrialDelay = 8 * time.Second
 	// trialStep is how much later each further router, in the segment's order of them, may
@@ -85,7 +91,7 @@
 	doubtful := accused.doubtful(t.counted(segment), now)
 	from := accused.convicted.Add(trialNotice)
 	if accused.trial != 0 {
-		from = max(from, accused.trial.Add(trialInterval))
+		from = max(from, accused.trial.Add(trialInterval).Add(time.Duration(t.slot(segment))*trialSlot))
 	}
 	if len(found) > 1 {
 		if accused.trial != 0 && !doubtful {
@@ -105,6 +111,25 @@
 	return true
 }
 
+// slot returns the part in which a segment is tried again: by its place among the segments that
+// met its last crash and have still to be tried. A part holds several only if there are more
+// segments than parts; what is left after it is divided again.
+func (t *SegmentTable) slot(segment Segment) int {
+	crashes := t.counted(segment)
+	convictions := *t.convictions.Load()
+	group, before := 0, 0
+	for other := range crashes[len(crashes)-1].segments {
+		if conviction := convictions[other]; conviction == nil || !conviction.Ambiguous {
+			continue
+		}
+		group++
+		if other < segment {
+			before++
+		}
+	}
+	return before * min(group, trialSlots) / group
+}
+
 // CancelTrial records that a request that was to be tried was not sent.
 func (t *SegmentTable) CancelTrial(segments []Segment) {
 	t.mu.Lock()
--- a/internal/crash/segment_fleet_test.go
+++ b/internal/crash/segment_fleet_test.go
@@ -404,3 +404,16 @@
 		})
 	}
 }
+
+// Guards against trials of several segments at the same moment, again and again: they meet on one
+// server, and its crash tells nothing. With a single server they always do.
+func TestSegmentsThatMetInATrialAreTriedApart(t *testing.T) {
+	for seed := range uint64(10) {
+		f := newSegmentFleet(segmentLoad{
+			routers: 1, servers: 1, harmful: []Segment{harmful, harmful2}, topics: 1,
+			soundPerStep: 3, quiet: 4 * time.Second, lasts: 60 * time.Second,
+		}, seed)
+		f.play()
+		f.check(t)
+	}
+}
