crash: a trial that another refused segment explains does not convict

Callers with a sound segment could be refused for good: the request that tried it met the crash of a server under another refused segment, tried at the same time. Found while the trials in step were traced; seen in a test only.

Cause: any trial counted as one that had told. A segment most of whose crashes others explain was certain to be the cause as soon as it had been tried, and the doubt about one that was read from the store was over, whatever came of the request.

Ruled out: that the crash counts against the wrong segment; it does against both, rightly.

Change: both states last until a crash that no other refused segment explains, or a sound answer. A request with several refused segments is still tried once only.

Measured: TestTrialThatMeetsAnotherRefusedSegmentDoesNotConvict failed in both cases before.

--- a/internal/crash/conviction.go
+++ b/internal/crash/conviction.go
@@ -10,7 +10,7 @@
 
 const (
 	// maxUncoveredShare is the share of a segment's crashes below which other refused segments
-	// explain them as well as it does, unless one has been tried already.
+	// explain them as well as it does, unless a trial has shown that it is one.
 	maxUncoveredShare = 0.25
 	// certainCrashes is how many crashes a sound segment hardly meets by chance without a
 	// sound answer.
@@ -53,7 +53,7 @@
 		return &Conviction{
 			Segment:   segment,
 			Servers:   lo.Map(crashes, func(crash *serverCrash, _ int) uint32 { return crash.server }),
-			Ambiguous: t.ambiguous(segment, crashes, segmentsIn) || t.accused[segment].doubtful(crashes, now),
+			Ambiguous: t.ambiguous(segment, crashes, segmentsIn, now),
 		}
 	}), suspected
 }
@@ -92,14 +92,22 @@
 
 // ambiguous reports whether the crashes of a refused segment may well have another cause: other
 // refused segments, of which segmentsIn has the number in each crash, the loss of several servers
-// at once, or chance.
-func (t *SegmentTable) ambiguous(segment Segment, crashes []*serverCrash, segmentsIn map[*serverCrash]int) bool {
-	uncovered := lo.CountBy(crashes, func(crash *serverCrash) bool { return segmentsIn[crash] == 1 })
-	if uncovered == 0 || moments(crashes) < minCrashes {
+// at once, chance, or one that is gone since they were kept.
+func (t *SegmentTable) ambiguous(segment Segment, crashes []*serverCrash, segmentsIn map[*serverCrash]int, now boottime.Instant) bool {
+	accused := t.accused[segment]
+	var uncovered []*serverCrash // by other refused segments
+	for _, crash := range crashes {
+		if segmentsIn[crash] == 1 {
+			uncovered = append(uncovered, crash)
+		}
+	}
+	if len(uncovered) == 0 || moments(crashes) < minCrashes || len(crashes) < certainCrashes || accused.doubtful(uncovered, now) {
 		return true
 	}
-	covered := float64(uncovered) < maxUncoveredShare*float64(len(crashes))
-	return len(crashes) < certainCrashes || (covered && t.accused[segment].trial == 0)
+	// A trial tells only by a crash that nothing else explains.
+	last := uncovered[len(uncovered)-1].at
+	confirmed := accused.trial != 0 && last.Add(ageTolerance) >= accused.trial
+	return !confirmed && float64(len(uncovered)) < maxUncoveredShare*float64(len(crashes))
 }
 
 // crashesAgainst returns the crashes that count against segments, of those with minCrashes, and
--- a/internal/crash/ruling.go
+++ b/internal/crash/ruling.go
@@ -94,7 +94,7 @@
 		from = max(from, accused.trial.Add(trialInterval).Add(time.Duration(t.slot(segment))*trialSlot))
 	}
 	if len(found) > 1 {
-		if accused.trial != 0 && !doubtful {
+		if accused.trial > accused.stored || (accused.trial != 0 && !doubtful) {
 			return false
 		}
 		from = from.Add(severalTrialDelay)
--- a/internal/crash/stored.go
+++ b/internal/crash/stored.go
@@ -177,8 +177,8 @@
 	}
 }
 
-// doubtful reports whether the crashes that convict a segment, all of them from before the last
-// start of all routers, may be outdated, and nothing has shown since that they aren't.
+// doubtful reports whether the crashes of a segment, all of them from before the last start of all
+// routers, may be outdated.
 func (a *accusedSegment) doubtful(crashes []*serverCrash, now boottime.Instant) bool {
-	return a.stored != 0 && now >= a.doubtedFrom && a.trial <= a.stored && crashes[len(crashes)-1].at <= a.stored
+	return a.stored != 0 && now >= a.doubtedFrom && crashes[len(crashes)-1].at <= a.stored
 }
--- a/internal/crash/stored_test.go
+++ b/internal/crash/stored_test.go
@@ -131,3 +131,35 @@
 		t.Errorf("%v are kept as refused", evidence.Segments())
 	}
 }
+
+// Guards against a sound segment that is refused for good because the request that tried it met a
+// crash under another refused segment.
+func TestTrialThatMeetsAnotherRefusedSegmentDoesNotConvict(t *testing.T) {
+	both, first := []Segment{harmful, common}, func(Segment) int { return 0 }
+	for name, together := range map[string]bool{"explained by the other before": true, "doubted": false} {
+		t.Run(name, func(t *testing.T) {
+			table, now := NewSegmentTable(), testStart
+			told := Evidence{Crashes: []ServerCrash{{Down: true, Server: 100, Segments: []Segment{common}}}}
+			for server := range uint32(7) {
+				crash := ServerCrash{Down: true, Server: server, Age: time.Duration(server) * time.Second, Segments: both}
+				if !together {
+					crash.Segments = both[server%2 : server%2+1]
+				}
+				told.Crashes = append(told.Crashes, crash)
+			}
+			if together {
+				table.Receive(told, now)
+			} else {
+				table.Restore([]StoredEvidence{{Evidence: told, Outdated: true}}, now, now)
+			}
+			now = now.Add(2 * time.Second)
+			for _, segment := range both {
+				table.Judge([]Segment{segment}, first, now)
+			}
+			table.Crashed(99, now, both, now.Add(1600*time.Millisecond))
+			if !table.Judge([]Segment{common}, first, now.Add(10*time.Second)).Trial {
+				t.Error("it is not tried again")
+			}
+		})
+	}
+}
