--- a/internal/crash/stored_test.go
+++ b/internal/crash/stored_test.go
@@ -109,3 +109,57 @@
 		t.Errorf("%d segments with %d crashes are kept, %d dropped", len(evidence.Segments()), len(evidence.Crashes), dropped)
 	}
 }
+
+// Guards against a panic of a router with so much evidence that sound answers are not evaluated at
+// once: a segment is still refused, but no crash counts against it any more.
+func TestSoundAnswerThatIsNotEvaluatedYetIsNoPanic(t *testing.T) {
+	table := NewSegmentTable()
+	now := testStart
+	table.Restore(storedConviction(time.Second, true), now, now)
+	for server := range uint32(6) {
+		segments := lo.Times(pairsPerInterval/4, func(i int) Segment { return others + Segment(1000*int(server)+i) })
+		table.Crashed(server, now.Add(time.Duration(server)*time.Second), append(segments, harmful2), now)
+	}
+	now = now.Add(8 * time.Second)
+	table.Update(now)
+	table.Sound([]Segment{harmful, harmful2}, now, now.Add(time.Millisecond))
+	now = now.Add(2 * time.Millisecond)
+	if ruling := table.Judge([]Segment{harmful, others}, func(Segment) int { return 0 }, now); ruling.Trial {
+		t.Error("a segment that was found sound is tried")
+	}
+	if evidence, _ := table.Kept(now); len(evidence.Segments()) > 0 {
+		t.Errorf("%v are kept as refused", evidence.Segments())
+	}
+}
+
+// Guards against a sound segment that is refused for good because the request that tried it met a
+// crash under another refused segment.
+func TestTrialThatMeetsAnotherRefusedSegmentDoesNotConvict(t *testing.T) {
+	both, first := []Segment{harmful, common}, func(Segment) int { return 0 }
+	for name, together := range map[string]bool{"explained by the other before": true, "doubted": false} {
+		t.Run(name, func(t *testing.T) {
+			table, now := NewSegmentTable(), testStart
+			told := Evidence{Crashes: []ServerCrash{{Down: true, Server: 100, Segments: []Segment{common}}}}
+			for server := range uint32(7) {
+				crash := ServerCrash{Down: true, Server: server, Age: time.Duration(server) * time.Second, Segments: both}
+				if !together {
+					crash.Segments = both[server%2 : server%2+1]
+				}
+				told.Crashes = append(told.Crashes, crash)
+			}
+			if together {
+				table.Receive(told, now)
+			} else {
+				table.Restore([]StoredEvidence{{Evidence: told, Outdated: true}}, now, now)
+			}
+			now = now.Add(2 * time.Second)
+			for _, segment := range both {
+				table.Judge([]Segment{segment}, first, now)
+			}
+			table.Crashed(99, now, both, now.Add(1600*time.Millisecond))
+			if !table.Judge([]Segment{common}, first, now.Add(10*time.Second)).Trial {
+				t.Error("it is not tried again")
+			}
+		})
+	}
+}
