gate: answers that are ready after a stall at the end of the drain are delivered

Callers saw: at the end of a planned stop, a connection that ended in place of the final answer, although the answer was ready.

Cause: cancelled requests have 0.3 s for their final answers. If the process got no processor time until this had passed, the goroutine that closes the connections went on first and closed them; the answers were written 0.1 ms later. Seen as a failure, now and then, of TestAnswersThatAreDueWhenTheDrainEndsAreDelivered/in_progress_when_the_time_is_over.

Traced with times of cancel, timer, answer and close, 480 runs beside 28 busy threads on 8 processors (load 20 to 36): 13 fail. In each the timer of 300 ms fires 304 to 689 ms after it was set. In 10 of these the handler, due at 250 ms, goes on 0.1 to 0.3 ms after the connections were closed, so neither had run in between; in 3 it goes on later or not before the test ends. Ruled out: an answer that is written and lost (each write comes after the close), and a slow cancel (the handler notices it within 0.6 ms where this is recorded).

Change: when the time is over, the router looks at the connections three more times, 10 ms apart, and closes those left only then. It counts looks, as the clock goes on in a stall. A drain that callers hold up ends 30 ms later, 0.17 s before the process is killed. The new test uses simulated time and fails without the change (10 of 10).

Not covered: a thread that gets no processor time for longer than the three looks while others of the process do, as in the 3 above.

--- a/internal/gate/acceptor.go
+++ b/internal/gate/acceptor.go
@@ -302,6 +302,9 @@
 	// finalAnswerTimeout is how long cancelled requests have for their final answers once the
 	// time to drain is over. The rest of shutdownMargin is for the end of the process.
 	finalAnswerTimeout = shutdownMargin - 200*time.Millisecond
+	// finalPasses is how often closeConnections looks again after finalAnswerTimeout. If a stall of
+	// the process has used that up, answers are ready that could not be written yet.
+	finalPasses = 3
 )
 
 // finish waits until no request is in progress or the context ends, cancels the remaining
@@ -353,7 +356,7 @@
 }
 
 // closeConnections closes each connection once no request is being read or served on it. It
-// returns when all are closed, or finalAnswerTimeout after the end of the context.
+// returns when all are closed, or finalAnswerTimeout and finalPasses after the end of the context.
 func (a *acceptor) closeConnections(ctx context.Context) {
 	ended := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() { time.AfterFunc(finalAnswerTimeout, func() { close(ended) }) })
@@ -361,12 +364,24 @@
 	for a.callers.closeWaiting() > 0 {
 		select {
 		case <-ended:
+			a.closeLast()
 			return
 		case <-time.After(drainPollInterval):
 		}
 	}
 }
 
+// closeLast is the end of closeConnections once its time is over. It counts passes, as in a stall
+// of the process the clock goes on while no answer can be written.
+func (a *acceptor) closeLast() {
+	for range finalPasses {
+		time.Sleep(drainPollInterval)
+		if a.callers.closeWaiting() == 0 {
+			return
+		}
+	}
+}
+
 // connStateChanged is the servers' ConnState hook. It closes no connections that become idle while
 // the router drains: the next request may have arrived. awaitIdle closes those on which nothing
 // has.
--- a/internal/gate/drain_close_test.go
+++ b/internal/gate/drain_close_test.go
@@ -9,6 +9,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
@@ -162,6 +163,50 @@
 	}
 }
 
+// Guards against closing connections whose answers are ready as a stall ends in which the time for
+// final answers has passed. They are written just after the time is found to be over.
+func TestAnswerThatIsReadyAfterAStallAtTheEndOfTheDrainIsDelivered(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		takes     time.Duration // the answer, from the end of the drain
+		delivered bool
+	}{
+		{"ready as the stall ends", finalAnswerTimeout + drainPollInterval/2, true},
+		{"never ready in time", shutdownMargin, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				a := newAcceptor(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					<-r.Context().Done()
+					time.Sleep(test.takes)
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}), 10, idleCPU{}, newDrainState())
+				caller, accepted := net.Pipe()
+				defer caller.Close()
+				a.callers.slots <- struct{}{}
+				a.current.conns.pass(a.callers.add(accepted))
+				answered := make(chan error, 1)
+				go func() {
+					_, err := request(caller, "/x")
+					answered <- err
+				}()
+				synctest.Wait() // until the request is served
+				over, cancel := context.WithCancel(t.Context())
+				cancel()
+				start := time.Now()
+				a.finish(over)
+				if took := time.Since(start); took >= shutdownMargin {
+					t.Errorf("the drain ends after %v, too late for the process", took)
+				}
+				if err := <-answered; (err == nil) != test.delivered {
+					t.Errorf("delivered: %t (%v), want %t", err == nil, err, test.delivered)
+				}
+				time.Sleep(test.takes) // until the handler has returned
+			})
+		})
+	}
+}
+
 // Guards against closing a connection on which the next request has arrived, because its long
 // answer has ended after the listener was closed.
 func TestRequestThatFollowsALongAnswerIsAnswered(t *testing.T) {
