streamorigin: writes do not grow with what a large store takes

Cause: origins may use a fortieth of the store's writes, which is 80 a second there; only the least time between two writes of a writer (0.25 s, 0.1 s since the last change) bounded them.

Stores of 400 writes are not affected. By this ten routers of the whole fleet write every 0.5 s.

Test: TestWritesStayWithinTheirShare has the bound too; it failed before.

--- a/internal/streamorigin/journal_test.go
+++ b/internal/streamorigin/journal_test.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// Guards against writes that grow with the fleet, or beyond their share of the store's.
+// Guards against writes that grow with the fleet, beyond their share of the store's, or with what a
+// large store takes.
 func TestWritesStayWithinTheirShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		storeWrites := rapid.IntRange(1, 5000).Draw(t, "writes of the store")
@@ -129,7 +130,11 @@
 		for needed, share := range map[bool]float64{true: neededShare, false: spareShare} {
 			plan := PlanWrites(storeWrites, routers, needed)
 			perSecond := float64(plan.Writers) / plan.Period.Seconds()
-			if bound := share * float64(storeWrites); plan.Writers < 1 || perSecond > bound*1.001 {
+			bound := share * float64(storeWrites)
+			if needed {
+				bound = min(bound, maxWritesPerSecond)
+			}
+			if plan.Writers < 1 || perSecond > bound*1.001 {
 				t.Fatalf("needed %v: %d writers each %v are %.3f a second, want %.3f at most", needed, plan.Writers, plan.Period, perSecond, bound)
 			}
 		}
--- a/internal/streamorigin/writers.go
+++ b/internal/streamorigin/writers.go
@@ -17,6 +17,9 @@
 	// if all routers start at once.
 	neededShare = 0.025
 	spareShare  = 0.0025
+	// maxWritesPerSecond bounds the first share at a store that takes more writes than the smallest
+	// one: further writes cost more than the streams are worth that are known by them.
+	maxWritesPerSecond = 20
 	// spareWriters is the number of writers in the second case.
 	spareWriters = 5
 	// minWriters and maxWriters bound their number in the first case. The fewer they are, the more
@@ -46,7 +49,7 @@
 	}
 	perSecond, writers := float64(writesPerSecond)*spareShare, spareWriters
 	if needed {
-		perSecond = float64(writesPerSecond) * neededShare
+		perSecond = min(float64(writesPerSecond)*neededShare, maxWritesPerSecond)
 		writers = lo.Clamp(routers/routersPerWriter+1, minWriters, maxWriters)
 		writers = lo.Clamp(int(perSecond*maxWritePeriod.Seconds()), 1, writers)
 	}
