knowledge: entries count again after an outage although some routers can't list

What callers would see: streams that are taken up are refused as uncertain-version long after an outage of the store, where some of the routers that watch the store can't list. Found by a review, in a model of the lists, before any landing: with the first three of five watchers unable to list all routers stayed so for all of 60 s, with one of two a passive one did.

Cause: while entries are being written again, any gap between two lists above 1.24 s counted as another outage.

Change: a gap to the time at which the list is known of more than 2.1 s (with a bound of 2 s for changes), half way between a usual one and an outage. The property of close outages holds in 20,000 plays; it failed with a bound on how long short gaps count.

--- a/internal/knowledge/backend_list.go
+++ b/internal/knowledge/backend_list.go
@@ -68,15 +68,14 @@
 
 // noteOutage is called before a list that was complete at confirmedAt, and is known at now, replaces or
 // confirms the current one. The store may have come back as late as now, as the call for the list may
-// have waited for that. While entries are being written again, a shorter gap between two lists than
-// otherwise shows that the store may have been away once more.
+// have waited for that. While entries are being written again, a shorter time without a list than
+// otherwise shows that the store may have been away once more; it is longer than routers that can't
+// list delay the others, as the entries would else never count again.
 func (v *View) noteOutage(confirmedAt, now boottime.Instant) {
 	rewriting := v.ListConfirmedAt < v.rewrittenAt
-	gap := v.outageAge
-	if rewriting {
-		gap = v.usualAge
-	}
-	if v.ListConfirmedAt == 0 || confirmedAt.Sub(v.ListConfirmedAt) <= gap {
+	outage := confirmedAt.Sub(v.ListConfirmedAt) > v.outageAge
+	again := rewriting && now.Sub(v.ListConfirmedAt) > (v.usualAge+v.outageAge)/2
+	if v.ListConfirmedAt == 0 || !outage && !again {
 		return
 	}
 	if !rewriting {
