peering: routers count as unheard only just after a start

What callers would see: at each start of a router, requests within their share are refused or get idle capacity only, for 1.5 s, as routers that are listed but gone count like those that start; the same at a router that has been alone for long, when the first other one comes.

Cause: the window ended 1.5 s after the first heartbeat, whenever that came.

--- a/internal/peering/table.go
+++ b/internal/peering/table.go
@@ -21,6 +21,9 @@
 	// These are several cycles so that lost datagrams don't make it unreachable.
 	minPeerTimeout    = 1500 * time.Millisecond
 	peerTimeoutCycles = 4
+	// hearingTime is how long it takes a router that has just started to hear all others, from the first
+	// heartbeat on.
+	hearingTime = 500 * time.Millisecond
 	// routerCountTTL is how long the maximum number of routers is kept. A router that
 	// loses contact must not take over the other routers' part of a budget while they
 	// still use it.
@@ -102,12 +105,12 @@
 	return max(t.maxRouters, 1)
 }
 
-// Unheard implements gate.Peers. Routers that are listed but gone must not count for longer than one
-// that has fallen silent.
+// Unheard implements gate.Peers. It counts routers only while this one is starting: they may be listed
+// but gone.
 func (t *table) Unheard(now boottime.Instant) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if now.Sub(max(t.startedAt, t.firstHeartbeat)) > minPeerTimeout {
+	if !t.startingUp(now) {
 		return 0
 	}
 	unheard := 0
@@ -122,6 +125,15 @@
 	return unheard
 }
 
+// startingUp reports whether routers that have not been heard yet may be heard soon. One that has been
+// alone since its start knows the usage of all its callers.
+func (t *table) startingUp(now boottime.Instant) bool {
+	if t.firstHeartbeat == 0 || t.firstHeartbeat.Sub(t.startedAt) > minPeerTimeout {
+		return now.Sub(t.startedAt) <= minPeerTimeout
+	}
+	return now.Sub(t.firstHeartbeat) <= hearingTime
+}
+
 // expiredEntries returns the routers with a directory entry that have been unreachable
 // for longer than directoryEntryTTL.
 func (t *table) expiredEntries(entries []fleet.Address, now boottime.Instant) []fleet.Address {
