streamorigin: records stay as long as their streams can be taken up

What callers would see: with long deadlines, streams that are taken up after a start of all routers are unknown: of 400 streams a second that can be taken up for 150 s, 41% of the records were overwritten. Found by a review, before any landing.

Cause: with half as many records an object and half as many writers, 64 objects hold a quarter.

Change: up to 512 objects a writer. As many exist as are needed. TestJournalKeepsTheRecordsOfLiveStreams failed before, and with 256.

--- a/internal/streamorigin/journal.go
+++ b/internal/streamorigin/journal.go
@@ -15,7 +15,7 @@
 
 const (
 	// MaxSlots bounds the batches of a router that are kept.
-	MaxSlots = 64
+	MaxSlots = 512
 	// slotRecords is how many records a slot holds before the next one is used. A slot is
 	// written in full each time, so it must not grow large.
 	slotRecords = 256
--- a/internal/streamorigin/journal_test.go
+++ b/internal/streamorigin/journal_test.go
@@ -191,3 +191,35 @@
 		}
 	}
 }
+
+// Guards against records that are overwritten while their streams can be taken up.
+func TestJournalKeepsTheRecordsOfLiveStreams(t *testing.T) {
+	const lasts = 330 * time.Second // of a stream of five minutes
+	for _, c := range []struct{ routers, streams int }{{4, 140}, {24, 400}, {356, 1700}, {1000, 3100}} {
+		plan := PlanWrites(400, c.routers, true)
+		journal, now := NewJournal(maxSlotRecords), boottime.Instant(time.Hour)
+		perWrite := int(float64(c.streams) / float64(plan.Writers) * plan.Period.Seconds())
+		var next Stream
+		kept, ends := make(map[int][]Record), make(map[Stream]boottime.Instant)
+		for end := now.Add(2 * lasts); now < end; now = now.Add(plan.Period) {
+			for range perWrite {
+				next++
+				ends[next] = now.Add(lasts)
+				journal.Add(next, Origin{Software: 1, Until: now.Add(lasts)}, now)
+			}
+			if batch, changed := journal.Next(now); changed {
+				kept[batch.Slot] = batch.Records
+				journal.Written(batch)
+			}
+		}
+		for _, records := range kept {
+			for _, record := range records {
+				delete(ends, record.Stream)
+			}
+		}
+		lost := lo.CountBy(lo.Values(ends), func(end boottime.Instant) bool { return end > now })
+		if lost > 0 {
+			t.Errorf("%d routers: %d records of streams are lost that can be taken up", c.routers, lost)
+		}
+	}
+}
