--- a/internal/backendconn/certainty.go
+++ b/internal/backendconn/certainty.go
@@ -27,6 +27,8 @@
 	// maxProbes bounds the probes that one connection waits for: one in progress when it was
 	// opened shows nothing about it, the next one does.
 	maxProbes = 2
+	// probePause is the time after a probe that failed until another one is sent without a request that needs it.
+	probePause = time.Second
 )
 
 // Certainty is how a pool finds out whether connections lead to the listed processes.
@@ -85,6 +87,7 @@
 	}
 	if at := h.newestCertain(listedAt); at >= 0 {
 		h.spare = h.idle[at]
+		h.spare.setProbed(true) // it shows that the process serves, without requests
 		h.idle = append(h.idle[:at], h.idle[at+1:]...)
 	}
 }
@@ -92,6 +95,7 @@
 // releaseSpare makes the spare an idle connection like others.
 func (h *host) releaseSpare() {
 	if h.spare != nil {
+		h.spare.setProbed(false)
 		h.idle = append([]*conn{h.spare}, h.idle...)
 		h.spare = nil
 	}
@@ -202,7 +206,9 @@
 		return true
 	}
 	host.updateSpare(since)
-	if host.probe == nil && host.spare != nil && host.certain(host.spare, since) {
+	// A probe that fails takes its connection: not all of them in a short pause of the server.
+	mayProbe := host.probe == nil && boottime.Now().Sub(host.probeLostAt) > probePause
+	if mayProbe && host.spare != nil && host.certain(host.spare, since) {
 		p.startProbe(process.address, host)
 	}
 	return false
@@ -246,6 +252,9 @@
 func (p *Pool) endProbe(address fleet.Address, host *host, spare *conn, reusable bool) {
 	p.mu.Lock()
 	host.probe = nil
+	if !reusable {
+		host.probeLostAt = boottime.Now()
+	}
 	if reusable {
 		spare.idleSince = boottime.Now()
 		spare.usableUntil = spare.idleSince.Add(idleLifetime(spare.statedTimeout))
--- a/internal/backendconn/certainty_test.go
+++ b/internal/backendconn/certainty_test.go
@@ -310,3 +310,44 @@
 		}
 	})
 }
+
+// Guards against a silent server that counts as the listed process for as long as the list is overdue.
+func TestSilentServerIsNotCertain(t *testing.T) {
+	t.Parallel()
+	c := newCertaintyTest(t)
+	c.finish(c.hold("1")...)
+	c.storeAway()
+	if !c.pool.Certain(c.address) {
+		t.Fatal("not certain with an older connection")
+	}
+	silence(t, <-c.process.conns, true)
+	for range 10 {
+		time.Sleep(sweepInterval)
+		c.pool.maintainSpares(boottime.Now())
+	}
+	if c.pool.Certain(c.address) {
+		t.Error("still certain after 5 s of silence")
+	}
+}
+
+// Guards against probes that take all connections to the listed process in a short pause of it.
+func TestProbesLeaveConnectionsInAPause(t *testing.T) {
+	t.Parallel()
+	c := newCertaintyTest(t)
+	older := c.hold("1", "2", "3", "4")
+	c.finish(older...)
+	c.storeAway()
+	held := c.hold("5", "6", "7", "8")
+	process := c.hold("9")[0].Process()
+	c.finish(held...)
+	c.silent.Store(true)
+	for range 15 {
+		c.pool.ServedSince(process, boottime.Instant(c.listedAt.Load()))
+		time.Sleep(100 * time.Millisecond)
+	}
+	c.silent.Store(false)
+	time.Sleep(probeTimeout + 100*time.Millisecond)
+	if !c.pool.Certain(c.address) {
+		t.Errorf("no certain connection is left after a pause of 1.5 s with %d probes", c.probes.Load())
+	}
+}
--- a/internal/backendconn/conn.go
+++ b/internal/backendconn/conn.go
@@ -96,7 +96,7 @@
 
 // explain returns why a read or write has failed with the error.
 func (c *conn) explain(err error) error {
-	if c.silent.Load() {
+	if c.silent.Load() && !errors.Is(err, ErrUnidentified) {
 		return errors.Wrap(ErrUnacknowledged, err.Error())
 	}
 	return err
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -74,6 +74,7 @@
 	address       fleet.Address
 	conn          *conn
 	sent          boottime.Instant // before the first byte of the request
+	heard         boottime.Instant // when something of it last came, within maxUnheard/2
 	identified    bool             // the answer names the request
 	stop          func() bool
 	sending       *sending
@@ -144,6 +145,7 @@
 		return nil, newError(c.explain(err), ProgressSent, fleet.StepAnswer, address)
 	}
 	sending.watch.answerBegun()
+	p.markHeard(address, boottime.Now())
 	return &Answer{
 		Status:        response.StatusCode,
 		Header:        response.Header,
@@ -366,6 +368,10 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
+	if now := boottime.Now(); n > 0 && now.Sub(a.heard) > maxUnheard/2 {
+		a.heard = now
+		a.pool.markHeard(a.address, now)
+	}
 	if err == io.EOF {
 		a.complete = true
 		return n, io.EOF
--- a/internal/backendconn/pool.go
+++ b/internal/backendconn/pool.go
@@ -54,12 +54,14 @@
 
 // host holds the connections to one address.
 type host struct {
-	idle      []*conn          // the most recently used last
-	spare     *conn            // see updateSpare, nil for none
-	probe     *probe           // in progress on what was the spare, nil for none
-	open      int              // idle, in use, and the spare
-	heard     boottime.Instant // when an answer last ended, or a connection was opened
-	lifetimes lifetimes
+	idle  []*conn // the most recently used last
+	spare *conn   // see updateSpare, nil for none
+	probe *probe  // in progress on what was the spare, nil for none
+	// probeLostAt is when a probe last failed, 0 for never.
+	probeLostAt boottime.Instant
+	open        int              // idle, in use, and the spare
+	heard       boottime.Instant // when the head or the end of an answer last came, or a connection was opened
+	lifetimes   lifetimes
 }
 
 // NewPool returns a pool without connections.
@@ -233,8 +235,10 @@
 			break
 		}
 		reason := idle.unusableReason(boottime.Now())
-		if reason == "" && !request.Certain && !p.heardLately(address, boottime.Now()) {
-			reason = ReasonUnheard
+		if reason == "" && p.mayOpenAnother(request) && !p.heardLately(address, boottime.Now()) {
+			// The new connection shows whether the others can be used.
+			p.discard(address, idle, ReasonUnheard)
+			break
 		}
 		if reason == "" {
 			return idle, nil
@@ -387,6 +391,12 @@
 	host.heard = max(host.heard, now)
 }
 
+// mayOpenAnother reports whether the request may be sent on a new connection. While the list is overdue,
+// one that must go to the listed process needs a connection which is certain to lead there.
+func (p *Pool) mayOpenAnother(request *Request) bool {
+	return !request.Certain || p.certainty.ListedAt() == 0
+}
+
 // heardLately reports whether the backend server at the address has been heard within
 // maxUnheard, on any connection.
 func (p *Pool) heardLately(address fleet.Address, now boottime.Instant) bool {
--- a/internal/backendconn/unacknowledged_test.go
+++ b/internal/backendconn/unacknowledged_test.go
@@ -45,11 +45,13 @@
 
 // silence makes the server's kernel drop all that comes on the connection, as a partition does, or
 // ends that.
-func (s *silentTest) silence(silent bool) {
-	s.t.Helper()
-	raw, err := s.peer.(*net.TCPConn).SyscallConn()
+func (s *silentTest) silence(silent bool) { silence(s.t, s.peer, silent) }
+
+func silence(t *testing.T, peer net.Conn, silent bool) {
+	t.Helper()
+	raw, err := peer.(*net.TCPConn).SyscallConn()
 	if err != nil {
-		s.t.Fatal(err)
+		t.Fatal(err)
 	}
 	var failed error
 	err = raw.Control(func(fd uintptr) {
@@ -61,7 +63,7 @@
 		failed = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &unix.SockFprog{Len: 1, Filter: &drop})
 	})
 	if err != nil || failed != nil {
-		s.t.Fatal(err, failed)
+		t.Fatal(err, failed)
 	}
 }
 
@@ -167,3 +169,71 @@
 	mustExchange(t, pool, server.address, "4")
 	seen.check(t, ReasonFirst, ReasonUnheard)
 }
+
+// Guards against streams that are taken up and wait on an open connection to a server that can't be
+// reached any more, although the list is current, so that a new connection is certain too.
+func TestStreamThatGoesOnIsNotSentToAnUnheardServer(t *testing.T) {
+	t.Parallel()
+	mayAnswer := make(chan struct{})
+	close(mayAnswer)
+	s := newSilentTest(t, mayAnswer)
+	s.silence(true)
+	s.pool.hosts[s.server.address].heard = boottime.Now().Add(-maxUnheard - time.Second)
+	request := newRequest("second")
+	request.Certain = true
+	if _, err := exchange(t, s.pool, s.server.address, request); err != nil {
+		t.Errorf("the request failed: %v", err)
+	}
+}
+
+// Guards against a server that has been silent for a moment and loses all its idle connections.
+func TestUnheardServerKeepsItsOtherConnections(t *testing.T) {
+	server := echoServer(t, "Keep-Alive: timeout=60\r\n")
+	pool := NewPool()
+	var held []*Answer
+	for range 8 {
+		held = append(held, sendAndHold(t, pool, server.address, "1"))
+	}
+	for _, answer := range held {
+		drainAndClose(t, answer)
+	}
+	pool.hosts[server.address].heard = boottime.Now().Add(-maxUnheard - time.Second)
+	mustExchange(t, pool, server.address, "2")
+	if open := pool.Open(server.address); open != 8 {
+		t.Errorf("%d connections are open, want 8", open)
+	}
+}
+
+// Guards against connections that are opened beside a stream whose events show that its server can be
+// reached.
+func TestEventsOfAStreamAreHeard(t *testing.T) {
+	t.Parallel()
+	stop := make(chan struct{})
+	server := serve(t, func(conn net.Conn, reader *bufio.Reader) {
+		for request := readRequest(reader); request != nil; request = readRequest(reader) {
+			id := request.Header.Get("Id")
+			if id != "stream" {
+				io.WriteString(conn, "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=60\r\nId: "+id+"\r\nContent-Length: 0\r\n\r\n")
+				continue
+			}
+			io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(100 * time.Millisecond):
+					io.WriteString(conn, "1\r\nx\r\n")
+				}
+			}
+		}
+	})
+	pool, seen := newObservedPool()
+	mustExchange(t, pool, server.address, "first")
+	stream := sendAndHold(t, pool, server.address, "stream")
+	drainAndClose(t, sendAndHold(t, pool, server.address, "other"))
+	go io.Copy(io.Discard, stream)
+	time.Sleep(maxUnheard + 500*time.Millisecond)
+	mustExchange(t, pool, server.address, "later")
+	close(stop)
+	seen.check(t, ReasonFirst, ReasonBusy)
+}
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -407,8 +407,9 @@
 	if errors.Is(err, backendconn.ErrUnidentified) {
 		return outcomeBroken // the server may have rejected it, which is no failure
 	}
-	if errors.Is(err, backendconn.ErrAnswerTooLarge) {
-		// This router has closed the connection, so the server did not crash.
+	if errors.Is(err, backendconn.ErrAnswerTooLarge) || errors.Is(err, backendconn.ErrUnacknowledged) {
+		// This router has closed the connection, so the server did not crash, or has not received the
+		// request.
 		h.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
 		return outcomeBroken
 	}
