--- a/internal/gate/body_memory.go
+++ b/internal/gate/body_memory.go
@@ -21,7 +21,8 @@
 // bodyMemory is the memory that request bodies share. What an account may hold shrinks with what is
 // free: it gets more while its part is at most a fixed multiple of the free memory. So an account
 // that asks alone can use most of the memory, and several that do have equal parts. One that holds
-// nothing is not kept out by one or two others; a large body of it may be by more. Its methods may be called concurrently.
+// nothing is not kept out by one or two others; a large body of it may be by more. Its methods may be
+// called concurrently.
 type bodyMemory struct {
 	mu       sync.Mutex
 	reserved int64
