backendconn: an answer whose connection is reset under the upload is not whole

Callers saw: a part of an answer as a complete 200. Their request was a long upload; the backend server answered at once, without a length, and reset the connection while the upload was still being written.

Cause: such a body ends with its connection. The kernel reports a reset once, to whichever call comes first. A long request is written beside its answer, so the write got the error and the read found a plain end, which counted as the end of the body. Nobody asked how the write had ended. The same holds for a server that ends its direction first and resets the connection as it closes with the upload unread: the end is read before the reset arrives.

Change: at the end of such a body the router waits until the request has been written and acknowledged. Bodies with a length or chunks, and refusals that are discarded, don't wait.

Not covered, as nothing shows it: a server that has received the whole request, ends its direction in order and sends less than it meant to.

--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -81,6 +81,7 @@
 	keepAlive     bool
 	statedTimeout time.Duration
 	complete      bool
+	discarded     bool // nobody needs to know whether the body is whole
 	broken        bool // reading the body failed because of the peer
 }
 
@@ -170,6 +171,10 @@
 	written   atomic.Bool           // all of it has been passed to the connection
 	cancelled atomic.Pointer[error] // why nothing of it was sent, nil otherwise
 	watch     ackWatch
+	// ended is closed when a request that is written beside its answer is written or can't be, as
+	// failure then says. It is nil for other requests.
+	ended   chan struct{}
+	failure error
 }
 
 // cancelledBy returns why nothing was sent, or nil.
@@ -191,7 +196,9 @@
 		sending.written.Store(true)
 		return nil
 	}
+	sending.ended = make(chan struct{})
 	go func() {
+		defer close(sending.ended)
 		// On a busy processor the caller may have disconnected before this runs.
 		if err := request.checkBeforeSend(); err != nil {
 			sending.cancelled.Store(&err)
@@ -200,8 +207,8 @@
 		}
 		// The body is not copied: many long ones would take the process over its memory.
 		data := net.Buffers{head, request.Body}
-		// The reader sees a failure too, since the connection is broken then.
 		if _, err := data.WriteTo(c.Conn); err != nil {
+			sending.failure = err
 			return
 		}
 		sending.watch.start(true)
@@ -365,13 +372,17 @@
 	return c.limiter.err
 }
 
-// Read reads the body. It returns io.EOF only at the end of a complete body.
+// Read reads the body. It returns io.EOF only at the end of a complete body. If that is the end of the
+// connection, it waits until the backend server has received the request.
 func (a *Answer) Read(p []byte) (int, error) {
 	n, err := a.body.Read(p)
 	if now := boottime.Now(); n > 0 && now.Sub(a.heard) > maxUnheard/2 {
 		a.heard = now
 		a.pool.markHeard(a.address, now)
 	}
+	if err == io.EOF && a.Framing == FramingClose && !a.complete && !a.discarded {
+		err = a.checkOrderlyEnd()
+	}
 	if err == io.EOF {
 		a.complete = true
 		return n, io.EOF
@@ -386,6 +397,7 @@
 // Discard reads the rest of the body, if that has no more than maxBytes and comes within
 // maxTime. Otherwise Close closes the connection.
 func (a *Answer) Discard(maxBytes int64, maxTime time.Duration) {
+	a.discarded = true
 	// Setting a deadline fails only on a closed connection, on which the read fails too.
 	_ = a.conn.SetReadDeadline(time.Now().Add(maxTime))
 	_, _ = io.Copy(io.Discard, io.LimitReader(a, maxBytes))
--- a/internal/backendconn/unacknowledged.go
+++ b/internal/backendconn/unacknowledged.go
@@ -80,7 +80,7 @@
 	if w.ended {
 		return
 	}
-	unacknowledged, err := w.conn.unacknowledged()
+	unacknowledged, err := unacknowledgedBytes(w.conn.Conn)
 	now := boottime.Now()
 	switch {
 	case err != nil: // the connection is closed
@@ -96,9 +96,9 @@
 	}
 }
 
-// unacknowledged returns how many bytes the peer has not acknowledged.
-func (c *conn) unacknowledged() (bytes int, err error) {
-	controlErr := c.control(func(fd int) { bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+// unacknowledgedBytes returns how many bytes the peer has not acknowledged.
+func unacknowledgedBytes(connection net.Conn) (bytes int, err error) {
+	controlErr := control(connection, func(fd int) { bytes, err = unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
 	if controlErr != nil {
 		return 0, controlErr
 	}
@@ -116,12 +116,12 @@
 		value = 1
 	}
 	// Fails only on a closed connection.
-	_ = c.control(func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, value) })
+	_ = control(c.Conn, func(fd int) { _ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE, value) })
 }
 
 // control calls the function with the connection's file descriptor.
-func (c *conn) control(call func(fd int)) error {
-	tcp, ok := c.Conn.(*net.TCPConn)
+func control(connection net.Conn, call func(fd int)) error {
+	tcp, ok := connection.(*net.TCPConn)
 	if !ok {
 		return errors.New("not a TCP connection")
 	}
--- a/internal/backendconn/unacknowledged_test.go
+++ b/internal/backendconn/unacknowledged_test.go
@@ -72,7 +72,7 @@
 	s.t.Helper()
 	var value int
 	var err error
-	if controlErr := s.conn.control(func(fd int) { value, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE) }); controlErr != nil || err != nil {
+	if controlErr := control(s.conn.Conn, func(fd int) { value, err = unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_KEEPALIVE) }); controlErr != nil || err != nil {
 		s.t.Fatal(controlErr, err)
 	}
 	return value != 0
