backendconn: an answer whose status the protocol does not have is none

Callers saw: answers that no server had given. A backend server in trouble sent an answer with status 000; its body was read as the head of the next answer, so a body that begins like one reached the caller as a signed 200. Statuses from 600 on were forwarded as they are.

Cause: the library accepts any three digits, and two with a sign (-00, +20), and what it parses below 200 counted as an interim answer, which has no body. 101 counted as one too, though no request asks for another protocol.

Change: internal/answerhead checks heads as their bytes arrive, before the parser's result is used: a status is 100 to 599 but not 101, also in interim answers and in those to earlier requests. The connection is closed; the request may have run, so it goes to another server where it may be repeated, and gets 502 otherwise. It counts as a failure of the server, not as a crash. What the parser refuses by itself is left to it.

--- /dev/null
+++ b/internal/answerhead/checker.go
@@ -0,0 +1,150 @@
+// Package answerhead refuses heads of HTTP/1 answers that the HTTP libraries accept although the
+// protocol does not have them. Taken for answers, they would be forwarded, or frame a body otherwise
+// than its sender does.
+package answerhead
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalid says that the head of an answer is not valid. The request may have run.
+var ErrInvalid = errors.New("the head of the answer is not valid")
+
+// part is the part of a head that the next byte belongs to.
+type part int
+
+const (
+	partVersion    part = iota // of the status line, up to a blank
+	partStatus                 // with the blanks before it
+	partRestOfLine             // what isn't checked
+	partLineStart
+	partLineEnd // after a carriage return at the start of a line
+	partBody    // or what the library refuses by itself
+)
+
+// The statuses that an answer may have (RFC 9110, section 15).
+const (
+	statusDigits = 3
+	minStatus    = 100
+	maxStatus    = 599
+)
+
+// Checker checks the heads of the answer to one request, as their bytes arrive: those of interim
+// answers and the final one. The zero value is at the beginning.
+type Checker struct {
+	part   part
+	digits int // of the status that have come
+	status int
+}
+
+// Begin starts with the answer to the next request.
+func (c *Checker) Begin() { *c = Checker{} }
+
+// Check checks the next bytes of the connection. It returns an error that wraps ErrInvalid if the
+// head that they belong to is not valid. It passes over all that follows the final head.
+func (c *Checker) Check(data []byte) error {
+	for len(data) > 0 && c.part != partBody {
+		rest, err := c.checkPart(data)
+		if err != nil {
+			return err
+		}
+		data = rest
+	}
+	return nil
+}
+
+// checkPart checks the bytes that belong to the current part, and returns the others.
+func (c *Checker) checkPart(data []byte) ([]byte, error) {
+	switch c.part {
+	case partVersion:
+		return c.skipVersion(data), nil
+	case partStatus:
+		return data[1:], c.addToStatus(data[0])
+	case partRestOfLine:
+		return c.skipLine(data), nil
+	case partLineStart:
+		return c.beginLine(data), nil
+	case partLineEnd:
+		c.part = partBody
+		if data[0] == '\n' {
+			c.endHead()
+		}
+		return data[1:], nil
+	}
+	return nil, nil
+}
+
+// skipVersion skips the bytes before the status.
+func (c *Checker) skipVersion(data []byte) []byte {
+	end := bytes.IndexAny(data, " \n")
+	if end < 0 {
+		return nil
+	}
+	c.part = partStatus
+	if data[end] == '\n' {
+		c.part = partBody // no status line
+	}
+	return data[end+1:]
+}
+
+// addToStatus adds a byte to the status. The libraries accept any three digits, and net/http two with
+// a sign. Below 200 net/http takes the answer for an interim one, so that its body would be read as
+// the next answer; fasthttp takes 000 for 200.
+func (c *Checker) addToStatus(b byte) error {
+	switch {
+	case b == ' ' && c.digits == 0:
+		return nil
+	case (b == '+' || b == '-') && c.digits == 0:
+		return errors.Wrap(ErrInvalid, "the status has a sign")
+	case b < '0' || b > '9':
+		c.part = partBody // the library refuses it
+		return nil
+	}
+	c.status = 10*c.status + int(b-'0')
+	c.digits++
+	if c.digits < statusDigits {
+		return nil
+	}
+	c.part = partRestOfLine
+	// No request asks for another protocol, and the bytes of one are no answer.
+	if c.status < minStatus || c.status > maxStatus || c.status == http.StatusSwitchingProtocols {
+		return errors.Wrapf(ErrInvalid, "status %03d", c.status)
+	}
+	return nil
+}
+
+// skipLine skips the bytes up to the end of the line.
+func (c *Checker) skipLine(data []byte) []byte {
+	end := bytes.IndexByte(data, '\n')
+	if end < 0 {
+		return nil
+	}
+	c.part = partLineStart
+	return data[end+1:]
+}
+
+// beginLine looks at the first byte of a line after the status line.
+func (c *Checker) beginLine(data []byte) []byte {
+	switch data[0] {
+	case '\n':
+		c.endHead()
+		return data[1:]
+	case '\r':
+		c.part = partLineEnd
+		return data[1:]
+	}
+	c.part = partRestOfLine
+	return data
+}
+
+// endHead ends a head. Another one follows that of an interim answer.
+func (c *Checker) endHead() {
+	if c.status < http.StatusOK {
+		c.Begin()
+		return
+	}
+	c.part = partBody
+}
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -343,7 +343,10 @@
 
 // readFinalHead reads the head of the next answer that is not an interim one.
 func readFinalHead(c *conn, sent *http.Request) (*http.Response, error) {
-	c.limiter.begin()
+	readAhead, _ := c.reader.Peek(c.reader.Buffered()) // never more than there is
+	if err := c.limiter.begin(readAhead); err != nil {
+		return nil, err
+	}
 	defer c.limiter.end()
 	for range maxInterimAnswers {
 		response, err := http.ReadResponse(c.reader, sent)
--- a/internal/backendconn/limits.go
+++ b/internal/backendconn/limits.go
@@ -5,6 +5,8 @@
 	"io"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 )
 
 const (
@@ -25,20 +27,24 @@
 var ErrAnswerTooLarge = errors.New("the backend server sent more than an answer may have")
 
 // headLimiter is a reader that fails with ErrAnswerTooLarge when the head of an answer exceeds
-// its bounds. It limits nothing outside of heads.
+// its bounds, and with answerhead.ErrInvalid when it is not valid. It limits nothing outside of heads.
 type headLimiter struct {
 	reader    io.Reader
 	inHead    bool
 	bytesLeft int
 	linesLeft int
+	checker   answerhead.Checker
 	// err is why the rest of the head could not be read. The parser drops it if a part of a line
 	// has come, and fails for that part.
 	err error
 }
 
-// begin starts the head of an answer.
-func (l *headLimiter) begin() {
+// begin starts the head of an answer, of which the bytes have been read ahead. It returns an error if
+// they show that it is not valid.
+func (l *headLimiter) begin(readAhead []byte) error {
 	l.inHead, l.bytesLeft, l.linesLeft, l.err = true, maxHeadBytes, maxHeadLines, nil
+	l.checker.Begin()
+	return l.checker.Check(readAhead)
 }
 
 // end ends the head. What has been read ahead belongs to the body.
@@ -59,5 +65,9 @@
 	l.err = err
 	l.bytesLeft -= n
 	l.linesLeft -= bytes.Count(p[:n], []byte{'\n'})
+	if invalid := l.checker.Check(p[:n]); invalid != nil {
+		l.err = invalid
+		return 0, l.err
+	}
 	return n, err
 }
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/knowledge"
@@ -407,9 +408,8 @@
 	if errors.Is(err, backendconn.ErrUnidentified) {
 		return outcomeBroken // the server may have rejected it, which is no failure
 	}
-	if errors.Is(err, backendconn.ErrAnswerTooLarge) || errors.Is(err, backendconn.ErrUnacknowledged) {
-		// This router has closed the connection, so the server did not crash, or has not received the
-		// request.
+	if closedByRouter(err) {
+		// The server did not crash, or has not received the request.
 		h.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
 		return outcomeBroken
 	}
@@ -417,6 +417,12 @@
 	return outcomeBroken
 }
 
+// closedByRouter reports whether this router closed the connection of an exchange that failed.
+func closedByRouter(err error) bool {
+	return errors.Is(err, backendconn.ErrAnswerTooLarge) || errors.Is(err, answerhead.ErrInvalid) ||
+		errors.Is(err, backendconn.ErrUnacknowledged)
+}
+
 // deliberatelyUnsent reports whether this router did not try to send a request, which says nothing
 // about the backend server.
 func deliberatelyUnsent(err error) bool {
