agent, platform: answers with an invalid status are none on the older path

Its HTTP library keeps the status 000 as 0 and then states 200 for it: the agent held such an answer as a whole 200, counted a server as healthy by it, and a record of the platform counted as written. Statuses from 001 to 099, 101 and from 600 on were held and forwarded.

The agent's connections to backend servers, and those to the platform, check heads with answerhead.Conn.

TestInvalidStatusFails failed in 48 of 64 cases before (-00 and +20 were refused by the library), TestProbeAnswerWithAnInvalidStatusFails for 000, TestReplyWithAnInvalidStatusIsAnError for 000 in all four calls. All pass now. Answers of agents to routers have frames with checksums, so nothing changes there.

--- a/internal/agent/backend.go
+++ b/internal/agent/backend.go
@@ -78,13 +78,13 @@
 	return errors.As(err, &dial)
 }
 
-func (b *backend) dial(ctx context.Context, silence time.Duration) (backendConn, error) {
+func (b *backend) dial(ctx context.Context, silence time.Duration) (*backendConn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", string(b.address))
 	if err != nil {
-		return backendConn{}, dialError{errors.WithStack(err)}
+		return nil, dialError{errors.WithStack(err)}
 	}
-	return backendConn{&progressConn{Conn: conn, read: silence, write: writeTimeout}}, nil
+	return newBackendConn(&progressConn{Conn: conn, read: silence, write: writeTimeout}), nil
 }
 
 func (b *backend) dialKept(string) (net.Conn, error) {
--- a/internal/agent/backend_conn.go
+++ b/internal/agent/backend_conn.go
@@ -2,18 +2,30 @@
 
 import (
 	"io"
+	"net"
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 	"github.com/bluebellchute/bluebellchute/internal/backendconn"
 )
 
-// backendConn is a connection to the backend server. Its end is read as one only if the server has
-// received all that was written, since a body may end with its connection.
-type backendConn struct{ *progressConn }
+// backendConn is a connection to the backend server, on which the heads of answers are checked.
+type backendConn struct {
+	*answerhead.Conn
+	tcp net.Conn
+}
+
+func newBackendConn(connection *progressConn) *backendConn {
+	return &backendConn{Conn: answerhead.NewConn(orderlyConn{connection}), tcp: connection.Conn}
+}
+
+// orderlyConn is a connection whose end is read as one only if the peer has received all that was
+// written, since the body of an answer may end with its connection.
+type orderlyConn struct{ *progressConn }
 
 // Read implements net.Conn.
-func (c backendConn) Read(p []byte) (int, error) {
+func (c orderlyConn) Read(p []byte) (int, error) {
 	n, err := c.progressConn.Read(p)
 	if err != io.EOF {
 		return n, err
--- /dev/null
+++ b/internal/agent/invalid_head_test.go
@@ -0,0 +1,63 @@
+package agent
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/bluebellchute/bluebellchute/internal/settings"
+	"github.com/bluebellchute/bluebellchute/internal/testresponse"
+)
+
+// invalidStatuses are statuses that the protocol does not have, or not without being asked for.
+var invalidStatuses = []string{"000", "001", "099", "-00", "+20", "101", "600", "999"}
+
+// Guards against an answer with such a status that is held as one.
+func TestInvalidStatusFails(t *testing.T) {
+	for _, status := range invalidStatuses {
+		for name, rest := range map[string]string{
+			"text":               "Content-Length: 5\r\n\r\nwhole",
+			"no body":            "Content-Length: 0\r\n\r\n",
+			"no length":          "\r\nwhole",
+			"answer in its body": "Content-Length: 43\r\n\r\n" + framedAnswer("length", "text/plain", "whole", 0),
+		} {
+			for _, kind := range []settings.ServiceKind{settings.KindPlain, settings.KindModel} {
+				at := healthyAnd(t, func(*http.Request) (string, testresponse.End) {
+					return fmt.Sprintf("HTTP/1.1 %s X\r\n%s", status, rest), testresponse.Close
+				})
+				if end, body := runAt(t, at, kind); end.End != RunFailed {
+					t.Errorf("%s, %s, %v: end %+v, %q; want a failure", status, name, kind, end, body)
+				}
+			}
+		}
+	}
+}
+
+// Guards against a backend server that counts as healthy, or as without load, by an answer with such a
+// status.
+func TestProbeAnswerWithAnInvalidStatusFails(t *testing.T) {
+	for _, status := range invalidStatuses {
+		at := newBackend(testresponse.Serve(t, func(*http.Request) (string, testresponse.End) {
+			return fmt.Sprintf("HTTP/1.1 %s X\r\nContent-Length: 12\r\n\r\n{\"slots\":12}", status), testresponse.Close
+		}))
+		if at.healthy() {
+			t.Errorf("%s counts as healthy", status)
+		}
+		var report loadReport
+		if err := at.get(loadPath, &report); err == nil {
+			t.Errorf("%s counts as the load %+v", status, report)
+		}
+	}
+}
+
+// Guards against an answer that is refused for the interim answers before it.
+func TestInterimAnswersAreSkipped(t *testing.T) {
+	at := healthyAnd(t, func(*http.Request) (string, testresponse.End) {
+		return "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" + framedAnswer("length", "text/plain", "whole", 0), testresponse.Keep
+	})
+	for range 2 { // on one connection
+		if end, body := runAt(t, at, settings.KindPlain); end.End != RunComplete || body != "whole" {
+			t.Errorf("end %+v, %q", end, body)
+		}
+	}
+}
--- a/internal/agent/kept_conn.go
+++ b/internal/agent/kept_conn.go
@@ -10,7 +10,7 @@
 // request only if nothing has arrived since the answer before: such bytes would be taken for the
 // answer to that request, which does not name it.
 type keptConn struct {
-	backendConn
+	*backendConn
 	answered bool // something was read since the last write
 }
 
@@ -26,7 +26,7 @@
 
 // Write implements net.Conn.
 func (c *keptConn) Write(p []byte) (int, error) {
-	if c.answered && !backendconn.IsQuiet(c.Conn) {
+	if c.answered && !backendconn.IsQuiet(c.tcp) {
 		return 0, errNotQuiet
 	}
 	c.answered = false
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
 
@@ -67,7 +68,7 @@
 	if err != nil {
 		return nil, errors.Wrap(errDial, err.Error())
 	}
-	return connection, nil
+	return answerhead.NewConn(connection), nil
 }
 
 // Close closes the idle connections.
--- a/internal/platform/cut_test.go
+++ b/internal/platform/cut_test.go
@@ -11,20 +11,25 @@
 	"github.com/bluebellchute/bluebellchute/internal/testresponse"
 )
 
+// rawCalls are calls that succeed with a reply whose body is rawBody.
+var rawCalls = map[string]func(ctx context.Context, client *Client) error{
+	"get":  func(ctx context.Context, client *Client) error { _, err := client.Get(ctx, "k"); return err },
+	"list": func(ctx context.Context, client *Client) error { _, _, err := client.List(ctx, "k"); return err },
+	"watch": func(ctx context.Context, client *Client) error {
+		_, _, err := client.Watch(ctx, "k", 1, time.Second)
+		return err
+	},
+	"put": func(ctx context.Context, client *Client) error { _, err := client.Put(ctx, "k", nil, 0); return err },
+}
+
+const rawBody = `{"version":7}`
+
 // Guards against a reply of the platform that is broken off at any byte and counts: a record would be
 // overwritten, or a list have no records. It comes as the first reply on a connection and as the second.
 func TestReplyCutAtAnyByteIsAnError(t *testing.T) {
 	const first = "HTTP/1.1 200 OK\r\n" + headerVersion + ": 7\r\nContent-Length: 2\r\n\r\n{}"
-	for name, call := range map[string]func(ctx context.Context, client *Client) error{
-		"get":  func(ctx context.Context, client *Client) error { _, err := client.Get(ctx, "k"); return err },
-		"list": func(ctx context.Context, client *Client) error { _, _, err := client.List(ctx, "k"); return err },
-		"watch": func(ctx context.Context, client *Client) error {
-			_, _, err := client.Watch(ctx, "k", 1, time.Second)
-			return err
-		},
-		"put": func(ctx context.Context, client *Client) error { _, err := client.Put(ctx, "k", nil, 0); return err },
-	} {
-		for _, response := range testresponse.Framed(http.StatusOK, `{"version":7}`, headerVersion+": 7", "X-A: b") {
+	for name, call := range rawCalls {
+		for _, response := range testresponse.Framed(http.StatusOK, rawBody, headerVersion+": 7", "X-A: b") {
 			for _, end := range []testresponse.End{testresponse.Close, testresponse.Reset} {
 				t.Run(fmt.Sprintf("%s, %s, end %d", name, response.Name, end), func(t *testing.T) {
 					t.Parallel()
--- /dev/null
+++ b/internal/platform/invalid_head_test.go
@@ -0,0 +1,25 @@
+package platform
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/bluebellchute/bluebellchute/internal/testresponse"
+)
+
+// Guards against a reply that counts although its status is none that the protocol has: a record
+// would count as written.
+func TestReplyWithAnInvalidStatusIsAnError(t *testing.T) {
+	for name, call := range rawCalls {
+		for _, status := range []string{"000", "001", "099", "-00", "+20", "101", "600", "999"} {
+			client := NewClient(testresponse.Serve(t, func(*http.Request) (string, testresponse.End) {
+				return fmt.Sprintf("HTTP/1.1 %s X\r\n%s: 7\r\nContent-Length: %d\r\n\r\n%s", status, headerVersion, len(rawBody), rawBody), testresponse.Close
+			}), ClientOptions{})
+			t.Cleanup(client.Close)
+			if call(t.Context(), client) == nil {
+				t.Errorf("%s: %s counts as a reply", name, status)
+			}
+		}
+	}
+}
