backendconn, agent: an answer with an invalid field name is none

Callers saw: an answer with a line that is no field, or with a body that was not the server's. In a head with "Content-Length : 4" or "Transfer-Encoding : chunked" the body lost its framing: callers got more than the body, or the raw chunks, as a whole answer. "X Odd: v" was forwarded.

Cause: the HTTP libraries accept blanks in names. net/http takes such a field for another one, fasthttp for the one without the blank. They also join a line that begins with a blank to the one before, which has the same effect. Control bytes, a missing name and bytes above 127 they refuse.

Change: answerhead.Checker refuses both, in final heads, interim answers and answers to earlier requests, and CheckFields does in trailers that net/http has parsed. RFC 9112 lets a proxy refuse a folded line (section 5.2), and its senders must not send one. What follows is as for invalid statuses: another server, or 502.

Changed test: the row "folded value" of TestHeadWithoutEndIsGivenUp is a test of its own, TestFoldedFieldWithoutEndIsGivenUp. It asserts the same but for the error: such a head is given up at its first folded line now, before any bound.

Not changed: a folded line in a trailer, and on the older path a trailer's name with a blank, pass; trailers are not forwarded, and the body before them is whole.

--- a/internal/agent/invalid_head_test.go
+++ b/internal/agent/invalid_head_test.go
@@ -50,6 +50,31 @@
 	}
 }
 
+// invalidFields are lines of a head that are no fields, or whose names have a blank or a control byte.
+var invalidFields = []string{
+	"X Odd: v\r\n", "X-Odd : v\r\n", "X-A: v\r\n X-Odd: v\r\n", "X-A: v\r\n\tmore\r\n", "X-\x00Odd: v\r\n", "X-Odd\t: v\r\n", "X-Odd\x7f: v\r\n",
+	"Content-Length : 4\r\n", "X-A: v\r\n Content-Length: 4\r\n", "Transfer-Encoding : chunked\r\n",
+}
+
+// Guards against an answer with such a line that is held as one: the line would be forwarded, or the
+// body be another than the server sent.
+func TestInvalidFieldFails(t *testing.T) {
+	for _, line := range invalidFields {
+		for _, before := range []string{"", "HTTP/1.1 103 X\r\n" + line + "\r\n"} {
+			for _, kind := range []settings.ServiceKind{settings.KindPlain, settings.KindModel} {
+				answer := "HTTP/1.1 200 OK\r\nX-B: v\r\n" + line + "\r\n5\r\nwhole\r\n0\r\n\r\n"
+				if before != "" {
+					answer = before + framedAnswer("length", "text/plain", "whole", 0)
+				}
+				at := healthyAnd(t, func(*http.Request) (string, testresponse.End) { return answer, testresponse.Close })
+				if end, body := runAt(t, at, kind); end.End != RunFailed {
+					t.Errorf("%q, %v: end %+v, %q; want a failure", answer, kind, end, body)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an answer that is refused for the interim answers before it.
 func TestInterimAnswersAreSkipped(t *testing.T) {
 	at := healthyAnd(t, func(*http.Request) (string, testresponse.End) {
--- a/internal/answerhead/checker.go
+++ b/internal/answerhead/checker.go
@@ -13,6 +13,8 @@
 // ErrInvalid says that the head of an answer is not valid. The request may have run.
 var ErrInvalid = errors.New("the head of the answer is not valid")
 
+var errBlankInName = errors.Wrap(ErrInvalid, "the name of a field has a blank")
+
 // part is the part of a head that the next byte belongs to.
 type part int
 
@@ -22,7 +24,8 @@
 	partRestOfLine             // what isn't checked
 	partLineStart
 	partLineEnd // after a carriage return at the start of a line
-	partBody    // or what the library refuses by itself
+	partName
+	partBody // or what the library refuses by itself
 )
 
 // The statuses that an answer may have (RFC 9110, section 15).
@@ -66,13 +69,15 @@
 	case partRestOfLine:
 		return c.skipLine(data), nil
 	case partLineStart:
-		return c.beginLine(data), nil
+		return c.beginLine(data)
 	case partLineEnd:
 		c.part = partBody
 		if data[0] == '\n' {
 			c.endHead()
 		}
 		return data[1:], nil
+	case partName:
+		return c.skipName(data)
 	}
 	return nil, nil
 }
@@ -126,18 +131,39 @@
 	return data[end+1:]
 }
 
-// beginLine looks at the first byte of a line after the status line.
-func (c *Checker) beginLine(data []byte) []byte {
+// beginLine looks at the first byte of a line after the status line. The libraries join a line that
+// begins with a blank to the one before it, so that a field loses its meaning. A recipient may refuse
+// such lines (RFC 9112, section 5.2).
+func (c *Checker) beginLine(data []byte) ([]byte, error) {
 	switch data[0] {
 	case '\n':
 		c.endHead()
-		return data[1:]
+		return data[1:], nil
 	case '\r':
 		c.part = partLineEnd
-		return data[1:]
+		return data[1:], nil
+	case ' ', '\t':
+		return nil, errors.Wrap(ErrInvalid, "a line begins with a blank")
+	}
+	c.part = partName
+	return data, nil
+}
+
+// skipName skips the name of a field. The libraries accept blanks in it: net/http takes the field for
+// another one, fasthttp for the one without blanks at the end.
+func (c *Checker) skipName(data []byte) ([]byte, error) {
+	end := bytes.IndexAny(data, ": \n")
+	switch {
+	case end < 0:
+		return nil, nil
+	case data[end] == ' ':
+		return nil, errors.WithStack(errBlankInName)
+	case data[end] == '\n':
+		c.part = partBody // the library refuses a line without a colon
+		return nil, nil
 	}
 	c.part = partRestOfLine
-	return data
+	return data[end+1:], nil
 }
 
 // endHead ends a head. Another one follows that of an interim answer.
--- a/internal/backendconn/certainty.go
+++ b/internal/backendconn/certainty.go
@@ -285,7 +285,7 @@
 	if request.Match(response.Header) != MatchOwn {
 		return false, errors.New("the answer belongs to another request")
 	}
-	if skipBody(response.Body) != nil || response.Close || c.reader.Buffered() > 0 {
+	if skipBody(response) != nil || response.Close || c.reader.Buffered() > 0 {
 		return false, nil
 	}
 	return c.SetDeadline(time.Time{}) == nil, nil
--- a/internal/backendconn/exchange.go
+++ b/internal/backendconn/exchange.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 	"github.com/bluebellchute/bluebellchute/internal/boottime"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 )
@@ -69,7 +70,7 @@
 	// Unidentified means that the answer names no request and may belong to none.
 	Unidentified bool
 
-	body          io.ReadCloser
+	response      *http.Response
 	pool          *Pool
 	address       fleet.Address
 	conn          *conn
@@ -153,7 +154,7 @@
 		Length:        response.ContentLength,
 		Framing:       framingOf(response),
 		Unidentified:  c.unidentified && request.Match(response.Header) == MatchUnidentified,
-		body:          response.Body,
+		response:      response,
 		pool:          p,
 		address:       address,
 		conn:          c,
@@ -288,7 +289,7 @@
 			}
 			return response, nil
 		}
-		if err := skipBody(response.Body); err != nil {
+		if err := skipBody(response); err != nil {
 			return nil, err
 		}
 		if response.Close {
@@ -302,12 +303,15 @@
 func (r *Request) sent() *http.Request { return &http.Request{Method: r.Method} }
 
 // skipBody reads the body of an answer to an earlier request to its end.
-func skipBody(body io.Reader) error {
-	skipped, err := io.Copy(io.Discard, io.LimitReader(body, maxStrayBytes))
+func skipBody(response *http.Response) error {
+	skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBytes))
 	if err == nil && skipped == maxStrayBytes {
 		return errors.Wrap(ErrAnswerTooLarge, "an answer to another request")
 	}
-	return err
+	if err != nil {
+		return err
+	}
+	return answerhead.CheckFields(response.Trailer)
 }
 
 // errSpliced ends an exchange whose answer follows a part of another one within a line.
@@ -378,13 +382,13 @@
 // Read reads the body. It returns io.EOF only at the end of a complete body. If that is the end of the
 // connection, it waits until the backend server has received the request.
 func (a *Answer) Read(p []byte) (int, error) {
-	n, err := a.body.Read(p)
+	n, err := a.response.Body.Read(p)
 	if now := boottime.Now(); n > 0 && now.Sub(a.heard) > maxUnheard/2 {
 		a.heard = now
 		a.pool.markHeard(a.address, now)
 	}
-	if err == io.EOF && a.Framing == FramingClose && !a.complete && !a.discarded {
-		err = a.checkOrderlyEnd()
+	if err == io.EOF && !a.complete && !a.discarded {
+		err = a.checkEnd()
 	}
 	if err == io.EOF {
 		a.complete = true
@@ -397,6 +401,19 @@
 	return n, err
 }
 
+// checkEnd returns io.EOF if the body, which has been read to its end, is complete, or why it is not.
+func (a *Answer) checkEnd() error {
+	switch a.Framing {
+	case FramingClose:
+		return a.checkOrderlyEnd()
+	case FramingChunks:
+		if err := answerhead.CheckFields(a.response.Trailer); err != nil {
+			return err
+		}
+	}
+	return io.EOF
+}
+
 // Discard reads the rest of the body, if that has no more than maxBytes and comes within
 // maxTime. Otherwise Close closes the connection.
 func (a *Answer) Discard(maxBytes int64, maxTime time.Duration) {
--- a/internal/backendconn/limits_test.go
+++ b/internal/backendconn/limits_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 )
 
 // endless writes the beginning and then the part until the connection is closed. It pauses
@@ -25,6 +27,12 @@
 
 // wantTooLarge checks that the request ends with ErrAnswerTooLarge while its caller still waits.
 func wantTooLarge(t *testing.T, handle func(conn net.Conn, reader *bufio.Reader)) {
+	t.Helper()
+	wantGivenUp(t, ErrAnswerTooLarge, handle)
+}
+
+// wantGivenUp checks that the request ends with the error while its caller still waits.
+func wantGivenUp(t *testing.T, want error, handle func(conn net.Conn, reader *bufio.Reader)) {
 	t.Helper()
 	server := serve(t, handle)
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
@@ -34,8 +42,8 @@
 	if err == nil {
 		answer.Close()
 	}
-	if !errors.Is(err, ErrAnswerTooLarge) || ctx.Err() != nil || ProgressOf(err) != ProgressSent {
-		t.Errorf("%v, progress %v, context %v; want ErrAnswerTooLarge at once", err, ProgressOf(err), ctx.Err())
+	if !errors.Is(err, want) || ctx.Err() != nil || ProgressOf(err) != ProgressSent {
+		t.Errorf("%v, progress %v, context %v; want %q at once", err, ProgressOf(err), ctx.Err(), want)
 	}
 	if open := pool.Open(server.address); open != 0 {
 		t.Errorf("%d connections are kept", open)
@@ -50,7 +58,6 @@
 		"no line at all":    {"", long},
 		"field name":        {"HTTP/1.1 200 OK\r\n", long},
 		"field value":       {"HTTP/1.1 200 OK\r\nX-Fill: ", long},
-		"folded value":      {"HTTP/1.1 200 OK\r\nX-Fill: x\r\n", strings.Repeat(" x\r\n", 512)},
 		"many fields":       {"HTTP/1.1 200 OK\r\n", strings.Repeat("X-Fill: x\r\n", 512)},
 		"many short fields": {"HTTP/1.1 200 OK\n", strings.Repeat("a:\nb:\n", 256)},
 		"interim answer":    {"HTTP/1.1 103 Early Hints\r\nX-Fill: ", long},
@@ -65,6 +72,14 @@
 	}
 }
 
+// Guards against a folded field without end, which takes the process over its memory.
+func TestFoldedFieldWithoutEndIsGivenUp(t *testing.T) {
+	wantGivenUp(t, answerhead.ErrInvalid, func(conn net.Conn, reader *bufio.Reader) {
+		readRequest(reader)
+		endless(conn, "HTTP/1.1 200 OK\r\nX-Fill: x\r\n", strings.Repeat(" x\r\n", 512))
+	})
+}
+
 // Guards against a head without end that counts as malformed, which is taken for a crash of the
 // server, if its bound is reached within a line.
 func TestBoundOfAHeadIsReachedWithinALine(t *testing.T) {
--- a/internal/gate/relay.go
+++ b/internal/gate/relay.go
@@ -439,7 +439,7 @@
 	if errors.Is(err, errAnswerMemory) {
 		return outcomeBroken // tells nothing about the server
 	}
-	if answer.EndMarked() || errors.Is(err, errEventTooLong) {
+	if answer.EndMarked() || errors.Is(err, errEventTooLong) || errors.Is(err, answerhead.ErrInvalid) {
 		// The server itself has ended it, or this router has, so the server did not crash.
 		r.handler.admission.loads.recordAnswer(placed.backend.Incarnation, false, 0)
 		return outcomeBroken
--- a/internal/platform/invalid_head_test.go
+++ b/internal/platform/invalid_head_test.go
@@ -23,3 +23,19 @@
 		}
 	}
 }
+
+// Guards against a reply that counts although the name of a field has a blank, so that a record would
+// have another version.
+func TestReplyWithAnInvalidFieldIsAnError(t *testing.T) {
+	for name, call := range rawCalls {
+		for _, field := range []string{headerVersion + " : 9", "X Odd: v", "X-A: v\r\n " + headerVersion + ": 9"} {
+			client := NewClient(testresponse.Serve(t, func(*http.Request) (string, testresponse.End) {
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s\r\nContent-Length: %d\r\n\r\n%s", field, len(rawBody), rawBody), testresponse.Close
+			}), ClientOptions{})
+			t.Cleanup(client.Close)
+			if call(t.Context(), client) == nil {
+				t.Errorf("%s: a reply with %q counts", name, field)
+			}
+		}
+	}
+}
