answerhead: responses of the store and of routers have valid field names

With "Store-Era : 3" a response counted for the newest known era; with "Transfer-Encoding : chunked" or "Content-Length : 12" it got another body than was sent, which only the syntax of its body could show. Replies of routers with such a line were applied.

RequireValid checks the names of fields too, and calls to routers go through it.

Not changed: net/http joins folded lines in these heads, as RFC 9112, section 5.2, allows, and handles interim responses by itself.

--- a/internal/answerhead/transport.go
+++ b/internal/answerhead/transport.go
@@ -38,5 +38,5 @@
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
 		return errors.Wrapf(ErrInvalid, "status %03d", response.StatusCode)
 	}
-	return nil
+	return CheckFields(response.Header)
 }
--- a/internal/peering/network.go
+++ b/internal/peering/network.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sync/errgroup"
 
+	"github.com/bluebellchute/bluebellchute/internal/answerhead"
 	"github.com/bluebellchute/bluebellchute/internal/daemon"
 	"github.com/bluebellchute/bluebellchute/internal/fleet"
 	"github.com/bluebellchute/bluebellchute/internal/peering/peeringpb"
@@ -75,11 +76,11 @@
 	}, nil
 }
 
-// BoundedTransport returns a transport for calls to routers: their replies must be framed, and
-// are bounded in size. It changes the given one.
+// BoundedTransport returns a transport for calls to routers: the heads of their replies must be valid
+// and state the framing, and replies are bounded in size. It changes the given one.
 func BoundedTransport(transport *http.Transport) http.RoundTripper {
 	transport.MaxResponseHeaderBytes = maxCallHeaderBytes
-	return fleet.LimitReplies(fleet.RequireFraming(transport), maxReplyBytes)
+	return fleet.LimitReplies(fleet.RequireFraming(answerhead.RequireValid(transport)), maxReplyBytes)
 }
 
 // Serve implements Network.
