--- a/internal/answerhead/checker.go
+++ b/internal/answerhead/checker.go
@@ -84,15 +84,17 @@
 
 // skipVersion skips the bytes before the status.
 func (c *Checker) skipVersion(data []byte) []byte {
-	end := bytes.IndexAny(data, " \n")
-	if end < 0 {
-		return nil
-	}
-	c.part = partStatus
-	if data[end] == '\n' {
-		c.part = partBody // no status line
+	for i, b := range data {
+		switch b {
+		case ' ':
+			c.part = partStatus
+			return data[i+1:]
+		case '\n':
+			c.part = partBody // no status line
+			return nil
+		}
 	}
-	return data[end+1:]
+	return nil
 }
 
 // addToStatus adds a byte to the status. The libraries accept any three digits, and net/http two with
@@ -152,18 +154,19 @@
 // skipName skips the name of a field. The libraries accept blanks in it: net/http takes the field for
 // another one, fasthttp for the one without blanks at the end.
 func (c *Checker) skipName(data []byte) ([]byte, error) {
-	end := bytes.IndexAny(data, ": \n")
-	switch {
-	case end < 0:
-		return nil, nil
-	case data[end] == ' ':
-		return nil, errors.WithStack(errBlankInName)
-	case data[end] == '\n':
-		c.part = partBody // the library refuses a line without a colon
-		return nil, nil
+	for i, b := range data {
+		switch b {
+		case ':':
+			c.part = partRestOfLine
+			return data[i+1:], nil
+		case ' ':
+			return nil, errors.WithStack(errBlankInName)
+		case '\n':
+			c.part = partBody // the library refuses a line without a colon
+			return nil, nil
+		}
 	}
-	c.part = partRestOfLine
-	return data[end+1:], nil
+	return nil, nil
 }
 
 // endHead ends a head. Another one follows that of an interim answer.
