answerhead: chunks of HTTP/1.0 are no answer

An answer of HTTP/1.0 with Transfer-Encoding reached callers with the raw chunks as a whole body, or with a part of them where it also had a length.

Cause: HTTP/1.0 has no chunks, and both HTTP libraries ignore the field there. RFC 9112, section 6.1, has a recipient treat the framing as faulty.

Answers of HTTP/1.0 with a length or an end of the connection are forwarded as before (TestValidStatusIsForwarded, TestAnswerCutAtAnyByteIsNotWhole). Not changed: the store and calls between routers, whose bodies have a syntax or must be framed.

--- a/internal/agent/invalid_head_test.go
+++ b/internal/agent/invalid_head_test.go
@@ -75,6 +75,21 @@
 	}
 }
 
+// Guards against raw chunks that are held as an answer: HTTP/1.0 does not have chunks, and the HTTP library
+// ignores the field.
+func TestChunksOfHTTP10Fail(t *testing.T) {
+	for _, fields := range []string{"Transfer-Encoding: chunked\r\n", "Content-Length: 3\r\ntransfer-encoding:chunked\r\n"} {
+		for _, kind := range []settings.ServiceKind{settings.KindPlain, settings.KindModel} {
+			at := healthyAnd(t, func(*http.Request) (string, testresponse.End) {
+				return "HTTP/1.0 200 OK\r\n" + fields + "\r\n5\r\nwhole\r\n0\r\n\r\n", testresponse.Close
+			})
+			if end, body := runAt(t, at, kind); end.End != RunFailed {
+				t.Errorf("%q, %v: end %+v, %q; want a failure", fields, kind, end, body)
+			}
+		}
+	}
+}
+
 // Guards against an answer that is refused for the interim answers before it.
 func TestInterimAnswersAreSkipped(t *testing.T) {
 	at := healthyAnd(t, func(*http.Request) (string, testresponse.End) {
--- a/internal/answerhead/checker.go
+++ b/internal/answerhead/checker.go
@@ -39,8 +39,11 @@
 // answers and the final one. The zero value is at the beginning.
 type Checker struct {
 	part   part
-	digits int // of the status that have come
+	minor  byte // the last one of the protocol's version
+	digits int  // of the status that have come
 	status int
+	// matched is how many bytes of the current name are those of transferEncoding, -1 if one is not.
+	matched int
 }
 
 // Begin starts with the answer to the next request.
@@ -93,6 +96,7 @@
 			c.part = partBody // no status line
 			return nil
 		}
+		c.minor = b
 	}
 	return nil
 }
@@ -147,10 +151,27 @@
 	case ' ', '\t':
 		return nil, errors.Wrap(ErrInvalid, "a line begins with a blank")
 	}
-	c.part = partName
+	c.part, c.matched = partName, 0
 	return data, nil
 }
 
+// transferEncoding is the name of a field that HTTP/1.0 does not have. The libraries ignore it there,
+// so that a body in chunks is taken as it comes (RFC 9112, section 6.1).
+const transferEncoding = "transfer-encoding"
+
+// matchTransferEncoding compares the next byte of a name.
+func (c *Checker) matchTransferEncoding(b byte) {
+	const toLower = 'a' - 'A'
+	if 'A' <= b && b <= 'Z' {
+		b += toLower
+	}
+	if c.matched < 0 || c.matched == len(transferEncoding) || transferEncoding[c.matched] != b {
+		c.matched = -1
+		return
+	}
+	c.matched++
+}
+
 // skipName skips the name of a field. The libraries accept blanks in it: net/http takes the field for
 // another one, fasthttp for the one without blanks at the end.
 func (c *Checker) skipName(data []byte) ([]byte, error) {
@@ -158,6 +179,9 @@
 		switch b {
 		case ':':
 			c.part = partRestOfLine
+			if c.matched == len(transferEncoding) {
+				return nil, errors.Wrap(ErrInvalid, "transfer encoding in HTTP/1.0")
+			}
 			return data[i+1:], nil
 		case ' ':
 			return nil, errors.WithStack(errBlankInName)
@@ -165,6 +189,9 @@
 			c.part = partBody // the library refuses a line without a colon
 			return nil, nil
 		}
+		if c.minor == '0' {
+			c.matchTransferEncoding(b)
+		}
 	}
 	return nil, nil
 }
--- a/internal/answerhead/checker_test.go
+++ b/internal/answerhead/checker_test.go
@@ -18,6 +18,8 @@
 	"HTTP/1.1 103 X\r\nLink: x\r\n\r\nHTTP/1.1 199\r\n\r\nHTTP/1.1 404 Not Found\r\n\r\nHTTP/1.1 000 X\r\n",
 	"HTTP/1.1 200 OK\r\na:b\r\nX-Odd: c : d \r\nX-None:\r\n\r\nno head : x\r\n x\r\n",
 	"HTTP/1.1 200 OK\r\nno-field\x00:\r\n" + body, "HTTP/1.1 200 OK\r\nno-field\r\nX Odd: v\r\n",
+	"HTTP/1.0 200 OK\r\ntransfer-encodin: x\r\ntransfer-encodings: x\r\nx: transfer-encoding: x\r\n" + body,
+	"HTTP/1.0 103 X\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
 	"HTTP/1.1 200 OK\r\nX-Odd", "HTTP/1.1 200 OK\r\n\rX Odd: v\r\n",
 	"", "HTTP/1.1", "HTTP/1.1 ", "HTTP/1.1 20",
 	"no answer\r\n000 \r\n", "HTTP/1.1 2x0 X\r\n", "HTTP/1.1\r\n000 X", // which the libraries refuse
@@ -42,6 +44,8 @@
 	"HTTP/1.1 200 OK\r\nX-Odd: v\r\n\tmore\r\n" + body,
 	"HTTP/1.1 200 OK\nX-Odd: v\n more",
 	"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding ",
+	"HTTP/1.0 200 OK\r\nX-Odd: v\r\nTransfer-Encoding: chunked\r\n\r\n",
+	"HTTP/1.1 103 X\r\n\r\nHTTP/1.0 200 OK\nTRANSFER-encoding:\n\n",
 	"HTTP/1.1 103 X\r\nX Odd: v\r\n\r\nHTTP/1.1 200 OK\r\n" + body,
 	"HTTP/1.1 103 X\r\n\r\nHTTP/1.1 200 OK\r\nX-Odd : v\r\n" + body,
 }
