--- a/internal/agent/backend_conn.go
+++ b/internal/agent/backend_conn.go
@@ -13,7 +13,7 @@
 // backendConn is a connection to the backend server, on which the heads of answers are checked.
 type backendConn struct {
 	*answerhead.Conn
-	tcp net.Conn
+	tcp net.Conn // below, to look at the socket
 }
 
 func newBackendConn(connection *progressConn) *backendConn {
--- a/internal/agent/invalid_head_test.go
+++ b/internal/agent/invalid_head_test.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// invalidFields are lines of a head that are no fields, or whose names have a blank or a control byte.
+// invalidFields are lines of a head that are no fields, or whose names have whitespace or a control byte.
 var invalidFields = []string{
 	"X Odd: v\r\n", "X-Odd : v\r\n", "X-A: v\r\n X-Odd: v\r\n", "X-A: v\r\n\tmore\r\n", "X-\x00Odd: v\r\n", "X-Odd\t: v\r\n", "X-Odd\x7f: v\r\n",
 	"Content-Length : 4\r\n", "X-A: v\r\n Content-Length: 4\r\n", "Transfer-Encoding : chunked\r\n",
--- a/internal/answerhead/checker.go
+++ b/internal/answerhead/checker.go
@@ -1,6 +1,6 @@
-// Package answerhead refuses heads of HTTP/1 answers that the HTTP libraries accept although the
-// protocol does not have them. Taken for answers, they would be forwarded, or frame a body otherwise
-// than its sender does.
+// Package answerhead refuses heads of HTTP/1 answers (status line and header) that the HTTP libraries
+// accept although they are not valid. They would be forwarded, or give a body another framing than
+// its sender meant.
 package answerhead
 
 import (
@@ -13,19 +13,19 @@
 // ErrInvalid says that the head of an answer is not valid. The request may have run.
 var ErrInvalid = errors.New("the head of the answer is not valid")
 
-var errBlankInName = errors.Wrap(ErrInvalid, "the name of a field has a blank")
+var errWhitespaceInName = errors.Wrap(ErrInvalid, "whitespace in a field name")
 
 // part is the part of a head that the next byte belongs to.
 type part int
 
 const (
-	partVersion    part = iota // of the status line, up to a blank
-	partStatus                 // with the blanks before it
-	partRestOfLine             // what isn't checked
+	partVersion    part = iota // of the status line, up to a space
+	partStatus                 // with the spaces before it
+	partRestOfLine             // not checked: reason phrases and field values
 	partLineStart
 	partLineEnd // after a carriage return at the start of a line
 	partName
-	partBody // or what the library refuses by itself
+	partBody // or bytes that the library refuses by itself
 )
 
 // The statuses that an answer may have (RFC 9110, section 15).
@@ -39,10 +39,11 @@
 // answers and the final one. The zero value is at the beginning.
 type Checker struct {
 	part   part
-	minor  byte // the last one of the protocol's version
-	digits int  // of the status that have come
+	minor  byte // the last digit of the protocol's version
+	digits int  // of the status code, as far as it has come
 	status int
-	// matched is how many bytes of the current name are those of transferEncoding, -1 if one is not.
+	// matched is how many bytes of the current field name agree with transferEncoding, -1 if one
+	// does not.
 	matched int
 }
 
@@ -101,15 +102,15 @@
 	return nil
 }
 
-// addToStatus adds a byte to the status. The libraries accept any three digits, and net/http two with
-// a sign. Below 200 net/http takes the answer for an interim one, so that its body would be read as
-// the next answer; fasthttp takes 000 for 200.
+// addToStatus adds a byte to the status code. The libraries accept any three digits, and net/http two
+// with a sign. An answer below 200 would count as an interim one, so that its body is read as the next
+// answer; fasthttp returns 200 for 000.
 func (c *Checker) addToStatus(b byte) error {
 	switch {
 	case b == ' ' && c.digits == 0:
 		return nil
 	case (b == '+' || b == '-') && c.digits == 0:
-		return errors.Wrap(ErrInvalid, "the status has a sign")
+		return errors.Wrap(ErrInvalid, "the status code has a sign")
 	case b < '0' || b > '9':
 		c.part = partBody // the library refuses it
 		return nil
@@ -120,9 +121,9 @@
 		return nil
 	}
 	c.part = partRestOfLine
-	// No request asks for another protocol, and the bytes of one are no answer.
+	// No request asks to switch protocols, and what follows such an answer is not HTTP.
 	if c.status < minStatus || c.status > maxStatus || c.status == http.StatusSwitchingProtocols {
-		return errors.Wrapf(ErrInvalid, "status %03d", c.status)
+		return errors.Wrapf(ErrInvalid, "status code %03d", c.status)
 	}
 	return nil
 }
@@ -138,8 +139,8 @@
 }
 
 // beginLine looks at the first byte of a line after the status line. The libraries join a line that
-// begins with a blank to the one before it, so that a field loses its meaning. A recipient may refuse
-// such lines (RFC 9112, section 5.2).
+// begins with whitespace to the one before it, so that a field on it loses its meaning. A proxy may
+// refuse such line folding (RFC 9112, section 5.2).
 func (c *Checker) beginLine(data []byte) ([]byte, error) {
 	switch data[0] {
 	case '\n':
@@ -149,31 +150,14 @@
 		c.part = partLineEnd
 		return data[1:], nil
 	case ' ', '\t':
-		return nil, errors.Wrap(ErrInvalid, "a line begins with a blank")
+		return nil, errors.Wrap(ErrInvalid, "a line begins with whitespace")
 	}
 	c.part, c.matched = partName, 0
 	return data, nil
 }
 
-// transferEncoding is the name of a field that HTTP/1.0 does not have. The libraries ignore it there,
-// so that a body in chunks is taken as it comes (RFC 9112, section 6.1).
-const transferEncoding = "transfer-encoding"
-
-// matchTransferEncoding compares the next byte of a name.
-func (c *Checker) matchTransferEncoding(b byte) {
-	const toLower = 'a' - 'A'
-	if 'A' <= b && b <= 'Z' {
-		b += toLower
-	}
-	if c.matched < 0 || c.matched == len(transferEncoding) || transferEncoding[c.matched] != b {
-		c.matched = -1
-		return
-	}
-	c.matched++
-}
-
-// skipName skips the name of a field. The libraries accept blanks in it: net/http takes the field for
-// another one, fasthttp for the one without blanks at the end.
+// skipName skips a field name. The libraries accept spaces in it: net/http takes the field for another
+// one, fasthttp ignores those at the end.
 func (c *Checker) skipName(data []byte) ([]byte, error) {
 	for i, b := range data {
 		switch b {
@@ -184,7 +168,7 @@
 			}
 			return data[i+1:], nil
 		case ' ':
-			return nil, errors.WithStack(errBlankInName)
+			return nil, errors.WithStack(errWhitespaceInName)
 		case '\n':
 			c.part = partBody // the library refuses a line without a colon
 			return nil, nil
@@ -196,6 +180,23 @@
 	return nil, nil
 }
 
+// transferEncoding is the name of a field that HTTP/1.0 does not have. The libraries ignore it there
+// and take a chunked body as it comes (RFC 9112, section 6.1).
+const transferEncoding = "transfer-encoding"
+
+// matchTransferEncoding compares the next byte of a field name.
+func (c *Checker) matchTransferEncoding(b byte) {
+	const toLower = 'a' - 'A'
+	if 'A' <= b && b <= 'Z' {
+		b += toLower
+	}
+	if c.matched < 0 || c.matched == len(transferEncoding) || transferEncoding[c.matched] != b {
+		c.matched = -1
+		return
+	}
+	c.matched++
+}
+
 // endHead ends a head. Another one follows that of an interim answer.
 func (c *Checker) endHead() {
 	if c.status < http.StatusOK {
--- a/internal/answerhead/fields.go
+++ b/internal/answerhead/fields.go
@@ -7,12 +7,12 @@
 	"github.com/pkg/errors"
 )
 
-// CheckFields checks the names of fields that net/http has parsed. It returns an error that wraps
-// ErrInvalid if one has a blank, which is all that the library accepts beyond the protocol.
+// CheckFields checks field names that net/http has parsed. It returns an error that wraps ErrInvalid
+// if one has a space; the library refuses other invalid names by itself.
 func CheckFields(fields http.Header) error {
 	for name := range fields {
 		if strings.Contains(name, " ") {
-			return errors.WithStack(errBlankInName)
+			return errors.WithStack(errWhitespaceInName)
 		}
 	}
 	return nil
--- a/internal/answerhead/transport.go
+++ b/internal/answerhead/transport.go
@@ -36,7 +36,7 @@
 // interim responses.
 func checkResponse(response *http.Response) error {
 	if response.StatusCode < http.StatusOK || response.StatusCode > maxStatus {
-		return errors.Wrapf(ErrInvalid, "status %03d", response.StatusCode)
+		return errors.Wrapf(ErrInvalid, "status code %03d", response.StatusCode)
 	}
 	return CheckFields(response.Header)
 }
--- a/internal/peering/invalid_head_test.go
+++ b/internal/peering/invalid_head_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards against a reply that is applied although the name of a field has a blank.
+// Guards against a reply that is applied although a field name has whitespace.
 func TestReplyWithAnInvalidFieldIsNotApplied(t *testing.T) {
 	for _, field := range []string{"X Odd: v\r\n", "X-Odd : v\r\n", "Transfer-Encoding : chunked\r\n"} {
 		if pullRaw(t, "HTTP/1.1 200 OK", field) == nil {
--- a/internal/platform/invalid_head_test.go
+++ b/internal/platform/invalid_head_test.go
@@ -24,7 +24,7 @@
 	}
 }
 
-// Guards against a reply that counts although the name of a field has a blank, so that a record would
+// Guards against a reply that counts although a field name has whitespace, so that a record would
 // have another version.
 func TestReplyWithAnInvalidFieldIsAnError(t *testing.T) {
 	for name, call := range rawCalls {
